Lay the contracts that the parts share

Change: model, store, host list, profile, placement, lease, peer and HTTP contracts; formatter, linter, strict types and tests behind make test.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+SEED ?= 1
+export PYTHONPATH := src:.
+
+.PHONY: test lint types unit demo bench soak report binary clean
+
+$(VENV)/.installed: requirements.lock
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	touch $@
+
+test: lint types unit
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 src standins benchmarks demo tests
+
+types: $(VENV)/.installed
+	$(BIN)/mypy
+
+unit: $(VENV)/.installed
+	$(BIN)/python -m pytest
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m benchmarks $(NAME) --seed $(SEED)
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A miniature of both deployments as separate processes."""
--- /dev/null
+++ b/src/carobwalk/_version.py
@@ -0,0 +1,5 @@
+"""Version of the program."""
+
+from typing import Final
+
+VERSION: Final = '0.1.0'
--- /dev/null
+++ b/src/carobwalk/model/_exceptions.py
@@ -0,0 +1,5 @@
+"""Root of the exceptions that this package raises."""
+
+
+class CarobwalkError(Exception):
+    """Base class of every exception of this package."""
--- /dev/null
+++ b/src/carobwalk/model/_names.py
@@ -0,0 +1,14 @@
+"""Types of the names that appear in messages and records."""
+
+from typing import NewType
+
+RegionName = NewType('RegionName', str)
+DataCentreName = NewType('DataCentreName', str)
+ProcessId = NewType('ProcessId', str)
+ServerId = NewType('ServerId', str)
+ServiceName = NewType('ServiceName', str)
+ProfileName = NewType('ProfileName', str)
+OperatorName = NewType('OperatorName', str)
+RequestId = NewType('RequestId', str)
+Key = NewType('Key', str)
+ShardNumber = NewType('ShardNumber', int)
--- /dev/null
+++ b/src/carobwalk/model/_placement.py
@@ -0,0 +1,24 @@
+"""Where the requests of a key go."""
+
+from dataclasses import dataclass
+
+from carobwalk.model._endpoint import Endpoint
+from carobwalk.model._fence_token import FenceToken
+from carobwalk.model._names import ShardNumber
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Owner and dispatcher of a shard, or a candidate for unkeyed work.
+
+    Args:
+        server: Backend server that owns the shard.
+        dispatcher: Entry process that dispatches to that server.
+        shard: Shard of the key; ``None`` for unkeyed work.
+        token: Fence token of the owner's grant; ``None`` for unkeyed work.
+    """
+
+    server: Endpoint
+    dispatcher: Endpoint
+    shard: ShardNumber | None
+    token: FenceToken | None
--- /dev/null
+++ b/src/carobwalk/ownership/_shards.py
@@ -0,0 +1,16 @@
+"""Division of keys into shards."""
+
+import xxhash
+
+from carobwalk.model import Key, ShardNumber
+
+
+def shard_of(key: Key, shard_count: int) -> ShardNumber:
+    """Return the shard of a key.
+
+    Args:
+        key: The key.
+        shard_count: Number of shards of the service, fixed for its life.
+    """
+    digest = xxhash.xxh64_intdigest(key.encode('utf-8', 'surrogatepass'))
+    return ShardNumber(digest % shard_count)
--- /dev/null
+++ b/src/carobwalk/peer/_topic.py
@@ -0,0 +1,5 @@
+"""Names of the kinds of messages between processes."""
+
+from typing import NewType
+
+Topic = NewType('Topic', str)
