Carry requests and questions between processes in pycapnp frames

Cause: an entry hands requests to the process that dispatches to a server. Change: one multiplexed connection a peer, correlation ids, credit for bodies, cancel, a single writer task (a cancelled sender must not leave half a frame), a ledger that settles requests whose connection was lost and forbids late heads.

--- a/src/carobwalk/model/__init__.py
+++ b/src/carobwalk/model/__init__.py
@@ -2,6 +2,7 @@
 
 from carobwalk.model._body_error import BodyError, CallerGoneError
 from carobwalk.model._call import BodySource, Call, ReplySink
+from carobwalk.model._call_progress import CallProgress
 from carobwalk.model._clock import Clock, SuspendAwareClock, TrioClock
 from carobwalk.model._completion import Completion
 from carobwalk.model._endpoint import Address, Endpoint
@@ -31,6 +32,7 @@
     'BodyError',
     'BodySource',
     'Call',
+    'CallProgress',
     'CallerGoneError',
     'CarobwalkError',
     'Clock',
--- a/src/carobwalk/model/_call.py
+++ b/src/carobwalk/model/_call.py
@@ -1,8 +1,9 @@
 """A request with its body, and where its answer goes."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
+from carobwalk.model._call_progress import CallProgress
 from carobwalk.model._request_head import Headers, RequestHead
 
 
@@ -37,7 +38,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """A classified request and its body."""
+    """A classified request and its body.
+
+    Args:
+        head: Classified head.
+        body: Body, read once.
+        progress: Marked before the first byte goes to a backend server.
+    """
 
     head: RequestHead
     body: BodySource
+    progress: CallProgress = field(default_factory=CallProgress)
--- /dev/null
+++ b/src/carobwalk/peer/_exchange_sink.py
@@ -0,0 +1,37 @@
+"""Receiver of an answer that leaves over a peer connection."""
+
+from carobwalk.model import CallerGoneError, Headers
+from carobwalk.peer._exceptions import PeerLostError
+from carobwalk.peer._exchange import Exchange
+from carobwalk.peer.frames import ReplyHead
+
+
+class ExchangeSink:
+    """Sends an answer's head and chunks as frames."""
+
+    __slots__ = ('_exchange',)
+
+    def __init__(self, exchange: Exchange) -> None:
+        self._exchange = exchange
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the status and the header fields.
+
+        Raises:
+            CallerGoneError: If the connection is lost.
+        """
+        try:
+            await self._exchange.send(ReplyHead(status, headers))
+        except PeerLostError as error:
+            raise CallerGoneError('peer connection lost') from error
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the body; waits for credit.
+
+        Raises:
+            CallerGoneError: If the connection is lost.
+        """
+        try:
+            await self._exchange.send_chunk(chunk)
+        except PeerLostError as error:
+            raise CallerGoneError('peer connection lost') from error
--- /dev/null
+++ b/src/carobwalk/peer/codec/__init__.py
@@ -0,0 +1,6 @@
+"""Codec of frames."""
+
+from carobwalk.peer.codec._decode import decode_frame
+from carobwalk.peer.codec._encode import encode_frame
+
+__all__ = ('decode_frame', 'encode_frame')
--- /dev/null
+++ b/src/carobwalk/peer/codec/_decode.py
@@ -0,0 +1,38 @@
+"""Bytes to frames, by pycapnp."""
+
+from typing import Final
+
+import capnp
+
+from carobwalk.peer import frames
+from carobwalk.peer._exceptions import FrameError
+from carobwalk.peer.codec import _read_reply, _read_request, _read_short  # noqa: F401 they fill the registry
+from carobwalk.peer.codec._readers import readers_by_field
+from carobwalk.peer.codec._schema import schema
+
+_READ_LIMIT_WORDS: Final = 1_048_576
+
+
+def decode_frame(encoded: bytes) -> frames.Frame:
+    """Return the frame of a capnp message.
+
+    Args:
+        encoded: The message without its length.
+
+    Raises:
+        FrameError: If the bytes are no frame of this protocol.
+    """
+    try:
+        return _read_frame(encoded)
+    except (capnp.KjException, ValueError, KeyError) as error:
+        raise FrameError(f'malformed frame: {error}') from error
+
+
+def _read_frame(encoded: bytes) -> frames.Frame:
+    with schema.Frame.from_bytes(
+        encoded,
+        traversal_limit_in_words=_READ_LIMIT_WORDS,
+    ) as message:
+        field = message.which()
+        body = readers_by_field[field](getattr(message, field))
+        return frames.Frame(message.exchange, message.stamp, body)
--- /dev/null
+++ b/src/carobwalk/peer/frames/_frame.py
@@ -0,0 +1,20 @@
+"""One message on a peer connection."""
+
+from dataclasses import dataclass
+
+from carobwalk.peer.frames._body import Body
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """One message on a peer connection.
+
+    Args:
+        exchange: Correlation id chosen by the side that dialled.
+        stamp: Logical time of the sender.
+        body: Content.
+    """
+
+    exchange: int
+    stamp: int
+    body: Body
--- /dev/null
+++ b/src/carobwalk/peer/frames/_open_request.py
@@ -0,0 +1,13 @@
+"""Head of a request and the placement that the entry chose."""
+
+from dataclasses import dataclass
+
+from carobwalk.model import Placement, RequestHead
+
+
+@dataclass(frozen=True, slots=True)
+class OpenRequest:
+    """Head of a request and the placement that the entry chose."""
+
+    head: RequestHead
+    placement: Placement
