Add the holder's side of the grants

Cause: a backend server that checks grants needs one place that decides what it may serve at an instant, and the messages that coordinators send it. Ruled out: counting a renewal from its arrival, which lets a delayed packet revive a lapsed grant; dropping shards of an earlier epoch at the first order of a new one, which would end live grants in the middle of a takeover.

--- /dev/null
+++ b/src/carobwalk/ownership/_grant_table.py
@@ -0,0 +1,127 @@
+"""Holder's side of the grants: what a server may serve at an instant."""
+
+from collections import Counter
+
+from carobwalk.model import FenceToken, ServiceName, ShardNumber
+from carobwalk.ownership._group_grants import GroupGrants
+from carobwalk.ownership._server_messages import (
+    FenceOrder,
+    GrantOrder,
+    GrantReport,
+    Refusal,
+    ReleaseOrder,
+    ServerOrder,
+    ShardId,
+)
+
+
+class GrantTable:
+    """Grants of one incarnation of a backend server.
+
+    Every reading of the clock is passed in, in seconds of the server's own
+    clock, which must run on while the host is suspended.
+
+    Args:
+        incarnation: Random name taken when the server started.
+    """
+
+    def __init__(self, incarnation: str) -> None:
+        self.leaving = False
+        self._incarnation = incarnation
+        self._by_group: dict[str, GroupGrants] = {}
+        self._in_flight: Counter[ShardId] = Counter()
+
+    def handle(self, order: ServerOrder, now: float) -> GrantReport:
+        """Apply an order of any kind unless a rule forbids it.
+
+        Args:
+            order: The order.
+            now: Reading of the server's clock.
+        """
+        group = self._by_group.setdefault(order.group, GroupGrants())
+        refusal = self._refusal(order, group, now)
+        if refusal is None:
+            _apply(order, group, now)
+        group.drop_drained(self._in_flight)
+        return GrantReport(
+            incarnation=self._incarnation,
+            epoch=group.epoch,
+            sequence=group.sequence,
+            clock=now,
+            held=group.held(now),
+            leaving=self.leaving,
+            refusal=refusal,
+        )
+
+    def admits(
+        self,
+        service: ServiceName,
+        shard: ShardNumber,
+        token: FenceToken,
+        now: float,
+    ) -> bool:
+        """Return whether a request may start.
+
+        Args:
+            service: Service of the request.
+            shard: Shard of the request's key.
+            token: Fence token that the dispatcher sent.
+            now: Reading of the server's clock.
+        """
+        shard_id = (service, shard)
+        grants = (group.by_shard.get(shard_id) for group in self._groups())
+        return any(
+            grant is not None and grant.admits(token, now) for grant in grants
+        )
+
+    def owns(
+        self,
+        service: ServiceName,
+        shard: ShardNumber,
+        now: float,
+    ) -> bool:
+        """Return whether a live grant covers the shard, draining or not."""
+        shard_id = (service, shard)
+        grants = (group.by_shard.get(shard_id) for group in self._groups())
+        return any(grant is not None and grant.until > now for grant in grants)
+
+    def begin(self, service: ServiceName, shard: ShardNumber) -> None:
+        """Count a request that was admitted."""
+        self._in_flight[service, shard] += 1
+
+    def finish(self, service: ServiceName, shard: ShardNumber) -> None:
+        """Count the end of a request that was admitted."""
+        shard_id = (service, shard)
+        self._in_flight[shard_id] -= 1
+        if not self._in_flight[shard_id]:
+            self._in_flight.pop(shard_id)
+
+    def _groups(self) -> tuple[GroupGrants, ...]:
+        return tuple(self._by_group.values())
+
+    def _refusal(
+        self,
+        order: ServerOrder,
+        group: GroupGrants,
+        now: float,
+    ) -> Refusal | None:
+        if order.epoch < group.epoch:
+            return Refusal.EPOCH
+        if isinstance(order, FenceOrder):
+            return None
+        if order.incarnation != self._incarnation:
+            return Refusal.INCARNATION
+        if order.epoch == group.epoch and order.sequence <= group.sequence:
+            return Refusal.SEQUENCE
+        if isinstance(order, GrantOrder) and order.echo > now:
+            return Refusal.CLOCK
+        return None
+
+
+def _apply(order: ServerOrder, group: GroupGrants, now: float) -> None:
+    if isinstance(order, FenceOrder):
+        group.accept(order.epoch)
+    elif isinstance(order, ReleaseOrder):
+        group.drain(order)
+    else:
+        group.apply(order, now)
--- /dev/null
+++ b/src/carobwalk/ownership/_group_grants.py
@@ -0,0 +1,118 @@
+"""Grants of one group as their holder keeps them."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from carobwalk.model import FenceToken
+from carobwalk.ownership._server_messages import (
+    GrantOrder,
+    HeldShard,
+    ReleaseOrder,
+    ShardGrant,
+    ShardId,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """A grant with its end on the holder's clock.
+
+    Args:
+        token: Fence token of the grant.
+        since: Token with which the unbroken holding began.
+        until: End in seconds on the holder's clock.
+        draining: Whether new work is refused.
+    """
+
+    token: FenceToken
+    since: FenceToken
+    until: float
+    draining: bool = False
+
+    def admits(self, token: FenceToken, now: float) -> bool:
+        """Return whether a request sent with the token may start."""
+        if self.draining or now >= self.until:
+            return False
+        return self.since <= token <= self.token
+
+
+@dataclass(slots=True)
+class GroupGrants:
+    """Accepted epoch and running grants of one group.
+
+    Args:
+        epoch: Highest epoch accepted.
+        sequence: Last order applied in that epoch.
+        by_shard: Grants by service and shard.
+    """
+
+    epoch: int = 0
+    sequence: int = 0
+    by_shard: dict[ShardId, Grant] = field(default_factory=dict)
+
+    def accept(self, epoch: int) -> None:
+        """Accept an epoch that is not lower than the one accepted."""
+        if epoch > self.epoch:
+            self.epoch = epoch
+            self.sequence = 0
+
+    def apply(self, order: GrantOrder, now: float) -> None:
+        """Take over the set of shards of an order that was checked."""
+        self.accept(order.epoch)
+        self.sequence = order.sequence
+        kept = {
+            shard_id: grant
+            for shard_id, grant in self.by_shard.items()
+            if grant.token.epoch < order.epoch and grant.until > now
+        }
+        for shard in order.shards:
+            kept[shard.shard_id] = self._renewed(order, shard, now)
+        for leaving in order.releasing:
+            renewed = self._renewed(order, leaving, now)
+            kept[leaving.shard_id] = replace(renewed, draining=True)
+        self.by_shard = kept
+
+    def drain(self, order: ReleaseOrder) -> None:
+        """Stop new work for the shards of an order that was checked."""
+        self.accept(order.epoch)
+        self.sequence = order.sequence
+        for shard in order.shards:
+            grant = self.by_shard.get(shard.shard_id)
+            if grant is not None:
+                drained = replace(grant, draining=True)
+                self.by_shard[shard.shard_id] = drained
+
+    def drop_drained(self, busy: Iterable[ShardId]) -> None:
+        """Drop the draining shards that have no request in flight."""
+        in_flight = frozenset(busy)
+        self.by_shard = {
+            shard_id: grant
+            for shard_id, grant in self.by_shard.items()
+            if not grant.draining or shard_id in in_flight
+        }
+
+    def held(self, now: float) -> tuple[HeldShard, ...]:
+        """Return the live grants."""
+        return tuple(
+            HeldShard(
+                service=shard_id[0],
+                shard=shard_id[1],
+                token=grant.token,
+                remaining=grant.until - now,
+                draining=grant.draining,
+            )
+            for shard_id, grant in self.by_shard.items()
+            if grant.until > now
+        )
+
+    def _renewed(
+        self,
+        order: GrantOrder,
+        shard: ShardGrant,
+        now: float,
+    ) -> Grant:
+        token = FenceToken(order.epoch, shard.sequence)
+        current = self.by_shard.get(shard.shard_id)
+        unbroken = current is not None and current.until > now
+        since = current.since if current is not None and unbroken else token
+        return Grant(token=token, since=since, until=order.echo + order.ttl)
