Answer and send small HTTP messages with h11

Cause: the platform's adapters, the administration and the stand-ins need one small HTTP server and client.

--- /dev/null
+++ b/src/carobwalk/http/_h11_stream.py
@@ -0,0 +1,84 @@
+"""An h11 connection over a trio stream."""
+
+from typing import Final
+
+import h11
+import trio
+
+_RECEIVE_BYTES: Final = 65_536
+
+
+class H11Stream:
+    """Couples an h11 state machine with a byte stream.
+
+    Args:
+        stream: Connected stream.
+        role: ``h11.SERVER`` or ``h11.CLIENT``.
+        header_bytes: Longest header section accepted.
+    """
+
+    __slots__ = ('protocol', 'stream')
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        role: type[h11.SERVER] | type[h11.CLIENT],
+        header_bytes: int = _RECEIVE_BYTES,
+    ) -> None:
+        self.stream = stream
+        self.protocol = h11.Connection(
+            role,
+            max_incomplete_event_size=header_bytes,
+        )
+
+    async def receive(self) -> h11.Event | type[h11.PAUSED]:
+        """Return the next event, reading from the stream when needed.
+
+        Raises:
+            h11.RemoteProtocolError: If the other side breaks the protocol.
+            trio.BrokenResourceError: If the connection is lost.
+        """
+        while True:
+            event = self.protocol.next_event()
+            if event is h11.PAUSED or isinstance(event, h11.Event):
+                return event
+            chunk = await self.stream.receive_some(_RECEIVE_BYTES)
+            self.protocol.receive_data(bytes(chunk))
+
+    async def send(self, *events: h11.Event) -> None:
+        """Write events in one piece.
+
+        Raises:
+            trio.BrokenResourceError: If the connection is lost.
+        """
+        parts = [self.protocol.send(event) or b'' for event in events]
+        await self.stream.send_all(b''.join(parts))
+
+    async def read_body(self, limit: int) -> bytes | None:
+        """Return the rest of a message's body, ``None`` above the limit.
+
+        Args:
+            limit: Longest body in bytes.
+
+        Raises:
+            h11.RemoteProtocolError: If the message is cut off.
+        """
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            event = await self.receive()
+            if not isinstance(event, h11.Data):
+                break
+            size += len(event.data)
+            if size > limit:
+                return None
+            chunks.append(bytes(event.data))
+        return b''.join(chunks)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether both sides finished a message and may start another."""
+        return (
+            self.protocol.our_state is h11.DONE
+            and self.protocol.their_state is h11.DONE
+        )
--- /dev/null
+++ b/tests/http/test_small_exchange.py
@@ -0,0 +1,97 @@
+"""Tests of small HTTP exchanges on loopback."""
+
+import trio
+from result import Err, Ok
+
+from carobwalk.http import (
+    ConnectFailed,
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+    NoAnswer,
+    serve_http,
+)
+from carobwalk.model import Address
+
+_TIMEOUT_SECONDS = 5
+
+
+async def _echo(request: HttpRequest) -> HttpResponse:
+    if request.path == '/fail':
+        raise ValueError(request.path)
+    if request.path == '/hang':
+        await trio.sleep_forever()
+    text = f'{request.method} {request.path} {request.query}'
+    return HttpResponse(status=200, body=text.encode() + request.body)
+
+
+async def _ask(*requests: HttpRequest, timeout: float) -> list[object]:
+    answers: list[object] = []
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        port = listeners[0].socket.getsockname()[1]
+        nursery.start_soon(serve_http, _echo, listeners)
+        client = HttpClient()
+        for request in requests:
+            address = Address('127.0.0.1', port)
+            answers.append(await client.send(address, request, timeout))
+        nursery.cancel_scope.cancel()
+    return answers
+
+
+class TestSmallExchange:
+    def test_answers_in_order(self) -> None:
+        """One kept connection carries several exchanges."""
+        post = HttpRequest('POST', '/a b', {'q': '1'}, body=b'!')
+        get = HttpRequest('GET', '/c')
+
+        async def main() -> list[object]:
+            return await _ask(post, get, timeout=_TIMEOUT_SECONDS)
+
+        first, second = trio.run(main)
+        assert first == Ok(_response(b"POST /a b {'q': '1'}!", first))
+        assert second == Ok(_response(b'GET /c {}', second))
+
+    def test_exception(self) -> None:
+        """An exception of the handler is answered with status 500."""
+        fail = HttpRequest('GET', '/fail')
+
+        async def main() -> list[object]:
+            return await _ask(fail, timeout=_TIMEOUT_SECONDS)
+
+        answer = trio.run(main)[0]
+        assert isinstance(answer, Ok)
+        assert answer.ok_value.status == 500
+
+    def test_no_answer(self) -> None:
+        """A request that is not answered in time ends as NoAnswer."""
+        hang = HttpRequest('GET', '/hang')
+
+        async def main() -> list[object]:
+            return await _ask(hang, timeout=0.05)
+
+        answer = trio.run(main)[0]
+        assert isinstance(answer, Err)
+        assert isinstance(answer.err_value, NoAnswer)
+
+    def test_refused(self) -> None:
+        """A refused connection is known to have sent nothing."""
+
+        async def main() -> object:
+            listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+            port = listeners[0].socket.getsockname()[1]
+            await listeners[0].aclose()
+            client = HttpClient()
+            request = HttpRequest('GET', '/')
+            return await client.send(Address('127.0.0.1', port), request, 1)
+
+        answer = trio.run(main)
+        assert isinstance(answer, Err)
+        assert isinstance(answer.err_value, ConnectFailed)
+
+
+def _response(body: bytes, answer: object) -> HttpResponse:
+    assert isinstance(answer, Ok)
+    response = answer.ok_value
+    assert isinstance(response, HttpResponse)
+    return HttpResponse(200, response.headers, body)
