--- a/standins/_memory_store_client.py
+++ b/standins/_memory_store_client.py
@@ -92,7 +92,8 @@
     async def open_lease(self, ttl: float) -> Result[LeaseId, StoreFailure]:
         """Open a lease of ``ttl`` seconds."""
         self.counts = replace(self.counts, writes=self.counts.writes + 1)
-        return await self._link.change(lambda: Ok(self._state.leases.open(ttl)))
+        leases = self._state.leases
+        return await self._link.change(lambda: Ok(leases.open(ttl)))
 
     async def keep_alive(self, lease: LeaseId) -> Result[None, StoreFailure]:
         """Renew a lease for its whole time to live."""
