Reach the store and the host list over HTTP

The adapters keep the typed failures apart: a refused connection and status 503 had no effect, everything else that is not a reply of the service is Unanswered. The stand-ins answer the same messages from memory.

test_restart found a fault in HttpClient: an idle connection that the server has closed is used again, since receive_some under an expired scope is cancelled before it reads. A store call after a restart then counts as unanswered.

--- /dev/null
+++ b/tests/platform/test_http_host_list.py
@@ -0,0 +1,106 @@
+"""Tests of the adapter to the host list over HTTP."""
+
+import msgspec
+import pytest
+import trio
+from result import Err, Ok, Result
+from trio.testing import MockClock
+
+from carobwalk.http import HttpFailure, HttpRequest, HttpResponse, NoAnswer
+from carobwalk.model import (
+    Address,
+    DataCentreName,
+    Endpoint,
+    RegionName,
+    ServiceName,
+)
+from carobwalk.platform import Host, HttpHostList
+from standins.host_list_handler import HostListHandler
+from standins.memory_host_list import MemoryHostList
+
+ADDRESS = Address('127.0.0.1', 1)
+HOST = Host(
+    Endpoint(
+        'server-1',
+        Address('127.0.0.1', 1),
+        RegionName('north'),
+        DataCentreName('north-1'),
+    ),
+    service=ServiceName('tien-do'),
+    leaving=False,
+)
+
+
+class HandlerSender:
+    """Sender that calls the stand-in."""
+
+    def __init__(self, handler: HostListHandler) -> None:
+        self._handler = handler
+
+    async def send(
+        self,
+        address: Address,
+        request: HttpRequest,
+        timeout: float,
+    ) -> Result[HttpResponse, HttpFailure]:
+        """Return the handler's response."""
+        return Ok(await self._handler(request))
+
+
+class FixedSender:
+    """Sender that returns one answer to all requests."""
+
+    def __init__(self, answer: Result[HttpResponse, HttpFailure]) -> None:
+        self._answer = answer
+
+    async def send(
+        self,
+        address: Address,
+        request: HttpRequest,
+        timeout: float,
+    ) -> Result[HttpResponse, HttpFailure]:
+        """Return the answer."""
+        return self._answer
+
+
+class TestHttpHostList:
+    def test_read(self, virtual_clock: MockClock) -> None:
+        """Hosts are read as they were put, marked and removed."""
+
+        async def body() -> None:
+            handler = HostListHandler(MemoryHostList())
+            hosts = HttpHostList(HandlerSender(handler), ADDRESS)
+            put = HttpRequest(
+                'PUT',
+                '/_control/hosts',
+                body=msgspec.json.encode(HOST),
+            )
+            await handler(put)
+            assert await hosts.read() == Ok((HOST,))
+            await handler(HttpRequest('POST', '/_control/leaving/server-1'))
+            assert (await hosts.read()).unwrap()[0].leaving
+            await handler(HttpRequest('DELETE', '/_control/hosts/server-1'))
+            assert await hosts.read() == Ok(())
+
+        trio.run(body, clock=virtual_clock)
+
+    @pytest.mark.parametrize(
+        'answer',
+        [
+            Err(NoAnswer('timeout')),
+            Ok(HttpResponse(503)),
+            Ok(HttpResponse(200, body=b'[{}]')),
+            Ok(HttpResponse(200, body=b'[')),
+        ],
+    )
+    def test_failures(
+        self,
+        answer: Result[HttpResponse, HttpFailure],
+    ) -> None:
+        """A list that cannot be read is an error, never an empty list."""
+
+        async def body() -> None:
+            hosts = HttpHostList(FixedSender(answer), ADDRESS)
+            assert (await hosts.read()).is_err()
+
+        trio.run(body)
--- /dev/null
+++ b/tests/platform/test_http_store.py
@@ -0,0 +1,173 @@
+"""Tests of the adapter to the key-value service over HTTP."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+import trio
+from result import Err, Ok, Result
+from trio.testing import MockClock
+
+from carobwalk.http import (
+    ConnectFailed,
+    HttpClient,
+    HttpFailure,
+    HttpRequest,
+    HttpResponse,
+    NoAnswer,
+    serve_http,
+)
+from carobwalk.model import Address
+from carobwalk.platform import (
+    Conflict,
+    HttpStore,
+    LeaseId,
+    LeaseLost,
+    Store,
+    Unanswered,
+    Unavailable,
+    Versioned,
+)
+from standins.store_handler import StoreHandler
+
+ADDRESS = Address('127.0.0.1', 1)
+Answer = Awaitable[Result[Any, Any]]
+StoreCall = Callable[[Store], Answer]
+CALLS: tuple[StoreCall, ...] = (
+    lambda store: store.read('a'),
+    lambda store: store.read_prefix('a'),
+    lambda store: store.write('a', b'', 0),
+    lambda store: store.delete('a', 1),
+    lambda store: store.open_lease(1),
+    lambda store: store.keep_alive(LeaseId('lease-1')),
+    lambda store: store.watch('a', 0, 1),
+)
+
+
+class FixedSender:
+    """Sender that returns one answer to all requests."""
+
+    def __init__(self, answer: Result[HttpResponse, HttpFailure]) -> None:
+        self._answer = answer
+
+    async def send(
+        self,
+        address: Address,
+        request: HttpRequest,
+        timeout: float,
+    ) -> Result[HttpResponse, HttpFailure]:
+        """Return the answer."""
+        return self._answer
+
+
+class HandlerSender:
+    """Sender that calls a handler and gives up after the timeout."""
+
+    def __init__(self, handler: StoreHandler) -> None:
+        self._handler = handler
+
+    async def send(
+        self,
+        address: Address,
+        request: HttpRequest,
+        timeout: float,
+    ) -> Result[HttpResponse, HttpFailure]:
+        """Return the handler's response."""
+        with trio.move_on_after(timeout):
+            return Ok(await self._handler(request))
+        return Err(NoAnswer('timeout'))
+
+
+def control(method: str, path: str, body: bytes = b'') -> HttpRequest:
+    """Return a control request."""
+    return HttpRequest(method, f'/_control/{path}', body=body)
+
+
+class TestHttpStore:
+    def test_calls(self, virtual_clock: MockClock) -> None:
+        """Each call gives what the store gives."""
+
+        async def body() -> None:
+            store: Store = HttpStore(HandlerSender(StoreHandler()), ADDRESS)
+            blob = bytes(range(256))
+            lease = (await store.open_lease(9)).unwrap()
+            assert await store.keep_alive(lease) == Ok(None)
+            assert await store.write('a', blob, 0, lease) == Ok(1)
+            record = Versioned('a', blob, 1)
+            assert await store.read('a') == Ok(record)
+            assert await store.read_prefix('') == Ok((record,))
+            assert await store.write('a', b'', 0) == Err(Conflict(record))
+            assert await store.watch('a', 0, 9) == Ok((record,))
+            assert await store.watch('a', 1, 2) == Ok(())
+            assert await store.delete('a', 1) == Ok(2)
+            assert await store.read('a') == Ok(None)
+            await trio.sleep(10)
+            assert await store.keep_alive(lease) == Err(LeaseLost(lease))
+
+        trio.run(body, clock=virtual_clock)
+
+    def test_faults(self, virtual_clock: MockClock) -> None:
+        """A refused write and a lost reply are told apart."""
+
+        async def body() -> None:
+            handler = StoreHandler()
+            store = HttpStore(HandlerSender(handler), ADDRESS)
+            await handler(control('PUT', 'faults', b'{"down":true}'))
+            refused = await store.write('a', b'', 0)
+            assert isinstance(refused.unwrap_err(), Unavailable)
+            await handler(control('PUT', 'faults', b'{"lost_replies":1}'))
+            lost = await store.write('a', b'', 0)
+            assert isinstance(lost.unwrap_err(), Unanswered)
+            assert await store.read('a') == Ok(Versioned('a', b'', 1))
+
+        trio.run(body, clock=virtual_clock)
+
+    @pytest.mark.parametrize('call', CALLS)
+    @pytest.mark.parametrize(
+        ('answer', 'failure'),
+        [
+            (Err(ConnectFailed('refused')), Unavailable),
+            (Err(NoAnswer('timeout')), Unanswered),
+            (Ok(HttpResponse(503)), Unavailable),
+            (Ok(HttpResponse(500)), Unanswered),
+            (Ok(HttpResponse(200, body=b'{"cut')), Unanswered),
+            (Ok(HttpResponse(200, body=b'{"other":[]}')), Unanswered),
+            (Ok(HttpResponse(409, body=b'1')), Unanswered),
+        ],
+    )
+    def test_failures(
+        self,
+        call: StoreCall,
+        answer: Result[HttpResponse, HttpFailure],
+        failure: type,
+    ) -> None:
+        """Only a call that had no effect for certain is unavailable."""
+
+        async def body() -> None:
+            store = HttpStore(FixedSender(answer), ADDRESS)
+            failed = await call(store)
+            assert isinstance(failed.unwrap_err(), failure)
+
+        trio.run(body)
+
+    def test_restart(self) -> None:
+        """A write after the service restarted is not lost with its link."""
+
+        async def body() -> None:
+            client = HttpClient()
+            listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+            port = listeners[0].socket.getsockname()[1]
+            store = HttpStore(client, Address('127.0.0.1', port))
+            for _ in range(2):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(serve_http, StoreHandler(), listeners)
+                    assert await store.write('a', b'', 0) == Ok(1)
+                    nursery.cancel_scope.cancel()
+                refused = await store.write('a', b'', 1)
+                assert isinstance(refused.unwrap_err(), Unavailable)
+                listeners = await trio.open_tcp_listeners(
+                    port,
+                    host='127.0.0.1',
+                )
+
+        trio.run(body)
