Read settings from JSON with comments

Cause: a process has to learn its addresses, data centre and limits from one file, and a wrong file has to stop it before anything starts. Weighed: msgspec on the whole tree, which stops at the first error; a walk over the dataclasses that gives msgspec one value at a time, which finds all errors of a file. The second is taken. Found by the fuzz: a lone surrogate in a number's place raised UnicodeEncodeError, and a syntax error spread over two lines. Both are typed one-line errors now.

--- /dev/null
+++ b/src/carobwalk/settings/__init__.py
@@ -0,0 +1,31 @@
+"""Settings of a process: a file of JSON with comments, validated."""
+
+from carobwalk.settings._errors import (
+    SettingsError,
+    SettingsErrorKind,
+    SettingsErrors,
+)
+from carobwalk.settings._limits import Limits
+from carobwalk.settings._listen import Listen
+from carobwalk.settings._load import load_settings, parse_settings
+from carobwalk.settings._log import Log, LogLevel
+from carobwalk.settings._ownership import Ownership
+from carobwalk.settings._platform import Platform
+from carobwalk.settings._process import Process
+from carobwalk.settings._settings import Settings
+
+__all__ = (
+    'Limits',
+    'Listen',
+    'Log',
+    'LogLevel',
+    'Ownership',
+    'Platform',
+    'Process',
+    'Settings',
+    'SettingsError',
+    'SettingsErrorKind',
+    'SettingsErrors',
+    'load_settings',
+    'parse_settings',
+)
--- /dev/null
+++ b/src/carobwalk/settings/_errors.py
@@ -0,0 +1,55 @@
+"""Errors of a settings file."""
+
+from dataclasses import dataclass
+from enum import StrEnum, unique
+
+
+@unique
+class SettingsErrorKind(StrEnum):
+    """Kinds of error in a settings file."""
+
+    UNREADABLE = 'unreadable'
+    SYNTAX = 'syntax'
+    UNKNOWN_NAME = 'unknown-name'
+    MISSING = 'missing'
+    INVALID = 'invalid'
+    CONTRADICTION = 'contradiction'
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsError:
+    """One error of a settings file.
+
+    Args:
+        file: Name of the file as it was given.
+        path: Field, for instance ``limits.header_bytes``; empty for the file.
+        kind: Kind of the error.
+        found: What was found, in short.
+        allowed: What is allowed there.
+    """
+
+    file: str
+    path: str
+    kind: SettingsErrorKind
+    found: str
+    allowed: str
+
+    def __str__(self) -> str:
+        """Return the error on one line."""
+        place = f'{self.file}: {self.path}' if self.path else self.file
+        return f'{place}: {self.kind}: {self.found}; allowed: {self.allowed}'
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsErrors:
+    """All errors of a settings file, in the order of its fields.
+
+    Args:
+        errors: The errors; never empty.
+    """
+
+    errors: tuple[SettingsError, ...]
+
+    def __str__(self) -> str:
+        """Return one line for each error."""
+        return '\n'.join(str(error) for error in self.errors)
--- /dev/null
+++ b/tests/settings/test_load.py
@@ -0,0 +1,189 @@
+"""Tests of reading settings."""
+
+from pathlib import Path
+
+import pytest
+from result import Err, Ok
+
+from carobwalk.model import Address, ProcessId
+from carobwalk.settings import (
+    Limits,
+    Log,
+    Ownership,
+    Settings,
+    SettingsErrorKind,
+    SettingsErrors,
+    load_settings,
+    parse_settings,
+)
+
+EXAMPLE = Path(__file__).parents[2] / 'docs' / 'example-settings.json5'
+REQUIRED = """
+process: {id: 'e1', region: 'north', data_centre: 'north-a'},
+listen: {
+  callers: '127.0.0.1:1', peers: '127.0.0.1:2', administration: '[::1]:3',
+},
+platform: {store: '127.0.0.1:4', host_list: '127.0.0.1:5'},
+"""
+
+
+def _errors(extra: str, required: str = REQUIRED) -> SettingsErrors:
+    text = f'{{{required}{extra}}}'
+    return parse_settings(text.encode(), 'some.json5').unwrap_err()
+
+
+def _rows(errors: SettingsErrors) -> list[tuple[str, SettingsErrorKind]]:
+    return [(error.path, error.kind) for error in errors.errors]
+
+
+class TestLoadSettings:
+    def test_example(self) -> None:
+        """The example file in the docs is valid and shows the defaults."""
+        settings = load_settings(EXAMPLE).unwrap()
+        assert settings.process.id == ProcessId('entry-1')
+        assert settings.limits == Limits()
+        assert settings.ownership == Ownership()
+        assert settings.log == Log()
+
+    def test_missing_file(self, tmp_path: Path) -> None:
+        """A file that is not there is one typed error."""
+        errors = load_settings(tmp_path / 'absent').unwrap_err()
+        assert _rows(errors) == [('', SettingsErrorKind.UNREADABLE)]
+
+    def test_too_long(self, tmp_path: Path) -> None:
+        """A file beyond the limit is refused before it is parsed."""
+        path = tmp_path / 'long.json5'
+        path.write_bytes(b' ' * 65_537)
+        errors = load_settings(path).unwrap_err()
+        assert errors.errors[0].allowed == 'at most 65536 bytes'
+
+
+class TestParseSettings:
+    def test_defaults(self) -> None:
+        """Optional sections have defaults."""
+        settings = parse_settings(f'{{{REQUIRED}}}'.encode(), 'f').unwrap()
+        assert isinstance(settings, Settings)
+        assert settings.listen.administration == Address('::1', 3)
+        assert settings.limits == Limits()
+
+    def test_all_errors_at_once(self) -> None:
+        """Every error is reported, each with its path, in one go."""
+        errors = _errors(
+            'limits: {header_bytes: 12, header_byte: 1, drain_ms: 5},'
+            "ownership: {heartbeat_seconds: '500ms', groups: ['a b']},"
+            "log: {level: 'loud'}, extra: 1",
+            required="process: {id: '', region: 'r'}, platform: 7,",
+        )
+        assert _rows(errors) == [
+            ('extra', SettingsErrorKind.UNKNOWN_NAME),
+            ('process.id', SettingsErrorKind.INVALID),
+            ('process.data_centre', SettingsErrorKind.MISSING),
+            ('listen', SettingsErrorKind.MISSING),
+            ('platform', SettingsErrorKind.INVALID),
+            ('log.level', SettingsErrorKind.INVALID),
+            ('limits.header_byte', SettingsErrorKind.UNKNOWN_NAME),
+            ('limits.drain_ms', SettingsErrorKind.UNKNOWN_NAME),
+            ('limits.header_bytes', SettingsErrorKind.INVALID),
+            ('ownership.groups', SettingsErrorKind.INVALID),
+            ('ownership.heartbeat_seconds', SettingsErrorKind.INVALID),
+        ]
+
+    @pytest.mark.parametrize(
+        ('extra', 'line'),
+        [
+            (
+                "limits: {drain_seconds: '5s'}",
+                "some.json5: limits.drain_seconds: invalid: '5s'; "
+                'allowed: a number of seconds from 0.1 to 3600',
+            ),
+            (
+                'limits: {header_bytes: 1}',
+                'some.json5: limits.header_bytes: invalid: 1; '
+                'allowed: a whole number of bytes from 1024 to 1048576',
+            ),
+            (
+                'limits: {drain_ms: 1}',
+                "some.json5: limits.drain_ms: unknown-name: 'drain_ms'; "
+                'allowed: drain_seconds in seconds',
+            ),
+            (
+                "log: {level: 'loud'}",
+                "some.json5: log.level: invalid: 'loud'; "
+                'allowed: one of debug, info, warning, error',
+            ),
+            (
+                'log: {path: 5}',
+                'some.json5: log.path: invalid: 5; allowed: the name of a '
+                'file or null',
+            ),
+            (
+                'limits: {header_bytes: true}',
+                'some.json5: limits.header_bytes: invalid: True; '
+                'allowed: a whole number of bytes from 1024 to 1048576',
+            ),
+            (
+                'limits: {drain_seconds: NaN}',
+                'some.json5: limits.drain_seconds: invalid: nan; '
+                'allowed: a number of seconds from 0.1 to 3600',
+            ),
+            (
+                'limits: {peer_window_bytes: 65536}',
+                'some.json5: limits.peer_window_bytes: contradiction: 65536; '
+                'allowed: at least 131072 bytes, which is twice '
+                'body_chunk_bytes',
+            ),
+            (
+                'ownership: {heartbeat_seconds: 2, grant_seconds: 6}',
+                'some.json5: ownership.lease_seconds: contradiction: 3.0; '
+                'allowed: at least 6.0 seconds, which is 3 times '
+                'heartbeat_seconds',
+            ),
+        ],
+    )
+    def test_message(self, extra: str, line: str) -> None:
+        """An error names file, path, what was found and what is allowed."""
+        assert str(_errors(extra)) == line
+
+    @pytest.mark.parametrize(
+        'address',
+        ['localhost:1', '127.0.0.1', '127.0.0.1:0', '1.2.3.4:65536', '::1:5'],
+    )
+    def test_addresses(self, address: str) -> None:
+        """Only an IP number with a port is an address."""
+        required = REQUIRED.replace('127.0.0.1:4', address)
+        errors = _errors('', required)
+        assert _rows(errors) == [
+            ('platform.store', SettingsErrorKind.INVALID),
+        ]
+
+    def test_listening_twice(self) -> None:
+        """One address can't be listened on twice, nor unspecified for peers."""
+        required = REQUIRED.replace('127.0.0.1:1', '0.0.0.0:2').replace(
+            '127.0.0.1:2',
+            '0.0.0.0:2',
+        )
+        assert _rows(_errors('', required)) == [
+            ('listen.peers', SettingsErrorKind.CONTRADICTION),
+            ('listen.peers', SettingsErrorKind.CONTRADICTION),
+        ]
+
+    @pytest.mark.parametrize(
+        'text',
+        ['', '{', '{a: 1, a: 2}', '[' * 5000, '{"a":' * 5000, '/*', "'"],
+    )
+    def test_syntax(self, text: str) -> None:
+        """Broken syntax is one typed error."""
+        outcome = parse_settings(text.encode(), 'f')
+        assert isinstance(outcome, Err)
+        assert _rows(outcome.err_value) == [('', SettingsErrorKind.SYNTAX)]
+
+    def test_not_text(self) -> None:
+        """Bytes that are not UTF-8 are one typed error."""
+        outcome = parse_settings(b'\xff{}', 'f')
+        assert isinstance(outcome, Err)
+        assert _rows(outcome.err_value) == [('', SettingsErrorKind.UNREADABLE)]
+
+    def test_comments(self) -> None:
+        """Comments and trailing commas are allowed."""
+        text = f'// one\n{{/* two */{REQUIRED}}}'
+        assert isinstance(parse_settings(text.encode(), 'f'), Ok)
