--- a/src/carobwalk/profiles/__init__.py
+++ b/src/carobwalk/profiles/__init__.py
@@ -1,8 +1,84 @@
 """Named profiles and the assignment of services to them."""
 
 from carobwalk.profiles._catalogue import Catalogue
+from carobwalk.profiles._change import Action, Change, FieldChange
+from carobwalk.profiles._configuration import Configuration
+from carobwalk.profiles._effects import ServiceEffect, compare_services
+from carobwalk.profiles._failures import (
+    AlreadyExists,
+    ConfigurationTooLarge,
+    InUse,
+    Invalid,
+    NotFound,
+    RevertsAnother,
+    StaleRevision,
+)
+from carobwalk.profiles._head_record import HeadRecord
+from carobwalk.profiles._history import ConfigurationHistory
+from carobwalk.profiles._operator import Operator, Role, find_operator
+from carobwalk.profiles._policies import Policies
+from carobwalk.profiles._preview import Acceptance, Preview
+from carobwalk.profiles._problem import Problem, ProblemKind
 from carobwalk.profiles._profile import Profile
+from carobwalk.profiles._proposal import Proposal
 from carobwalk.profiles._rank_rule import RankRule
+from carobwalk.profiles._repository import (
+    ConfigurationRepository,
+    WriteSettings,
+)
+from carobwalk.profiles._resolution import plain_fields, resolve
 from carobwalk.profiles._service import Service
+from carobwalk.profiles._store_failures import (
+    ChangeNotKept,
+    ConfigurationFailure,
+    OutcomeUnknown,
+    ReadFailure,
+    StoreBehind,
+    StoreUnavailable,
+    WriteIdTaken,
+)
+from carobwalk.profiles._subject import Subject, SubjectKind
 
-__all__ = ('Catalogue', 'Profile', 'RankRule', 'Service')
+__all__ = (
+    'Acceptance',
+    'Action',
+    'AlreadyExists',
+    'Catalogue',
+    'Change',
+    'ChangeNotKept',
+    'Configuration',
+    'ConfigurationFailure',
+    'ConfigurationHistory',
+    'ConfigurationRepository',
+    'ConfigurationTooLarge',
+    'FieldChange',
+    'HeadRecord',
+    'InUse',
+    'Invalid',
+    'NotFound',
+    'Operator',
+    'OutcomeUnknown',
+    'Policies',
+    'Preview',
+    'Problem',
+    'ProblemKind',
+    'Profile',
+    'Proposal',
+    'RankRule',
+    'ReadFailure',
+    'RevertsAnother',
+    'Role',
+    'Service',
+    'ServiceEffect',
+    'StaleRevision',
+    'StoreBehind',
+    'StoreUnavailable',
+    'Subject',
+    'SubjectKind',
+    'WriteIdTaken',
+    'WriteSettings',
+    'compare_services',
+    'find_operator',
+    'plain_fields',
+    'resolve',
+)
--- /dev/null
+++ b/src/carobwalk/profiles/_history.py
@@ -0,0 +1,92 @@
+"""Reads of the history."""
+
+import trio
+from result import Err, Ok, Result
+
+from carobwalk.platform import Store
+from carobwalk.profiles._change import Change
+from carobwalk.profiles._head_record import HeadRecord
+from carobwalk.profiles._head_store import HeadStore
+from carobwalk.profiles._history_pages import page_of
+from carobwalk.profiles._store_failures import (
+    ChangeNotKept,
+    ReadFailure,
+    StoreUnavailable,
+)
+
+
+class ConfigurationHistory:
+    """Accepted changes, as the store holds them.
+
+    Args:
+        store: Platform's key-value service.
+        timeout: Longest wait for the store in seconds.
+    """
+
+    def __init__(self, store: Store, timeout: float = 3) -> None:
+        self._head = HeadStore(store)
+        self._timeout = timeout
+
+    async def find_write(self, write_id: str) -> Result[Change, ReadFailure]:
+        """Return the recent change that a write made, to settle its fate."""
+        head = await self._read_head()
+        if isinstance(head, Err):
+            return head
+        change = head.ok_value.find_write(write_id)
+        if change is None:
+            return Err(ChangeNotKept(0, write_id))
+        return Ok(change)
+
+    async def find_change(self, revision: int) -> Result[Change, ReadFailure]:
+        """Return the change that made a revision."""
+        listed = await self.list_changes(revision + 1)
+        if isinstance(listed, Err):
+            return listed
+        for change in listed.ok_value:
+            if change.revision == revision:
+                return Ok(change)
+        return Err(ChangeNotKept(revision))
+
+    async def list_changes(
+        self,
+        before: int | None = None,
+    ) -> Result[tuple[Change, ...], ReadFailure]:
+        """Return a page of the history, newest first.
+
+        Args:
+            before: Revision that all returned ones are below; ``None`` for
+                the latest changes.
+        """
+        head = await self._read_head()
+        if isinstance(head, Err):
+            return head
+        limit = head.ok_value.revision + 1 if before is None else before
+        page = await self._read_page(head.ok_value, max(limit - 1, 1))
+        if isinstance(page, Err):
+            return page
+        newest_first = reversed(page.ok_value)
+        return Ok(
+            tuple(change for change in newest_first if change.revision < limit),
+        )
+
+    async def _read_head(self) -> Result[HeadRecord, StoreUnavailable]:
+        with trio.move_on_after(self._timeout):
+            held = await self._head.read()
+            if isinstance(held, Err):
+                return Err(StoreUnavailable(repr(held.err_value)))
+            return Ok(held.ok_value.record)
+        return Err(StoreUnavailable('the store gave no answer in time'))
+
+    async def _read_page(
+        self,
+        record: HeadRecord,
+        revision: int,
+    ) -> Result[tuple[Change, ...], ReadFailure]:
+        if revision >= record.first_recent:
+            return Ok(record.recent)
+        with trio.move_on_after(self._timeout):
+            page = await self._head.pages.read(page_of(revision))
+            if isinstance(page, Err):
+                return Err(StoreUnavailable(repr(page.err_value)))
+            return page
+        return Err(StoreUnavailable('the store gave no answer in time'))
--- /dev/null
+++ b/src/carobwalk/profiles/_repository.py
@@ -0,0 +1,173 @@
+"""Reads and writes of the configuration in the store."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+from result import Err, Ok, Result
+
+from carobwalk.platform import Store
+from carobwalk.profiles._decision import Decision, decide
+from carobwalk.profiles._effects import compare_services
+from carobwalk.profiles._failures import ConfigurationTooLarge
+from carobwalk.profiles._head_record import HeadRecord
+from carobwalk.profiles._head_store import HeadStore, HeldHead
+from carobwalk.profiles._policies import Policies
+from carobwalk.profiles._preview import Acceptance, Preview
+from carobwalk.profiles._proposal import Proposal
+from carobwalk.profiles._resolution import resolve
+from carobwalk.profiles._store_failures import (
+    ConfigurationFailure,
+    OutcomeUnknown,
+    StoreUnavailable,
+)
+from carobwalk.profiles._write_attempt import WriteAttempt
+from carobwalk.profiles._write_check import check_step
+
+_PAUSE_SECONDS = 0.1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WriteSettings:
+    """Limits of a write.
+
+    Args:
+        timeout: Longest wait for the store in seconds.
+        policies: Names of policies that profiles may hold.
+    """
+
+    timeout: float = 3
+    policies: Policies = field(default_factory=Policies)
+
+
+class ConfigurationRepository:
+    """The configuration and the writes to it.
+
+    Args:
+        store: Platform's key-value service.
+        wall_clock: Returns seconds since 1970, for the history.
+        generator: Source of the pauses between attempts.
+        settings: Limits of a write.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        wall_clock: Callable[[], float],
+        generator: random.Random,
+        settings: WriteSettings | None = None,
+    ) -> None:
+        self._head = HeadStore(store)
+        self._wall_clock = wall_clock
+        self._generator = generator
+        self._settings = settings or WriteSettings()
+
+    async def read(self) -> Result[HeadRecord, StoreUnavailable]:
+        """Return the configuration as the store holds it now."""
+        with trio.move_on_after(self._settings.timeout):
+            held = await self._head.read()
+            if isinstance(held, Err):
+                return Err(StoreUnavailable(repr(held.err_value)))
+            return Ok(held.ok_value.record)
+        return Err(StoreUnavailable('the store gave no answer in time'))
+
+    async def preview(
+        self,
+        proposal: Proposal,
+    ) -> Result[Preview, ConfigurationFailure]:
+        """Return what a proposal would do, without writing it."""
+        head = await self.read()
+        if isinstance(head, Err):
+            return head
+        decided = self._decide(head.ok_value, proposal)
+        if isinstance(decided, Err):
+            return decided
+        decision = decided.ok_value
+        effects = compare_services(
+            resolve(head.ok_value.configuration),
+            resolve(decision.record.configuration),
+        )
+        return Ok(Preview(decision.revision, decision.change, effects))
+
+    async def write(
+        self,
+        proposal: Proposal,
+    ) -> Result[Acceptance, ConfigurationFailure]:
+        """Put a proposal into the configuration, durably and once.
+
+        Returns:
+            The acceptance once the store has confirmed the write;
+            ``OutcomeUnknown`` if it neither confirmed nor ruled it out.
+        """
+        attempt = WriteAttempt()
+        with trio.move_on_after(self._settings.timeout):
+            while True:
+                settled = await self._try_write(proposal, attempt)
+                if settled is not None:
+                    return settled
+                await trio.sleep(self._generator.uniform(0, _PAUSE_SECONDS))
+        if attempt.is_open:
+            return Err(OutcomeUnknown(proposal.write_id, attempt.detail))
+        return Err(StoreUnavailable(attempt.detail))
+
+    def _decide(
+        self,
+        record: HeadRecord,
+        proposal: Proposal,
+    ) -> Result[Decision, ConfigurationFailure]:
+        policies = self._settings.policies
+        return decide(record, proposal, policies, self._wall_clock())
+
+    async def _try_write(
+        self,
+        proposal: Proposal,
+        attempt: WriteAttempt,
+    ) -> Result[Acceptance, ConfigurationFailure] | None:
+        """Make one attempt; return nothing if another one is needed."""
+        head = await self._head.read()
+        if isinstance(head, Err):
+            attempt.note(head.err_value)
+            return None
+        held = head.ok_value
+        attempt.settle(held.store_revision)
+        decided = self._decide(held.record, proposal)
+        if isinstance(decided, Err):
+            return decided
+        decision = decided.ok_value
+        if decision.record is held.record:
+            return Ok(_acceptance(decision, repeated=True))
+        return await self._write_decision(held, decision, attempt)
+
+    async def _write_decision(
+        self,
+        held: HeldHead,
+        decision: Decision,
+        attempt: WriteAttempt,
+    ) -> Result[Acceptance, ConfigurationFailure] | None:
+        check_step(held.record, decision.record)
+        shortened = await self._head.shorten(decision.record)
+        if isinstance(shortened, Err):
+            failure = shortened.err_value
+            if isinstance(failure, ConfigurationTooLarge):
+                return Err(failure)
+            attempt.note(failure)
+            return None
+        attempt.begin(held.store_revision)
+        written = await self._head.write(
+            shortened.ok_value,
+            held.store_revision,
+        )
+        if isinstance(written, Err):
+            attempt.end(written.err_value)
+            return None
+        return Ok(_acceptance(decision, repeated=False))
+
+
+def _acceptance(decision: Decision, *, repeated: bool) -> Acceptance:
+    return Acceptance(
+        decision.revision,
+        decision.change,
+        repeated,
+        decision.record.configuration,
+    )
