Store profiles and services with their history

Cause: operators need one place for a change, and no write may undo another's quietly or be applied twice. Ruled out: a record per profile, because the store has no write over several records and a deletion could pass an assignment on its way. Change: one head record under compare-and-swap, a write id that settles lost replies, older history in a ring of pages, typed failures with a way out.

--- /dev/null
+++ b/tests/profiles/test_decision.py
@@ -0,0 +1,287 @@
+"""Decisions on proposals."""
+
+from typing import Any
+
+import pytest
+
+from carobwalk.profiles import (
+    Action,
+    AlreadyExists,
+    ConfigurationFailure,
+    HeadRecord,
+    InUse,
+    Invalid,
+    NotFound,
+    Policies,
+    Proposal,
+    RevertsAnother,
+    StaleRevision,
+    StoreBehind,
+    SubjectKind,
+    WriteIdTaken,
+)
+from carobwalk.profiles._decision import decide
+from tests.profiles._proposals import PROFILE, SERVICE, propose
+
+_POLICY_NAMES = ('guaranteed-shares',)
+_POLICIES = Policies({'dispatch_policy': frozenset(_POLICY_NAMES)})
+
+
+def _accept(record: HeadRecord, *proposals: Proposal) -> HeadRecord:
+    for proposal in proposals:
+        decided = decide(record, proposal, _POLICIES, at=1).unwrap()
+        record = decided.record
+    return record
+
+
+def _refuse(record: HeadRecord, proposal: Proposal) -> ConfigurationFailure:
+    return decide(record, proposal, _POLICIES, at=1).unwrap_err()
+
+
+def _case_office() -> HeadRecord:
+    return _accept(
+        HeadRecord(),
+        propose(PROFILE, 'base', {'slots': 4}, 0),
+        propose(PROFILE, 'filings', {'parent': 'base', 'slots': 3}, 1),
+        propose(SERVICE, 'case-registry', {'profile': 'filings'}, 2),
+    )
+
+
+class TestBase:
+    """The revision that a write is based on."""
+
+    def test_loser_of_a_race_sees_the_other_change(self) -> None:
+        """A write on an old revision is refused with the other's change."""
+        record = _accept(
+            _case_office(),
+            propose(PROFILE, 'base', {'slots': 5}, 3, author='bo'),
+        )
+        failure = _refuse(record, propose(PROFILE, 'base', {'slots': 6}, 3))
+        assert isinstance(failure, StaleRevision)
+        assert failure.current_revision == 4
+        assert failure.changes[0].author == 'bo'
+        assert failure.changes[0].fields[0].after == 5
+        assert 'read the subject again' in failure.way_out
+
+    def test_change_of_another_subject_is_no_conflict(self) -> None:
+        """Writes to different subjects do not disturb each other."""
+        record = _accept(
+            _case_office(),
+            propose(PROFILE, 'other', {'slots': 5}, 3, author='bo'),
+            propose(PROFILE, 'base', {'slots': 6}, 3),
+        )
+        assert record.revision == 5
+
+    def test_revision_that_the_store_never_held(self) -> None:
+        """A base above the record's revision shows a store that fell back."""
+        failure = _refuse(
+            _case_office(),
+            propose(PROFILE, 'base', {'slots': 6}, 9),
+        )
+        assert failure == StoreBehind(3, 9)
+
+    def test_creation_on_a_base_older_than_the_kept_changes(self) -> None:
+        """It might bring back what another deleted, so it is stale."""
+        full = _case_office()
+        short = HeadRecord(full.configuration, full.recent[2:])
+        failure = _refuse(short, propose(PROFILE, 'new', {}, 1))
+        assert isinstance(failure, StaleRevision)
+
+
+class TestRepeat:
+    """Writes that come twice."""
+
+    def test_known_write_id_changes_nothing(self) -> None:
+        """A repeat of an accepted write gets its revision."""
+        write = propose(PROFILE, 'base', {'slots': 5}, 3, write_id='w')
+        record = _accept(_case_office(), write)
+        again = decide(record, write, _POLICIES, at=2).unwrap()
+        assert again.record is record
+        assert again.revision == 4
+
+    def test_write_id_of_another(self) -> None:
+        """A write id can't be used for another subject."""
+        record = _accept(
+            _case_office(),
+            propose(PROFILE, 'base', {'slots': 5}, 3, write_id='w'),
+        )
+        other = propose(PROFILE, 'filings', {'slots': 5}, 4, write_id='w')
+        assert _refuse(record, other) == WriteIdTaken('w', 4)
+
+
+class TestPresence:
+    """Creation, edit and deletion."""
+
+    def test_creation_of_a_present_profile(self) -> None:
+        """A creation never overwrites."""
+        write = propose(PROFILE, 'base', {}, 3, action=Action.CREATE)
+        failure = _refuse(_case_office(), write)
+        assert isinstance(failure, AlreadyExists)
+        assert failure.way_out.startswith('edit profile/base')
+
+    def test_edit_of_an_absent_profile(self) -> None:
+        """An edit never creates."""
+        write = propose(PROFILE, 'none', {}, 3, action=Action.EDIT)
+        assert isinstance(_refuse(_case_office(), write), NotFound)
+
+    @pytest.mark.parametrize(
+        ('name', 'services', 'children'),
+        [
+            ('base', (), ('filings',)),
+            ('filings', ('case-registry',), ()),
+        ],
+    )
+    def test_deletion_in_use(
+        self,
+        name: str,
+        services: tuple[str, ...],
+        children: tuple[str, ...],
+    ) -> None:
+        """A profile in use is not deleted, and its users are listed."""
+        failure = _refuse(_case_office(), propose(PROFILE, name, None, 3))
+        assert isinstance(failure, InUse)
+        assert (failure.services, failure.children) == (services, children)
+
+    def test_unused_profile_is_deleted(self) -> None:
+        """Its own author deletes it without a statement."""
+        record = _accept(
+            _case_office(),
+            propose(PROFILE, 'spare', {'slots': 1}, 3),
+            propose(PROFILE, 'spare', None, 4),
+        )
+        assert record.recent[-1].action is Action.DELETE
+        assert 'profile/spare' not in record.configuration.entities_by_subject
+
+
+class TestReverts:
+    """Writes that take back others' changes."""
+
+    def test_unstated(self) -> None:
+        """Restoring the value from before another's change is refused."""
+        record = _accept(
+            _case_office(),
+            propose(PROFILE, 'base', {'slots': 5}, 3, author='bo'),
+        )
+        failure = _refuse(record, propose(PROFILE, 'base', {'slots': 4}, 4))
+        assert isinstance(failure, RevertsAnother)
+        assert [change.revision for change in failure.changes] == [4]
+        assert 'state reverting 4' in failure.way_out
+
+    def test_stated(self) -> None:
+        """It is accepted when stated, and the history shows it."""
+        write = propose(PROFILE, 'base', {'slots': 4}, 4, reverting=(4,))
+        record = _accept(
+            _case_office(),
+            propose(PROFILE, 'base', {'slots': 5}, 3, author='bo'),
+            write,
+        )
+        assert record.recent[-1].reverted == (4,)
+
+    def test_across_own_changes(self) -> None:
+        """An older own value is no excuse to drop another's change."""
+        record = _accept(
+            _case_office(),
+            propose(PROFILE, 'base', {'slots': 5}, 3),
+            propose(PROFILE, 'base', {'slots': 6}, 4, author='bo'),
+        )
+        failure = _refuse(record, propose(PROFILE, 'base', {'slots': 4}, 5))
+        assert isinstance(failure, RevertsAnother)
+        assert [change.author for change in failure.changes] == ['bo']
+
+    def test_own_change(self) -> None:
+        """An operator may take back what only that operator did."""
+        record = _accept(
+            _case_office(),
+            propose(PROFILE, 'base', {'slots': 5}, 3),
+            propose(PROFILE, 'base', {'slots': 4}, 4),
+        )
+        assert record.recent[-1].reverted == ()
+
+    @pytest.mark.parametrize('fields', [{}, {'slots': 2}])
+    def test_deletion_of_a_fresh_creation(self, fields: dict[str, Any]) -> None:
+        """Deleting what another just created takes it back."""
+        record = _accept(
+            _case_office(),
+            propose(PROFILE, 'new', fields, 3, author='bo'),
+        )
+        failure = _refuse(record, propose(PROFILE, 'new', None, 4))
+        assert isinstance(failure, RevertsAnother)
+
+    def test_assignment(self) -> None:
+        """Assigning a service back is a revert too."""
+        record = _accept(
+            _case_office(),
+            propose(SERVICE, 'case-registry', {'profile': 'base'}, 3),
+        )
+        back = propose(
+            SERVICE,
+            'case-registry',
+            {'profile': 'filings'},
+            4,
+            author='bo',
+        )
+        assert isinstance(_refuse(record, back), RevertsAnother)
+
+
+class TestValidation:
+    """The configuration that a write would make."""
+
+    def test_all_problems_at_once(self) -> None:
+        """Every fault is listed, each with what would be accepted."""
+        fields = {
+            'parent': 'none',
+            'slots': 0,
+            'queue_bytes': 'many',
+            'shares': {'lookup': 0.9, 'bulk-upload': 0.9},
+            'colour': 'green',
+            'dispatch_policy': 'random',
+            'rank_rules': [],
+        }
+        failure = _refuse(_case_office(), propose(PROFILE, 'Bad', fields, 3))
+        assert isinstance(failure, Invalid)
+        found = {problem.field: problem.kind for problem in failure.problems}
+        assert found == {
+            '': 'bad-name',
+            'parent': 'unknown-parent',
+            'slots': 'out-of-range',
+            'queue_bytes': 'wrong-type',
+            'shares': 'out-of-range',
+            'colour': 'unknown-field',
+            'dispatch_policy': 'out-of-range',
+            'rank_rules': 'out-of-range',
+        }
+        assert all(problem.way_out for problem in failure.problems)
+
+    def test_cycle(self) -> None:
+        """A profile can't inherit from its own descendant."""
+        failure = _refuse(
+            _case_office(),
+            propose(PROFILE, 'base', {'parent': 'filings'}, 3),
+        )
+        assert isinstance(failure, Invalid)
+        kinds = {problem.kind for problem in failure.problems}
+        assert kinds == {'parent-cycle'}
+
+    @pytest.mark.parametrize(
+        ('kind', 'fields', 'problem'),
+        [
+            (SERVICE, {'profile': 'none'}, 'unknown-profile'),
+            (SERVICE, {'profile': 'base', 'x': 1}, 'unknown-field'),
+            (SubjectKind.OPERATOR, {'roles': []}, 'missing-field'),
+            (
+                SubjectKind.OPERATOR,
+                {'roles': ['root'], 'secret_hash': 'h'},
+                'wrong-type',
+            ),
+        ],
+    )
+    def test_other_subjects(
+        self,
+        kind: SubjectKind,
+        fields: dict[str, Any],
+        problem: str,
+    ) -> None:
+        """Services and operators are checked too."""
+        failure = _refuse(_case_office(), propose(kind, 'new', fields, 3))
+        assert isinstance(failure, Invalid)
+        assert [found.kind for found in failure.problems] == [problem]
--- /dev/null
+++ b/tests/profiles/test_repository.py
@@ -0,0 +1,239 @@
+"""Writes to the store."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import trio
+from result import Ok
+from trio.testing import MockClock
+
+from carobwalk.profiles import (
+    Action,
+    ChangeNotKept,
+    ConfigurationHistory,
+    ConfigurationRepository,
+    ConfigurationTooLarge,
+    OutcomeUnknown,
+    StaleRevision,
+    StoreUnavailable,
+)
+from carobwalk.profiles._history_pages import (
+    PAGE_COUNT,
+    PAGE_LENGTH,
+    HistoryPage,
+    HistoryPages,
+)
+from standins.memory_store import MemoryStore, StoreFaults
+from tests.profiles._proposals import PROFILE, SERVICE, propose
+
+
+class _Desk:
+    """An operator's process with its own way to the store."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.link = store.client()
+        self.repository = ConfigurationRepository(
+            self.link,
+            trio.current_time,
+            random.Random(1),
+        )
+        self.history = ConfigurationHistory(self.link)
+
+
+def _run(clock: MockClock, test: Callable[[MemoryStore, _Desk], Any]) -> None:
+    async def main() -> None:
+        store = MemoryStore()
+        await test(store, _Desk(store))
+
+    trio.run(main, clock=clock)
+
+
+class TestWrite:
+    """Accepted, refused and unknown writes."""
+
+    def test_accepted_is_durable(self, virtual_clock: MockClock) -> None:
+        """An accepted write is read back by another process."""
+
+        async def test(store: MemoryStore, desk: _Desk) -> None:
+            write = propose(PROFILE, 'a', {'slots': 2}, 0)
+            acceptance = (await desk.repository.write(write)).unwrap()
+            head = (await _Desk(store).repository.read()).unwrap()
+            assert acceptance.revision == head.revision == 1
+            assert head.configuration == acceptance.configuration
+
+        _run(virtual_clock, test)
+
+    def test_lost_reply_is_recognised(self, virtual_clock: MockClock) -> None:
+        """A write whose reply was lost is accepted once."""
+
+        async def test(store: MemoryStore, desk: _Desk) -> None:
+            desk.link.inject(StoreFaults(lost_replies=1))
+            write = propose(PROFILE, 'a', {'slots': 2}, 0)
+            acceptance = (await desk.repository.write(write)).unwrap()
+            assert (acceptance.revision, acceptance.repeated) == (1, True)
+            assert (await desk.repository.read()).unwrap().revision == 1
+
+        _run(virtual_clock, test)
+
+    def test_unknown_is_settled_later(self, virtual_clock: MockClock) -> None:
+        """A write that lands after its answer is found by its id."""
+
+        async def test(store: MemoryStore, desk: _Desk) -> None:
+            desk.link.inject(StoreFaults(holds_writes=True, timeout=0.5))
+            write = propose(PROFILE, 'a', {'slots': 2}, 0, write_id='w')
+            failure = (await desk.repository.write(write)).unwrap_err()
+            assert isinstance(failure, OutcomeUnknown)
+            missing = (await desk.history.find_write('w')).unwrap_err()
+            assert isinstance(missing, ChangeNotKept)
+            desk.link.release_held()
+            desk.link.inject(StoreFaults())
+            settled = (await desk.history.find_write('w')).unwrap()
+            again = (await desk.repository.write(write)).unwrap()
+            assert settled.revision == again.revision == 1
+
+        _run(virtual_clock, test)
+
+    def test_late_write_loses(self, virtual_clock: MockClock) -> None:
+        """A held write never lands over another's accepted one."""
+
+        async def test(store: MemoryStore, desk: _Desk) -> None:
+            desk.link.inject(StoreFaults(holds_writes=True, timeout=0.5))
+            late = propose(PROFILE, 'a', {'slots': 2}, 0, author='late')
+            assert (await desk.repository.write(late)).is_err()
+            other = _Desk(store)
+            write = propose(PROFILE, 'a', {'slots': 3}, 0)
+            assert (await other.repository.write(write)).is_ok()
+            desk.link.release_held()
+            desk.link.inject(StoreFaults())
+            failure = (await desk.repository.write(late)).unwrap_err()
+            assert isinstance(failure, StaleRevision)
+            head = (await other.repository.read()).unwrap()
+            assert [change.author for change in head.recent] == ['ana']
+
+        _run(virtual_clock, test)
+
+    def test_store_down(self, virtual_clock: MockClock) -> None:
+        """A write is refused for certain if the store took none of it."""
+
+        async def test(store: MemoryStore, desk: _Desk) -> None:
+            desk.link.inject(StoreFaults(down=True))
+            write = propose(PROFILE, 'a', {}, 0)
+            failure = (await desk.repository.write(write)).unwrap_err()
+            assert isinstance(failure, StoreUnavailable)
+            assert trio.current_time() < 4
+
+        _run(virtual_clock, test)
+
+    def test_racing_writers_of_different_subjects(
+        self,
+        virtual_clock: MockClock,
+    ) -> None:
+        """All writers of different subjects are accepted."""
+
+        async def write(store: MemoryStore, number: int) -> None:
+            desk = _Desk(store)
+            desk.link.inject(StoreFaults(delay=0.01 + number / 1000))
+            proposal = propose(PROFILE, f'p{number}', {}, 0)
+            assert (await desk.repository.write(proposal)).is_ok()
+
+        async def test(store: MemoryStore, desk: _Desk) -> None:
+            async with trio.open_nursery() as nursery:
+                for number in range(6):
+                    nursery.start_soon(write, store, number)
+            assert (await desk.repository.read()).unwrap().revision == 6
+
+        _run(virtual_clock, test)
+
+    def test_record_stays_small(self, virtual_clock: MockClock) -> None:
+        """A record above the limit is refused before it is written."""
+
+        async def test(store: MemoryStore, desk: _Desk) -> None:
+            noise = random.Random(2).randbytes(200_000).hex()
+            rules = [{'rank': 'lookup', 'path_prefix': f'/{noise}'}]
+            write = propose(PROFILE, 'a', {'rank_rules': rules}, 0)
+            failure = (await desk.repository.write(write)).unwrap_err()
+            assert isinstance(failure, ConfigurationTooLarge)
+
+        _run(virtual_clock, test)
+
+    def test_preview_writes_nothing(self, virtual_clock: MockClock) -> None:
+        """A preview tells which services change and how."""
+
+        async def test(store: MemoryStore, desk: _Desk) -> None:
+            repository = desk.repository
+            await repository.write(propose(PROFILE, 'a', {'slots': 2}, 0))
+            await repository.write(propose(PROFILE, 'b', {'parent': 'a'}, 1))
+            service = propose(SERVICE, 's', {'profile': 'b'}, 2)
+            await repository.write(service)
+            edit = propose(PROFILE, 'a', {'slots': 9}, 3, action=Action.EDIT)
+            preview = (await repository.preview(edit)).unwrap()
+            effect = preview.effects[0]
+            assert effect.service == 's'
+            assert [
+                (change.field, change.before, change.after)
+                for change in effect.fields
+            ] == [('slots', 2, 9)]
+            assert (await repository.read()).unwrap().revision == 3
+
+        _run(virtual_clock, test)
+
+
+class TestHistory:
+    """History beyond the head record."""
+
+    def test_older_changes_are_kept_in_pages(
+        self,
+        virtual_clock: MockClock,
+    ) -> None:
+        """Every change is found once, newest first, over all pages."""
+        count = 3 * PAGE_LENGTH + 5
+
+        async def test(store: MemoryStore, desk: _Desk) -> None:
+            for base in range(count):
+                write = propose(PROFILE, 'a', {'slots': base + 1}, base)
+                assert (await desk.repository.write(write)).is_ok()
+            revisions: list[int] = []
+            before = None
+            while before != 1:
+                page = (await desk.history.list_changes(before)).unwrap()
+                revisions.extend(change.revision for change in page)
+                before = revisions[-1]
+            assert revisions == list(range(count, 0, -1))
+            found = (await desk.history.find_change(7)).unwrap()
+            assert found.fields[0].after == 7
+
+        _run(virtual_clock, test)
+
+    def test_page_is_stored_before_the_head_drops_it(
+        self,
+        virtual_clock: MockClock,
+    ) -> None:
+        """A lost reply to the page's write loses no entry."""
+
+        async def test(store: MemoryStore, desk: _Desk) -> None:
+            for base in range(2 * PAGE_LENGTH + 1):
+                write = propose(PROFILE, 'a', {'slots': base + 1}, base)
+                desk.link.inject(StoreFaults(lost_replies=base % 2))
+                assert (await desk.repository.write(write)).is_ok()
+            page = await desk.history.list_changes(PAGE_LENGTH + 1)
+            assert len(page.unwrap()) == PAGE_LENGTH
+
+        _run(virtual_clock, test)
+
+    def test_oldest_page_is_overwritten(
+        self,
+        virtual_clock: MockClock,
+    ) -> None:
+        """The ring keeps the later page, and a slow writer can't undo it."""
+
+        async def test(store: MemoryStore, desk: _Desk) -> None:
+            pages = HistoryPages(desk.link)
+            await pages._store_page(HistoryPage(PAGE_COUNT, ()))
+            await pages._store_page(HistoryPage(0, ()))
+            stored = (await desk.link.read_prefix('configuration/')).unwrap()
+            assert len(stored) == 1
+            assert stored[0].revision == 1
+            assert await pages.read(0) == Ok(())
+
+        _run(virtual_clock, test)
