Write events as lines stamped by a hybrid logical clock

Cause: the events of all processes have to be put into one causal order, and wall clocks of hosts differ and step. Weighed: vector clocks, which grow with the fleet; Lamport clocks, which say nothing about time. A hybrid logical clock is two integers and stays close to the wall clock. Lines are ASCII, a value with other characters is a JSON string, so that every line parses back whatever the locale of standard error is.

--- a/src/carobwalk/events/__init__.py
+++ b/src/carobwalk/events/__init__.py
@@ -2,5 +2,23 @@
 
 from carobwalk.events._event import Event
 from carobwalk.events._event_log import EventLog, NullEventLog
+from carobwalk.events._hybrid_clock import ClockDrift, HybridClock
+from carobwalk.events._hybrid_stamp import HybridStamp, parse_stamp
+from carobwalk.events._line_event_log import LineEventLog
+from carobwalk.events._lines import LineError, format_line, parse_line
+from carobwalk.events._logged_event import LoggedEvent
 
-__all__ = ('Event', 'EventLog', 'NullEventLog')
+__all__ = (
+    'ClockDrift',
+    'Event',
+    'EventLog',
+    'HybridClock',
+    'HybridStamp',
+    'LineError',
+    'LineEventLog',
+    'LoggedEvent',
+    'NullEventLog',
+    'format_line',
+    'parse_line',
+    'parse_stamp',
+)
--- /dev/null
+++ b/src/carobwalk/events/_lines.py
@@ -0,0 +1,106 @@
+"""Log lines of key=value pairs.
+
+A line is ASCII: ``process``, ``hlc``, ``wall`` and ``event`` in this order,
+then the fields of the event. A value with other characters than letters,
+digits and a few signs is written as a JSON string.
+"""
+
+import json
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from typing import Final
+
+from result import Err, Ok, Result
+
+from carobwalk.events._hybrid_stamp import HybridStamp, parse_stamp
+from carobwalk.events._logged_event import LoggedEvent
+
+_PLAIN: Final = re.compile('[A-Za-z0-9._:/@+,*-]+')
+_PAIR: Final = re.compile(
+    r'(?P<name>[A-Za-z_][A-Za-z0-9_]*)='
+    r'(?P<text>[A-Za-z0-9._:/@+,*-]+|"(?:[^"\\]|\\.)*")',
+)
+_QUOTE: Final = '"'
+_HEADER: Final = ('process', 'hlc', 'wall', 'event')
+
+
+@dataclass(frozen=True, slots=True)
+class LineError:
+    """A line that is not a whole line of an event log.
+
+    Args:
+        detail: What is wrong with it.
+    """
+
+    detail: str
+
+
+def format_line(event: LoggedEvent) -> str:
+    """Return the line of an event, without a line break."""
+    header = (
+        event.process,
+        str(event.stamp),
+        _format_wall(event.stamp),
+        event.name,
+    )
+    pairs = list(zip(_HEADER, header, strict=True))
+    pairs.extend(event.fields.items())
+    return ' '.join(_format_pair(name, text) for name, text in pairs)
+
+
+def parse_line(line: str) -> Result[LoggedEvent, LineError]:
+    """Return the event of a line, with or without its line break."""
+    try:
+        pairs = list(_read_pairs(line.rstrip('\r\n')))
+    except ValueError as error:
+        return Err(LineError(str(error)))
+    return _build_event(pairs)
+
+
+def _build_event(
+    pairs: list[tuple[str, str]],
+) -> Result[LoggedEvent, LineError]:
+    width = len(_HEADER)
+    names = tuple(name for name, _ in pairs[:width])
+    if names != _HEADER:
+        return Err(LineError(f'starts with {names}, not with {_HEADER}'))
+    header = dict(pairs[:width])
+    stamp = parse_stamp(header['hlc'])
+    if stamp is None:
+        return Err(LineError(f'no logical time: {header["hlc"]!r}'))
+    fields = dict(pairs[width:])
+    return Ok(LoggedEvent(header['process'], stamp, header['event'], fields))
+
+
+def _format_wall(stamp: HybridStamp) -> str:
+    try:
+        moment = datetime.fromtimestamp(stamp.seconds, tz=UTC)
+    except (OverflowError, ValueError, OSError):
+        return 'unknown'
+    return moment.isoformat(timespec='microseconds')
+
+
+def _format_pair(name: str, text: str) -> str:
+    written = text if _PLAIN.fullmatch(text) else json.dumps(text)
+    return f'{name}={written}'
+
+
+def _read_pairs(line: str) -> Iterator[tuple[str, str]]:
+    position = 0
+    while position < len(line):
+        match = _PAIR.match(line, position)
+        if match is None:
+            raise ValueError(f'no key=value pair at column {position + 1}')
+        yield match['name'], _unquote(match['text'])
+        position = match.end()
+        if line[position : position + 1] not in {'', ' '}:
+            raise ValueError(f'no space at column {position + 1}')
+        position += 1
+
+
+def _unquote(text: str) -> str:
+    if not text.startswith(_QUOTE):
+        return text
+    return str(json.loads(text))
