Add the root of the command line with a registry of commands

Cause: parts add their commands without editing the root, and no command may start another process. Found: importing trio runs /sbin/ldconfig through ctypes.util.find_library, and click runs bash to print the completion script for bash. The lookup answers from a table now, and the script is printed without asking for the version of bash.

--- a/src/carobwalk/cli/_main.py
+++ b/src/carobwalk/cli/_main.py
@@ -1,16 +1,34 @@
 """Root of the command line."""
 
+import importlib
+from typing import Final
+
 import click
 
-from carobwalk._version import VERSION
+from carobwalk.cli._commands import registered_commands
+from carobwalk.cli._library_lookup import avoid_child_processes
+
+# Modules that register commands when they are imported.
+_MODULES: Final = (
+    'carobwalk.cli._check_settings',
+    'carobwalk.cli._completion',
+    'carobwalk.cli._serve',
+    'carobwalk.cli._version',
+)
 
 
-@click.group(name='carobwalk')
-def main() -> None:
-    """Route requests to servers that own their keys."""
+def build_root() -> click.Group:
+    """Return the root with all registered commands."""
+    # The commands import trio, which looks up a library when it is imported.
+    avoid_child_processes()
+    for module in _MODULES:
+        importlib.import_module(module)
+    return click.Group(
+        name='carobwalk',
+        help='Route requests to servers that own their keys.',
+        commands=list(registered_commands()),
+        context_settings={'help_option_names': ['-h', '--help']},
+    )
 
 
-@main.command()
-def version() -> None:
-    """Print the version."""
-    click.echo(VERSION)
+main: Final = build_root()
--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,126 @@
+"""Tests of the command line."""
+
+import json
+import sys
+from pathlib import Path
+from types import ModuleType
+
+import click
+import pytest
+from click.testing import CliRunner, Result
+
+from carobwalk import VERSION
+from carobwalk.cli import ExitCode, main, register
+from carobwalk.cli._commands import DuplicateCommandError
+from carobwalk.settings import Settings
+
+EXAMPLE = str(Path(__file__).parents[2] / 'docs' / 'example-settings.json5')
+
+
+def _run(*arguments: str) -> Result:
+    return CliRunner().invoke(main, list(arguments))
+
+
+@pytest.fixture
+def wrong_settings(tmp_path: Path) -> str:
+    """Name of a settings file with two errors in its limits."""
+    text = Path(EXAMPLE).read_text()
+    text = text.replace('header_bytes: 32768', 'header_bytes: 1, head: 2')
+    path = tmp_path / 'wrong.json5'
+    path.write_text(text)
+    return str(path)
+
+
+class TestRoot:
+    def test_help(self) -> None:
+        """Each command is listed with a help text."""
+        outcome = _run('--help')
+        assert outcome.exit_code == ExitCode.OK
+        for name, command in main.commands.items():
+            assert name in outcome.stdout
+            assert command.help
+
+    def test_unknown_command(self) -> None:
+        """A wrong command line ends with the exit code for usage."""
+        assert _run('fly').exit_code == ExitCode.USAGE
+
+    def test_duplicate(self) -> None:
+        """A second command of one name is an error."""
+        with pytest.raises(DuplicateCommandError):
+            register(click.Command('version'))
+
+
+class TestVersion:
+    def test_text(self) -> None:
+        """The version is printed alone."""
+        assert _run('version').stdout == f'{VERSION}\n'
+
+    def test_json(self) -> None:
+        """The version is data on request."""
+        answer = json.loads(_run('version', '--output', 'json').stdout)
+        assert answer['version'] == VERSION
+
+
+class TestCheckSettings:
+    def test_valid(self) -> None:
+        """A valid file ends with exit code 0."""
+        outcome = _run('check-settings', EXAMPLE)
+        assert outcome.exit_code == ExitCode.OK
+        assert 'entry-1' in outcome.stdout
+
+    def test_errors(self, wrong_settings: str) -> None:
+        """All errors are printed to standard error with exit code 2."""
+        outcome = _run('check-settings', wrong_settings)
+        assert outcome.exit_code == ExitCode.USAGE
+        lines = outcome.stderr.splitlines()
+        assert [line.split(': ')[1] for line in lines] == [
+            'limits.head',
+            'limits.header_bytes',
+        ]
+
+    def test_errors_as_data(self, wrong_settings: str) -> None:
+        """The errors are data on request."""
+        outcome = _run('check-settings', wrong_settings, '--output', 'json')
+        errors = json.loads(outcome.stdout)['errors']
+        assert [error['kind'] for error in errors] == [
+            'unknown-name',
+            'invalid',
+        ]
+
+    def test_missing(self) -> None:
+        """A file that is not there ends with exit code 2."""
+        assert _run('check-settings', 'absent').exit_code == ExitCode.USAGE
+
+
+class TestServe:
+    def test_settings(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """The program gets the settings, its result is the exit code."""
+        served: list[Settings] = []
+
+        def serve(settings: Settings) -> int:
+            served.append(settings)
+            return 5
+
+        app = ModuleType('carobwalk.app')
+        monkeypatch.setattr(app, 'serve', serve, raising=False)
+        monkeypatch.setitem(sys.modules, 'carobwalk.app', app)
+        assert _run('serve', EXAMPLE).exit_code == 5
+        assert served[0].process.id == 'entry-1'
+
+    def test_wrong_settings(
+        self,
+        wrong_settings: str,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """Nothing is started with wrong settings."""
+        monkeypatch.setitem(sys.modules, 'carobwalk.app', None)
+        assert _run('serve', wrong_settings).exit_code == ExitCode.USAGE
+
+
+class TestCompletion:
+    @pytest.mark.parametrize('shell', ['bash', 'zsh', 'fish'])
+    def test_script(self, shell: str) -> None:
+        """The script names the program and its variable."""
+        outcome = _run('completion', shell)
+        assert outcome.exit_code == ExitCode.OK
+        assert '_CAROBWALK_COMPLETE' in outcome.stdout
