Send requests to a backend server through one dispatcher

Cause: entries need one place that counts the slots of a backend server, orders what waits and knows how far each send got. Ruled out: a connection per entry to each server (740 entries do not fit into 130 connections, and nobody could count slots). Change: dispatcher and pool, h11 connections with typed failures, slots with a cold start, queue policies and limits in registries. Conclusion: a whole thin version, to be deepened.

--- /dev/null
+++ b/src/carobwalk/dispatch/__init__.py
@@ -0,0 +1,74 @@
+"""Sending of requests to backend servers, by rank and at most once."""
+
+from carobwalk.dispatch._context import DispatchContext
+from carobwalk.dispatch._deficit_round_robin import DeficitRoundRobin
+from carobwalk.dispatch._dispatch_pool import DispatchPool, MakeUpstream
+from carobwalk.dispatch._dispatcher import Dispatcher
+from carobwalk.dispatch._errors import (
+    ConnectionLimitError,
+    DoubleSendError,
+    DuplicatePolicyError,
+    FalseNotRunError,
+    SlotLimitError,
+    UnknownPolicyError,
+)
+from carobwalk.dispatch._fifo import Fifo
+from carobwalk.dispatch._guaranteed_shares import GuaranteedShares
+from carobwalk.dispatch._h11_upstream import H11Upstream
+from carobwalk.dispatch._limit_policy import (
+    LimitPolicy,
+    SendEnd,
+    limit_policies,
+)
+from carobwalk.dispatch._queue_policy import QueuePolicy, queue_policies
+from carobwalk.dispatch._send_gate import SendGate
+from carobwalk.dispatch._slots_limit import SlotsLimit
+from carobwalk.dispatch._strict import Strict
+from carobwalk.dispatch._upstream import Upstream, UpstreamRequest
+from carobwalk.dispatch._upstream_failures import (
+    CallerLost,
+    NotAuthorised,
+    NotConnected,
+    NotSent,
+    RefusalReason,
+    Refused,
+    Truncated,
+    Unanswered,
+    UpstreamFailure,
+)
+
+__all__ = (
+    'CallerLost',
+    'ConnectionLimitError',
+    'DeficitRoundRobin',
+    'DispatchContext',
+    'DispatchPool',
+    'Dispatcher',
+    'DoubleSendError',
+    'DuplicatePolicyError',
+    'FalseNotRunError',
+    'Fifo',
+    'GuaranteedShares',
+    'H11Upstream',
+    'LimitPolicy',
+    'MakeUpstream',
+    'NotAuthorised',
+    'NotConnected',
+    'NotSent',
+    'QueuePolicy',
+    'RefusalReason',
+    'Refused',
+    'SendEnd',
+    'SendGate',
+    'SlotLimitError',
+    'SlotsLimit',
+    'Strict',
+    'Truncated',
+    'Unanswered',
+    'UnknownPolicyError',
+    'Upstream',
+    'UpstreamFailure',
+    'UpstreamRequest',
+    'limit_policies',
+    'queue_policies',
+)
--- /dev/null
+++ b/src/carobwalk/dispatch/_h11_connection.py
@@ -0,0 +1,94 @@
+"""One HTTP/1.1 connection to a backend server."""
+
+import h11
+import trio
+
+_READ_BYTES = 65_536
+
+AnswerEvent = (
+    h11.Response
+    | h11.InformationalResponse
+    | h11.Data
+    | h11.EndOfMessage
+    | h11.ConnectionClosed
+)
+
+
+class H11Connection:
+    """An open connection; it carries one request at a time.
+
+    Args:
+        stream: The TCP connection.
+    """
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        self._protocol = h11.Connection(h11.CLIENT)
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the server has neither closed nor written to it."""
+        return not self._stream.socket.is_readable()
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether both messages of the last exchange ended."""
+        states = (self._protocol.our_state, self._protocol.their_state)
+        return states in {(h11.DONE, h11.DONE), (h11.IDLE, h11.IDLE)}
+
+    def reset(self) -> None:
+        """Prepare the connection for its next request."""
+        if self._protocol.our_state is h11.DONE:
+            self._protocol.start_next_cycle()
+
+    async def send_first(self, head: h11.Request) -> bytes:
+        """Write a part of the request's head.
+
+        Args:
+            head: The head.
+
+        Returns:
+            The rest of its bytes, to be written by `send_rest`.
+
+        Raises:
+            OSError: If nothing was written.
+        """
+        text = self._protocol.send(head) or b''
+        written = await self._stream.socket.send(text)
+        return text[written:]
+
+    async def send_rest(self, text: bytes) -> None:
+        """Write bytes that h11 has made.
+
+        Raises:
+            trio.BrokenResourceError: If the connection is lost.
+        """
+        if text:
+            await self._stream.send_all(text)
+
+    async def send(self, event: h11.Data | h11.EndOfMessage) -> None:
+        """Write an event of the body.
+
+        Raises:
+            h11.LocalProtocolError: If the body has not its stated length.
+            trio.BrokenResourceError: If the connection is lost.
+        """
+        await self.send_rest(self._protocol.send(event) or b'')
+
+    async def receive(self) -> AnswerEvent:
+        """Return the next event of the answer.
+
+        Raises:
+            h11.RemoteProtocolError: If the server broke off or broke rules.
+            trio.BrokenResourceError: If the connection is lost.
+        """
+        while True:
+            event = self._protocol.next_event()
+            if isinstance(event, AnswerEvent):
+                return event
+            chunk = await self._stream.receive_some(_READ_BYTES)
+            self._protocol.receive_data(chunk)
+
+    async def aclose(self) -> None:
+        """Close the connection at once."""
+        await trio.aclose_forcefully(self._stream)
--- /dev/null
+++ b/src/carobwalk/dispatch/_registry.py
@@ -0,0 +1,58 @@
+"""Policies by name, filled by decorators."""
+
+import functools
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+from carobwalk.dispatch._errors import DuplicatePolicyError, UnknownPolicyError
+from carobwalk.profiles import Profile
+
+Policy = TypeVar('Policy')
+Factory = Callable[[Profile], Policy]
+
+
+class Registry(Generic[Policy]):
+    """Factories of one kind of policy by the name that profiles use."""
+
+    def __init__(self) -> None:
+        self._factories_by_name: dict[str, Factory[Policy]] = {}
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """The names of all policies."""
+        return tuple(sorted(self._factories_by_name))
+
+    def register(
+        self,
+        name: str,
+    ) -> Callable[[Factory[Policy]], Factory[Policy]]:
+        """Return a decorator that adds a policy.
+
+        Args:
+            name: Name that profiles use.
+
+        Raises:
+            DuplicatePolicyError: If the name is taken.
+        """
+        if name in self._factories_by_name:
+            raise DuplicatePolicyError(name)
+        return functools.partial(self._add, name)
+
+    def make(self, name: str, profile: Profile) -> Policy:
+        """Return a new policy for a profile.
+
+        Raises:
+            UnknownPolicyError: If no policy has this name.
+        """
+        factory = self._factories_by_name.get(name)
+        if factory is None:
+            raise UnknownPolicyError(name)
+        return factory(profile)
+
+    def _add(
+        self,
+        name: str,
+        factory: Factory[Policy],
+    ) -> Factory[Policy]:
+        self._factories_by_name[name] = factory
+        return factory
--- /dev/null
+++ b/src/carobwalk/dispatch/_replay_body.py
@@ -0,0 +1,73 @@
+"""A body that can be sent again while it is short."""
+
+from carobwalk.model import BodySource
+
+_REPLAY_BYTES = 65_536
+
+
+class ReplayBody:
+    """Keeps what was read of a body, up to a bound.
+
+    Args:
+        source: The body.
+        limit: Most bytes kept for a second send.
+    """
+
+    def __init__(self, source: BodySource, limit: int = _REPLAY_BYTES) -> None:
+        self._source = source
+        self._limit = limit
+        self._kept: list[bytes] = []
+        self._read_bytes = 0
+        self._position = 0
+        self._ended = False
+
+    @property
+    def can_rewind(self) -> bool:
+        """Whether the body can be read from its start once more."""
+        return self._read_bytes <= self._limit
+
+    def rewind(self) -> None:
+        """Go back to the start of the body."""
+        self._position = 0
+
+    async def receive(self) -> bytes:
+        """Return the next chunk, or ``b''`` at the end.
+
+        Raises:
+            BodyError: If the sender went away before the end of the body.
+        """
+        if self._position < len(self._kept):
+            chunk = self._kept[self._position]
+            self._position += 1
+            return chunk
+        chunk = await self._read()
+        if self.can_rewind and chunk:
+            self._kept.append(chunk)
+            self._position += 1
+        elif not self.can_rewind:
+            self._kept.clear()
+            self._position = 0
+        return chunk
+
+    async def prefix(self, length: int) -> bytes:
+        """Return the first bytes of the body; they are read again later.
+
+        Args:
+            length: Bytes wanted; fewer come back where the body is shorter.
+
+        Raises:
+            BodyError: If the sender went away before the end of the body.
+        """
+        while self._read_bytes < length and not self._ended:
+            chunk = await self._read()
+            if chunk:
+                self._kept.append(chunk)
+        return b''.join(self._kept)[:length]
+
+    async def _read(self) -> bytes:
+        if self._ended:
+            return b''
+        chunk = await self._source.receive()
+        self._read_bytes += len(chunk)
+        self._ended = not chunk
+        return chunk
--- /dev/null
+++ b/src/carobwalk/dispatch/_send_gate.py
@@ -0,0 +1,78 @@
+"""The last check before the first byte of a request is written."""
+
+from collections.abc import Callable
+
+from result import Ok, Result
+
+from carobwalk.dispatch._errors import DoubleSendError, FalseNotRunError
+from carobwalk.model import FenceToken, Outcome
+from carobwalk.ownership import NoLease
+
+Authorise = Callable[[], Result[FenceToken, NoLease]]
+
+
+class SendGate:
+    """Counts the sends of one request and reads the leases for each.
+
+    Args:
+        authorise: Reads the leases of the request's server and key.
+        idempotent: Whether the request may be sent more than once.
+        name: Identity of the request, for errors.
+    """
+
+    def __init__(
+        self,
+        authorise: Authorise,
+        *,
+        idempotent: bool,
+        name: str,
+    ) -> None:
+        self._authorise = authorise
+        self._idempotent = idempotent
+        self._name = name
+        self._sends = 0
+        self._disowned = 0
+
+    @property
+    def sends(self) -> int:
+        """Sends of which a byte may have reached the server."""
+        return self._sends
+
+    @property
+    def may_send(self) -> bool:
+        """Whether the request may be sent now or again."""
+        return self._idempotent or not self._sends
+
+    @property
+    def outcome(self) -> Outcome:
+        """Outcome of a request that was not answered."""
+        if self._sends > self._disowned:
+            return Outcome.UNKNOWN
+        return Outcome.NOT_RUN
+
+    def open(self) -> Result[FenceToken, NoLease]:
+        """Return the fence token, and count the request as sent.
+
+        Raises:
+            DoubleSendError: If a non-idempotent request was sent before.
+        """
+        if not self.may_send:
+            raise DoubleSendError(self._name)
+        token = self._authorise()
+        if isinstance(token, Ok):
+            self._sends += 1
+        return token
+
+    def retract(self) -> None:
+        """Take back the last send: no byte of it was written."""
+        self._sends -= 1
+
+    def disown(self) -> None:
+        """Note that the server said it did not run the last send.
+
+        Raises:
+            FalseNotRunError: If there was no such send.
+        """
+        self._disowned += 1
+        if self._disowned > self._sends:
+            raise FalseNotRunError(self._name)
--- /dev/null
+++ b/src/carobwalk/dispatch/_share_account.py
@@ -0,0 +1,44 @@
+"""Slot time that one rank is owed."""
+
+
+class ShareAccount:
+    """Balance of the slot time that a rank is entitled to and uses.
+
+    Args:
+        entitled: Slots guaranteed to the rank; may be a fraction.
+        window: Seconds of entitlement that the balance may hold.
+    """
+
+    def __init__(self, entitled: float, window: float) -> None:
+        self._entitled = entitled
+        self._most = entitled * window
+        self._balance = self._most
+        self._running = 0
+        self._updated_at: float | None = None
+
+    @property
+    def running(self) -> int:
+        """Requests of the rank that have slots."""
+        return self._running
+
+    def is_owed(self, now: float) -> bool:
+        """Return whether the rank used less than its guaranteed share."""
+        self._update(now)
+        return self._balance > 0
+
+    def start(self, now: float) -> None:
+        """Note that a request of the rank got a slot."""
+        self._update(now)
+        self._running += 1
+
+    def finish(self, now: float) -> None:
+        """Note that a request of the rank left its slot."""
+        self._update(now)
+        self._running -= 1
+
+    def _update(self, now: float) -> None:
+        elapsed = 0 if self._updated_at is None else now - self._updated_at
+        self._updated_at = now
+        balance = self._balance + (self._entitled - self._running) * elapsed
+        # The bound keeps old surplus and old debt from deciding for long.
+        self._balance = min(max(balance, -self._most), self._most)
--- /dev/null
+++ b/src/carobwalk/dispatch/_slots.py
@@ -0,0 +1,111 @@
+"""The slots of one backend server."""
+
+import trio
+
+from carobwalk.dispatch._errors import SlotLimitError
+from carobwalk.dispatch._limit_policy import SendEnd, limit_policies
+from carobwalk.dispatch._queue_policy import QueuePolicy
+from carobwalk.dispatch._ticket import Ticket
+from carobwalk.dispatch._waiting_line import WaitingLine
+from carobwalk.model import Clock, Failure
+from carobwalk.profiles import Profile
+
+
+class Slots:
+    """Grants slots in the order of the queue policy, within the limit.
+
+    Args:
+        profile: Settings that name the policies and bound the queue.
+        clock: Clock of the dispatcher.
+    """
+
+    def __init__(self, profile: Profile, clock: Clock) -> None:
+        self._profile = profile
+        self._clock = clock
+        self._line = WaitingLine(profile)
+        self._limit = limit_policies.make(profile.limit_policy, profile)
+        self._policies_by_ticket: dict[Ticket, QueuePolicy] = {}
+
+    @property
+    def running(self) -> int:
+        """Requests that have a slot."""
+        return len(self._policies_by_ticket)
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return len(self._line)
+
+    def apply(self, profile: Profile) -> None:
+        """Take over changed settings; what waits goes on waiting."""
+        if profile == self._profile:
+            return
+        previous = self._profile
+        self._profile = profile
+        self._line.apply(profile)
+        self._limit.apply(profile)
+        if profile.limit_policy != previous.limit_policy:
+            self._limit = limit_policies.make(profile.limit_policy, profile)
+        self._start_waiting()
+
+    async def acquire(self, ticket: Ticket) -> Failure | None:
+        """Wait for a slot.
+
+        Args:
+            ticket: The request.
+
+        Returns:
+            Why no slot is granted, or ``None`` with the slot.
+        """
+        refusal = self._line.enter(ticket)
+        if refusal is not None:
+            return refusal
+        self._start_waiting()
+        try:
+            await self._wait(ticket)
+        except trio.Cancelled:
+            self._withdraw(ticket)
+            raise
+        return ticket.refusal
+
+    def release(self, ticket: Ticket, end: SendEnd) -> None:
+        """Give a slot back.
+
+        Args:
+            ticket: The request that had it.
+            end: How its use ended.
+        """
+        now = self._clock.now()
+        self._policies_by_ticket.pop(ticket).finish(ticket, now)
+        self._limit.ended(end, now)
+        self._start_waiting()
+
+    async def _wait(self, ticket: Ticket) -> None:
+        while not ticket.settled.is_set():
+            pause = self._limit.wait(self._clock.now())
+            with trio.move_on_after(pause):
+                await ticket.settled.wait()
+            self._start_waiting()
+
+    def _withdraw(self, ticket: Ticket) -> None:
+        if ticket in self._policies_by_ticket:
+            self.release(ticket, SendEnd.UNUSED)
+        elif ticket.refusal is None:
+            self._line.leave(ticket)
+            self._start_waiting()
+
+    def _start_waiting(self) -> None:
+        while self._limit.may_start(self.running, self._clock.now()):
+            running = self._policies_by_ticket.keys()
+            ticket = self._line.take(self._clock.now(), running)
+            if ticket is None:
+                return
+            self._start(ticket)
+
+    def _start(self, ticket: Ticket) -> None:
+        now = self._clock.now()
+        self._policies_by_ticket[ticket] = self._line.policy
+        if self.running > self._profile.slots:
+            raise SlotLimitError(str(self.running))
+        self._limit.started(now)
+        ticket.grant(now)
