Add the stand-in backend server as a process

It runs requests in slots with a short backlog, sheds the rest, checks its grants on arrival, after the wait for a slot and at the moment of the effect, honours cancellation and deadlines, and logs each run as JSON lines, so that what callers saw can be compared with what ran.

--- /dev/null
+++ b/standins/__main__.py
@@ -0,0 +1,6 @@
+"""Entry point of ``python -m standins``."""
+
+from standins._commands import main
+
+if __name__ == '__main__':
+    main(prog_name='python -m standins')
--- /dev/null
+++ b/standins/backend/_reply.py
@@ -0,0 +1,99 @@
+"""Answers of a backend server."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import h11
+import msgspec
+
+from carobwalk.http import H11Stream
+from standins.backend._download import download_parts
+from standins.backend._refusal import Refusal
+from standins.backend._request import BackendRequest
+from standins.backend._run_record import RunRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Echo:
+    """Body of an answer without ``?size=``.
+
+    Args:
+        record: The run as it stood at its effect.
+        mark: The caller's text in ``?mark=``.
+    """
+
+    record: RunRecord
+    mark: str
+
+
+async def send_refusal(connection: H11Stream, refusal: Refusal) -> None:
+    """Say that the request did not run."""
+    await connection.send(
+        h11.Response(
+            status_code=refusal.status,
+            headers=[
+                ('carobwalk-outcome', 'not-run'),
+                ('carobwalk-reason', refusal.reason),
+                ('content-length', '0'),
+            ],
+        ),
+        h11.EndOfMessage(),
+    )
+
+
+async def send_answer(
+    connection: H11Stream,
+    request: BackendRequest,
+    record: RunRecord,
+    is_cut: bool,
+) -> bool:
+    """Send the answer of a run; return whether it was sent whole.
+
+    Args:
+        connection: Connection of the request.
+        request: Head of the request.
+        record: The run.
+        is_cut: Whether to send just half of the body.
+    """
+    mark = request.query.get('mark', '')
+    size = int(request.number('size'))
+    echo = b'' if size else msgspec.json.encode(Echo(record, mark))
+    length = size or len(echo)
+    parts = download_parts(request.key, mark, size) if size else iter((echo,))
+    await connection.send(_head(request, record, length))
+    if is_cut:
+        half = b''.join(parts)[: length // 2]
+        await connection.send(h11.Data(data=half))
+        return False
+    await _send_parts(connection, request, parts)
+    return True
+
+
+async def _send_parts(
+    connection: H11Stream,
+    request: BackendRequest,
+    parts: Iterator[bytes],
+) -> None:
+    if request.method != 'HEAD':
+        for part in parts:
+            await connection.send(h11.Data(data=part))
+    await connection.send(h11.EndOfMessage())
+
+
+def _head(
+    request: BackendRequest,
+    record: RunRecord,
+    length: int,
+) -> h11.Response:
+    framing = ('content-length', str(length))
+    if 'chunked' in request.query:
+        framing = ('transfer-encoding', 'chunked')
+    return h11.Response(
+        status_code=HTTPStatus.OK,
+        headers=[
+            framing,
+            ('standin-server', record.server),
+            ('standin-request', record.request),
+        ],
+    )
