Carry the hybrid logical time in frames, and the progress of a send

Cause: the stamp has two parts, and a settled request needs to know whether a byte reached a server after its task was cancelled. Change: Frame holds a HybridStamp; the send gate tells the call's progress.

--- a/src/carobwalk/dispatch/_dispatcher.py
+++ b/src/carobwalk/dispatch/_dispatcher.py
@@ -121,6 +121,7 @@
             authorise,
             idempotent=call.head.idempotent,
             name=call.head.request_id,
+            progress=call.progress,
         )
 
     async def _within_deadline(self, passage: Passage) -> _Ending:
--- a/src/carobwalk/dispatch/_send_gate.py
+++ b/src/carobwalk/dispatch/_send_gate.py
@@ -5,7 +5,7 @@
 from result import Ok, Result
 
 from carobwalk.dispatch._errors import DoubleSendError, FalseNotRunError
-from carobwalk.model import FenceToken, Outcome
+from carobwalk.model import CallProgress, FenceToken, Outcome
 from carobwalk.ownership import NoLease
 
 Authorise = Callable[[], Result[FenceToken, NoLease]]
@@ -18,6 +18,7 @@
         authorise: Reads the leases of the request's server and key.
         idempotent: Whether the request may be sent more than once.
         name: Identity of the request, for errors.
+        progress: Told whether a byte may have reached the server.
     """
 
     def __init__(
@@ -26,10 +27,12 @@
         *,
         idempotent: bool,
         name: str,
+        progress: CallProgress | None = None,
     ) -> None:
         self._authorise = authorise
         self._idempotent = idempotent
         self._name = name
+        self._progress = progress or CallProgress()
         self._sends = 0
         self._disowned = 0
 
@@ -61,11 +64,13 @@
         token = self._authorise()
         if isinstance(token, Ok):
             self._sends += 1
+            self._note()
         return token
 
     def retract(self) -> None:
         """Take back the last send: no byte of it was written."""
         self._sends -= 1
+        self._note()
 
     def disown(self) -> None:
         """Note that the server said it did not run the last send.
@@ -76,3 +81,7 @@
         self._disowned += 1
         if self._disowned > self._sends:
             raise FalseNotRunError(self._name)
+        self._note()
+
+    def _note(self) -> None:
+        self._progress.note(is_sent=self.outcome is Outcome.UNKNOWN)
--- a/src/carobwalk/model/_call_progress.py
+++ b/src/carobwalk/model/_call_progress.py
@@ -12,6 +12,6 @@
     def __init__(self) -> None:
         self.is_sent = False
 
-    def mark_sent(self) -> None:
-        """Note that the first byte is about to be written to a server."""
-        self.is_sent = True
+    def note(self, *, is_sent: bool) -> None:
+        """Note whether a byte may have reached a server that ran it."""
+        self.is_sent = is_sent
--- a/src/carobwalk/peer/_relay.py
+++ b/src/carobwalk/peer/_relay.py
@@ -39,6 +39,8 @@
         The completion or the peer's failure. The kind is ``peer-lost`` where
         the connection ended first, so that the outcome is open.
     """
+    # Only the peer knows how far the request gets from here.
+    call.progress.note(is_sent=True)
     try:
         await exchange.send(OpenRequest(call.head, placement))
     except PeerLostError as error:
--- a/src/carobwalk/peer/codec/_decode.py
+++ b/src/carobwalk/peer/codec/_decode.py
@@ -4,6 +4,7 @@
 
 import capnp
 
+from carobwalk.events import HybridStamp
 from carobwalk.peer import frames
 from carobwalk.peer._exceptions import FrameError
 from carobwalk.peer.codec import _read_reply, _read_request, _read_short  # noqa: F401 they fill the registry
@@ -35,4 +36,5 @@
     ) as message:
         field = message.which()
         body = readers_by_field[field](getattr(message, field))
-        return frames.Frame(message.exchange, message.stamp, body)
+        stamp = HybridStamp(message.wall, message.counter)
+        return frames.Frame(message.exchange, stamp, body)
--- a/src/carobwalk/peer/codec/_encode.py
+++ b/src/carobwalk/peer/codec/_encode.py
@@ -10,7 +10,8 @@
     """Return the capnp message of a frame, without its length."""
     message = schema.Frame.new_message(
         exchange=frame.exchange,
-        stamp=frame.stamp,
+        wall=frame.stamp.wall,
+        counter=frame.stamp.counter,
     )
     fillers_by_type[type(frame.body)](message, frame.body)
     return bytes(message.to_bytes())
--- a/src/carobwalk/peer/codec/peer.capnp
+++ b/src/carobwalk/peer/codec/peer.capnp
@@ -71,7 +71,8 @@
 
 struct Frame {
   exchange @0 :UInt64;  # correlation id chosen by the side that dialled
-  stamp @1 :UInt64;  # logical time of the sender
+  wall @1 :UInt64;  # hybrid logical time of the sender, microseconds
+  counter @15 :UInt32;  # count of the readings with the same wall time
   union {
     hello @2 :Text;  # process id of the side that dialled
     ask @3 :Ask;
--- a/src/carobwalk/peer/frames/_frame.py
+++ b/src/carobwalk/peer/frames/_frame.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from carobwalk.events import HybridStamp
 from carobwalk.peer.frames._body import Body
 
 
@@ -16,5 +17,5 @@
     """
 
     exchange: int
-    stamp: int
+    stamp: HybridStamp
     body: Body
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from carobwalk.events import HybridStamp
 from carobwalk.model import (
     Address,
     Completion,
@@ -29,6 +30,7 @@
 from carobwalk.peer.codec import decode_frame, encode_frame
 
 _FUZZ_INPUTS = 10_000
+_STAMP = HybridStamp(9, 1)
 _TEXT = st.text(max_size=20).filter(lambda text: '\x00' not in text)
 _NUMBERS = st.integers(min_value=0, max_value=2**63 - 1)
 _BYTES = st.binary(max_size=50)
@@ -95,7 +97,8 @@
         ),
     ),
 )
-_FRAMES = st.builds(frames.Frame, _NUMBERS, _NUMBERS, _BODIES)
+_STAMPS = st.builds(HybridStamp, _NUMBERS, st.integers(0, 2**32 - 1))
+_FRAMES = st.builds(frames.Frame, _NUMBERS, _STAMPS, _BODIES)
 
 
 class TestCodec:
@@ -108,7 +111,9 @@
         """Random and damaged bytes give a frame or a FrameError."""
         source = random.Random(5)
         sample = encode_frame(
-            frames.Frame(7, 9, frames.ReplyHead(200, ((b'a', b'b'),))),
+            frames.Frame(
+                7, HybridStamp(9, 1), frames.ReplyHead(200, ((b'a', b'b'),))
+            ),
         )
         refused = sum(
             _is_refused(_damage(sample, source)) for _ in range(_FUZZ_INPUTS)
@@ -136,6 +141,6 @@
 def test_unknown_rank() -> None:
     """A value that no enumeration has is a FrameError."""
     failure = Failure(FailureKind.SHED, Outcome.NOT_RUN, 'x')
-    encoded = encode_frame(frames.Frame(1, 1, frames.Failed(failure)))
+    encoded = encode_frame(frames.Frame(1, _STAMP, frames.Failed(failure)))
     with pytest.raises(FrameError):
         decode_frame(encoded.replace(b'shed', b'shod'))
