--- /dev/null
+++ b/src/carobwalk/app/_request_log.py
@@ -0,0 +1,61 @@
+"""Events of ended requests."""
+
+from dataclasses import dataclass
+
+from carobwalk.entry import RequestEnded
+from carobwalk.events import Event, EventLog
+from carobwalk.model import Outcome, Rank
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFinished(Event):
+    """A request that did not end complete, or that bears money.
+
+    Args:
+        request: Identity of the request.
+        service: Service that was called.
+        rank: Urgency class.
+        outcome: What the caller was told.
+        failure: Kind of failure; empty for a complete answer.
+        server: Backend server that answered; empty if none did.
+        seconds: Time to the end of the answer.
+    """
+
+    request: str
+    service: str
+    rank: str
+    outcome: str
+    failure: str
+    server: str
+    seconds: float
+
+
+class RequestLog:
+    """Writes an event for each request worth one.
+
+    Complete lookups and uploads are only counted in the metrics: a line for
+    each would cost more than the request.
+
+    Args:
+        events: Log of events.
+    """
+
+    def __init__(self, events: EventLog) -> None:
+        self._events = events
+
+    def observe(self, ended: RequestEnded) -> None:
+        """Write the event of one request if it is worth one."""
+        is_complete = ended.outcome is Outcome.COMPLETE
+        if is_complete and ended.rank is not Rank.MONEY:
+            return
+        self._events.emit(
+            RequestFinished(
+                request=ended.request,
+                service=ended.service,
+                rank=ended.rank,
+                outcome=ended.outcome,
+                failure=ended.failure or '',
+                server=ended.server or '',
+                seconds=ended.seconds,
+            ),
+        )
--- /dev/null
+++ b/src/carobwalk/app/_stop.py
@@ -0,0 +1,16 @@
+"""Event at the end of a process."""
+
+from dataclasses import dataclass
+
+from carobwalk.events import Event
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessStopped(Event):
+    """The process was asked to stop and has stopped.
+
+    Args:
+        is_graceful: Whether every request in flight finished.
+    """
+
+    is_graceful: bool
--- a/src/carobwalk/peer/_hub.py
+++ b/src/carobwalk/peer/_hub.py
@@ -1,5 +1,6 @@
 """All peer connections of a process."""
 
+from functools import partial
 from typing import Final
 
 import trio
@@ -41,7 +42,6 @@
         own: This process, its address being that of its peer listener.
         clock: Logical clock of this process.
         topics: Handlers of questions.
-        forwarder: Runs the requests that this process dispatches.
     """
 
     def __init__(
@@ -49,12 +49,10 @@
         own: Endpoint,
         clock: StampSource,
         topics: TopicRegistry,
-        forwarder: Forwarder,
     ) -> None:
         self._own = own
         self._clock = clock
         self._topics = topics
-        self._forwarder = forwarder
         self.traffic = Traffic()
         self._ledger = RequestLedger()
         self._dialler = PeerDialler(ProcessId(own.name), clock, self.traffic)
@@ -63,19 +61,21 @@
     async def run(
         self,
         listeners: list[trio.SocketListener],
+        forwarder: Forwarder,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve until cancelled.
 
         Args:
             listeners: Open listeners for peers.
+            forwarder: Runs the requests that this process dispatches.
             task_status: Told when peers can be dialled.
         """
         async with trio.open_nursery() as nursery:
             self._dialler.start(nursery)
             task_status.started()
             await trio.serve_listeners(
-                self._serve,
+                partial(self._serve, forwarder),
                 listeners,
                 handler_nursery=nursery,
             )
@@ -104,10 +104,8 @@
         placement: Placement,
         sink: ReplySink,
     ) -> Result[Completion, Failure]:
-        """Run a request at its dispatcher; see ``Forwarder``."""
+        """Run a request at another process; see ``Forwarder``."""
         peer = placement.dispatcher
-        if peer.name == self._own.name:
-            return await self._forwarder.forward(call, placement, sink)
         connection = await self._dialler.connect(peer)
         if connection is None:
             detail = f'{peer.name} can not be reached'
@@ -150,12 +148,16 @@
         detail = f'no answer within {timeout} s'
         return Err(PeerFailure(delivered=True, detail=detail))
 
-    async def _serve(self, stream: trio.SocketStream) -> None:
+    async def _serve(
+        self,
+        forwarder: Forwarder,
+        stream: trio.SocketStream,
+    ) -> None:
         link = Link(stream, self._clock)
         accepted = AcceptedConnection(
             link,
             self._topics,
-            self._forwarder,
+            forwarder,
             self._ledger,
         )
         with self.traffic.track(link):
