Elect coordinators that grant, renew and move shards

Cause: keys need one owner each, which is found again within a second after a loss, also while the store is down. Ruled out: a record per shard in the store, since the epoch and the successions have to change in one compare-and-swap; settling an unanswered write by a mere reading, since the write may still be on its way. Change: one record per group with epoch and successions; candidates that stand when the coordinator is silent and no witness hears it; fence of both holders before a takeover; wait for the lapse before the successor; dispatchers by lease; the shard map pushed as changes by revision in Cap'n Proto frames.

--- a/src/carobwalk/ownership/__init__.py
+++ b/src/carobwalk/ownership/__init__.py
@@ -1,5 +1,12 @@
 """Which backend server owns which key, and who dispatches to it."""
 
+from carobwalk.ownership._context import OwnershipContext
+from carobwalk.ownership._exceptions import (
+    MapRevisionFellError,
+    OwnershipInvariantError,
+    TokenFellError,
+    TwoDispatchersError,
+)
 from carobwalk.ownership._grant_channel import GrantChannel, GrantFailure
 from carobwalk.ownership._grant_table import GrantTable
 from carobwalk.ownership._http_grant_channel import (
@@ -8,6 +15,8 @@
 )
 from carobwalk.ownership._leases import Leases, NoLease
 from carobwalk.ownership._placements import NoPlacement, Placements
+from carobwalk.ownership._role import OwnershipRole
+from carobwalk.ownership._safety_rules import SafetyRules
 from carobwalk.ownership._server_messages import (
     FenceOrder,
     GrantOrder,
@@ -19,7 +28,10 @@
     ShardGrant,
     ShardId,
 )
+from carobwalk.ownership._shard_row import ServerRow, ShardRow
 from carobwalk.ownership._shards import shard_of
+from carobwalk.ownership._snapshot import GroupSnapshot, OwnershipSnapshot
+from carobwalk.ownership._times import OwnershipTimes
 
 __all__ = (
     'CONTROL_PATHS',
@@ -29,16 +41,28 @@
     'GrantOrder',
     'GrantReport',
     'GrantTable',
+    'GroupSnapshot',
     'HeldShard',
     'HttpGrantChannel',
     'Leases',
+    'MapRevisionFellError',
     'NoLease',
     'NoPlacement',
+    'OwnershipContext',
+    'OwnershipInvariantError',
+    'OwnershipRole',
+    'OwnershipSnapshot',
+    'OwnershipTimes',
     'Placements',
     'Refusal',
     'ReleaseOrder',
+    'SafetyRules',
     'ServerOrder',
+    'ServerRow',
     'ShardGrant',
     'ShardId',
+    'ShardRow',
+    'TokenFellError',
+    'TwoDispatchersError',
     'shard_of',
 )
--- /dev/null
+++ b/src/carobwalk/ownership/_context.py
@@ -0,0 +1,69 @@
+"""What the parts of ownership are built from."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+from carobwalk.events import EventLog
+from carobwalk.model import Clock, Endpoint, RegionName, ServiceName
+from carobwalk.ownership._grant_channel import GrantChannel
+from carobwalk.ownership._safety_rules import ALL_RULES, SafetyRules
+from carobwalk.ownership._times import OwnershipTimes
+from carobwalk.peer import Peers, Topics
+from carobwalk.platform import HostList, Store
+from carobwalk.profiles import Catalogue
+
+_SEPARATOR: Final = '/'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnershipContext:
+    """Surroundings of the ownership role of a process.
+
+    Args:
+        own: Endpoint of this process; its name is its process id.
+        store: The platform's key-value service.
+        host_list: The platform's list of hosts.
+        peers: Sends messages to other processes.
+        topics: Registry for the handlers of this process.
+        channel: Sends orders to backend servers.
+        clock: Clock of this process, which runs on while it is suspended.
+        events: Log of events.
+        catalogue: Returns the configuration in force.
+        times: Time limits.
+        rules: Safety rules; all in force but in tests of the checker.
+    """
+
+    own: Endpoint
+    store: Store
+    host_list: HostList
+    peers: Peers
+    topics: Topics
+    channel: GrantChannel
+    clock: Clock
+    events: EventLog
+    catalogue: Callable[[], Catalogue]
+    times: OwnershipTimes = field(default_factory=OwnershipTimes)
+    rules: SafetyRules = ALL_RULES
+
+    def is_keyed(self, service: ServiceName | None) -> bool:
+        """Return whether the keys of a service have owners."""
+        if service is None:
+            return False
+        profile = self.catalogue().profile_of(service)
+        return profile is not None and profile.keyed
+
+    def checks_grants(self, service: ServiceName) -> bool:
+        """Return whether the servers of a service check grants."""
+        profile = self.catalogue().profile_of(service)
+        return profile is None or profile.checks_grants
+
+
+def group_of(endpoint: Endpoint) -> str:
+    """Return the group whose home is the data centre of an endpoint."""
+    return f'{endpoint.region}{_SEPARATOR}{endpoint.data_centre}'
+
+
+def region_of(group: str) -> RegionName:
+    """Return the region of a group."""
+    return RegionName(group.split(_SEPARATOR)[0])
--- /dev/null
+++ b/src/carobwalk/ownership/_dispatch_plan.py
@@ -0,0 +1,112 @@
+"""Assignment of dispatchers to the servers of a group."""
+
+from carobwalk.model import Endpoint, ProcessId, ServerId
+from carobwalk.ownership._context import group_of
+from carobwalk.ownership._dispatcher_choice import DispatcherChoice
+from carobwalk.ownership._entry_link import EntryLink
+from carobwalk.ownership._exceptions import TwoDispatchersError
+from carobwalk.ownership._group_state import GroupState
+from carobwalk.ownership._map_events import DispatcherAssigned
+
+
+class DispatchPlan:
+    """Gives every server of the group one dispatcher by lease.
+
+    A new coordinator first adopts what the entries report. It assigns the
+    rest once the leases of its predecessor are over.
+
+    Args:
+        state: State of the group.
+    """
+
+    def __init__(self, state: GroupState) -> None:
+        self.entries: dict[ProcessId, EntryLink] = {}
+        self.by_server: dict[ServerId, ProcessId] = {}
+        self._state = state
+        self._choice = DispatcherChoice(state)
+        self._releasing: dict[ServerId, int] = {}
+        times = state.context.times
+        self._open_at = state.now() + times.lapse(times.lease_ttl)
+
+    def decide(self) -> None:
+        """End, adopt and assign dispatchers."""
+        self._adopt()
+        for server in tuple(self.by_server):
+            self._check(server)
+        if self._state.now() > self._open_at:
+            for endpoint in self._servers():
+                self._assign(endpoint)
+
+    def leases_of(self, process: ProcessId) -> tuple[ServerId, ...]:
+        """Return the servers that the next push to an entry leases."""
+        return tuple(
+            server
+            for server, dispatcher in self.by_server.items()
+            if dispatcher == process and server not in self._releasing
+        )
+
+    def endpoints(self) -> tuple[Endpoint, ...]:
+        """Return the processes that dispatch now."""
+        return tuple(
+            self.entries[process].endpoint
+            for process in sorted(set(self.by_server.values()))
+        )
+
+    def _servers(self) -> list[Endpoint]:
+        return [
+            host.endpoint
+            for host in self._state.hosts.servers()
+            if group_of(host.endpoint) == self._state.group
+        ]
+
+    def _adopt(self) -> None:
+        for process, link in self.entries.items():
+            for server in link.leases:
+                if server not in self.by_server:
+                    self._give(server, process)
+
+    def _check(self, server: ServerId) -> None:
+        link = self.entries[self.by_server[server]]
+        released = self._is_released(server, link)
+        if released or self._state.now() > link.lapse_at:
+            self.by_server.pop(server)
+            self._releasing.pop(server, None)
+        elif link.leaving and server not in self._releasing:
+            self._releasing[server] = link.sequence + 1
+            link.wake.set()
+
+    def _is_released(self, server: ServerId, link: EntryLink) -> bool:
+        release = self._releasing.get(server)
+        if release is None:
+            return False
+        return link.applied >= release and server not in link.leases
+
+    def _assign(self, endpoint: Endpoint) -> None:
+        server = ServerId(endpoint.name)
+        if server in self.by_server:
+            return
+        chosen = self._choice.choose(
+            endpoint,
+            tuple(self.entries.values()),
+            self.by_server,
+        )
+        if chosen is not None:
+            self._give(server, chosen.process)
+
+    def _give(self, server: ServerId, process: ProcessId) -> None:
+        if server in self.by_server:
+            raise TwoDispatchersError(f'{server} in {self._state.group}')
+        times = self._state.context.times
+        link = self.entries[process]
+        until = link.answered_at + times.lapse(times.lease_ttl)
+        link.lapse_at = max(link.lapse_at, until)
+        self.by_server[server] = process
+        link.wake.set()
+        self._state.emit(
+            DispatcherAssigned(
+                group=self._state.group,
+                epoch=self._state.epoch,
+                server=server,
+                dispatcher=process,
+            ),
+        )
--- /dev/null
+++ b/src/carobwalk/ownership/_division.py
@@ -0,0 +1,37 @@
+"""How a service's keys are divided into shards and groups."""
+
+from dataclasses import dataclass
+
+from carobwalk.model import Key, ServiceName, ShardNumber
+from carobwalk.ownership._shards import shard_of
+
+
+@dataclass(frozen=True, slots=True)
+class Division:
+    """Shards of a service, fixed for its life.
+
+    Args:
+        service: The service.
+        shard_count: Number of shards.
+        groups: Home groups; the shards take turns.
+    """
+
+    service: ServiceName
+    shard_count: int
+    groups: tuple[str, ...]
+
+    def shard_of(self, key: Key) -> ShardNumber:
+        """Return the shard of a key."""
+        return shard_of(key, self.shard_count)
+
+    def group_of(self, shard: ShardNumber) -> str:
+        """Return the home group of a shard."""
+        return self.groups[shard % len(self.groups)]
+
+    def shards_in(self, group: str) -> tuple[ShardNumber, ...]:
+        """Return the shards whose home is the group."""
+        return tuple(
+            ShardNumber(number)
+            for number in range(self.shard_count)
+            if self.groups[number % len(self.groups)] == group
+        )
--- a/src/carobwalk/ownership/_grant_table.py
+++ b/src/carobwalk/ownership/_grant_table.py
@@ -1,9 +1,11 @@
 """Holder's side of the grants: what a server may serve at an instant."""
 
 from collections import Counter
+from dataclasses import replace
 
 from carobwalk.model import FenceToken, ServiceName, ShardNumber
 from carobwalk.ownership._group_grants import GroupGrants
+from carobwalk.ownership._safety_rules import ALL_RULES, SafetyRules
 from carobwalk.ownership._server_messages import (
     FenceOrder,
     GrantOrder,
@@ -23,9 +25,15 @@
 
     Args:
         incarnation: Random name taken when the server started.
+        rules: Safety rules; all in force but in tests of the checker.
     """
 
-    def __init__(self, incarnation: str) -> None:
+    def __init__(
+        self,
+        incarnation: str,
+        rules: SafetyRules = ALL_RULES,
+    ) -> None:
+        self._rules = rules
         self.leaving = False
         self._incarnation = incarnation
         self._by_group: dict[str, GroupGrants] = {}
@@ -41,7 +49,7 @@
         group = self._by_group.setdefault(order.group, GroupGrants())
         refusal = self._refusal(order, group, now)
         if refusal is None:
-            _apply(order, group, now)
+            self._apply(order, group, now)
         group.drop_drained(self._in_flight)
         return GrantReport(
             incarnation=self._incarnation,
@@ -105,23 +113,31 @@
         group: GroupGrants,
         now: float,
     ) -> Refusal | None:
-        if order.epoch < group.epoch:
+        rules = self._rules
+        if rules.server_fence and order.epoch < group.epoch:
             return Refusal.EPOCH
         if isinstance(order, FenceOrder):
             return None
-        if order.incarnation != self._incarnation:
+        if rules.incarnation and order.incarnation != self._incarnation:
             return Refusal.INCARNATION
-        if order.epoch == group.epoch and order.sequence <= group.sequence:
+        overtaken = group.is_overtaken(order.epoch, order.sequence)
+        if rules.order_sequence and overtaken:
             return Refusal.SEQUENCE
         if isinstance(order, GrantOrder) and order.echo > now:
             return Refusal.CLOCK
         return None
 
-
-def _apply(order: ServerOrder, group: GroupGrants, now: float) -> None:
-    if isinstance(order, FenceOrder):
-        group.accept(order.epoch)
-    elif isinstance(order, ReleaseOrder):
-        group.drain(order)
-    else:
-        group.apply(order, now)
+    def _apply(
+        self,
+        order: ServerOrder,
+        group: GroupGrants,
+        now: float,
+    ) -> None:
+        if isinstance(order, FenceOrder):
+            group.accept(order.epoch)
+        elif isinstance(order, ReleaseOrder):
+            group.drain(order)
+        elif self._rules.echo:
+            group.apply(order, now)
+        else:
+            group.apply(replace(order, echo=now), now)
--- a/src/carobwalk/ownership/_group_grants.py
+++ b/src/carobwalk/ownership/_group_grants.py
@@ -56,6 +56,10 @@
             self.epoch = epoch
             self.sequence = 0
 
+    def is_overtaken(self, epoch: int, sequence: int) -> bool:
+        """Return whether a later order of the epoch was applied already."""
+        return epoch == self.epoch and sequence <= self.sequence
+
     def apply(self, order: GrantOrder, now: float) -> None:
         """Take over the set of shards of an order that was checked."""
         self.accept(order.epoch)
--- /dev/null
+++ b/src/carobwalk/ownership/_lease_watch.py
@@ -0,0 +1,43 @@
+"""Watch over the coordinator's lease in the store."""
+
+import trio
+from result import Err
+
+from carobwalk.ownership._context import OwnershipContext
+from carobwalk.ownership._store_names import coordinator_lease
+
+
+class LeaseWatch:
+    """Finds coordinators that are cut off from the store.
+
+    Args:
+        context: Surroundings of the process.
+        group: Group of the coordinator.
+    """
+
+    def __init__(self, context: OwnershipContext, group: str) -> None:
+        self._context = context
+        self._name = coordinator_lease(group)
+        self._absent_since: float | None = None
+
+    def is_absent(self) -> bool:
+        """Return whether the lease was absent for its whole time to live."""
+        if self._absent_since is None:
+            return False
+        age = self._context.clock.now() - self._absent_since
+        return age > self._context.times.store_lease_ttl
+
+    def reset(self) -> None:
+        """Begin anew, after an election."""
+        self._absent_since = None
+
+    async def check(self) -> None:
+        """Read the lease's record once; a failed call counts as present."""
+        found = True
+        with trio.move_on_after(self._context.times.store_timeout):
+            answer = await self._context.store.read(self._name)
+            found = isinstance(answer, Err) or answer.ok_value is not None
+        if found:
+            self._absent_since = None
+        elif self._absent_since is None:
+            self._absent_since = self._context.clock.now()
--- /dev/null
+++ b/src/carobwalk/ownership/_server_heartbeats.py
@@ -0,0 +1,121 @@
+"""Orders of a coordinator to the backend servers of its region."""
+
+import trio
+from result import Err
+
+from carobwalk.model import ServerId
+from carobwalk.ownership._context import region_of
+from carobwalk.ownership._group_state import GroupState
+from carobwalk.ownership._server_link import ServerLink
+from carobwalk.ownership._server_messages import (
+    FenceOrder,
+    GrantOrder,
+    GrantReport,
+    Refusal,
+    ServerOrder,
+)
+from carobwalk.platform import Host
+
+
+class ServerHeartbeats:
+    """Runs one task per backend server, which fences it and then renews it.
+
+    Args:
+        state: State of the group.
+    """
+
+    def __init__(self, state: GroupState) -> None:
+        self._state = state
+        self._context = state.context
+
+    async def run(self) -> None:
+        """Follow the host list and start a task for each new server."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                for host in self._hosts():
+                    self._note(host, nursery)
+                await trio.sleep(self._context.times.heartbeat)
+
+    def _hosts(self) -> list[Host]:
+        region = region_of(self._state.group)
+        return [
+            host
+            for host in self._state.hosts.servers()
+            if host.endpoint.region == region
+            and self._context.is_keyed(host.service)
+        ]
+
+    def _note(self, host: Host, nursery: trio.Nursery) -> None:
+        server = ServerId(host.endpoint.name)
+        link = self._state.links.get(server)
+        if link is None and host.service is not None:
+            link = ServerLink(endpoint=host.endpoint, service=host.service)
+            self._state.links[server] = link
+            nursery.start_soon(self._serve, link)
+        if link is not None:
+            link.listed_leaving = host.leaving
+
+    async def _serve(self, link: ServerLink) -> None:
+        while not self._is_over(link):
+            link.wake = trio.Event()
+            # A server that is off the list is not renewed any more.
+            if not self._state.hosts.is_gone(link.server):
+                await self._exchange(link)
+            with trio.move_on_after(self._context.times.heartbeat):
+                await link.wake.wait()
+        self._state.links.pop(link.server)
+
+    def _is_over(self, link: ServerLink) -> bool:
+        if not self._state.hosts.is_gone(link.server):
+            return False
+        return not any(self._state.owned.at(link.server))
+
+    async def _exchange(self, link: ServerLink) -> None:
+        order = self._order(link)
+        answer = await self._context.channel.send(
+            link.endpoint,
+            order,
+            self._context.times.order_timeout,
+        )
+        if isinstance(answer, Err):
+            return
+        self._note_report(link, order, answer.ok_value)
+
+    def _note_report(
+        self,
+        link: ServerLink,
+        order: ServerOrder,
+        report: GrantReport,
+    ) -> None:
+        if report.epoch > self._state.epoch:
+            self._state.deposed.set()
+            return
+        now = self._state.now()
+        link.note(report, self._state.epoch, now)
+        fences = isinstance(order, FenceOrder)
+        if fences and report.refusal is not Refusal.EPOCH:
+            link.fence = report
+            link.fenced_at = now
+        self._state.rouse()
+
+    def _order(self, link: ServerLink) -> ServerOrder:
+        state = self._state
+        holder = link.holder
+        if link.fence is None or holder is None:
+            return FenceOrder(group=state.group, epoch=state.epoch)
+        ttl = self._context.times.grant_ttl
+        owned = state.owned.order_of(holder)
+        if owned.granted or owned.releasing:
+            until = link.reported_at + self._context.times.lapse(ttl)
+            link.extend(holder.incarnation, until)
+        link.sequence += 1
+        return GrantOrder(
+            group=state.group,
+            epoch=state.epoch,
+            sequence=link.sequence,
+            incarnation=holder.incarnation,
+            echo=link.echo,
+            ttl=ttl,
+            shards=owned.granted,
+            releasing=owned.releasing,
+        )
--- /dev/null
+++ b/src/carobwalk/ownership/_shard_maps.py
@@ -0,0 +1,111 @@
+"""All shard maps and leases of an entry."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from carobwalk.model import FenceToken, ProcessId, ServerId
+from carobwalk.ownership._context import OwnershipContext
+from carobwalk.ownership._division import Division
+from carobwalk.ownership._group_view import GroupView
+from carobwalk.ownership._map_events import MapApplied
+from carobwalk.ownership._map_push import MapAnswer, MapPush
+from carobwalk.ownership._shard_row import ServerRow
+
+
+@dataclass(frozen=True, slots=True)
+class DispatchLease:
+    """Right to dispatch to a server.
+
+    Args:
+        epoch: Epoch of the coordinator that gave it.
+        until: End on this process's clock.
+    """
+
+    epoch: int
+    until: float
+
+
+class ShardMaps:
+    """Takes the pushes of all coordinators.
+
+    Args:
+        context: Surroundings of the process.
+    """
+
+    def __init__(self, context: OwnershipContext) -> None:
+        self.by_group: dict[str, GroupView] = {}
+        self.divisions: dict[str, Division] = {}
+        self.leaving = False
+        self._context = context
+        self._leases_by_group: dict[str, dict[ServerId, DispatchLease]] = {}
+
+    def receive(self, push: MapPush) -> MapAnswer:
+        """Take over a push and return the answer."""
+        now = self._context.clock.now()
+        view = self.by_group.setdefault(push.group, GroupView())
+        earlier = (view.epoch, view.revision)
+        if view.accept(push, now):
+            self._lease(push, now)
+            self.divisions |= {
+                division.service: division for division in push.divisions
+            }
+        if (view.epoch, view.revision) != earlier:
+            self._context.events.emit(
+                MapApplied(
+                    group=push.group,
+                    epoch=view.epoch,
+                    revision=view.revision,
+                ),
+            )
+        return MapAnswer(
+            process=ProcessId(self._context.own.name),
+            epoch=view.epoch,
+            revision=view.revision,
+            clock=now,
+            leases=tuple(self.live_leases(push.group)),
+            leaving=self.leaving,
+        )
+
+    def live_leases(self, group: str) -> Mapping[ServerId, DispatchLease]:
+        """Return the leases of a group that are not over."""
+        now = self._context.clock.now()
+        leases = self._leases_by_group.get(group, {})
+        return {
+            server: lease
+            for server, lease in leases.items()
+            if lease.until > now
+        }
+
+    def lease_of(self, server: ServerId) -> FenceToken | None:
+        """Return the token of the live lease on a server, if there is one."""
+        now = self._context.clock.now()
+        for leases in self._leases_by_group.values():
+            lease = leases.get(server)
+            if lease is not None and lease.until > now:
+                return FenceToken(lease.epoch, 0)
+        return None
+
+    def row_of(self, server: ServerId) -> ServerRow | None:
+        """Return the row of a server, whatever its group."""
+        for view in self.by_group.values():
+            row = view.servers.get(server)
+            if row is not None:
+                return row
+        return None
+
+    def _lease(self, push: MapPush, now: float) -> None:
+        """Replace the leases of a group.
+
+        Leases of an earlier epoch run to their end, so that the new
+        coordinator learns of them in the answer.
+        """
+        until = push.echo + push.ttl
+        kept = {
+            server: lease
+            for server, lease in self.live_leases(push.group).items()
+            if lease.epoch < push.epoch
+        }
+        if until > now:
+            fresh = DispatchLease(push.epoch, until)
+            kept |= dict.fromkeys(push.leases, fresh)
+        self._leases_by_group[push.group] = kept
--- /dev/null
+++ b/src/carobwalk/ownership/_takeover.py
@@ -0,0 +1,109 @@
+"""Takeover of shards by a new coordinator."""
+
+from dataclasses import dataclass
+
+from carobwalk.model import FenceToken
+from carobwalk.ownership._events import ShardTakenOver
+from carobwalk.ownership._group_state import GroupState
+from carobwalk.ownership._server_messages import HeldShard
+from carobwalk.ownership._shard_state import ShardState
+from carobwalk.ownership._succession import Holder
+
+
+@dataclass(frozen=True, slots=True)
+class _Claim:
+    """A live grant that a holder reported when it was fenced."""
+
+    holder: Holder
+    held: HeldShard
+
+    @property
+    def token(self) -> FenceToken:
+        """Return the token of the grant."""
+        return self.held.token
+
+
+class Takeover:
+    """Decides who owns a shard that an earlier coordinator governed.
+
+    A shard is taken over once every holder of its succession accepted the
+    new epoch or is off the host list. Until then no order names it.
+
+    Args:
+        state: State of the group.
+    """
+
+    def __init__(self, state: GroupState) -> None:
+        self._state = state
+
+    def decide(self, shard: ShardState) -> None:
+        """Take the shard over if its holders are fenced."""
+        if shard.record is None:
+            shard.ready = True
+            return
+        holders = shard.record.holders()
+        if not self._are_fenced(holders):
+            return
+        claims = [
+            claim for holder in holders for claim in self._claims(shard, holder)
+        ]
+        shard.ready = True
+        owner = self._owner(claims)
+        if owner is not None:
+            self._keep(shard, owner)
+        service, number = shard.shard_id
+        self._state.emit(
+            ShardTakenOver(
+                group=self._state.group,
+                epoch=self._state.epoch,
+                service=service,
+                shard=number,
+                server=None if owner is None else owner.holder.server,
+            ),
+        )
+
+    def _are_fenced(self, holders: tuple[Holder, ...]) -> bool:
+        fenced = [self._is_fenced(holder) for holder in holders]
+        if self._state.context.rules.fence_both:
+            return all(fenced)
+        return any(fenced)
+
+    def _is_fenced(self, holder: Holder) -> bool:
+        link = self._state.links.get(holder.server)
+        if link is not None and link.fence is not None:
+            return True
+        return self._state.hosts.is_gone(holder.server)
+
+    def _claims(
+        self,
+        shard: ShardState,
+        holder: Holder,
+    ) -> tuple[_Claim, ...]:
+        link = self._state.links.get(holder.server)
+        if link is None or link.fence is None:
+            return ()
+        guarded = self._state.context.rules.incarnation
+        if guarded and link.fence.incarnation != holder.incarnation:
+            return ()
+        return tuple(
+            _Claim(holder, held)
+            for held in link.fence.held
+            if held.shard_id == shard.shard_id
+        )
+
+    def _owner(self, claims: list[_Claim]) -> _Claim | None:
+        if not claims:
+            return None
+        if self._state.context.rules.token_order:
+            return max(claims, key=_token_of)
+        return claims[0]
+
+    def _keep(self, shard: ShardState, owner: _Claim) -> None:
+        link = self._state.links[owner.holder.server]
+        remaining = self._state.context.times.lapse(owner.held.remaining)
+        link.extend(owner.holder.incarnation, link.fenced_at + remaining)
+        self._state.activate(shard, owner.holder)
+
+
+def _token_of(claim: _Claim) -> FenceToken:
+    return claim.token
--- /dev/null
+++ b/standins/fake_fleet.py
@@ -0,0 +1,141 @@
+"""A few processes and backend servers around one store."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Final
+
+import trio
+
+from carobwalk.model import (
+    Address,
+    DataCentreName,
+    Endpoint,
+    ProfileName,
+    RegionName,
+    ServiceName,
+)
+from carobwalk.platform import Host
+from carobwalk.profiles import Catalogue, Profile, Service
+from standins.fake_clock import FakeClock
+from standins.fake_fleet_shape import FleetShape
+from standins.fake_network import FakeNetwork
+from standins.fake_process import FakeProcess
+from standins.fake_server import FakeServer, OwnershipRecord
+from standins.memory_host_list import MemoryHostList
+from standins.memory_store import MemoryStore, StoreFaults
+
+SERVICE: Final = ServiceName('claims')
+REGION: Final = RegionName('north')
+_PROFILE: Final = ProfileName('keyed')
+
+
+class FakeFleet:
+    """Processes, servers, store, host list and network of one region.
+
+    Args:
+        nursery: Runs the processes.
+        shape: Size and settings.
+    """
+
+    def __init__(self, nursery: trio.Nursery, shape: FleetShape) -> None:
+        self.shape = shape
+        self.nursery = nursery
+        self.network = FakeNetwork(nursery, shape.seed)
+        self.store = MemoryStore()
+        self.record = OwnershipRecord()
+        self.host_list = MemoryHostList()
+        self.servers = self.record.servers
+        self.processes: dict[str, FakeProcess] = {}
+        self.catalogue = _catalogue()
+        for number in range(shape.data_centres):
+            self._add_data_centre(DataCentreName(f'dc{number + 1}'))
+        self.inject(StoreFaults(timeout=shape.store_timeout))
+
+    def start(self) -> None:
+        """Start all processes."""
+        for process in self.processes.values():
+            self.nursery.start_soon(process.run)
+
+    def inject(self, faults: StoreFaults) -> None:
+        """Put faults of the store in force for all processes."""
+        timeout = self.shape.store_timeout
+        self.store.inject(replace(faults, timeout=timeout))
+
+    def coordinator_of(self, group: str) -> FakeProcess | None:
+        """Return the live process with the highest epoch, if there is one."""
+        found: dict[int, FakeProcess] = {}
+        for process in self.processes.values():
+            snapshot = process.role.snapshot()
+            known = snapshot.groups.get(group)
+            coordinates = group in snapshot.coordinating
+            if known and coordinates and process.name not in self.network.down:
+                found[known.epoch] = process
+        return found[max(found)] if found else None
+
+    def owners(self) -> dict[tuple[ServiceName, int], str]:
+        """Return the live owner of each shard by the servers' records."""
+        return {
+            shard_id: server.endpoint.name
+            for server in self.servers.values()
+            for shard_id in self.record.tokens
+            if server.owns(shard_id)
+        }
+
+    async def wait_until(
+        self,
+        condition: Callable[[], bool],
+        limit: float,
+    ) -> float:
+        """Wait for a condition and return the seconds that it took."""
+        started = trio.current_time()
+        with trio.fail_after(limit):
+            while not condition():
+                await trio.sleep(0.005)
+        return trio.current_time() - started
+
+    async def wait_served(self, limit: float = 10) -> float:
+        """Wait until every shard has a live owner."""
+        return await self.wait_until(
+            lambda: len(self.owners()) == self.shape.shard_count,
+            limit,
+        )
+
+    def _add_data_centre(self, data_centre: DataCentreName) -> None:
+        for number in range(self.shape.entries):
+            endpoint = _endpoint(f'{data_centre}-entry{number}', data_centre)
+            process = FakeProcess(self, endpoint, self._clock())
+            self.processes[endpoint.name] = process
+            self.host_list.put(Host(endpoint, None, leaving=False))
+        for number in range(self.shape.servers):
+            self.add_server(f'{data_centre}-server{number}', data_centre)
+
+    def add_server(self, name: str, data_centre: DataCentreName) -> FakeServer:
+        """Add a backend server and list it."""
+        endpoint = _endpoint(name, data_centre)
+        server = FakeServer(
+            endpoint,
+            SERVICE,
+            self.record,
+            self._clock(),
+            self.shape.rules,
+        )
+        self.host_list.put(Host(endpoint, SERVICE, leaving=False))
+        return server
+
+    def _clock(self) -> FakeClock:
+        """Return clocks whose rates alternate within the drift."""
+        count = len(self.processes) + len(self.servers)
+        rate = 1 + self.shape.drift * (count % 3 - 1)
+        return FakeClock(rate=rate, offset=100 + 7 * count)
+
+
+def _endpoint(name: str, data_centre: DataCentreName) -> Endpoint:
+    return Endpoint(name, Address('127.0.0.1', 1), REGION, data_centre)
+
+
+def _catalogue() -> Catalogue:
+    return Catalogue(
+        revision=1,
+        profiles_by_name={_PROFILE: Profile(name=_PROFILE)},
+        services_by_name={SERVICE: Service(SERVICE, _PROFILE)},
+    )
--- /dev/null
+++ b/standins/fake_fleet_shape.py
@@ -0,0 +1,35 @@
+"""Size and settings of a fake fleet."""
+
+from dataclasses import dataclass, field
+
+from carobwalk.ownership import OwnershipTimes, SafetyRules
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetShape:
+    """Size and settings of a fleet.
+
+    Args:
+        data_centres: Data centres of the region.
+        entries: Processes in each data centre.
+        servers: Backend servers in each data centre.
+        seed: Seed of the network.
+        drift: Largest deviation of a clock's rate from 1.
+        times: Time limits.
+        rules: Safety rules in force.
+        store_timeout: Timeout of calls to the store, in seconds.
+    """
+
+    data_centres: int = 2
+    entries: int = 2
+    servers: int = 2
+    seed: int = 1
+    drift: float = 0
+    times: OwnershipTimes = field(default_factory=OwnershipTimes)
+    rules: SafetyRules = field(default_factory=SafetyRules)
+    store_timeout: float = 2
+
+    @property
+    def shard_count(self) -> int:
+        """Return the number of shards after the division."""
+        return 16 * self.data_centres * self.servers
