Follow the accepted configuration at every process

Cause: a change has to be in force at all processes within 4 s, with the store down too, and calls to the store must not grow with the fleet. Ruled out: a store watch per process, because each counts as a call; pushes from watchers alone, because a writer and its watchers may be lost together.

--- a/src/carobwalk/profiles/__init__.py
+++ b/src/carobwalk/profiles/__init__.py
@@ -38,6 +38,13 @@
     WriteIdTaken,
 )
 from carobwalk.profiles._subject import Subject, SubjectKind
+from carobwalk.profiles.spread import (
+    ConfigurationFollower,
+    FleetStatus,
+    FollowerParts,
+    FollowerSettings,
+    ProcessStatus,
+)
 
 __all__ = (
     'Acceptance',
@@ -48,10 +55,14 @@
     'ChangeNotKept',
     'Configuration',
     'ConfigurationFailure',
+    'ConfigurationFollower',
     'ConfigurationHistory',
     'ConfigurationRepository',
     'ConfigurationTooLarge',
     'FieldChange',
+    'FleetStatus',
+    'FollowerParts',
+    'FollowerSettings',
     'HeadRecord',
     'InUse',
     'Invalid',
@@ -62,6 +73,7 @@
     'Preview',
     'Problem',
     'ProblemKind',
+    'ProcessStatus',
     'Profile',
     'Proposal',
     'RankRule',
--- a/src/carobwalk/profiles/_repository.py
+++ b/src/carobwalk/profiles/_repository.py
@@ -20,6 +20,7 @@
 from carobwalk.profiles._store_failures import (
     ConfigurationFailure,
     OutcomeUnknown,
+    StoreBehind,
     StoreUnavailable,
 )
 from carobwalk.profiles._write_attempt import WriteAttempt
@@ -35,10 +36,13 @@
     Args:
         timeout: Longest wait for the store in seconds.
         policies: Names of policies that profiles may hold.
+        known_revision: Returns the highest revision known to be accepted; a
+            store that holds less has lost writes and takes none.
     """
 
     timeout: float = 3
     policies: Policies = field(default_factory=Policies)
+    known_revision: Callable[[], int] = int
 
 
 class ConfigurationRepository:
@@ -125,11 +129,14 @@
         attempt: WriteAttempt,
     ) -> Result[Acceptance, ConfigurationFailure] | None:
         """Make one attempt; return nothing if another one is needed."""
+        known = self._settings.known_revision()
         head = await self._head.read()
         if isinstance(head, Err):
             attempt.note(head.err_value)
             return None
         held = head.ok_value
+        if held.record.revision < known:
+            return Err(StoreBehind(held.record.revision, known))
         attempt.settle(held.store_revision)
         decided = self._decide(held.record, proposal)
         if isinstance(decided, Err):
--- /dev/null
+++ b/tests/profiles/test_spread.py
@@ -0,0 +1,265 @@
+"""Spread of the configuration over processes."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+from trio.testing import MockClock
+
+from benchmarks._config_fleet import Fleet, Process, make_endpoints
+from carobwalk.events import Event
+from carobwalk.profiles.spread import (
+    ConfigurationStoreBehind,
+    ConfigurationStoreLost,
+)
+from carobwalk.profiles.spread._neighbours import choose_neighbours
+from standins.memory_store import StoreFaults
+from tests.profiles._proposals import PROFILE, propose
+
+_LIMIT_SECONDS = 4
+_COUNT = 12
+_DOWN = StoreFaults(down=True)
+
+Test = Callable[[Fleet], Awaitable[None]]
+
+
+class _Events:
+    def __init__(self) -> None:
+        self.seen: list[tuple[str, Event]] = []
+
+    def note(self, process: Process, event: Event) -> None:
+        self.seen.append((process.own.name, event))
+
+    def count(self, kind: type[Event]) -> int:
+        return sum(isinstance(event, kind) for _, event in self.seen)
+
+
+def _run(clock: MockClock, test: Test, count: int = _COUNT) -> _Events:
+    events = _Events()
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(count, 1, nursery, events.note)
+            fleet.watchers = frozenset(('entry-000', 'entry-001'))
+            for endpoint in fleet.endpoints:
+                fleet.start(endpoint)
+            await trio.sleep(2)
+            await test(fleet)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=clock)
+    return events
+
+
+async def _write(process: Process, slots: int, base: int) -> int:
+    write = propose(PROFILE, 'a', {'slots': slots}, base)
+    return (await process.repository.write(write)).unwrap().revision
+
+
+def _revisions(fleet: Fleet) -> set[int]:
+    return {
+        process.follower.current().revision
+        for process in fleet.processes.values()
+    }
+
+
+class TestFollower:
+    """A change comes into force at every process in time."""
+
+    def test_watchers_pass_a_change_on(self, virtual_clock: MockClock) -> None:
+        """Two watchers are enough for all processes."""
+
+        async def test(fleet: Fleet) -> None:
+            await _write(fleet.processes['entry-005'], 1, 0)
+            await trio.sleep(_LIMIT_SECONDS)
+            assert _revisions(fleet) == {1}
+
+        _run(virtual_clock, test)
+
+    def test_without_watchers(self, virtual_clock: MockClock) -> None:
+        """The shared sweep finds what no watcher saw."""
+
+        async def test(fleet: Fleet) -> None:
+            fleet.watchers = frozenset()
+            await trio.sleep(11)
+            await _write(fleet.processes['entry-005'], 1, 0)
+            await trio.sleep(_LIMIT_SECONDS)
+            assert _revisions(fleet) == {1}
+
+        _run(virtual_clock, test)
+
+    def test_store_down_after_acceptance(
+        self,
+        virtual_clock: MockClock,
+    ) -> None:
+        """Peers pass on what the writer's process adopted."""
+
+        async def test(fleet: Fleet) -> None:
+            fleet.watchers = frozenset()
+            await trio.sleep(11)
+            process = fleet.processes['entry-005']
+            write = propose(PROFILE, 'a', {'slots': 1}, 0)
+            accepted = (await process.repository.write(write)).unwrap()
+            fleet.store.inject(_DOWN)
+            process.follower.adopt(accepted.configuration)
+            await trio.sleep(_LIMIT_SECONDS)
+            assert _revisions(fleet) == {1}
+
+        events = _run(virtual_clock, test)
+        assert events.count(ConfigurationStoreLost) > 0
+
+    def test_start_while_the_store_is_down(
+        self,
+        virtual_clock: MockClock,
+    ) -> None:
+        """A process that starts learns the revision from its peers."""
+
+        async def test(fleet: Fleet) -> None:
+            await _write(fleet.processes['entry-005'], 1, 0)
+            await trio.sleep(_LIMIT_SECONDS)
+            fleet.store.inject(_DOWN)
+            process = fleet.processes['entry-007']
+            fleet.stop(process)
+            started = fleet.start(process.own)
+            started.store.inject(_DOWN)
+            await trio.sleep(2)
+            assert started.follower.current().revision == 1
+
+        _run(virtual_clock, test)
+
+    def test_restart_beside_a_stale_peer(
+        self,
+        virtual_clock: MockClock,
+    ) -> None:
+        """It waits for the revision that a peer has heard of."""
+
+        async def test(fleet: Fleet) -> None:
+            await _write(fleet.processes['entry-000'], 1, 0)
+            await trio.sleep(_LIMIT_SECONDS)
+            fleet.store.inject(_DOWN)
+            # A peer that heard of revision 2 holds revision 1 itself.
+            fleet.processes['entry-003'].follower._held.hear(2)
+            own = fleet.endpoints[6]
+            fleet.stop(fleet.processes[own.name])
+            started = fleet.start(own)
+            started.store.inject(_DOWN)
+            await trio.sleep(1)
+            assert started.follower.current().revision == 0
+            assert started.follower.configuration().revision == 0
+            started.store.inject(StoreFaults())
+            await trio.sleep(2)
+            assert started.follower.current().revision == 1
+
+        _run(virtual_clock, test)
+
+    def test_partition(self, virtual_clock: MockClock) -> None:
+        """A region that was cut off catches up once it is back."""
+
+        async def test(fleet: Fleet) -> None:
+            fleet.cut('region-2')
+            for process in fleet.processes.values():
+                if process.own.region == 'region-2':
+                    process.store.inject(_DOWN)
+            await _write(fleet.processes['entry-000'], 1, 0)
+            await trio.sleep(_LIMIT_SECONDS)
+            assert _revisions(fleet) == {0, 1}
+            fleet.heal()
+            await trio.sleep(_LIMIT_SECONDS)
+            assert _revisions(fleet) == {1}
+
+        _run(virtual_clock, test)
+
+    def test_store_that_lost_writes(self, virtual_clock: MockClock) -> None:
+        """A lower revision from the store is reported and not applied."""
+
+        async def test(fleet: Fleet) -> None:
+            process = fleet.processes['entry-000']
+            await _write(process, 1, 0)
+            held = (await process.store.read('configuration/head')).unwrap()
+            assert held is not None
+            await _write(process, 2, 1)
+            await trio.sleep(_LIMIT_SECONDS)
+            present = (await process.store.read('configuration/head')).unwrap()
+            assert present is not None
+            await process.store.write(
+                'configuration/head',
+                held.content,
+                present.revision,
+            )
+            await trio.sleep(_LIMIT_SECONDS)
+            assert _revisions(fleet) == {2}
+            write = propose(PROFILE, 'a', {'slots': 3}, 1)
+            refused = await process.repository.write(write)
+            assert refused.is_err()
+
+        events = _run(virtual_clock, test)
+        assert events.count(ConfigurationStoreBehind) > 0
+
+    def test_survey(self, virtual_clock: MockClock) -> None:
+        """The status names the processes that lag or do not answer."""
+
+        async def test(fleet: Fleet) -> None:
+            await _write(fleet.processes['entry-000'], 1, 0)
+            await trio.sleep(_LIMIT_SECONDS)
+            fleet.stop(fleet.processes['entry-004'])
+            status = await fleet.processes['entry-001'].follower.survey()
+            assert status.revision == 1
+            assert len(status.processes) == _COUNT
+            lagging = status.lagging(1)
+            assert [process.process for process in lagging] == ['entry-004']
+            assert lagging[0].detail == 'connection refused'
+
+        _run(virtual_clock, test)
+
+
+class TestStoreCalls:
+    """Calls to the store do not grow with the fleet."""
+
+    def test_outage_causes_no_herd(self, virtual_clock: MockClock) -> None:
+        """In and after an outage all processes call at the same low rate."""
+        totals: dict[int, float] = {}
+
+        def make(count: int) -> Test:
+            async def test(fleet: Fleet) -> None:
+                fleet.store.inject(_DOWN)
+                await trio.sleep(30)
+                before = _calls(fleet)
+                await trio.sleep(10)
+                fleet.store.inject(StoreFaults())
+                await trio.sleep(10)
+                totals[count] = (_calls(fleet) - before) / 20
+
+            return test
+
+        _run(virtual_clock, make(12), 12)
+        _run(MockClock(autojump_threshold=0), make(72), 72)
+        # Four reads of the sweep, and two watchers that try twice a second.
+        assert totals[12] < 10
+        assert totals[72] < 10
+
+
+def _calls(fleet: Fleet) -> int:
+    return sum(
+        process.store.counts.total for process in fleet.processes.values()
+    )
+
+
+class TestNeighbours:
+    """Choice of neighbours."""
+
+    def test_all_are_reached_in_few_hops(self) -> None:
+        """The neighbours of 740 processes connect all within ten hops."""
+        endpoints = make_endpoints(740)
+        by_name = {
+            endpoint.name: choose_neighbours(endpoint, endpoints)
+            for endpoint in endpoints
+        }
+        assert max(map(len, by_name.values())) == 10
+        reached = {endpoints[0].name}
+        for _ in range(10):
+            reached |= {peer.name for name in reached for peer in by_name[name]}
+        assert len(reached) == 740
+
+    def test_process_alone(self) -> None:
+        """A process without peers has no neighbours."""
+        own = make_endpoints(1)
+        assert not choose_neighbours(own[0], own)
