Merge the logs of all processes into one time line

Cause: an incident spreads over many processes, and its order has to be seen in one place. The picture has a lane for each process, connects the events of a request, and gives each kind of event its own colour and shape; a test checks that labels do not overlap and stay inside.

--- a/src/carobwalk/cli/_main.py
+++ b/src/carobwalk/cli/_main.py
@@ -13,6 +13,7 @@
     'carobwalk.cli._check_settings',
     'carobwalk.cli._completion',
     'carobwalk.cli._serve',
+    'carobwalk.cli._timeline',
     'carobwalk.cli._version',
 )
 
--- a/src/carobwalk/events/_lines.py
+++ b/src/carobwalk/events/_lines.py
@@ -65,7 +65,7 @@
     width = len(_HEADER)
     names = tuple(name for name, _ in pairs[:width])
     if names != _HEADER:
-        return Err(LineError(f'starts with {names}, not with {_HEADER}'))
+        return Err(LineError('does not start with process, hlc, wall, event'))
     header = dict(pairs[:width])
     stamp = parse_stamp(header['hlc'])
     if stamp is None:
--- /dev/null
+++ b/src/carobwalk/events/timeline/_log_file.py
@@ -0,0 +1,78 @@
+"""Reading of one event log."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from carobwalk.events._lines import parse_line
+from carobwalk.events._logged_event import LoggedEvent
+
+
+@dataclass(frozen=True, slots=True)
+class LogUnreadable:
+    """A log could not be read.
+
+    Args:
+        file: Name of the file.
+        detail: Cause in plain English.
+    """
+
+    file: str
+    detail: str
+
+    def __str__(self) -> str:
+        """Return the error on one line."""
+        return f'{self.file}: {self.detail}'
+
+
+@dataclass(frozen=True, slots=True)
+class DamagedLine:
+    """A line of a log that holds no whole event.
+
+    Args:
+        file: Name of the file.
+        number: Number of the line, from 1.
+        detail: What is wrong with it.
+    """
+
+    file: str
+    number: int
+    detail: str
+
+    def __str__(self) -> str:
+        """Return the error on one line."""
+        return f'{self.file}:{self.number}: {self.detail}'
+
+
+@dataclass(frozen=True, slots=True)
+class LogFile:
+    """Content of one log.
+
+    Args:
+        events: Events in the order of the file.
+        damaged: Lines that hold no whole event, such as the last line of a
+            process that was killed.
+    """
+
+    events: tuple[LoggedEvent, ...]
+    damaged: tuple[DamagedLine, ...]
+
+
+def read_log(path: Path | str) -> Result[LogFile, LogUnreadable]:
+    """Read an event log, which may hold the lines of several processes."""
+    file = str(path)
+    try:
+        text = Path(path).read_text('utf-8', 'replace')
+    except (OSError, ValueError) as error:
+        return Err(LogUnreadable(file, str(error)))
+    events: list[LoggedEvent] = []
+    damaged: list[DamagedLine] = []
+    for number, line in enumerate(text.split('\n'), start=1):
+        outcome = parse_line(line)
+        if isinstance(outcome, Ok):
+            events.append(outcome.ok_value)
+        elif line:
+            detail = outcome.err_value.detail
+            damaged.append(DamagedLine(file, number, detail))
+    return Ok(LogFile(tuple(events), tuple(damaged)))
--- /dev/null
+++ b/tests/events/timeline/test_renderers.py
@@ -0,0 +1,107 @@
+"""Tests of the forms of a time line."""
+
+import json
+from itertools import combinations
+from xml.etree import ElementTree as Tree
+
+import pytest
+
+from carobwalk.events import HybridStamp, LoggedEvent
+from carobwalk.events.timeline import render, renderer_names
+from carobwalk.events.timeline._layout import lay_out
+from carobwalk.events.timeline._ticks import ticks_of
+
+SVG = '{http://www.w3.org/2000/svg}'
+START = 1_700_000_000_000_000
+HOSTILE = '<b>&\x00\x1b\ud800đ"'
+
+
+def _events(count: int) -> list[LoggedEvent]:
+    return [
+        LoggedEvent(
+            f'entry-{number % 3}',
+            HybridStamp(START + number * 1000, 0),
+            f'Kind{number % 11}',
+            {'request': f'r{number // 4}', 'key': HOSTILE},
+        )
+        for number in range(count)
+    ]
+
+
+class TestRender:
+    @pytest.mark.parametrize('name', renderer_names())
+    @pytest.mark.parametrize('count', [0, 1, 30, 900])
+    def test_hostile_text(self, name: str, count: int) -> None:
+        """Each form can be written as UTF-8 and shows no raw controls."""
+        text = render(name, _events(count))
+        assert text.encode('utf-8').isascii() or 'đ' in text
+        assert '\x00' not in text
+        assert '\x1b' not in text
+        assert '<b>' not in text or name in {'text', 'json'}
+
+    def test_text(self) -> None:
+        """The text shows time, process, name and fields of each event."""
+        lines = render('text', _events(5)).split('\n')
+        assert len(lines) == 5
+        assert lines[1].startswith(
+            '2023-11-14T22:13:20.001000Z/0 entry-1 Kind1 request=r0 key=<b>',
+        )
+
+    def test_json(self) -> None:
+        """The data holds every event with its fields unchanged."""
+        events = json.loads(render('json', _events(5)))['events']
+        assert [event['event'] for event in events] == [
+            f'Kind{number}' for number in range(5)
+        ]
+        assert events[0]['fields']['key'] == HOSTILE
+
+
+class TestPicture:
+    def test_lanes_and_events(self) -> None:
+        """The picture has a lane for each process and a mark for each event."""
+        root = Tree.fromstring(render('svg', _events(30)))
+        labels = [element.text for element in root.iter(f'{SVG}text')]
+        assert {'entry-0', 'entry-1', 'entry-2'} <= set(labels)
+        titles = [element.text or '' for element in root.iter(f'{SVG}title')]
+        assert len(titles) == 30
+        assert len(root.findall(f'{SVG}rect')) == 4
+
+    def test_colours(self) -> None:
+        """Different kinds of events never look the same in the legend."""
+        root = Tree.fromstring(render('svg', _events(30)))
+        legend = root.findall(f'{SVG}path')
+        looks = {(mark.get('d'), mark.get('fill')) for mark in legend}
+        assert len(legend) == len(looks) == 11
+
+    def test_requests(self) -> None:
+        """Events of one request in two processes are connected."""
+        root = Tree.fromstring(render('svg', _events(30)))
+        lines = root.findall(f'{SVG}line')
+        connections = [
+            line for line in lines if line.get('stroke-width') == '1'
+        ]
+        assert len(connections) == 22
+
+    def test_legible(self) -> None:
+        """Labels within a lane do not overlap, and stay in the picture."""
+        layout = lay_out(_events(60))
+        lanes = {lane.process: lane for lane in layout.lanes}
+        for placed in layout.events:
+            lane = lanes[placed.process]
+            assert lane.top < placed.top < lane.bottom
+            assert placed.left + 10 + 6 * len(placed.label) < 1600
+        for one, other in combinations(layout.events, 2):
+            if one.top == other.top:
+                gap = abs(one.left - other.left)
+                assert gap >= 10 + 6 * len(one.label)
+
+    def test_many_events(self) -> None:
+        """Beyond 400 events the marks have no labels."""
+        assert {placed.label for placed in lay_out(_events(401)).events} == {''}
+
+    @pytest.mark.parametrize('duration', [1e-6, 0.004, 1, 7.3, 61, 86_400])
+    def test_ticks(self, duration: float) -> None:
+        """The axis has 6 to 13 round times."""
+        ticks = ticks_of(duration)
+        assert 6 <= len(ticks) <= 13
+        assert ticks[-1] <= duration
