--- /dev/null
+++ b/src/carobwalk/metrics/_process_usage.py
@@ -0,0 +1,20 @@
+"""What this process takes of its host."""
+
+import resource
+import time
+from pathlib import Path
+from typing import Final
+
+_STATM: Final = Path('/proc/self/statm')
+_RESIDENT_FIELD: Final = 1
+
+
+def cpu_seconds() -> float:
+    """Return the user and system time of all threads so far."""
+    return time.process_time()
+
+
+def resident_bytes() -> int:
+    """Return the resident set size, from Linux' ``/proc/self/statm``."""
+    pages = int(_STATM.read_text().split()[_RESIDENT_FIELD])
+    return pages * resource.getpagesize()
