Add the load tool, the audit and the processes of tests

The load tool sends mixed ranks with skewed keys and repeated actions through several entries, in closed or open loop, and writes what callers saw. The audit compares that with the run records: an effect behind 'not-run', a 'complete' without an effect, an answer to another request, an action that ran twice, and a shard whose effects do not pass from server to server by token. Processes are started outside the product and signalled by their own ids.

--- a/standins/_commands.py
+++ b/standins/_commands.py
@@ -10,6 +10,7 @@
 from carobwalk.model import SuspendAwareClock
 from carobwalk.platform import Host
 from standins._combine import combine
+from standins._load_command import load_command
 from standins.backend import BackendSettings, make_state, serve_backend
 from standins.host_list_handler import HostListHandler
 from standins.memory_host_list import MemoryHostList
@@ -20,7 +21,10 @@
 
 @click.group(name='standins')
 def main() -> None:
-    """Run a stand-in of the platform until it is stopped."""
+    """Run a stand-in of the platform, or callers that make a load."""
+
+
+main.add_command(load_command)
 
 
 @main.command()
--- a/standins/backend/__init__.py
+++ b/standins/backend/__init__.py
@@ -7,7 +7,6 @@
 )
 from standins.backend._fault import Fault
 from standins.backend._load_board import LoadReport
-from standins.backend._reply import Echo
 from standins.backend._run_log import read_run_log
 from standins.backend._run_record import RunRecord
 from standins.backend._run_state import RunState
@@ -19,7 +18,6 @@
     'BLOCK_BYTES',
     'BackendSettings',
     'BackendState',
-    'Echo',
     'Fault',
     'LoadReport',
     'RunRecord',
--- a/standins/backend/_checks.py
+++ b/standins/backend/_checks.py
@@ -40,6 +40,7 @@
     state.runs += 1
     record = RunRecord(
         server=state.settings.server,
+        service=state.settings.service,
         incarnation=state.incarnation,
         number=state.runs,
         state=RunState.STARTED,
@@ -48,6 +49,7 @@
         method=request.method,
         path=request.path,
         key=request.key,
+        mark=request.query.get('mark', ''),
         shard=request.shard,
         token=str(request.token) if request.token else None,
         started_at=state.clock.now(),
--- a/standins/backend/_reply.py
+++ b/standins/backend/_reply.py
@@ -1,7 +1,6 @@
 """Answers of a backend server."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 from http import HTTPStatus
 
 import h11
@@ -14,19 +13,6 @@
 from standins.backend._run_record import RunRecord
 
 
-@dataclass(frozen=True, slots=True)
-class Echo:
-    """Body of an answer without ``?size=``.
-
-    Args:
-        record: The run as it stood at its effect.
-        mark: The caller's text in ``?mark=``.
-    """
-
-    record: RunRecord
-    mark: str
-
-
 async def send_refusal(connection: H11Stream, refusal: Refusal) -> None:
     """Say that the request did not run."""
     await connection.send(
@@ -50,17 +36,21 @@
 ) -> bool:
     """Send the answer of a run; return whether it was sent whole.
 
+    The body is the record as it stood at the effect, or a download of
+    ``?size=`` bytes.
+
     Args:
         connection: Connection of the request.
         request: Head of the request.
         record: The run.
         is_cut: Whether to send just half of the body.
     """
-    mark = request.query.get('mark', '')
     size = int(request.number('size'))
-    echo = b'' if size else msgspec.json.encode(Echo(record, mark))
+    echo = b'' if size else msgspec.json.encode(record)
     length = size or len(echo)
-    parts = download_parts(request.key, mark, size) if size else iter((echo,))
+    parts = iter((echo,))
+    if size:
+        parts = download_parts(record.key, record.mark, size)
     await connection.send(_head(request, record, length))
     if is_cut:
         half = b''.join(parts)[: length // 2]
--- a/standins/backend/_run_record.py
+++ b/standins/backend/_run_record.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from carobwalk.model import ServerId
+from carobwalk.model import ServerId, ServiceName
 from standins.backend._run_state import RunState
 
 
@@ -12,6 +12,7 @@
 
     Args:
         server: Name of the server.
+        service: Service of the server.
         incarnation: Random name taken when the server started.
         number: Count of the server's runs, from 1.
         state: How far the request got; its effect is there from
@@ -21,6 +22,7 @@
         method: HTTP method.
         path: Path without the query.
         key: Last segment of the path.
+        mark: The caller's text in ``?mark=``.
         shard: Shard in the request.
         token: Fence token in the request.
         started_at: Time when the request got its slot, in seconds.
@@ -31,6 +33,7 @@
     """
 
     server: ServerId
+    service: ServiceName
     incarnation: str
     number: int
     state: RunState
@@ -39,6 +42,7 @@
     method: str
     path: str
     key: str
+    mark: str
     shard: int | None
     token: str | None
     started_at: float
--- /dev/null
+++ b/standins/load/__init__.py
@@ -0,0 +1,26 @@
+"""Load on the entries, as callers make it."""
+
+from standins.load._audit import Violation, ViolationKind, audit
+from standins.load._callers import Callers
+from standins.load._generator import TaskGenerator
+from standins.load._observation import Observation
+from standins.load._plan import LoadPlan
+from standins.load._rank_mix import RankMix
+from standins.load._run_load import run_load
+from standins.load._summary import RankSummary, summarise
+from standins.load._task import LoadTask
+
+__all__ = (
+    'Callers',
+    'LoadPlan',
+    'LoadTask',
+    'Observation',
+    'RankMix',
+    'RankSummary',
+    'TaskGenerator',
+    'Violation',
+    'ViolationKind',
+    'audit',
+    'run_load',
+    'summarise',
+)
--- /dev/null
+++ b/standins/load/_generator.py
@@ -0,0 +1,86 @@
+"""Random requests of a load."""
+
+import itertools
+import random
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import replace
+from types import MappingProxyType
+
+from carobwalk.model import Rank
+from standins.load._plan import LoadPlan
+from standins.load._rank_mix import RankMix
+from standins.load._task import LoadTask
+
+REPEATABLE_ACTIONS = 64
+
+_METHODS = MappingProxyType(
+    {Rank.LOOKUP: 'GET', Rank.MONEY: 'POST', Rank.BULK: 'PUT'},
+)
+_CLAIM_BYTES = 300
+
+
+class TaskGenerator:
+    """Makes the requests of a plan from its seed.
+
+    Repeats of a money-bearing action name its idempotency key again, and go
+    to any entry.
+
+    Args:
+        plan: The plan.
+    """
+
+    def __init__(self, plan: LoadPlan) -> None:
+        self._plan = plan
+        self._random = random.Random(plan.seed)
+        self._numbers = itertools.count(1)
+        self._actions: deque[LoadTask] = deque(maxlen=REPEATABLE_ACTIONS)
+        self._weights = [work.weight for work in plan.mix]
+        self._key_weights = list(
+            itertools.accumulate(
+                1 / place**plan.skew for place in range(1, plan.keys + 1)
+            ),
+        )
+
+    def __iter__(self) -> Iterator[LoadTask]:
+        """Yield requests without end."""
+        while True:
+            yield self.next_task()
+
+    def next_task(self) -> LoadTask:
+        """Return the next request."""
+        work = self._random.choices(self._plan.mix, self._weights)[0]
+        task = self._new_task(work)
+        if work.rank is not Rank.MONEY:
+            return task
+        if self._actions and self._random.random() < self._plan.repeat_share:
+            first = self._random.choice(self._actions)
+            return replace(first, mark=task.mark, entry=task.entry)
+        self._actions.append(task)
+        return task
+
+    def wait(self) -> float:
+        """Return the time until the next request of an open loop."""
+        return self._random.expovariate(self._plan.rate)
+
+    def _new_task(self, work: RankMix) -> LoadTask:
+        plan = self._plan
+        number = next(self._numbers)
+        mark = f'{plan.seed}-{number}'
+        is_money = work.rank is Rank.MONEY
+        body_bytes = {Rank.MONEY: _CLAIM_BYTES, Rank.BULK: plan.bulk_bytes}
+        return LoadTask(
+            entry=self._random.choice(plan.entries),
+            service=work.service,
+            rank=work.rank,
+            method=_METHODS[work.rank],
+            key=f'key-{self._choose_key()}',
+            mark=mark,
+            idempotency_key=f'action-{mark}' if is_money else None,
+            body_bytes=body_bytes.get(work.rank, 0),
+            work_ms=plan.work_ms,
+        )
+
+    def _choose_key(self) -> int:
+        places = range(self._plan.keys)
+        return self._random.choices(places, cum_weights=self._key_weights)[0]
--- a/tests/standins/backend/test_run.py
+++ b/tests/standins/backend/test_run.py
@@ -17,7 +17,7 @@
 from standins.backend import (
     BackendSettings,
     BackendState,
-    Echo,
+    RunRecord,
     RunState,
     download_parts,
     make_state,
@@ -169,18 +169,18 @@
                     headers,
                     b'claim',
                 )
-                echo = msgspec.json.decode(answer.body, type=Echo)
+                echo = msgspec.json.decode(answer.body, type=RunRecord)
                 assert answer.is_whole
                 assert echo.mark == 'm'
-                assert echo.record.request == 'r-1'
-                assert echo.record.idempotency_key == 'k-1'
-                assert echo.record.key == 'a b'
-                assert echo.record.body_bytes == 5
-                assert echo.record.state is RunState.COMMITTED
+                assert echo.request == 'r-1'
+                assert echo.idempotency_key == 'k-1'
+                assert echo.key == 'a b'
+                assert echo.body_bytes == 5
+                assert echo.state is RunState.COMMITTED
                 await wait_all_tasks_blocked()
                 record = state.log.records_by_number[number]
                 assert record.state is RunState.COMPLETE
-                assert record.body_digest == echo.record.body_digest
+                assert record.body_digest == echo.body_digest
 
         run(virtual_clock, SETTINGS, body)
 
--- /dev/null
+++ b/tests/standins/test_processes.py
@@ -0,0 +1,47 @@
+"""Tests of the processes of demos and tests."""
+
+import signal
+from pathlib import Path
+
+import pytest
+import trio
+
+from carobwalk.http import HttpClient
+from carobwalk.platform import HttpStore, Unanswered, Unavailable
+from standins.processes import ProcessError, Processes, find_free_addresses
+
+
+class TestProcesses:
+    def test_store(self, tmp_path: Path) -> None:
+        """A store process is reached, frozen, resumed and killed."""
+        address = find_free_addresses(1)[0]
+        arguments = ('standins', 'store', '--listen', str(address))
+
+        async def body() -> None:
+            store = HttpStore(HttpClient(), address, timeout=1)
+            async with Processes(tmp_path) as processes:
+                await processes.start('store', arguments, address)
+                assert (await store.write('a', b'1', 0)).is_ok()
+                processes.send('store', signal.SIGSTOP)
+                frozen = await store.read('a')
+                assert isinstance(frozen.unwrap_err(), Unanswered)
+                processes.send('store', signal.SIGCONT)
+                assert (await store.read('a')).is_ok()
+                await processes.kill('store')
+                killed = await store.read('a')
+                assert isinstance(killed.unwrap_err(), Unavailable)
+                await processes.start('store', arguments, address)
+            assert not processes.is_running('store')
+
+        trio.run(body)
+
+    def test_failed_start(self, tmp_path: Path) -> None:
+        """A process that ends before it listens is an error."""
+        address = find_free_addresses(1)[0]
+
+        async def body() -> None:
+            async with Processes(tmp_path) as processes:
+                with pytest.raises(ProcessError):
+                    await processes.start('a', ('standins', 'none'), address)
+
+        trio.run(body)
