--- /dev/null
+++ b/standins/fleet/_server_processes.py
@@ -0,0 +1,83 @@
+"""Backend servers of a miniature deployment."""
+
+from pathlib import Path
+
+from carobwalk.model import Endpoint
+from carobwalk.platform import Host
+from standins.backend import RunRecord, read_run_log
+from standins.fleet._deployment import Deployment
+from standins.fleet._fleet_service import FleetService
+from standins.processes import Processes, find_free_addresses
+
+
+class ServerProcesses:
+    """Starts the stand-in backend servers and reads what they ran.
+
+    Args:
+        processes: Owner of all processes.
+        deployment: Services to start servers for.
+        directory: Directory for their run records.
+    """
+
+    def __init__(
+        self,
+        processes: Processes,
+        deployment: Deployment,
+        directory: Path,
+    ) -> None:
+        self.hosts_by_name: dict[str, Host] = {}
+        self._processes = processes
+        self._deployment = deployment
+        self._directory = directory
+
+    async def start(self) -> None:
+        """Start all backend servers."""
+        for service in self._deployment.services:
+            self._place(service)
+        for name in self.hosts_by_name:
+            await self.start_server(name)
+
+    async def start_server(self, name: str) -> None:
+        """Start a backend server, for the first time or again."""
+        host = self.hosts_by_name[name]
+        address = host.endpoint.address
+        arguments = (
+            'standins',
+            'server',
+            f'--id={name}',
+            f'--service={host.service}',
+            f'--listen={address}',
+            f'--log-path={self._log_path(name)}',
+            self._grant_option(host),
+            *self._deployment.server_options,
+        )
+        await self._processes.start(name, arguments, address)
+
+    def records(self) -> tuple[RunRecord, ...]:
+        """Return what all backend servers ran, those that were lost too."""
+        paths = [self._log_path(name) for name in self.hosts_by_name]
+        return tuple(
+            record
+            for path in paths
+            if path.exists()
+            for record in read_run_log(path)
+        )
+
+    def _grant_option(self, host: Host) -> str:
+        is_keyed = any(
+            service.name == host.service and service.keyed
+            for service in self._deployment.services
+        )
+        return '--checks-grants' if is_keyed else '--ignores-grants'
+
+    def _log_path(self, name: str) -> Path:
+        return self._directory / f'{name}.runs'
+
+    def _place(self, service: FleetService) -> None:
+        addresses = find_free_addresses(len(service.data_centres))
+        places = zip(service.data_centres, addresses, strict=True)
+        for number, (place, address) in enumerate(places, start=1):
+            name = f'{service.name}-{number}'
+            region = self._deployment.regions[place]
+            endpoint = Endpoint(name, address, region, place)
+            self.hosts_by_name[name] = Host(endpoint, service.name, False)
