--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(BIN)/mypy
 
 unit: $(VENV)/.installed
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 6
 
 bench: $(VENV)/.installed
 	$(BIN)/python -m benchmarks $(NAME) --seed $(SEED)
--- a/src/carobwalk/app/_process.py
+++ b/src/carobwalk/app/_process.py
@@ -3,13 +3,13 @@
 import random
 import signal
 import time
-from collections.abc import Callable
+from typing import Final
 
 import trio
 
 from carobwalk.app._choose import Chooser
-from carobwalk.app._clients import Clients, connect_platform
-from carobwalk.app._listeners import Listeners, open_listeners
+from carobwalk.app._clients import connect_platform
+from carobwalk.app._listeners import open_listeners
 from carobwalk.app._placed_forwarder import PlacedForwarder
 from carobwalk.app._request_log import RequestLog
 from carobwalk.app._stop import ProcessStopped
@@ -28,6 +28,8 @@
 from carobwalk.profiles.spread import ConfigurationFollower, FollowerParts
 from carobwalk.settings import Settings
 
+_STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+
 
 class Process:
     """One process of the system.
@@ -80,7 +82,9 @@
         return is_graceful
 
     async def _wait_and_stop(self) -> bool:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
             async for _ in signals:
                 return await self._stop()
         return False
@@ -98,6 +102,9 @@
     def _catalogue(self) -> Catalogue:
         return self._follower.current()
 
+    def _is_coordinating(self) -> bool:
+        return bool(self._role.snapshot().coordinating)
+
     def _make_role(self) -> OwnershipRole:
         return OwnershipRole(
             OwnershipContext(
@@ -121,8 +128,8 @@
                 store=self._clients.store,
                 peers=self._hub,
                 topics=self._topics,
-                known_peers=self._role.entries,
-                is_watcher=self._role.is_coordinating,
+                known_peers=self._role.hosts.entries,
+                is_watcher=self._is_coordinating,
                 clock=self._clock,
                 events=self._events,
                 generator=random.Random(),
--- a/src/carobwalk/ownership/_role.py
+++ b/src/carobwalk/ownership/_role.py
@@ -28,12 +28,13 @@
         context: Surroundings of the process.
     """
 
+    hosts: HostView
     placements: Placements
     leases: Leases
 
     def __init__(self, context: OwnershipContext) -> None:
         self._context = context
-        self._hosts = HostView(context)
+        self.hosts = HostView(context)
         self._maps = ShardMaps(context)
         self._heard = HeardQuestions(context, self._maps)
         self._candidates: dict[str, Candidate] = {}
@@ -46,7 +47,7 @@
     async def run(self) -> None:
         """Take part until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._hosts.run)
+            nursery.start_soon(self.hosts.run)
             while True:
                 for group in self._groups() - self._candidates.keys():
                     nursery.start_soon(self._candidate(group).run)
@@ -112,12 +113,12 @@
             for group in division.groups
             if region_of(group) == region
         }
-        return divided | set(self._hosts.groups_in(region))
+        return divided | set(self.hosts.groups_in(region))
 
     def _candidate(self, group: str) -> Candidate:
         candidate = Candidate(
             self._context,
-            self._hosts,
+            self.hosts,
             self._maps,
             self._heard,
             group,
--- a/tests/peer/test_connection.py
+++ b/tests/peer/test_connection.py
@@ -69,7 +69,8 @@
 def _answer_to(name: str, body: bytes) -> bytes:
     digest = hashlib.sha256(name.encode() + body).digest()
     is_long = digest[0] % 16 == 0
-    return digest * (1 + digest[1] * (64 if is_long else 1))
+    factor = 64 if is_long else 1
+    return digest * (1 + digest[1] * factor)
 
 
 class _Body:
@@ -84,7 +85,8 @@
     async def receive(self) -> bytes:
         await trio.sleep(self._source.uniform(0, 0.01))
         size = self._source.randint(1, 40_000)
-        chunk, self._left = self._left[:size], self._left[size:]
+        chunk = self._left[:size]
+        self._left = self._left[size:]
         if self.is_broken and not self._left:
             raise BodyError('gone')
         return chunk
