--- a/src/carobwalk/metrics/_tally.py
+++ b/src/carobwalk/metrics/_tally.py
@@ -14,8 +14,8 @@
     """Sums that only rise.
 
     An increment of a dictionary costs much less than the library's own
-    counter, which matters on the way of each request. Series beyond ``MOST_SERIES`` are
-    added up in one whose labels are all ``other``.
+    counter, which matters on the way of each request. Series beyond
+    ``MOST_SERIES`` are added up in one whose labels are all ``other``.
 
     Args:
         names: Names of the labels.
