Note the signal that stops a process; give stand-ins their import path

Cause: the time line did not show why a process ended; a test that starts processes failed where the import path was not in the environment.

--- a/src/carobwalk/app/_process.py
+++ b/src/carobwalk/app/_process.py
@@ -12,7 +12,7 @@
 from carobwalk.app._listeners import open_listeners
 from carobwalk.app._placed_forwarder import PlacedForwarder
 from carobwalk.app._request_log import RequestLog
-from carobwalk.app._stop import ProcessStopped
+from carobwalk.app._stop import ProcessStopped, ProcessStopping
 from carobwalk.dispatch import DispatchContext, DispatchPool
 from carobwalk.entry import Classifier, EntryLimits, EntryServer, Router
 from carobwalk.events import HybridClock, LineEventLog
@@ -82,12 +82,10 @@
         return is_graceful
 
     async def _wait_and_stop(self) -> bool:
-        with trio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
-            async for _ in signals:
-                return await self._stop()
-        return False
+        with trio.open_signal_receiver(*_STOP_SIGNALS) as received:
+            number = await anext(received)
+            self._events.emit(ProcessStopping(signal.Signals(number).name))
+        return await self._stop()
 
     async def _stop(self) -> bool:
         """Hand the roles over and let the requests in flight finish."""
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -73,7 +73,11 @@
                 (sys.executable, '-m', *arguments),
                 stdout=output,
                 stderr=output,
-                env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+                env={
+                    **os.environ,
+                    'PYTHONPATH': os.pathsep.join(sys.path),
+                    'PYTHONUNBUFFERED': '1',
+                },
             )
         self._processes_by_name[name] = process
         with trio.move_on_after(START_SECONDS):
