--- /dev/null
+++ b/packaging/build.py
@@ -0,0 +1,165 @@
+"""Builds the one binary: a launcher with the bundle of the program appended.
+
+Usage: python packaging/build.py, in the environment of requirements.lock and
+with gcc installed. The result is dist/carobwalk.
+"""
+
+import hashlib
+import os
+import shutil
+import struct
+import subprocess
+import sys
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+PROGRAM: Final = 'carobwalk'
+ROOT: Final = Path(__file__).resolve().parent.parent
+HERE: Final = ROOT / 'packaging'
+BUILD: Final = ROOT / 'build' / 'binary'
+DIST: Final = ROOT / 'dist'
+MAGIC: Final = b'carobwalk-bundle'
+ENTRY: Final = struct.Struct('=QII')
+TRAILER: Final = struct.Struct('=QQ32s16s')
+
+# Sources and headers that packages carry, of no use at run time.
+UNUSED_SUFFIXES: Final = frozenset(
+    ('.cpp', '.c', '.h', '.pyx', '.pxd', '.pyi', '.md', '.txt'),
+)
+
+# Modules of the build and test tools, and of interactive use.
+UNUSED_MODULES: Final = (
+    '_pytest',
+    'cffi',
+    'distutils',
+    'hypothesis',
+    'jinja2',
+    'pkg_resources',
+    'pycparser',
+    'pydoc_data',
+    'pygments',
+    'pytest',
+    'readline',
+    'setuptools',
+    'tkinter',
+)
+
+
+@dataclass(frozen=True, slots=True)
+class BundledFile:
+    """A file of the bundle.
+
+    Args:
+        path: Path within the bundle.
+        content: Its content.
+        mode: Permissions of the owner.
+    """
+
+    path: str
+    content: bytes
+    mode: int
+
+    def encode(self) -> bytes:
+        """Return the entry as the launcher reads it."""
+        path = self.path.encode()
+        header = ENTRY.pack(len(self.content), self.mode, len(path))
+        return b''.join((header, path, self.content))
+
+
+class BuildError(Exception):
+    """The binary can't be built."""
+
+
+def main() -> None:
+    """Build dist/carobwalk, the only file there."""
+    shutil.rmtree(BUILD, ignore_errors=True)
+    shutil.rmtree(DIST, ignore_errors=True)
+    bundle = bundle_program()
+    files = list(read_bundle(bundle))
+    check_modules(bundle)
+    launcher = compile_launcher()
+    DIST.mkdir()
+    target = DIST / PROGRAM
+    target.write_bytes(join_parts(launcher.read_bytes(), files))
+    target.chmod(0o755)
+    megabytes = target.stat().st_size / 1e6
+    sys.stdout.write(f'{target}: {megabytes:.1f} MB, {len(files)} files\n')
+
+
+def bundle_program() -> Path:
+    """Run PyInstaller; return the folder with the program."""
+    options = (
+        '--noconfirm',
+        '--log-level=WARN',
+        '--onedir',
+        '--strip',
+        f'--name={PROGRAM}',
+        f'--distpath={BUILD}',
+        f'--workpath={BUILD / "work"}',
+        f'--specpath={BUILD}',
+        f'--collect-submodules={PROGRAM}',
+        f'--collect-data={PROGRAM}',
+        '--collect-data=capnp',
+        '--hidden-import=capnp.lib.capnp',
+        '--copy-metadata=opentelemetry-api',
+        '--copy-metadata=opentelemetry-sdk',
+    )
+    excluded = [f'--exclude-module={module}' for module in UNUSED_MODULES]
+    command = [sys.executable, '-m', 'PyInstaller', *options, *excluded]
+    subprocess.run(
+        [*command, str(HERE / 'entry_point.py')],
+        check=True,
+        env={**os.environ, 'PYTHONPATH': str(ROOT / 'src')},
+    )
+    return BUILD / PROGRAM
+
+
+def read_bundle(bundle: Path) -> Iterator[BundledFile]:
+    """Yield the files of the bundle that the program needs, by path."""
+    for path in sorted(bundle.rglob('*')):
+        if path.is_file() and path.suffix not in UNUSED_SUFFIXES:
+            name = str(path.relative_to(bundle))
+            mode = 0o700 if os.access(path, os.X_OK) else 0o600
+            yield BundledFile(name, path.read_bytes(), mode)
+
+
+def check_modules(bundle: Path) -> None:
+    """Check that every module of the program is in the bundle.
+
+    Raises:
+        BuildError: If a module or a schema is missing.
+    """
+    listed = (BUILD / 'work' / PROGRAM / 'PYZ-00.toc').read_text()
+    for path in sorted((ROOT / 'src').rglob('*.py')):
+        parts = path.relative_to(ROOT / 'src').with_suffix('').parts
+        module = '.'.join(part for part in parts if part != '__init__')
+        if parts[-1] != '__main__' and f"'{module}'" not in listed:
+            raise BuildError(f'module {module} is not in the bundle')
+    for path in sorted((ROOT / 'src').rglob('*.capnp')):
+        name = path.relative_to(ROOT / 'src')
+        if not (bundle / '_internal' / name).is_file():
+            raise BuildError(f'schema {name} is not in the bundle')
+
+
+def compile_launcher() -> Path:
+    """Compile the launcher; return the executable."""
+    target = BUILD / 'launcher'
+    options = ('-O2', '-s', '-std=c11', '-Wall', '-Wextra', '-Werror')
+    source = str(HERE / 'launcher.c')
+    command = [os.environ.get('CC', 'gcc'), *options]
+    subprocess.run([*command, source, '-o', str(target)], check=True)
+    return target
+
+
+def join_parts(launcher: bytes, files: list[BundledFile]) -> bytes:
+    """Return the binary: launcher, entries, trailer."""
+    entries = b''.join(file.encode() for file in files)
+    digest = hashlib.blake2b(entries, digest_size=16).hexdigest().encode()
+    trailer = TRAILER.pack(len(launcher), len(files), digest, MAGIC)
+    return b''.join((launcher, entries, trailer))
+
+
+if __name__ == '__main__':
+    main()
