Add the demo of both deployments

It starts both deployments as separate processes, sends requests of all ranks, loses an owner, an entry, a frozen server and the store, moves a key, stops an entry, and compares what callers saw with what the backend servers ran.

--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,23 @@
+"""Entry point of ``python -m demo``."""
+
+import os
+import sys
+import time
+from pathlib import Path
+
+import trio
+
+from demo._run import run_demo
+
+_DIRECTORY = Path('var') / 'demo'
+
+
+def main() -> int:
+    """Run the demo in a new directory; ``STAY=1`` keeps it up."""
+    directory = _DIRECTORY / time.strftime('%Y%m%d-%H%M%S')
+    directory.mkdir(parents=True)
+    return trio.run(run_demo, directory.absolute(), bool(os.getenv('STAY')))
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/demo/steps/_store_down.py
@@ -0,0 +1,34 @@
+"""An outage of the store."""
+
+from demo._errors import StepFailedError
+from demo._registry import step
+from demo._scene import Scene
+
+_KEY = 'store-down'
+_SERVICE = 'tien-do'
+_SERVED_SECONDS = 15
+
+
+@step('the store is down; requests go on, and an owner is lost meanwhile')
+async def take_store_down(scene: Scene) -> str:
+    """Kill an owner while the store refuses all calls."""
+    fleet = scene.dong_phuong
+    platform = fleet.platform
+    entry = scene.live_entry(fleet)
+    seen, _ = await scene.wait_served(entry, _SERVICE, _KEY, _SERVED_SECONDS)
+    owner = seen.server
+    await platform.control(platform.store, 'PUT', 'faults', b'{"down":true}')
+    try:
+        await scene.processes.kill(owner)
+        seen, gap = await scene.wait_served(
+            entry,
+            _SERVICE,
+            _KEY,
+            _SERVED_SECONDS,
+        )
+    finally:
+        await platform.control(platform.store, 'PUT', 'faults', b'{}')
+        await fleet.servers.start_server(owner)
+    if seen.server == owner:
+        raise StepFailedError(f'{owner} answered although it was killed')
+    return f'{owner} lost, served by {seen.server} after {gap:.2f} s'
--- a/standins/fleet/_settings_file.py
+++ b/standins/fleet/_settings_file.py
@@ -39,8 +39,8 @@
             'host_list_interval_seconds': 0.5,
         },
         'log': {'path': str(entry.events_path)},
-        'limits': deployment.limits,
-        'ownership': deployment.ownership,
+        'limits': dict(deployment.limits),
+        'ownership': dict(deployment.ownership),
     }
     text = msgspec.json.format(msgspec.json.encode(document)).decode()
     entry.settings_path.write_text(f'// Settings of an entry.\n{text}\n')
