--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 export PYTHONPATH := src:.
 
-.PHONY: test lint types unit demo bench soak report binary clean
+.PHONY: test lint types unit demo bench soak
 
 $(VENV)/.installed: requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -26,3 +26,11 @@
 
 bench: $(VENV)/.installed
 	$(BIN)/python -m benchmarks $(NAME) --seed $(SEED)
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m demo
+
+soak: $(VENV)/.installed
+	$(BIN)/python -m tests.ownership.soak --seeds $(or $(SEEDS),0:2000)
+
+include packaging/binary.mk
--- /dev/null
+++ b/src/carobwalk/app/_build_entry.py
@@ -0,0 +1,50 @@
+"""Callers' side of a process."""
+
+from collections.abc import Callable
+
+from carobwalk.app._choose import Chooser
+from carobwalk.app._core import Core
+from carobwalk.app._placed_forwarder import PlacedForwarder
+from carobwalk.app._request_log import RequestLog
+from carobwalk.entry import Classifier, EntryLimits, EntryServer, Router
+from carobwalk.model import Forwarder, ProcessId
+from carobwalk.ownership import Placements
+from carobwalk.profiles import Catalogue
+from carobwalk.settings import Limits
+
+
+def build_entry(
+    core: Core,
+    placements: Placements,
+    local: Forwarder,
+    catalogue: Callable[[], Catalogue],
+) -> EntryServer:
+    """Return the listener for callers.
+
+    Args:
+        core: Parts of the process.
+        placements: The shard map.
+        local: Dispatchers of this process.
+        catalogue: Returns the configuration in force.
+    """
+    own_id = ProcessId(core.own.name)
+    return EntryServer(
+        Classifier(own_id, catalogue),
+        Router(
+            placements,
+            PlacedForwarder(own_id, local, core.hub),
+            Chooser(core.own),
+        ),
+        RequestLog(core.events, core.metrics),
+        _limits(core.settings.limits),
+    )
+
+
+def _limits(limits: Limits) -> EntryLimits:
+    return EntryLimits(
+        header_bytes=limits.header_bytes,
+        connections=limits.caller_connections,
+        idle_seconds=limits.caller_idle_seconds,
+        header_seconds=limits.caller_header_seconds,
+        stall_seconds=limits.caller_stall_seconds,
+    )
--- /dev/null
+++ b/src/carobwalk/app/_build_follower.py
@@ -0,0 +1,35 @@
+"""Configuration in force at a process."""
+
+import random
+from collections.abc import Callable
+
+from carobwalk.app._core import Core
+from carobwalk.model import Endpoint
+from carobwalk.profiles.spread import ConfigurationFollower, FollowerParts
+
+
+def build_follower(
+    core: Core,
+    known_peers: Callable[[], tuple[Endpoint, ...]],
+    is_watcher: Callable[[], bool],
+) -> ConfigurationFollower:
+    """Return the follower of the configuration.
+
+    Args:
+        core: Parts of the process.
+        known_peers: Returns all processes known now.
+        is_watcher: Returns whether this process watches the store.
+    """
+    return ConfigurationFollower(
+        FollowerParts(
+            own=core.own,
+            store=core.clients.store,
+            peers=core.hub,
+            topics=core.topics,
+            known_peers=known_peers,
+            is_watcher=is_watcher,
+            clock=core.clock,
+            events=core.events,
+            generator=random.Random(),
+        ),
+    )
--- a/src/carobwalk/app/_request_log.py
+++ b/src/carobwalk/app/_request_log.py
@@ -4,6 +4,7 @@
 
 from carobwalk.entry import RequestEnded
 from carobwalk.events import Event, EventLog
+from carobwalk.metrics import Metrics
 from carobwalk.model import Outcome, Rank
 
 
@@ -31,20 +32,28 @@
 
 
 class RequestLog:
-    """Writes an event for each request worth one.
+    """Counts each request, and writes an event for those worth one.
 
-    Complete lookups and uploads are only counted in the metrics: a line for
-    each would cost more than the request.
+    Complete lookups and uploads are only counted: a line for each would cost
+    more than the request.
 
     Args:
         events: Log of events.
+        metrics: Counts and times of the process.
     """
 
-    def __init__(self, events: EventLog) -> None:
+    def __init__(self, events: EventLog, metrics: Metrics) -> None:
         self._events = events
+        self._metrics = metrics
 
     def observe(self, ended: RequestEnded) -> None:
-        """Write the event of one request if it is worth one."""
+        """Count one request, and write its event if it is worth one."""
+        self._metrics.record_request(
+            ended.service,
+            ended.rank,
+            ended.outcome,
+            ended.seconds,
+        )
         is_complete = ended.outcome is Outcome.COMPLETE
         if is_complete and ended.rank is not Rank.MONEY:
             return
