Derive ownership's times from the settings

Cause: with a heartbeat of 0.5 s, the default of the settings, coordinators were deposed every 0.8 s: silence was counted at 0.25 s, before the next heartbeat. 24 epochs in 8 s, no request served (trial with two entries). Ruled out: the store and the leases; CoordinatorDeposed said 'a higher epoch'.

--- a/src/carobwalk/app/_build_ownership.py
+++ b/src/carobwalk/app/_build_ownership.py
@@ -3,14 +3,13 @@
 from collections.abc import Callable
 
 from carobwalk.app._core import Core
+from carobwalk.app._derive_times import derive_times
 from carobwalk.ownership import (
     HttpGrantChannel,
     OwnershipContext,
     OwnershipRole,
-    OwnershipTimes,
 )
 from carobwalk.profiles import Catalogue
-from carobwalk.settings import Settings
 
 
 def build_ownership(
@@ -34,17 +33,6 @@
             clock=core.clock,
             events=core.events,
             catalogue=catalogue,
-            times=_times(core.settings),
+            times=derive_times(core.settings),
         ),
     )
-
-
-def _times(settings: Settings) -> OwnershipTimes:
-    ownership = settings.ownership
-    return OwnershipTimes(
-        heartbeat=ownership.heartbeat_seconds,
-        grant_ttl=ownership.grant_seconds,
-        lease_ttl=ownership.lease_seconds,
-        store_timeout=settings.platform.timeout_seconds,
-        host_list_interval=settings.platform.host_list_interval_seconds,
-    )
--- a/src/carobwalk/settings/_ownership.py
+++ b/src/carobwalk/settings/_ownership.py
@@ -20,7 +20,7 @@
     """
 
     groups: tuple[DataCentreField, ...] = ()
-    heartbeat_seconds: Interval = 0.5
-    lease_seconds: Lease = 3.0
-    grant_seconds: Lease = 3.0
+    heartbeat_seconds: Interval = 0.1
+    lease_seconds: Lease = 0.6
+    grant_seconds: Lease = 0.6
     shards_per_server: ShardCount = 16
