Break each rule of ownership and run random faults against it

Cause: single ownership has to hold under crashes, freezes, one-way partitions, overtaken and late messages, drifting clocks and a failing store, and the checker has to be shown to fail where a rule is broken. Ruled out: checking the coordinators' view; the check reads what the servers themselves hold after each order. Found in the design: reading a record again after an unanswered write is not enough, since the write may take effect after the reading (trace write_delayed); only a later confirmed write settles it. Change: fakes of servers, network and fleet, traces, random faults, soak.

--- a/src/carobwalk/ownership/_candidate.py
+++ b/src/carobwalk/ownership/_candidate.py
@@ -1,7 +1,5 @@
 """Readiness of an entry to coordinate a group."""
 
-from typing import Final
-
 import trio
 
 from carobwalk.model import Endpoint
@@ -21,8 +19,6 @@
 from carobwalk.ownership._rendezvous import rendezvous_score
 from carobwalk.ownership._shard_maps import ShardMaps
 
-_CHECKS_PER_SILENCE: Final = 10
-
 
 class Candidate:
     """Stands for election when a group's coordinator is silent.
@@ -58,8 +54,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_lease)
             while True:
-                pause = self._context.times.silence / _CHECKS_PER_SILENCE
-                await trio.sleep(pause)
+                await trio.sleep(self._context.times.silence_check)
                 if await self._is_due():
                     await self._stand()
 
--- a/src/carobwalk/ownership/_context.py
+++ b/src/carobwalk/ownership/_context.py
@@ -13,6 +13,7 @@
 from carobwalk.platform import HostList, Store
 from carobwalk.profiles import Catalogue
 
+SHARDS_PER_SERVER: Final = 16
 _SEPARATOR: Final = '/'
 
 
@@ -31,6 +32,8 @@
         events: Log of events.
         catalogue: Returns the configuration in force.
         times: Time limits.
+        shards_per_server: Shards for each server listed when a service is
+            divided.
         rules: Safety rules; all in force but in tests of the checker.
     """
 
@@ -44,6 +47,7 @@
     events: EventLog
     catalogue: Callable[[], Catalogue]
     times: OwnershipTimes = field(default_factory=OwnershipTimes)
+    shards_per_server: int = SHARDS_PER_SERVER
     rules: SafetyRules = ALL_RULES
 
     def is_keyed(self, service: ServiceName | None) -> bool:
--- a/src/carobwalk/ownership/_divisions.py
+++ b/src/carobwalk/ownership/_divisions.py
@@ -1,7 +1,5 @@
 """Divisions of services as the store holds them."""
 
-from typing import Final
-
 import msgspec
 from result import Err, Ok
 
@@ -12,8 +10,6 @@
 from carobwalk.ownership._store_names import DIVISIONS, division_record
 from carobwalk.platform import Conflict, Versioned
 
-SHARDS_PER_SERVER: Final = 16
-
 
 class Divisions:
     """Reads the divisions and makes those that are missing.
@@ -46,7 +42,8 @@
         servers = [
             host for host in self._hosts.servers() if host.service == service
         ]
-        division = Division(service, len(servers) * SHARDS_PER_SERVER, groups)
+        shard_count = len(servers) * self._context.shards_per_server
+        division = Division(service, shard_count, groups)
         answer = await self._context.store.write(
             division_record(service),
             msgspec.json.encode(division),
--- a/src/carobwalk/ownership/_safety_rules.py
+++ b/src/carobwalk/ownership/_safety_rules.py
@@ -14,7 +14,8 @@
         incarnation: A grant is valid for one incarnation of a server.
         settle_write: After an unanswered write nothing that the two possible
             records disagree on is activated before a confirmed write.
-        token_order: Of two reported grants the higher token is the owner's.
+        token_order: Of two reported grants the higher token is the owner's,
+            and a report counts only until its grant's end.
         server_fence: A server refuses epochs below the accepted one.
         echo: A grant is counted from the server's own earlier reading.
         order_sequence: A server refuses orders that were overtaken.
--- a/src/carobwalk/ownership/_succession_choice.py
+++ b/src/carobwalk/ownership/_succession_choice.py
@@ -30,6 +30,9 @@
         first = self._first(shard)
         if first is None:
             return None
+        if shard.target is not None and not self._may_stay(shard.target):
+            # The server of a planned move restarted or went away.
+            shard.target = None
         if shard.target is not None and shard.target != first:
             return Succession(first, shard.target)
         return Succession(first, self._second(shard, first))
--- a/src/carobwalk/ownership/_takeover.py
+++ b/src/carobwalk/ownership/_takeover.py
@@ -101,7 +101,9 @@
     def _keep(self, shard: ShardState, owner: _Claim) -> None:
         link = self._state.links[owner.holder.server]
         remaining = self._state.context.times.lapse(owner.held.remaining)
-        link.extend(owner.holder.incarnation, link.fenced_at + remaining)
+        guarded = self._state.context.rules.token_order
+        reported_at = link.fenced_at if guarded else self._state.now()
+        link.extend(owner.holder.incarnation, reported_at + remaining)
         self._state.activate(shard, owner.holder)
 
 
--- a/src/carobwalk/ownership/_times.py
+++ b/src/carobwalk/ownership/_times.py
@@ -17,6 +17,7 @@
         fresh: Age of the last report up to which a server counts as alive.
         silence: Silence of the coordinator after which the first candidate
             stands for election.
+        silence_check: Interval of checks for silence.
         stagger: Further silence for each candidate behind the first.
         witness_timeout: Longest wait for what others heard.
         absence: Time off the host list after which a host counts as gone.
@@ -39,6 +40,7 @@
     push_timeout: float = 0.2
     fresh: float = 0.35
     silence: float = 0.25
+    silence_check: float = 0.025
     stagger: float = 0.15
     witness_timeout: float = 0.05
     absence: float = 2.0
--- a/standins/fake_fleet.py
+++ b/standins/fake_fleet.py
@@ -26,6 +26,7 @@
 
 SERVICE: Final = ServiceName('claims')
 REGION: Final = RegionName('north')
+_POLL_SECONDS: Final = 0.01
 _PROFILE: Final = ProfileName('keyed')
 
 
@@ -90,7 +91,7 @@
         started = trio.current_time()
         with trio.fail_after(limit):
             while not condition():
-                await trio.sleep(0.005)
+                await trio.sleep(_POLL_SECONDS)
         return trio.current_time() - started
 
     async def wait_served(self, limit: float = 10) -> float:
--- a/standins/fake_fleet_shape.py
+++ b/standins/fake_fleet_shape.py
@@ -13,6 +13,7 @@
         data_centres: Data centres of the region.
         entries: Processes in each data centre.
         servers: Backend servers in each data centre.
+        shards_per_server: Shards for each server.
         seed: Seed of the network.
         drift: Largest deviation of a clock's rate from 1.
         times: Time limits.
@@ -23,6 +24,7 @@
     data_centres: int = 2
     entries: int = 2
     servers: int = 2
+    shards_per_server: int = 16
     seed: int = 1
     drift: float = 0
     times: OwnershipTimes = field(default_factory=OwnershipTimes)
@@ -32,4 +34,5 @@
     @property
     def shard_count(self) -> int:
         """Return the number of shards after the division."""
-        return 16 * self.data_centres * self.servers
+        servers = self.data_centres * self.servers
+        return self.shards_per_server * servers
--- a/standins/fake_network.py
+++ b/standins/fake_network.py
@@ -33,6 +33,7 @@
         self.loss: float = 0
         self.down: set[str] = set()
         self.cuts: set[tuple[str, str]] = set()
+        self.delays: dict[tuple[str, str], float] = {}
         self._nursery = nursery
         self._random = random.Random(seed)
         self._thaws: dict[str, trio.Event] = {}
@@ -104,7 +105,9 @@
         if lost or (source, target) in self.cuts:
             return False
         slow = self._random.random() < self.slow_share
-        delay = self.slow_delay * self._random.random() if slow else self.delay
+        delay = self.delays.get((source, target), self.delay)
+        if slow:
+            delay = self.slow_delay * self._random.random()
         await trio.sleep(delay)
         await self.wait_awake(target)
         return True
--- a/standins/fake_process.py
+++ b/standins/fake_process.py
@@ -21,8 +21,9 @@
 from standins.fake_fleet_shape import FleetShape
 from standins.fake_network import FakeNetwork
 from standins.fake_server import FakeServer
+from standins.fake_store_link import FakeStoreLink
 from standins.memory_host_list import MemoryHostList
-from standins.memory_store import MemoryStore, MemoryStoreClient
+from standins.memory_store import MemoryStore
 
 
 class Surroundings(Protocol):
@@ -67,7 +68,11 @@
         self.endpoint = endpoint
         self.clock = clock
         self.events: EventLog = NullEventLog()
-        self.store: MemoryStoreClient = fleet.store.client()
+        self.store = FakeStoreLink(
+            fleet.store.client(),
+            fleet.network,
+            endpoint.name,
+        )
         self._fleet = fleet
         self._start()
 
@@ -91,6 +96,7 @@
                 events=self.events,
                 catalogue=lambda: self._fleet.catalogue,
                 times=self._fleet.shape.times,
+                shards_per_server=self._fleet.shape.shards_per_server,
                 rules=self._fleet.shape.rules,
             ),
         )
