--- a/src/carobwalk/ownership/_times.py
+++ b/src/carobwalk/ownership/_times.py
@@ -12,11 +12,14 @@
         grant_ttl: Time to live of a grant, on the server's clock.
         lease_ttl: Time to live of a dispatcher's lease, on its clock.
         drift: Largest relative difference of two clock rates.
+        adoption: Time that a new coordinator waits for reports of leases
+            before it assigns dispatchers.
         order_timeout: Longest wait for the report on an order.
         push_timeout: Longest wait for the answer to a push.
         fresh: Age of the last report up to which a server counts as alive.
         silence: Silence of the coordinator after which the first candidate
             stands for election.
+        silence_check: Interval of checks for silence.
         stagger: Further silence for each candidate behind the first.
         witness_timeout: Longest wait for what others heard.
         absence: Time off the host list after which a host counts as gone.
@@ -35,10 +38,12 @@
     grant_ttl: float = 0.6
     lease_ttl: float = 0.6
     drift: float = 0.01
+    adoption: float = 0.2
     order_timeout: float = 0.2
     push_timeout: float = 0.2
     fresh: float = 0.35
     silence: float = 0.25
+    silence_check: float = 0.025
     stagger: float = 0.15
     witness_timeout: float = 0.05
     absence: float = 2.0
