Keep each rank's share in a flood of another

Cause: long uploads held all slots, and a standing queue outlived a flood. Ruled out: a fixed cap for uploads (halves an otherwise idle server); newest first within a rank (still 3 s at a queue of 16).

--- a/src/carobwalk/dispatch/_guaranteed_shares.py
+++ b/src/carobwalk/dispatch/_guaranteed_shares.py
@@ -1,6 +1,9 @@
 """Queue policy with a guaranteed share of slot time for each rank."""
 
+import itertools
+
 from carobwalk.dispatch._queue_policy import queue_policies
+from carobwalk.dispatch._rank_durations import RankDurations
 from carobwalk.dispatch._rank_queues import RankQueues
 from carobwalk.dispatch._share_account import ShareAccount
 from carobwalk.dispatch._ticket import Ticket
@@ -8,18 +11,26 @@
 from carobwalk.profiles import Profile
 
 _WINDOW_SECONDS = 0.5
+_LEAST_USAGE = 0.01
 
 
 @queue_policies.register('guaranteed-shares')
 class GuaranteedShares(RankQueues):
     """Serves ranks below their share first, and the rest by urgency.
 
+    Beyond its share, a rank of long requests leaves as many slots free as
+    the more urgent ranks used lately, up to half of them: a slot that a long
+    request holds comes back too late for a short one.
+
     Args:
         profile: Settings that give the shares and the slots.
     """
 
     def __init__(self, profile: Profile) -> None:
         super().__init__()
+        self._slots = profile.slots
+        self._most_reserved = max(1, profile.slots // 2)
+        self._durations = RankDurations()
         self._accounts_by_rank = {
             rank: ShareAccount(
                 profile.shares.get(rank, 0) * profile.slots,
@@ -29,16 +40,41 @@
         }
 
     def pop(self, now: float) -> Ticket | None:
-        """Take out a request of the most urgent rank that is owed time."""
-        ranks = self.backlogged
-        if not ranks:
+        """Take out the next request of the rank whose turn it is."""
+        rank = self._next(now)
+        if rank is None:
             return None
-        accounts = self._accounts_by_rank
-        owed = (rank for rank in ranks if accounts[rank].is_owed(now))
-        rank = next(owed, ranks[0])
-        accounts[rank].start(now)
+        self._accounts_by_rank[rank].start(now)
         return self.pop_from(rank)
 
     def finish(self, ticket: Ticket, now: float) -> None:
         """Charge the slot time to the rank."""
         self._accounts_by_rank[ticket.rank].finish(now)
+        self._durations.note(ticket.rank, now - (ticket.started_at or now))
+
+    def _next(self, now: float) -> Rank | None:
+        ranks = self.backlogged
+        for owed in ranks:
+            if self._accounts_by_rank[owed].is_owed(now):
+                return owed
+        for rank in ranks:
+            if self._may_exceed_share(rank, now):
+                return rank
+        return None
+
+    def _may_exceed_share(self, rank: Rank, now: float) -> bool:
+        running = self._accounts_by_rank[rank].running
+        return running < self._slots - self._reserve(rank, now)
+
+    def _reserve(self, rank: Rank, now: float) -> int:
+        """Return the slots that a rank leaves to more urgent ones."""
+        urgent = tuple(itertools.takewhile(rank.__ne__, Rank))
+        usage = sum(self._accounts_by_rank[each].usage(now) for each in urgent)
+        if usage < _LEAST_USAGE or not self._delays(rank, urgent):
+            return 0
+        return min(max(1, round(usage)), self._most_reserved)
+
+    def _delays(self, rank: Rank, urgent: tuple[Rank, ...]) -> bool:
+        """Return whether waiting for a slot of the rank outlasts the work."""
+        wait = self._durations.mean(rank) / self._slots
+        return any(wait > self._durations.mean(each) for each in urgent)
--- a/src/carobwalk/dispatch/_limit_policy.py
+++ b/src/carobwalk/dispatch/_limit_policy.py
@@ -13,6 +13,7 @@
     ANSWERED = 'answered'
     SHED = 'shed'
     LOST = 'lost'
+    OVERDUE = 'overdue'
     UNUSED = 'unused'
 
 
--- a/src/carobwalk/dispatch/_queue_bounds.py
+++ b/src/carobwalk/dispatch/_queue_bounds.py
@@ -1,11 +1,15 @@
 """Bounds of the queue before one backend server."""
 
+import math
 from collections import Counter
 
+from carobwalk.dispatch._rank_durations import RankDurations
 from carobwalk.dispatch._ticket import Ticket
 from carobwalk.model import Rank
 from carobwalk.profiles import Profile
 
+_WAIT_OF_TIME_LIMIT = 0.25
+
 
 class QueueBounds:
     """Counts what waits, by rank, in requests and in bytes.
@@ -15,10 +19,12 @@
 
     Args:
         profile: Settings that bound the queue.
+        durations: Mean slot times by rank.
     """
 
-    def __init__(self, profile: Profile) -> None:
+    def __init__(self, profile: Profile, durations: RankDurations) -> None:
         self._profile = profile
+        self._durations = durations
         self._length_by_rank: Counter[Rank] = Counter()
         self._bytes_by_rank: Counter[Rank] = Counter()
 
@@ -28,8 +34,7 @@
 
     def has_place(self, ticket: Ticket) -> bool:
         """Return whether one more request of its rank may wait."""
-        length = int(self._profile.queue_length * self._part(ticket.rank))
-        return self._length_by_rank[ticket.rank] < max(1, length)
+        return self._length_by_rank[ticket.rank] < self._places(ticket.rank)
 
     def has_bytes(self, ticket: Ticket) -> bool:
         """Return whether the request's bytes fit into its rank's part."""
@@ -46,6 +51,20 @@
         self._length_by_rank[ticket.rank] -= 1
         self._bytes_by_rank[ticket.rank] -= ticket.size
 
+    def _places(self, rank: Rank) -> int:
+        """Return the longest queue of a rank.
+
+        A queue that takes longer to work off than a part of the time limit
+        would still delay the rank after a flood is over.
+        """
+        places = self._profile.queue_length * self._part(rank)
+        mean = self._durations.mean(rank)
+        if mean:
+            slots = self._profile.slots * self._profile.shares.get(rank, 0)
+            time = self._profile.time_limits.get(rank, math.inf)
+            places = min(places, slots * time * _WAIT_OF_TIME_LIMIT / mean)
+        return max(self._profile.slots, int(places))
+
     def _part(self, rank: Rank) -> float:
         shares = self._profile.shares
         whole = sum(shares.values()) or 1
--- a/src/carobwalk/dispatch/_sender.py
+++ b/src/carobwalk/dispatch/_sender.py
@@ -102,7 +102,7 @@
 
     def _end_of_cancelled(self, passage: Passage) -> SendEnd:
         is_overdue = self._context.clock.now() >= passage.expires_at
-        return SendEnd.LOST if is_overdue else SendEnd.UNUSED
+        return SendEnd.OVERDUE if is_overdue else SendEnd.UNUSED
 
     def _pause(self) -> float:
         return _RETRY_PAUSE_SECONDS * (1 + self._context.random.random())
--- a/src/carobwalk/dispatch/_share_account.py
+++ b/src/carobwalk/dispatch/_share_account.py
@@ -1,4 +1,8 @@
-"""Slot time that one rank is owed."""
+"""Slot time that one rank is owed and uses."""
+
+import math
+
+_USAGE_SECONDS = 2
 
 
 class ShareAccount:
@@ -15,16 +19,22 @@
         self._balance = self._most
         self._running = 0
         self._updated_at: float | None = None
+        self._usage: float = 0
 
     @property
     def running(self) -> int:
         """Requests of the rank that have slots."""
         return self._running
 
+    def usage(self, now: float) -> float:
+        """Return the mean of the slots that the rank used lately."""
+        self._update(now)
+        return self._usage
+
     def is_owed(self, now: float) -> bool:
         """Return whether the rank used less than its guaranteed share."""
         self._update(now)
-        return self._balance > 0
+        return self._balance > 0 and self._running < self._entitled
 
     def start(self, now: float) -> None:
         """Note that a request of the rank got a slot."""
@@ -42,3 +52,5 @@
         balance = self._balance + (self._entitled - self._running) * elapsed
         # The bound keeps old surplus and old debt from deciding for long.
         self._balance = min(max(balance, -self._most), self._most)
+        weight = math.exp(-elapsed / _USAGE_SECONDS)
+        self._usage = weight * self._usage + (1 - weight) * self._running
--- a/src/carobwalk/dispatch/_slots.py
+++ b/src/carobwalk/dispatch/_slots.py
@@ -5,11 +5,15 @@
 from carobwalk.dispatch._errors import SlotLimitError
 from carobwalk.dispatch._limit_policy import SendEnd, limit_policies
 from carobwalk.dispatch._queue_policy import QueuePolicy
+from carobwalk.dispatch._rank_durations import RankDurations
 from carobwalk.dispatch._ticket import Ticket
 from carobwalk.dispatch._waiting_line import WaitingLine
-from carobwalk.model import Clock, Failure
+from carobwalk.model import Clock, Failure, FailureKind, Outcome
 from carobwalk.profiles import Profile
 
+# A request that ran out of time after so many mean slot times was stuck.
+_SLOW_FACTOR = 4
+
 
 class Slots:
     """Grants slots in the order of the queue policy, within the limit.
@@ -22,7 +26,8 @@
     def __init__(self, profile: Profile, clock: Clock) -> None:
         self._profile = profile
         self._clock = clock
-        self._line = WaitingLine(profile)
+        self._durations = RankDurations()
+        self._line = WaitingLine(profile, self._durations)
         self._limit = limit_policies.make(profile.limit_policy, profile)
         self._policies_by_ticket: dict[Ticket, QueuePolicy] = {}
 
@@ -77,13 +82,24 @@
         """
         now = self._clock.now()
         self._policies_by_ticket.pop(ticket).finish(ticket, now)
+        held = now - (ticket.started_at or now)
+        if end is SendEnd.OVERDUE:
+            is_slow = held > _SLOW_FACTOR * self._durations.mean(ticket.rank)
+            end = SendEnd.LOST if is_slow else SendEnd.UNUSED
+        if end is SendEnd.ANSWERED:
+            self._durations.note(ticket.rank, held)
         self._limit.ended(end, now)
         self._start_waiting()
 
     async def _wait(self, ticket: Ticket) -> None:
         while not ticket.settled.is_set():
-            pause = self._limit.wait(self._clock.now())
-            with trio.move_on_after(pause):
+            now = self._clock.now()
+            patience = ticket.expires_at - self._durations.mean(ticket.rank)
+            if patience <= now:
+                self._line.leave(ticket)
+                ticket.refuse(_too_late(self._durations.mean(ticket.rank)))
+                break
+            with trio.move_on_after(min(self._limit.wait(now), patience - now)):
                 await ticket.settled.wait()
             self._start_waiting()
 
@@ -109,3 +125,11 @@
             raise SlotLimitError(str(self.running))
         self._limit.started(now)
         ticket.grant(now)
+
+
+def _too_late(mean: float) -> Failure:
+    return Failure(
+        kind=FailureKind.DEADLINE,
+        outcome=Outcome.NOT_RUN,
+        detail=f'too little time left for work of {mean:.3f} s',
+    )
--- a/src/carobwalk/dispatch/_waiting_line.py
+++ b/src/carobwalk/dispatch/_waiting_line.py
@@ -4,6 +4,7 @@
 
 from carobwalk.dispatch._queue_bounds import QueueBounds
 from carobwalk.dispatch._queue_policy import QueuePolicy, queue_policies
+from carobwalk.dispatch._rank_durations import RankDurations
 from carobwalk.dispatch._ticket import Ticket
 from carobwalk.model import Failure, FailureKind, Outcome
 from carobwalk.profiles import Profile
@@ -14,10 +15,11 @@
 
     Args:
         profile: Settings that name the policy and bound the queue.
+        durations: Mean slot times by rank.
     """
 
-    def __init__(self, profile: Profile) -> None:
-        self._bounds = QueueBounds(profile)
+    def __init__(self, profile: Profile, durations: RankDurations) -> None:
+        self._bounds = QueueBounds(profile, durations)
         self._policy = queue_policies.make(profile.dispatch_policy, profile)
         self._next_solo: Ticket | None = None
 
