Run each keyed action at most once and quarantine poison requests

Cause: a caller that repeats an action through another entry could run it twice, and a request that crashes servers could take one after another. Ruled out: remembering keys in the platform's store (a write for each action passes its rate); convicting all requests that ran beside a loss. Change: memory of actions with the issue time of their keys, tenures, runs that outlive their callers; suspects run alone, two losses convict.

--- a/benchmarks/_dispatch_naive.py
+++ b/benchmarks/_dispatch_naive.py
@@ -6,7 +6,12 @@
 from result import Err, Ok, Result
 
 from benchmarks._dispatch_server import FakeServer, FakeUpstream
-from carobwalk.dispatch import SendGate, UpstreamFailure, UpstreamRequest
+from carobwalk.dispatch import (
+    SendGate,
+    Tenure,
+    UpstreamFailure,
+    UpstreamRequest,
+)
 from carobwalk.model import (
     Call,
     Completion,
@@ -22,8 +27,8 @@
 _RETRIES = 3
 
 
-def _always() -> Result[FenceToken, NoLease]:
-    return Ok(FenceToken(1, 1))
+def _always() -> Result[Tenure, NoLease]:
+    return Ok(Tenure(FenceToken(1, 1), FenceToken(1, 1)))
 
 
 class NaiveForwarder:
--- a/src/carobwalk/dispatch/__init__.py
+++ b/src/carobwalk/dispatch/__init__.py
@@ -20,10 +20,13 @@
     SendEnd,
     limit_policies,
 )
+from carobwalk.dispatch._quarantine import Quarantine
 from carobwalk.dispatch._queue_policy import QueuePolicy, queue_policies
 from carobwalk.dispatch._send_gate import SendGate
 from carobwalk.dispatch._slots_limit import SlotsLimit
 from carobwalk.dispatch._strict import Strict
+from carobwalk.dispatch._suspect import Incident, Suspect, SuspectId
+from carobwalk.dispatch._tenures import Tenure
 from carobwalk.dispatch._upstream import Upstream, UpstreamRequest
 from carobwalk.dispatch._upstream_failures import (
     CallerLost,
@@ -50,11 +53,13 @@
     'Fifo',
     'GuaranteedShares',
     'H11Upstream',
+    'Incident',
     'LimitPolicy',
     'MakeUpstream',
     'NotAuthorised',
     'NotConnected',
     'NotSent',
+    'Quarantine',
     'QueuePolicy',
     'RefusalReason',
     'Refused',
@@ -63,6 +68,9 @@
     'SlotLimitError',
     'SlotsLimit',
     'Strict',
+    'Suspect',
+    'SuspectId',
+    'Tenure',
     'Truncated',
     'Unanswered',
     'UnknownPolicyError',
--- a/src/carobwalk/dispatch/_dispatch_pool.py
+++ b/src/carobwalk/dispatch/_dispatch_pool.py
@@ -9,6 +9,8 @@
 from carobwalk.dispatch._context import DispatchContext
 from carobwalk.dispatch._dispatcher import Dispatcher
 from carobwalk.dispatch._h11_upstream import H11Upstream
+from carobwalk.dispatch._presence import Presence
+from carobwalk.dispatch._quarantine import Quarantine
 from carobwalk.dispatch._upstream import Upstream
 from carobwalk.model import (
     Call,
@@ -48,14 +50,20 @@
         self._make_upstream = make_upstream
         self._dispatchers_by_server: OrderedDict[ServerId, Dispatcher]
         self._dispatchers_by_server = OrderedDict()
-        self._present = 0
+        self._presence = Presence()
+        self._quarantine = Quarantine(context.wall_clock)
         self._stopping = False
         self._nursery: trio.Nursery | None = None
 
     @property
     def present(self) -> int:
         """Requests that wait or run at all dispatchers."""
-        return self._present
+        return self._presence.count
+
+    @property
+    def quarantine(self) -> Quarantine:
+        """Requests that are suspected or not sent any more."""
+        return self._quarantine
 
     async def run(
         self,
@@ -91,11 +99,7 @@
         if dispatcher is None:
             kind = FailureKind.QUEUE_FULL
             return Err(_not_run(kind, 'too many busy backend servers'))
-        self._present += 1
-        try:
-            return await dispatcher.forward(call, placement, sink, profile)
-        finally:
-            self._present -= 1
+        return await dispatcher.forward(call, placement, sink, profile)
 
     async def forget(self, server: ServerId) -> None:
         """Drop the dispatcher of a server whose lease this process lost.
@@ -121,11 +125,11 @@
         """
         self._stopping = True
         with trio.move_on_after(seconds):
-            while self._present:
+            while self.present:
                 await trio.sleep(_DRAIN_POLL_SECONDS)
         for server in tuple(self._dispatchers_by_server):
             await self.forget(server)
-        return not self._present
+        return not self.present
 
     async def _dispatcher(
         self,
@@ -147,7 +151,17 @@
     def _make(self, server: Endpoint, profile: Profile) -> Dispatcher:
         clock = self._context.clock
         upstream = self._make_upstream(server, profile.connections, clock)
-        return Dispatcher(server, profile, upstream, self._context)
+        dispatcher = Dispatcher(
+            server,
+            profile,
+            upstream,
+            self._context,
+            self._quarantine,
+            self._presence,
+        )
+        if self._nursery is not None:
+            dispatcher.keep_runs_in(self._nursery)
+        return dispatcher
 
     async def _make_room(self) -> bool:
         if len(self._dispatchers_by_server) < _MOST_DISPATCHERS:
--- a/src/carobwalk/dispatch/_dispatcher.py
+++ b/src/carobwalk/dispatch/_dispatcher.py
@@ -1,23 +1,28 @@
 """The one sender of requests to a backend server."""
 
-import functools
-
 import trio
 from result import Err, Result
 
+from carobwalk.dispatch._action_memory import ActionMemory
+from carobwalk.dispatch._actions import Actions
 from carobwalk.dispatch._context import DispatchContext
 from carobwalk.dispatch._events import RequestEnded
 from carobwalk.dispatch._passage import Passage
-from carobwalk.dispatch._replay_body import ReplayBody
-from carobwalk.dispatch._send_gate import SendGate
+from carobwalk.dispatch._passages import Passages
+from carobwalk.dispatch._presence import Presence
+from carobwalk.dispatch._quarantine import Quarantine
 from carobwalk.dispatch._sender import Sender
 from carobwalk.dispatch._slots import Slots
+from carobwalk.dispatch._suspicion import Suspicion
+from carobwalk.dispatch._tenures import Tenures
 from carobwalk.dispatch._upstream import Upstream
 from carobwalk.model import (
+    BodyError,
     Call,
     Completion,
     Endpoint,
     Failure,
+    FailureKind,
     Outcome,
     Placement,
     ReplySink,
@@ -36,6 +41,8 @@
         profile: Settings at first; each request brings the current ones.
         upstream: Connections to the server.
         context: Shared collaborators.
+        quarantine: Suspects of the process.
+        presence: Counts the requests of the process.
     """
 
     def __init__(
@@ -44,18 +51,33 @@
         profile: Profile,
         upstream: Upstream,
         context: DispatchContext,
+        quarantine: Quarantine,
+        presence: Presence,
     ) -> None:
         self._server = server
         self._upstream = upstream
         self._context = context
+        self._presence = Presence(presence)
+        self._passages = Passages(ServerId(server.name), context)
         self._slots = Slots(profile, context.clock)
-        self._sender = Sender(self._slots, upstream, context)
-        self._present = 0
+        suspicion = Suspicion(server.name, quarantine, context)
+        self._sender = Sender(self._slots, upstream, suspicion, context)
+        self._actions = Actions(
+            ServerId(server.name),
+            self._send,
+            ActionMemory(context.wall_clock, context.memory_bytes),
+            Tenures(context.wall_clock),
+            self._presence,
+        )
 
     @property
     def present(self) -> int:
         """Requests that wait or run."""
-        return self._present
+        return self._presence.count
+
+    def keep_runs_in(self, nursery: trio.Nursery) -> None:
+        """Let actions run on in a nursery when their callers leave."""
+        self._actions.keep_runs_in(nursery)
 
     async def forward(
         self,
@@ -76,12 +98,9 @@
             The completion, or the failure with its outcome.
         """
         self._slots.apply(profile)
-        passage = self._passage(call, placement, sink, profile)
-        self._present += 1
-        try:
+        passage = self._passages.begin(call, placement, sink, profile)
+        with self._presence.hold():
             ending = await self._within_deadline(passage)
-        finally:
-            self._present -= 1
         self._report(passage, ending)
         return ending
 
@@ -89,48 +108,26 @@
         """Close the idle connections."""
         await self._upstream.aclose()
 
-    def _passage(
-        self,
-        call: Call,
-        placement: Placement,
-        sink: ReplySink,
-        profile: Profile,
-    ) -> Passage:
-        head = call.head
-        now = self._context.clock.now()
-        allowed = profile.time_limits.get(head.rank, head.deadline)
-        return Passage(
-            head=head,
-            body=ReplayBody(call.body),
-            shard=placement.shard,
-            sink=sink,
-            profile=profile,
-            gate=self._gate(call),
-            arrived_at=now,
-            expires_at=now + min(head.deadline, allowed),
-        )
-
-    def _gate(self, call: Call) -> SendGate:
-        authorise = functools.partial(
-            self._context.leases.authorise,
-            ServerId(self._server.name),
-            call.head.service,
-            call.head.key,
-        )
-        return SendGate(
-            authorise,
-            idempotent=call.head.idempotent,
-            name=call.head.request_id,
-        )
-
     async def _within_deadline(self, passage: Passage) -> _Ending:
         remaining = passage.expires_at - self._context.clock.now()
         if remaining <= 0:
             return Err(passage.overdue('no time left at arrival'))
         with trio.move_on_after(remaining):
-            return await self._sender.run(passage, solo=False)
+            return await self._run(passage)
         return Err(passage.overdue(f'not ended within {remaining:.3f} s'))
 
+    async def _run(self, passage: Passage) -> _Ending:
+        head = passage.head
+        if head.idempotent or head.idempotency_key is None:
+            return await self._send(passage)
+        return await self._actions.run(passage)
+
+    async def _send(self, passage: Passage) -> _Ending:
+        try:
+            return await self._sender.run(passage)
+        except BodyError as error:
+            return Err(passage.failure(FailureKind.CALLER_GONE, str(error)))
+
     def _report(self, passage: Passage, ending: _Ending) -> None:
         head = passage.head
         failed = ending.err()
--- a/src/carobwalk/dispatch/_events.py
+++ b/src/carobwalk/dispatch/_events.py
@@ -48,3 +48,22 @@
     """A suspected backend server answered a request."""
 
     server: str
+
+
+@dataclass(frozen=True, slots=True)
+class RequestSuspected(Event):
+    """A backend server was lost while a request ran.
+
+    Args:
+        request: Identity of the request.
+        service: Service called.
+        server: Backend server that was lost.
+        losses: Losses that count against the request.
+        convicted: Whether it is in quarantine from now on.
+    """
+
+    request: str
+    service: str
+    server: str
+    losses: int
+    convicted: bool
--- a/src/carobwalk/dispatch/_passage.py
+++ b/src/carobwalk/dispatch/_passage.py
@@ -3,11 +3,13 @@
 import itertools
 from dataclasses import dataclass
 
+import trio
+
 from carobwalk.dispatch._replay_body import ReplayBody
 from carobwalk.dispatch._send_gate import SendGate
 from carobwalk.dispatch._ticket import Ticket
 from carobwalk.dispatch._upstream import UpstreamRequest
-from carobwalk.model import Failure, FailureKind, ReplySink, RequestHead
+from carobwalk.model import Clock, Failure, FailureKind, ReplySink, RequestHead
 from carobwalk.model import ShardNumber as Shard
 from carobwalk.profiles import Profile
 
@@ -24,6 +26,7 @@
         shard: Shard of its key, if any.
         sink: Receiver of the answer.
         profile: Settings of its service.
+        clock: The dispatcher's clock.
         gate: Counts its sends.
         arrived_at: When it arrived, on the dispatcher's clock.
         expires_at: When it must have ended.
@@ -34,6 +37,7 @@
     shard: Shard | None
     sink: ReplySink
     profile: Profile
+    clock: Clock
     gate: SendGate
     arrived_at: float
     expires_at: float
@@ -63,13 +67,22 @@
             expires_at=self.expires_at,
         )
 
+    @property
+    def has_whole_body(self) -> bool:
+        """Whether the caller has passed all of its body."""
+        return self.body.is_whole or self.head.body_length == 0
+
+    def failure(self, kind: FailureKind, detail: str) -> Failure:
+        """Return a failure with the request's outcome as far as known."""
+        return Failure(kind=kind, outcome=self.gate.outcome, detail=detail)
+
     def overdue(self, detail: str) -> Failure:
         """Return the failure of a request whose time is over."""
-        return Failure(
-            kind=FailureKind.DEADLINE,
-            outcome=self.gate.outcome,
-            detail=detail,
-        )
+        return self.failure(FailureKind.DEADLINE, detail)
+
+    def trio_deadline(self) -> float:
+        """Return when it must have ended, on the event loop's clock."""
+        return trio.current_time() + self.expires_at - self.clock.now()
 
     def _size(self) -> int:
         texts = itertools.chain.from_iterable(self.head.headers)
--- a/src/carobwalk/dispatch/_replay_body.py
+++ b/src/carobwalk/dispatch/_replay_body.py
@@ -1,5 +1,6 @@
 """A body that can be sent again while it is short."""
 
+from carobwalk.dispatch._request_identity import PREFIX_BYTES
 from carobwalk.model import BodySource
 
 _REPLAY_BYTES = 65_536
@@ -20,12 +21,23 @@
         self._read_bytes = 0
         self._position = 0
         self._ended = False
+        self._start = b''
 
     @property
     def can_rewind(self) -> bool:
         """Whether the body can be read from its start once more."""
         return self._read_bytes <= self._limit
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether the body was read to its end."""
+        return self._ended
+
+    @property
+    def start(self) -> bytes:
+        """The first bytes of what was read, for the request's identity."""
+        return self._start
+
     def rewind(self) -> None:
         """Go back to the start of the body."""
         self._position = 0
@@ -53,7 +65,8 @@
         """Return the first bytes of the body; they are read again later.
 
         Args:
-            length: Bytes wanted; fewer come back where the body is shorter.
+            length: Bytes wanted, at most `PREFIX_BYTES`; fewer come back
+                where the body is shorter.
 
         Raises:
             BodyError: If the sender went away before the end of the body.
@@ -62,7 +75,7 @@
             chunk = await self._read()
             if chunk:
                 self._kept.append(chunk)
-        return b''.join(self._kept)[:length]
+        return self._start[:length]
 
     async def _read(self) -> bytes:
         if self._ended:
@@ -70,4 +83,6 @@
         chunk = await self._source.receive()
         self._read_bytes += len(chunk)
         self._ended = not chunk
+        if len(self._start) < PREFIX_BYTES:
+            self._start = (self._start + chunk)[:PREFIX_BYTES]
         return chunk
--- a/src/carobwalk/dispatch/_send_gate.py
+++ b/src/carobwalk/dispatch/_send_gate.py
@@ -2,34 +2,37 @@
 
 from collections.abc import Callable
 
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from carobwalk.dispatch._errors import DoubleSendError, FalseNotRunError
+from carobwalk.dispatch._tenures import Tenure
 from carobwalk.model import FenceToken, Outcome
 from carobwalk.ownership import NoLease
 
-Authorise = Callable[[], Result[FenceToken, NoLease]]
+ReadTenure = Callable[[], Result[Tenure, NoLease]]
 
 
 class SendGate:
     """Counts the sends of one request and reads the leases for each.
 
     Args:
-        authorise: Reads the leases of the request's server and key.
+        read_tenure: Reads the dispatcher's lease and the owner's grant.
         idempotent: Whether the request may be sent more than once.
         name: Identity of the request, for errors.
     """
 
     def __init__(
         self,
-        authorise: Authorise,
+        read_tenure: ReadTenure,
         *,
         idempotent: bool,
         name: str,
     ) -> None:
-        self._authorise = authorise
+        self._read_tenure = read_tenure
         self._idempotent = idempotent
         self._name = name
+        self._expected: Tenure | None = None
+        self._doubted = False
         self._sends = 0
         self._disowned = 0
 
@@ -46,10 +49,27 @@
     @property
     def outcome(self) -> Outcome:
         """Outcome of a request that was not answered."""
-        if self._sends > self._disowned:
+        if self._doubted or self._sends > self._disowned:
             return Outcome.UNKNOWN
         return Outcome.NOT_RUN
 
+    def doubt(self) -> None:
+        """Note that an earlier request for the same action may have run."""
+        self._doubted = True
+
+    def trust(self, tenure: Tenure) -> None:
+        """Note that no earlier request ran, if the tenure goes on.
+
+        Args:
+            tenure: The only one under which the request may be sent.
+        """
+        self._doubted = False
+        self._expected = tenure
+
+    def tenure(self) -> Result[Tenure, NoLease]:
+        """Return the current tenure without counting a send."""
+        return self._read_tenure()
+
     def open(self) -> Result[FenceToken, NoLease]:
         """Return the fence token, and count the request as sent.
 
@@ -58,10 +78,13 @@
         """
         if not self.may_send:
             raise DoubleSendError(self._name)
-        token = self._authorise()
-        if isinstance(token, Ok):
-            self._sends += 1
-        return token
+        tenure = self._read_tenure()
+        if isinstance(tenure, Err):
+            return tenure
+        if self._expected not in {None, tenure.ok_value}:
+            return Err(NoLease('the lease or grant changed meanwhile'))
+        self._sends += 1
+        return Ok(tenure.ok_value.grant)
 
     def retract(self) -> None:
         """Take back the last send: no byte of it was written."""
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -1,26 +1,48 @@
 """Small stand-ins at the interfaces of dispatch."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from enum import Enum, auto
+from math import inf
 from random import Random
+from uuid import UUID
 
-from result import Ok, Result
+import trio
+from result import Err, Ok, Result
 
-from carobwalk.dispatch import DispatchContext
+from carobwalk.dispatch import (
+    CallerLost,
+    DispatchContext,
+    DispatchPool,
+    NotAuthorised,
+    NotConnected,
+    RefusalReason,
+    Refused,
+    Unanswered,
+    UpstreamFailure,
+    UpstreamRequest,
+)
 from carobwalk.events import NullEventLog
 from carobwalk.model import (
     Address,
+    BodyError,
+    BodySource,
     Call,
     CallerGoneError,
+    Completion,
     DataCentreName,
     Endpoint,
+    Failure,
+    FailureKind,
     FenceToken,
     Headers,
     Key,
+    Outcome,
     Placement,
     ProfileName,
     Rank,
     RegionName,
+    ReplySink,
     RequestHead,
     RequestId,
     ServerId,
@@ -109,9 +131,14 @@
     return lambda: catalogue
 
 
+async def keep(snapshot: bytes) -> None:
+    """Tell nobody."""
+
+
 def context_of(
     leases: FakeLeases | None = None,
     profile: Profile = PROFILE,
+    spread: Callable[[bytes], Awaitable[None]] = keep,
 ) -> DispatchContext:
     """Return the collaborators of a dispatcher under test."""
     return DispatchContext(
@@ -119,7 +146,9 @@
         catalogue=catalogue_of(profile),
         clock=TrioClock(),
         events=NullEventLog(),
+        wall_clock=trio.current_time,
         random=Random(1),
+        spread=spread,
     )
 
 
@@ -175,3 +204,87 @@
         shard=ShardNumber(5),
         token=FenceToken(epoch=3, sequence=7),
     )
+
+
+class Step(Enum):
+    """What a scripted server does with one request."""
+
+    ANSWER = auto()
+    CRASH = auto()
+    SHED = auto()
+    REFUSE_CONNECTION = auto()
+    FREEZE = auto()
+
+
+async def _read_all(body: BodySource) -> int:
+    size = 0
+    while chunk := await body.receive():
+        size += len(chunk)
+    return size
+
+
+@dataclass
+class ScriptedUpstream:
+    """A server that does one step for each request, then answers."""
+
+    steps: list[Step] = field(default_factory=list)
+    seconds: float = 0.1
+    runs: list[str] = field(default_factory=list)
+    running: int = 0
+    most_running: int = 0
+
+    async def exchange(
+        self,
+        request: UpstreamRequest,
+        sink: ReplySink,
+    ) -> Result[Completion, UpstreamFailure]:
+        """Do the next step."""
+        step = self.steps.pop(0) if self.steps else Step.ANSWER
+        if step is Step.REFUSE_CONNECTION:
+            return Err(NotConnected('scripted'))
+        token = request.gate.open()
+        if isinstance(token, Err):
+            return Err(NotAuthorised(token.err_value.detail))
+        if step is Step.SHED:
+            return Err(Refused(RefusalReason.SHED))
+        try:
+            await _read_all(request.body)
+        except BodyError as error:
+            return Err(CallerLost(str(error)))
+        self.runs.append(request.head.request_id)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            await trio.sleep(inf if step is Step.FREEZE else self.seconds)
+        finally:
+            self.running -= 1
+        if step is Step.CRASH:
+            return Err(Unanswered('scripted'))
+        number = len(self.runs)
+        await sink.start(200, ())
+        await sink.write(b'answer %d' % number)
+        return Ok(Completion(200, ServerId('server-1'), 0, 8))
+
+    async def aclose(self) -> None:
+        """Do nothing."""
+
+
+def pool_of(
+    upstream: ScriptedUpstream,
+    context: DispatchContext | None = None,
+) -> DispatchPool:
+    """Return a pool whose servers are all the scripted one."""
+    return DispatchPool(context or context_of(), lambda *_: upstream)
+
+
+def told(ending: Result[Completion, Failure]) -> tuple[FailureKind, Outcome]:
+    """Return kind and outcome of an ending that must be a failure."""
+    assert isinstance(ending, Err)
+    return ending.err_value.kind, ending.err_value.outcome
+
+
+def uuid7(at: float, number: int = 0) -> str:
+    """Return an idempotency key made at a time in seconds since 1970."""
+    milliseconds = int(at * 1000)
+    value = milliseconds << 80 | 7 << 76 | 2 << 62 | number
+    return str(UUID(int=value))
--- a/tests/dispatch/test_h11_upstream.py
+++ b/tests/dispatch/test_h11_upstream.py
@@ -23,6 +23,7 @@
     context_of,
     endpoint_of,
     placement_of,
+    told,
 )
 from tests.dispatch.loopback import (
     LoopbackServer,
@@ -50,12 +51,6 @@
     return ending.err_value
 
 
-def told(ending: Result[Completion, Failure]) -> tuple[FailureKind, Outcome]:
-    """Return kind and outcome of a failed ending."""
-    failure = failure_in(ending)
-    return failure.kind, failure.outcome
-
-
 def text(*lines: str) -> bytes:
     """Return an HTTP head."""
     return '\r\n'.join((*lines, '', '')).encode()
