--- a/benchmarks/_dispatch_run.py
+++ b/benchmarks/_dispatch_run.py
@@ -94,27 +94,34 @@
 ) -> DispatchPool:
     """Return the product's dispatchers before fake servers."""
     servers_by_name = {server.name: server for server in servers}
+    context = DispatchContext(
+        leases=AlwaysLeased(),
+        catalogue=catalogue_of(profile),
+        clock=TrioClock(),
+        events=NullEventLog(),
+        wall_clock=trio.current_time,
+    )
+    return DispatchPool(context, functools.partial(connect, servers_by_name))
+
+
+def catalogue_of(profile: Profile = PROFILE) -> Callable[[], Catalogue]:
+    """Return a source of a catalogue with one service."""
     service = Service(name=SERVICE, profile=profile.name)
     catalogue = Catalogue(
         revision=1,
         profiles_by_name={profile.name: profile},
         services_by_name={SERVICE: service},
     )
-    context = DispatchContext(
-        leases=AlwaysLeased(),
-        catalogue=lambda: catalogue,
-        clock=TrioClock(),
-        events=NullEventLog(),
-    )
-    return DispatchPool(context, functools.partial(_connect, servers_by_name))
+    return lambda: catalogue
 
 
-def _connect(
+def connect(
     servers_by_name: Mapping[str, FakeServer],
     server: Endpoint,
     limit: int,
     clock: Clock,
 ) -> FakeUpstream:
+    """Return connections to a fake server."""
     return FakeUpstream(servers_by_name[server.name])
 
 
--- a/benchmarks/_dispatch_server.py
+++ b/benchmarks/_dispatch_server.py
@@ -5,6 +5,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from random import Random
 
 import trio
 from result import Err, Ok, Result
@@ -49,12 +50,18 @@
         slots: Requests that it runs at once.
         backlog: Requests that it queues beyond them before it sheds.
         factor: Multiplies every service time.
+        early_loss: Share of connections that it loses before the run.
+        late_loss: Share of connections that it loses after the run.
+        shed: Share of requests that it sheds at any load.
     """
 
     name: str
     slots: int = 4
     backlog: int = 120
     factor: float = 1
+    early_loss: float = 0
+    late_loss: float = 0
+    shed: float = 0
     fault: Fault = Fault.NONE
     started_at: float = 0
     present: int = 0
@@ -64,8 +71,10 @@
     busy_seconds: float = 0
     most_present: int = 0
     runs_by_action: Counter[str] = field(default_factory=Counter)
+    random: Random = field(default_factory=lambda: Random(1))
     _scopes: set[trio.CancelScope] = field(default_factory=set)
     _semaphore: trio.Semaphore | None = None
+    _thawed: trio.Event = field(default_factory=trio.Event)
 
     @property
     def health_answer(self) -> bool:
@@ -81,9 +90,15 @@
 
     def restart(self) -> None:
         """Come back, cold and empty."""
-        self.fault = Fault.NONE
+        self.thaw()
         self.started_at = trio.current_time()
 
+    def thaw(self) -> None:
+        """Go on as if nothing had happened."""
+        self.fault = Fault.NONE
+        self._thawed.set()
+        self._thawed = trio.Event()
+
     async def take(self, head: RequestHead) -> UpstreamFailure | None:
         """Run a request whose bytes have arrived.
 
@@ -91,20 +106,26 @@
             head: The request; its headers name the work.
         """
         self.sends += 1
-        if self.present >= self.slots + self.backlog:
+        is_full = self.present >= self.slots + self.backlog
+        if is_full or self._happens(self.shed):
             self.sheds += 1
             return Refused(RefusalReason.SHED, retry_after=1)
+        if self._happens(self.early_loss):
+            return Unanswered('connection reset before the run')
         scope = trio.CancelScope()
         with self._counted(scope):
             await self._run(head)
             await trio.sleep(_LATENCY_SECONDS)
-        if scope.cancelled_caught:
+        if scope.cancelled_caught or self._happens(self.late_loss):
             return Unanswered('connection reset')
         return None
 
+    def _happens(self, share: float) -> bool:
+        return share > 0 and self.random.random() < share
+
     async def _run(self, head: RequestHead) -> None:
-        if self.fault in {Fault.FROZEN, Fault.LYING}:
-            await trio.sleep_forever()
+        while self.fault in {Fault.FROZEN, Fault.LYING}:
+            await self._thawed.wait()
         if self._semaphore is None:
             self._semaphore = trio.Semaphore(self.slots)
         async with self._semaphore:
