Choose servers of unkeyed services by own outcomes

Cause: health endpoints lag or mislead, and unkeyed work needs a choice. Ruled out: asking health endpoints (a lying server answers them).

--- a/src/carobwalk/dispatch/__init__.py
+++ b/src/carobwalk/dispatch/__init__.py
@@ -2,8 +2,9 @@
 
 from carobwalk.dispatch._context import DispatchContext
 from carobwalk.dispatch._deficit_round_robin import DeficitRoundRobin
-from carobwalk.dispatch._dispatch_pool import DispatchPool, MakeUpstream
+from carobwalk.dispatch._dispatch_pool import DispatchPool
 from carobwalk.dispatch._dispatcher import Dispatcher
+from carobwalk.dispatch._dispatcher_table import MakeUpstream
 from carobwalk.dispatch._errors import (
     ConnectionLimitError,
     DoubleSendError,
@@ -23,6 +24,7 @@
 from carobwalk.dispatch._quarantine import Quarantine
 from carobwalk.dispatch._queue_policy import QueuePolicy, queue_policies
 from carobwalk.dispatch._send_gate import SendGate
+from carobwalk.dispatch._server_chooser import ServerChooser
 from carobwalk.dispatch._slots_limit import SlotsLimit
 from carobwalk.dispatch._strict import Strict
 from carobwalk.dispatch._suspect import Incident, Suspect, SuspectId
@@ -65,6 +67,7 @@
     'Refused',
     'SendEnd',
     'SendGate',
+    'ServerChooser',
     'SlotLimitError',
     'SlotsLimit',
     'Strict',
--- /dev/null
+++ b/src/carobwalk/dispatch/_candidate.py
@@ -0,0 +1,60 @@
+"""What an entry knows of one backend server of an unkeyed service."""
+
+_LATENCY_WEIGHT = 0.1
+_EJECTING_FAILURES = 3
+_SHORTEST_EJECTION_SECONDS = 2
+_LONGEST_EJECTION_SECONDS = 30
+_REFUSAL_SECONDS = 1
+
+
+class Candidate:
+    """Own outcomes of one backend server."""
+
+    def __init__(self) -> None:
+        self._latency: float = 0
+        self._present = 0
+        self._failures = 0
+        self._ejected_until: float = 0
+        self._refusing_until: float = 0
+
+    @property
+    def cost(self) -> float:
+        """Expected time of one more request, for comparison."""
+        return (self._present + 1) * self._latency
+
+    @property
+    def ejected_until(self) -> float:
+        """End of its ejection on the entry's clock."""
+        return self._ejected_until
+
+    def is_refusing(self, now: float) -> bool:
+        """Return whether it refused work lately."""
+        return now < self._refusing_until
+
+    def begin(self) -> None:
+        """Note that a request goes there."""
+        self._present += 1
+
+    def end(self) -> None:
+        """Note that a request is back."""
+        self._present -= 1
+
+    def succeeded(self, seconds: float) -> None:
+        """Note an answer."""
+        if not self._latency:
+            self._latency = seconds
+        self._latency += _LATENCY_WEIGHT * (seconds - self._latency)
+        self._failures = 0
+        self._ejected_until = 0
+
+    def refused(self, now: float) -> None:
+        """Note a refusal under load."""
+        self._refusing_until = now + _REFUSAL_SECONDS
+
+    def failed(self, now: float) -> None:
+        """Note a loss; a few in a row eject for longer each time."""
+        self._failures += 1
+        excess = self._failures - _EJECTING_FAILURES
+        if excess >= 0:
+            seconds = _SHORTEST_EJECTION_SECONDS * 2**excess
+            self._ejected_until = now + min(seconds, _LONGEST_EJECTION_SECONDS)
--- a/src/carobwalk/dispatch/_dispatch_pool.py
+++ b/src/carobwalk/dispatch/_dispatch_pool.py
@@ -1,22 +1,20 @@
 """All dispatchers of one process."""
 
-from collections import OrderedDict
-from collections.abc import Callable
-
 import trio
 from result import Err, Result
 
 from carobwalk.dispatch._context import DispatchContext
-from carobwalk.dispatch._dispatcher import Dispatcher
+from carobwalk.dispatch._dispatcher_table import (
+    DispatcherTable,
+    MakeUpstream,
+)
 from carobwalk.dispatch._h11_upstream import H11Upstream
 from carobwalk.dispatch._presence import Presence
 from carobwalk.dispatch._quarantine import Quarantine
-from carobwalk.dispatch._upstream import Upstream
+from carobwalk.dispatch._server_chooser import ServerChooser
 from carobwalk.model import (
     Call,
-    Clock,
     Completion,
-    Endpoint,
     Failure,
     FailureKind,
     Outcome,
@@ -24,16 +22,12 @@
     ReplySink,
     ServerId,
 )
-from carobwalk.profiles import Profile
-
-MakeUpstream = Callable[[Endpoint, int, Clock], Upstream]
 
-_MOST_DISPATCHERS = 256
 _DRAIN_POLL_SECONDS = 0.02
 
 
 class DispatchPool:
-    """Makes dispatchers on demand and passes requests to them.
+    """Passes requests to the dispatchers of their backend servers.
 
     Args:
         context: Shared collaborators.
@@ -47,13 +41,16 @@
         make_upstream: MakeUpstream = H11Upstream,
     ) -> None:
         self._context = context
-        self._make_upstream = make_upstream
-        self._dispatchers_by_server: OrderedDict[ServerId, Dispatcher]
-        self._dispatchers_by_server = OrderedDict()
         self._presence = Presence()
         self._quarantine = Quarantine(context.wall_clock)
+        self._chooser = ServerChooser(context.clock)
         self._stopping = False
-        self._nursery: trio.Nursery | None = None
+        self._dispatchers = DispatcherTable(
+            context,
+            make_upstream,
+            self._quarantine,
+            self._presence,
+        )
 
     @property
     def present(self) -> int:
@@ -65,13 +62,23 @@
         """Requests that are suspected or not sent any more."""
         return self._quarantine
 
+    @property
+    def chooser(self) -> ServerChooser:
+        """Choice of a backend server for unkeyed work."""
+        return self._chooser
+
+    @property
+    def suspected(self) -> frozenset[ServerId]:
+        """Backend servers that stopped answering requests."""
+        return self._dispatchers.suspected
+
     async def run(
         self,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Keep the tasks of the pool, until cancelled."""
         async with trio.open_nursery() as nursery:
-            self._nursery = nursery
+            self._dispatchers.keep_runs_in(nursery)
             task_status.started()
             await trio.sleep_forever()
 
@@ -95,7 +102,7 @@
         if profile is None:
             kind = FailureKind.UNKNOWN_SERVICE
             return Err(_not_run(kind, f'no service {service}'))
-        dispatcher = await self._dispatcher(placement.server, profile)
+        dispatcher = await self._dispatchers.get(placement.server, profile)
         if dispatcher is None:
             kind = FailureKind.QUEUE_FULL
             return Err(_not_run(kind, 'too many busy backend servers'))
@@ -110,9 +117,7 @@
         Args:
             server: Name of the backend server.
         """
-        dispatcher = self._dispatchers_by_server.pop(server, None)
-        if dispatcher is not None:
-            await dispatcher.aclose()
+        await self._dispatchers.drop(server)
 
     async def drain(self, seconds: float) -> bool:
         """Refuse new requests and wait for the others.
@@ -127,51 +132,9 @@
         with trio.move_on_after(seconds):
             while self.present:
                 await trio.sleep(_DRAIN_POLL_SECONDS)
-        for server in tuple(self._dispatchers_by_server):
-            await self.forget(server)
+        await self._dispatchers.clear()
         return not self.present
 
-    async def _dispatcher(
-        self,
-        server: Endpoint,
-        profile: Profile,
-    ) -> Dispatcher | None:
-        name = ServerId(server.name)
-        dispatcher = self._dispatchers_by_server.get(name)
-        if dispatcher is None:
-            if not await self._make_room():
-                return None
-            dispatcher = self._dispatchers_by_server.get(name)
-        if dispatcher is None:
-            dispatcher = self._make(server, profile)
-            self._dispatchers_by_server[name] = dispatcher
-        self._dispatchers_by_server.move_to_end(name)
-        return dispatcher
-
-    def _make(self, server: Endpoint, profile: Profile) -> Dispatcher:
-        clock = self._context.clock
-        upstream = self._make_upstream(server, profile.connections, clock)
-        dispatcher = Dispatcher(
-            server,
-            profile,
-            upstream,
-            self._context,
-            self._quarantine,
-            self._presence,
-        )
-        if self._nursery is not None:
-            dispatcher.keep_runs_in(self._nursery)
-        return dispatcher
-
-    async def _make_room(self) -> bool:
-        if len(self._dispatchers_by_server) < _MOST_DISPATCHERS:
-            return True
-        for server, dispatcher in self._dispatchers_by_server.items():
-            if not dispatcher.present:
-                await self.forget(server)
-                return True
-        return False
-
 
 def _not_run(kind: FailureKind, detail: str) -> Failure:
     return Failure(kind=kind, outcome=Outcome.NOT_RUN, detail=detail)
--- a/src/carobwalk/dispatch/_dispatcher.py
+++ b/src/carobwalk/dispatch/_dispatcher.py
@@ -6,12 +6,15 @@
 from carobwalk.dispatch._action_memory import ActionMemory
 from carobwalk.dispatch._actions import Actions
 from carobwalk.dispatch._context import DispatchContext
-from carobwalk.dispatch._events import RequestEnded
+from carobwalk.dispatch._events import (
+    RequestEnded,
+)
 from carobwalk.dispatch._passage import Passage
 from carobwalk.dispatch._passages import Passages
 from carobwalk.dispatch._presence import Presence
 from carobwalk.dispatch._quarantine import Quarantine
 from carobwalk.dispatch._sender import Sender
+from carobwalk.dispatch._server_health import ServerHealth
 from carobwalk.dispatch._slots import Slots
 from carobwalk.dispatch._suspicion import Suspicion
 from carobwalk.dispatch._tenures import Tenures
@@ -59,7 +62,8 @@
         self._context = context
         self._presence = Presence(presence)
         self._passages = Passages(ServerId(server.name), context)
-        self._slots = Slots(profile, context.clock)
+        self._health = ServerHealth(server.name, context.events)
+        self._slots = Slots(profile, context.clock, self._health)
         suspicion = Suspicion(server.name, quarantine, context)
         self._sender = Sender(self._slots, upstream, suspicion, context)
         self._actions = Actions(
@@ -75,6 +79,11 @@
         """Requests that wait or run."""
         return self._presence.count
 
+    @property
+    def is_suspected(self) -> bool:
+        """Whether the server stopped answering requests."""
+        return self._health.is_suspected
+
     def keep_runs_in(self, nursery: trio.Nursery) -> None:
         """Let actions run on in a nursery when their callers leave."""
         self._actions.keep_runs_in(nursery)
--- a/src/carobwalk/dispatch/_slots.py
+++ b/src/carobwalk/dispatch/_slots.py
@@ -6,6 +6,7 @@
 from carobwalk.dispatch._limit_policy import SendEnd, limit_policies
 from carobwalk.dispatch._queue_policy import QueuePolicy
 from carobwalk.dispatch._rank_durations import RankDurations
+from carobwalk.dispatch._server_health import ServerHealth
 from carobwalk.dispatch._ticket import Ticket
 from carobwalk.dispatch._waiting_line import WaitingLine
 from carobwalk.model import Clock, Failure, FailureKind, Outcome
@@ -21,11 +22,18 @@
     Args:
         profile: Settings that name the policies and bound the queue.
         clock: Clock of the dispatcher.
+        health: Takes in how each use of a slot ended.
     """
 
-    def __init__(self, profile: Profile, clock: Clock) -> None:
+    def __init__(
+        self,
+        profile: Profile,
+        clock: Clock,
+        health: ServerHealth,
+    ) -> None:
         self._profile = profile
         self._clock = clock
+        self._health = health
         self._durations = RankDurations()
         self._line = WaitingLine(profile, self._durations)
         self._limit = limit_policies.make(profile.limit_policy, profile)
@@ -88,6 +96,7 @@
             end = SendEnd.LOST if is_slow else SendEnd.UNUSED
         if end is SendEnd.ANSWERED:
             self._durations.note(ticket.rank, held)
+        self._health.note(end)
         self._limit.ended(end, now)
         self._start_waiting()
 
