--- a/src/carobwalk/dispatch/__init__.py
+++ b/src/carobwalk/dispatch/__init__.py
@@ -2,8 +2,9 @@
 
 from carobwalk.dispatch._context import DispatchContext
 from carobwalk.dispatch._deficit_round_robin import DeficitRoundRobin
-from carobwalk.dispatch._dispatch_pool import DispatchPool, MakeUpstream
+from carobwalk.dispatch._dispatch_pool import DispatchPool
 from carobwalk.dispatch._dispatcher import Dispatcher
+from carobwalk.dispatch._dispatcher_table import MakeUpstream
 from carobwalk.dispatch._errors import (
     ConnectionLimitError,
     DoubleSendError,
@@ -20,10 +21,14 @@
     SendEnd,
     limit_policies,
 )
+from carobwalk.dispatch._quarantine import Quarantine
 from carobwalk.dispatch._queue_policy import QueuePolicy, queue_policies
 from carobwalk.dispatch._send_gate import SendGate
+from carobwalk.dispatch._server_chooser import ServerChooser
 from carobwalk.dispatch._slots_limit import SlotsLimit
 from carobwalk.dispatch._strict import Strict
+from carobwalk.dispatch._suspect import Incident, Suspect, SuspectId
+from carobwalk.dispatch._tenures import Tenure
 from carobwalk.dispatch._upstream import Upstream, UpstreamRequest
 from carobwalk.dispatch._upstream_failures import (
     CallerLost,
@@ -50,19 +55,25 @@
     'Fifo',
     'GuaranteedShares',
     'H11Upstream',
+    'Incident',
     'LimitPolicy',
     'MakeUpstream',
     'NotAuthorised',
     'NotConnected',
     'NotSent',
+    'Quarantine',
     'QueuePolicy',
     'RefusalReason',
     'Refused',
     'SendEnd',
     'SendGate',
+    'ServerChooser',
     'SlotLimitError',
     'SlotsLimit',
     'Strict',
+    'Suspect',
+    'SuspectId',
+    'Tenure',
     'Truncated',
     'Unanswered',
     'UnknownPolicyError',
--- a/src/carobwalk/dispatch/_send_gate.py
+++ b/src/carobwalk/dispatch/_send_gate.py
@@ -2,20 +2,21 @@
 
 from collections.abc import Callable
 
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from carobwalk.dispatch._errors import DoubleSendError, FalseNotRunError
+from carobwalk.dispatch._tenures import Tenure
 from carobwalk.model import CallProgress, FenceToken, Outcome
 from carobwalk.ownership import NoLease
 
-Authorise = Callable[[], Result[FenceToken, NoLease]]
+ReadTenure = Callable[[], Result[Tenure, NoLease]]
 
 
 class SendGate:
     """Counts the sends of one request and reads the leases for each.
 
     Args:
-        authorise: Reads the leases of the request's server and key.
+        read_tenure: Reads the dispatcher's lease and the owner's grant.
         idempotent: Whether the request may be sent more than once.
         name: Identity of the request, for errors.
         progress: Told whether a byte may have reached the server.
@@ -23,16 +24,18 @@
 
     def __init__(
         self,
-        authorise: Authorise,
+        read_tenure: ReadTenure,
         *,
         idempotent: bool,
         name: str,
         progress: CallProgress | None = None,
     ) -> None:
-        self._authorise = authorise
+        self._read_tenure = read_tenure
         self._idempotent = idempotent
         self._name = name
         self._progress = progress or CallProgress()
+        self._expected: Tenure | None = None
+        self._doubted = False
         self._sends = 0
         self._disowned = 0
 
@@ -49,10 +52,29 @@
     @property
     def outcome(self) -> Outcome:
         """Outcome of a request that was not answered."""
-        if self._sends > self._disowned:
+        if self._doubted or self._sends > self._disowned:
             return Outcome.UNKNOWN
         return Outcome.NOT_RUN
 
+    def doubt(self) -> None:
+        """Note that an earlier request for the same action may have run."""
+        self._doubted = True
+        self._note()
+
+    def trust(self, tenure: Tenure) -> None:
+        """Note that no earlier request ran, if the tenure goes on.
+
+        Args:
+            tenure: The only one under which the request may be sent.
+        """
+        self._doubted = False
+        self._expected = tenure
+        self._note()
+
+    def tenure(self) -> Result[Tenure, NoLease]:
+        """Return the current tenure without counting a send."""
+        return self._read_tenure()
+
     def open(self) -> Result[FenceToken, NoLease]:
         """Return the fence token, and count the request as sent.
 
@@ -61,11 +83,14 @@
         """
         if not self.may_send:
             raise DoubleSendError(self._name)
-        token = self._authorise()
-        if isinstance(token, Ok):
-            self._sends += 1
-            self._note()
-        return token
+        tenure = self._read_tenure()
+        if isinstance(tenure, Err):
+            return tenure
+        if self._expected not in {None, tenure.ok_value}:
+            return Err(NoLease('the lease or grant changed meanwhile'))
+        self._sends += 1
+        self._note()
+        return Ok(tenure.ok_value.grant)
 
     def retract(self) -> None:
         """Take back the last send: no byte of it was written."""
