Compare the writes with a single copy of the configuration

Cause: a hypothesis state machine against one dictionary found that bringing back a profile which another operator deleted counted as a revert only with the same fields. Change: the entity as a whole counts as a field that a creation sets and a deletion removes.

--- a/src/carobwalk/profiles/_decision.py
+++ b/src/carobwalk/profiles/_decision.py
@@ -178,7 +178,8 @@
     )
     if problems:
         return Err(Invalid(problems))
-    reverted = _find_reverted(record, change)
+    history = record.changes_of(change.subject, after=0)
+    reverted = collect_reverted(history, change)
     unstated = tuple(
         other for other in reverted if other.revision not in proposal.reverting
     )
@@ -192,15 +193,3 @@
     return Ok(
         Decision(HeadRecord(configuration, recent), change.revision, change)
     )
-
-
-def _find_reverted(record: HeadRecord, change: Change) -> tuple[Change, ...]:
-    history = record.changes_of(change.subject, after=0)
-    reverted = collect_reverted(history, change.author, change.fields)
-    if reverted or not history or change.fields:
-        return reverted
-    # Creation or deletion of an entity without fields.
-    last = history[-1]
-    opposite = {Action.CREATE: Action.DELETE, Action.DELETE: Action.CREATE}
-    undone = opposite.get(change.action) is last.action
-    return (last,) if undone and last.author != change.author else ()
--- a/src/carobwalk/profiles/_failures.py
+++ b/src/carobwalk/profiles/_failures.py
@@ -23,6 +23,14 @@
     current_revision: int
     changes: tuple[Change, ...]
 
+    @property
+    def detail(self) -> str:
+        """What happened."""
+        return (
+            f'{self.subject} was changed at revision {self.current_revision},'
+            f' after revision {self.base_revision}'
+        )
+
     @property
     def way_out(self) -> str:
         """What the operator can do."""
@@ -36,6 +44,11 @@
     subject: Subject
     revision: int
 
+    @property
+    def detail(self) -> str:
+        """What happened."""
+        return f'{self.subject} exists since revision {self.revision}'
+
     @property
     def way_out(self) -> str:
         """What the operator can do."""
@@ -48,6 +61,11 @@
 
     subject: Subject
 
+    @property
+    def detail(self) -> str:
+        """What happened."""
+        return f'there is no {self.subject}'
+
     @property
     def way_out(self) -> str:
         """What the operator can do."""
@@ -68,6 +86,14 @@
     services: tuple[str, ...]
     children: tuple[str, ...]
 
+    @property
+    def detail(self) -> str:
+        """What happened."""
+        return (
+            f'{self.subject} has {len(self.services)} services'
+            f' and {len(self.children)} children'
+        )
+
     @property
     def way_out(self) -> str:
         """What the operator can do."""
@@ -80,6 +106,11 @@
 
     problems: tuple[Problem, ...]
 
+    @property
+    def detail(self) -> str:
+        """What happened."""
+        return f'the configuration would have {len(self.problems)} problems'
+
     @property
     def way_out(self) -> str:
         """What the operator can do."""
@@ -92,6 +123,11 @@
 
     changes: tuple[Change, ...]
 
+    @property
+    def detail(self) -> str:
+        """What happened."""
+        return f'it takes back {len(self.changes)} changes of others'
+
     @property
     def way_out(self) -> str:
         """What the operator can do."""
@@ -106,6 +142,11 @@
     size: int
     limit: int
 
+    @property
+    def detail(self) -> str:
+        """What happened."""
+        return f'{self.size} bytes are above the limit of {self.limit}'
+
     @property
     def way_out(self) -> str:
         """What the operator can do."""
--- a/src/carobwalk/profiles/_store_failures.py
+++ b/src/carobwalk/profiles/_store_failures.py
@@ -51,6 +51,14 @@
     store_revision: int
     known_revision: int
 
+    @property
+    def detail(self) -> str:
+        """What happened."""
+        return (
+            f'the store holds revision {self.store_revision},'
+            f' below {self.known_revision}'
+        )
+
     @property
     def way_out(self) -> str:
         """What the operator can do."""
@@ -64,6 +72,11 @@
     write_id: str
     revision: int
 
+    @property
+    def detail(self) -> str:
+        """What happened."""
+        return f'write {self.write_id} made revision {self.revision}'
+
     @property
     def way_out(self) -> str:
         """What the operator can do."""
@@ -77,6 +90,11 @@
     revision: int
     write_id: str = ''
 
+    @property
+    def detail(self) -> str:
+        """What happened."""
+        return 'the history does not hold the change'
+
     @property
     def way_out(self) -> str:
         """What the operator can do."""
--- a/tests/profiles/test_decision.py
+++ b/tests/profiles/test_decision.py
@@ -222,6 +222,16 @@
         )
         assert isinstance(_refuse(record, back), RevertsAnother)
 
+    def test_creation_after_another_deleted_it(self) -> None:
+        """Bringing back what another deleted is a revert, with any fields."""
+        record = _accept(
+            _case_office(),
+            propose(PROFILE, 'spare', {'slots': 1}, 3),
+            propose(PROFILE, 'spare', None, 4),
+        )
+        back = propose(PROFILE, 'spare', {'slots': 9}, 5, author='bo')
+        assert isinstance(_refuse(record, back), RevertsAnother)
+
 
 class TestValidation:
     """The configuration that a write would make."""
--- /dev/null
+++ b/tests/profiles/test_single_copy.py
@@ -0,0 +1,340 @@
+"""Differential test against a naive single copy of the configuration."""
+
+import itertools
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+import trio
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from trio.testing import MockClock
+
+from carobwalk.profiles import (
+    Acceptance,
+    Configuration,
+    ConfigurationFailure,
+    ConfigurationRepository,
+    HeadRecord,
+    OutcomeUnknown,
+    Proposal,
+    SubjectKind,
+    WriteSettings,
+)
+from standins.memory_store import MemoryStore, StoreFaults
+from tests.profiles._proposals import PROFILE, SERVICE, propose
+
+_NAMES = ('a', 'b', 'c')
+_OPERATORS = ('ana', 'bo', 'cy')
+_STALE = 'StaleRevision'
+
+Answer = TypeVar('Answer')
+Fields = dict[str, Any]
+
+
+@dataclass
+class _Entry:
+    subject: tuple[SubjectKind, str]
+    author: str
+    write_id: str
+    before: Fields | None
+    after: Fields | None
+
+
+@dataclass
+class _SingleCopy:
+    """One dictionary and one list, written one after the other."""
+
+    entities: dict[tuple[SubjectKind, str], Fields] = field(
+        default_factory=dict,
+    )
+    entries: list[_Entry] = field(default_factory=list)
+
+    def write(self, proposal: Proposal) -> str | int:
+        """Return the revision, or the name of the failure."""
+        for revision, entry in enumerate(self.entries, start=1):
+            if entry.write_id == proposal.write_id:
+                return revision
+        subject = (proposal.subject.kind, proposal.subject.name)
+        after = None if proposal.action == 'delete' else dict(proposal.fields)
+        refusal = self._refusal(proposal, subject, after)
+        if refusal:
+            return refusal
+        before = self.entities.get(subject)
+        if before == after:
+            return self._last(subject)
+        candidate = dict(self.entities)
+        candidate.pop(subject, None)
+        if after is not None:
+            candidate[subject] = after
+        if not _is_valid(candidate):
+            return 'Invalid'
+        if self._reverted(subject, proposal, before, after):
+            return 'RevertsAnother'
+        self.entities = candidate
+        self.entries.append(
+            _Entry(subject, proposal.author, proposal.write_id, before, after),
+        )
+        return len(self.entries)
+
+    def _last(self, subject: tuple[SubjectKind, str]) -> int:
+        revisions = [
+            revision
+            for revision, entry in enumerate(self.entries, start=1)
+            if entry.subject == subject
+        ]
+        return max(revisions, default=0)
+
+    def _refusal(
+        self,
+        proposal: Proposal,
+        subject: tuple[SubjectKind, str],
+        after: Fields | None,
+    ) -> str | None:
+        if self._last(subject) > proposal.base_revision:
+            return _STALE
+        if after is not None:
+            return None
+        if subject not in self.entities:
+            return 'NotFound'
+        if subject[0] is PROFILE and any(
+            subject[1] in {fields.get('profile'), fields.get('parent')}
+            for fields in self.entities.values()
+        ):
+            return 'InUse'
+        return None
+
+    def _reverted(
+        self,
+        subject: tuple[SubjectKind, str],
+        proposal: Proposal,
+        before: Fields | None,
+        after: Fields | None,
+    ) -> bool:
+        old, new = _with_existence(before), _with_existence(after)
+        changed = {
+            name
+            for name in old.keys() | new.keys()
+            if old.get(name) != new.get(name)
+        }
+        return any(
+            self._takes_back(subject, proposal, name, new.get(name))
+            for name in changed
+        )
+
+    def _takes_back(
+        self,
+        subject: tuple[SubjectKind, str],
+        proposal: Proposal,
+        name: str,
+        value: Any,
+    ) -> bool:
+        authors: set[str] = set()
+        for entry in reversed(self.entries):
+            old = _with_existence(entry.before).get(name)
+            new = _with_existence(entry.after).get(name)
+            if entry.subject != subject or old == new:
+                continue
+            authors.add(entry.author)
+            if old == value:
+                return bool(authors - {proposal.author})
+        return False
+
+
+def _with_existence(fields: Fields | None) -> Fields:
+    return {} if fields is None else {**fields, '': True}
+
+
+def _is_valid(entities: dict[tuple[SubjectKind, str], Fields]) -> bool:
+    return all(
+        (PROFILE, fields['profile']) in entities
+        if kind is SERVICE
+        else _has_valid_line(entities, name)
+        for (kind, name), fields in entities.items()
+    )
+
+
+def _has_valid_line(
+    entities: dict[tuple[SubjectKind, str], Fields],
+    name: str,
+) -> bool:
+    line = [name]
+    while 'parent' in entities[PROFILE, line[-1]]:
+        parent = entities[PROFILE, line[-1]]['parent']
+        if (PROFILE, parent) not in entities or parent in line:
+            return False
+        line.append(parent)
+    return True
+
+
+_profile_fields = st.fixed_dictionaries(
+    {},
+    optional={
+        'slots': st.integers(1, 3),
+        'keyed': st.booleans(),
+        'parent': st.sampled_from(_NAMES),
+    },
+)
+_writes = st.one_of(
+    st.tuples(
+        st.just(PROFILE),
+        st.sampled_from(_NAMES),
+        st.none() | _profile_fields,
+    ),
+    st.tuples(
+        st.just(SERVICE),
+        st.sampled_from(('s', 't')),
+        st.fixed_dictionaries({'profile': st.sampled_from(_NAMES)}),
+    ),
+)
+_faults = st.sampled_from(
+    (
+        StoreFaults(),
+        StoreFaults(),
+        StoreFaults(lost_replies=1),
+        StoreFaults(lost_replies=2),
+        StoreFaults(down=True),
+        StoreFaults(holds_writes=True, timeout=0.4),
+    )
+)
+
+
+class ConfigurationMachine(RuleBasedStateMachine):
+    """Operators on their own links to one store, and a single copy."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.store = MemoryStore()
+        self.links = {name: self.store.client() for name in _OPERATORS}
+        self.bases = dict.fromkeys(_OPERATORS, 0)
+        self.model = _SingleCopy()
+        self.numbers = itertools.count()
+        self.sent: list[Proposal] = []
+        self.open: list[Proposal] = []
+
+    @rule(operator=st.sampled_from(_OPERATORS))
+    def read(self, operator: str) -> None:
+        """An operator reads the configuration."""
+        self.bases[operator] = self._configuration().revision
+
+    @rule(
+        operator=st.sampled_from(_OPERATORS),
+        asked=_writes,
+        faults=_faults,
+        fresh=st.booleans(),
+    )
+    def write(
+        self,
+        operator: str,
+        asked: tuple[SubjectKind, str, Fields | None],
+        faults: StoreFaults,
+        fresh: bool,
+    ) -> None:
+        """An operator writes, with a fault on the way."""
+        if fresh:
+            self.read(operator)
+        kind, name, fields = asked
+        proposal = propose(
+            kind,
+            name,
+            fields,
+            self.bases[operator],
+            author=operator,
+            write_id=f'w{next(self.numbers)}',
+        )
+        self.sent.append(proposal)
+        self._send(proposal, faults)
+
+    @rule(number=st.integers(0, 40), faults=_faults)
+    def repeat(self, number: int, faults: StoreFaults) -> None:
+        """An operator repeats an earlier write with its id."""
+        if self.sent:
+            self._send(self.sent[number % len(self.sent)], faults)
+
+    @rule()
+    def release(self) -> None:
+        """Writes that were held on the way reach the store, if they can."""
+
+        async def main() -> None:
+            for link in self.links.values():
+                link.release_held()
+            await trio.lowlevel.checkpoint()
+
+        _run(main)
+        for proposal in self.open:
+            change = self._head().find_write(proposal.write_id)
+            if change is not None:
+                assert self.model.write(proposal) == change.revision
+        self.open.clear()
+
+    @invariant()
+    def same_entities(self) -> None:
+        """The store holds what the single copy holds."""
+        held = {
+            subject: dict(entity.fields)
+            for subject, entity in (
+                self._configuration().entities_by_subject.items()
+            )
+        }
+        expected = {
+            f'{kind}/{name}': fields
+            for (kind, name), fields in self.model.entities.items()
+        }
+        assert held == expected
+
+    def _send(self, proposal: Proposal, faults: StoreFaults) -> None:
+        link = self.links[str(proposal.author)]
+        link.inject(faults)
+        answer = self._write(proposal)
+        link.inject(StoreFaults())
+        if isinstance(answer, OutcomeUnknown):
+            self.open.append(proposal)
+        elif faults.down:
+            assert type(answer).__name__ == 'StoreUnavailable'
+        elif isinstance(answer, Acceptance):
+            assert self.model.write(proposal) == answer.revision
+        else:
+            assert self.model.write(proposal) == type(answer).__name__
+
+    def _write(self, proposal: Proposal) -> Acceptance | ConfigurationFailure:
+        async def main() -> Acceptance | ConfigurationFailure:
+            repository = ConfigurationRepository(
+                self.links[str(proposal.author)],
+                trio.current_time,
+                random.Random(0),
+                WriteSettings(timeout=1),
+            )
+            written = await repository.write(proposal)
+            return written.ok_value if written.is_ok() else written.err_value
+
+        return _run(main)
+
+    def _configuration(self) -> Configuration:
+        return self._head().configuration
+
+    def _head(self) -> HeadRecord:
+        async def main() -> HeadRecord:
+            repository = ConfigurationRepository(
+                self.links['ana'],
+                trio.current_time,
+                random.Random(0),
+            )
+            return (await repository.read()).unwrap()
+
+        return _run(main)
+
+
+def _run(main: Callable[[], Coroutine[Any, Any, Answer]]) -> Answer:
+    return trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+TestConfigurationMachine = ConfigurationMachine.TestCase
+TestConfigurationMachine.settings = settings(
+    max_examples=200,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
