Administer profiles and services over HTTP

Cause: operators need one interface on every entry, with typed errors that tell the way out and with writes that are accepted, refused or unknown. Ruled out: token records apart from the configuration, because a process that starts while the store is down could then check no token. Change: a registry of routes, an OpenAPI document made from it, tokens with roles kept as argon2 hashes in the configuration, status by survey of all processes, explanation, quarantine.

--- /dev/null
+++ b/src/carobwalk/admin/_explanation.py
@@ -0,0 +1,53 @@
+"""Why a key is served where it is."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from result import Err
+
+from carobwalk.model import Key, ServiceName
+from carobwalk.ownership import Placements
+
+
+@dataclass(frozen=True, slots=True)
+class OwnershipExplanation:
+    """Ownership's part of an explanation.
+
+    Args:
+        shard: Shard of the key; ``None`` if it is not known.
+        owner: Backend server that owns the key.
+        dispatcher: Entry process that sends to it.
+        token: Fence token of the grant.
+        why: Reasons, one a line.
+    """
+
+    shard: int | None = None
+    owner: str | None = None
+    dispatcher: str | None = None
+    token: str | None = None
+    why: tuple[str, ...] = ()
+
+
+ExplainOwnership: TypeAlias = Callable[[ServiceName, Key], OwnershipExplanation]
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementExplainer:
+    """Explains ownership by the shard map as this entry reads it."""
+
+    placements: Placements
+
+    def __call__(self, service: ServiceName, key: Key) -> OwnershipExplanation:
+        """Return where the key is served, or why it is not."""
+        located = self.placements.locate(service, key)
+        if isinstance(located, Err):
+            return OwnershipExplanation(why=(located.err_value.detail,))
+        placement = located.ok_value
+        return OwnershipExplanation(
+            shard=placement.shard,
+            owner=placement.server.name,
+            dispatcher=placement.dispatcher.name,
+            token=str(placement.token) if placement.token else None,
+            why=('the shard map names this owner and this dispatcher',),
+        )
--- /dev/null
+++ b/src/carobwalk/admin/routes/_profile_writes.py
@@ -0,0 +1,128 @@
+"""Writes of profiles."""
+
+from result import Err
+
+from carobwalk.admin._bodies import (
+    Deletion,
+    NewProfile,
+    ProfileFields,
+    Reversal,
+)
+from carobwalk.admin._error_view import error_response
+from carobwalk.admin._exchange import Exchange
+from carobwalk.admin._reversal import reverse_change
+from carobwalk.admin._route import DRY_RUN, Route, serves
+from carobwalk.admin._views import PreviewView, WriteView
+from carobwalk.admin._writes import Statement, answer_write
+from carobwalk.http import HttpResponse
+from carobwalk.profiles import Action, Role, Subject, SubjectKind
+
+
+def _subject(exchange: Exchange) -> Subject:
+    return Subject(SubjectKind.PROFILE, exchange.path['name'])
+
+
+@serves(
+    Route(
+        method='POST',
+        path='/v1/profiles',
+        roles=(Role.EDIT,),
+        body=NewProfile,
+        answers=(WriteView, PreviewView),
+        query=(DRY_RUN,),
+        writes=True,
+    ),
+)
+async def create_profile(exchange: Exchange) -> HttpResponse:
+    """Create a profile, based on a revision of the configuration."""
+    decoded = exchange.body(NewProfile)
+    if isinstance(decoded, Err):
+        return error_response(decoded.err_value)
+    body = decoded.ok_value
+    statement = Statement(
+        subject=Subject(SubjectKind.PROFILE, body.name),
+        action=Action.CREATE,
+        fields=body.fields,
+        reason=body.reason,
+        reverting=body.reverting,
+    )
+    return await answer_write(exchange, statement)
+
+
+@serves(
+    Route(
+        method='PUT',
+        path='/v1/profiles/{name}',
+        roles=(Role.EDIT,),
+        body=ProfileFields,
+        answers=(WriteView, PreviewView),
+        query=(DRY_RUN,),
+        writes=True,
+    ),
+)
+async def edit_profile(exchange: Exchange) -> HttpResponse:
+    """Replace the fields that a profile sets itself."""
+    decoded = exchange.body(ProfileFields)
+    if isinstance(decoded, Err):
+        return error_response(decoded.err_value)
+    body = decoded.ok_value
+    statement = Statement(
+        subject=_subject(exchange),
+        action=Action.EDIT,
+        fields=body.fields,
+        reason=body.reason,
+        reverting=body.reverting,
+    )
+    return await answer_write(exchange, statement)
+
+
+@serves(
+    Route(
+        method='DELETE',
+        path='/v1/profiles/{name}',
+        roles=(Role.EDIT,),
+        body=Deletion,
+        answers=(WriteView, PreviewView),
+        query=(DRY_RUN,),
+        writes=True,
+    ),
+)
+async def delete_profile(exchange: Exchange) -> HttpResponse:
+    """Delete a profile that nothing uses."""
+    decoded = exchange.body(Deletion)
+    if isinstance(decoded, Err):
+        return error_response(decoded.err_value)
+    body = decoded.ok_value
+    statement = Statement(
+        subject=_subject(exchange),
+        action=Action.DELETE,
+        fields={},
+        reason=body.reason,
+        reverting=body.reverting,
+    )
+    return await answer_write(exchange, statement)
+
+
+@serves(
+    Route(
+        method='POST',
+        path='/v1/profiles/{name}/revert',
+        roles=(Role.EDIT,),
+        body=Reversal,
+        answers=(WriteView, PreviewView),
+        query=(DRY_RUN,),
+    ),
+)
+async def revert_profile(exchange: Exchange) -> HttpResponse:
+    """Take back one change of a profile, stating so in the history."""
+    decoded = exchange.body(Reversal)
+    if isinstance(decoded, Err):
+        return error_response(decoded.err_value)
+    statement = await reverse_change(
+        exchange.parts,
+        _subject(exchange),
+        decoded.ok_value,
+    )
+    if isinstance(statement, Err):
+        return error_response(statement.err_value)
+    return await answer_write(exchange, statement.ok_value)
--- /dev/null
+++ b/src/carobwalk/admin/routes/_services.py
@@ -0,0 +1,96 @@
+"""Services and their assignment."""
+
+from result import Err
+
+from carobwalk.admin._answers import ok_response
+from carobwalk.admin._bodies import Assignment
+from carobwalk.admin._error_view import error_response
+from carobwalk.admin._exchange import Exchange
+from carobwalk.admin._route import DRY_RUN, Route, serves
+from carobwalk.admin._views import (
+    PreviewView,
+    ServiceList,
+    ServiceView,
+    WriteView,
+)
+from carobwalk.admin._writes import Statement, answer_write
+from carobwalk.http import HttpResponse
+from carobwalk.profiles import Action, NotFound, Role, Subject, SubjectKind
+
+_PROFILE = 'profile'
+
+
+@serves(
+    Route(
+        method='GET',
+        path='/v1/services',
+        roles=(Role.READ,),
+        answers=(ServiceList,),
+    ),
+)
+async def list_services(exchange: Exchange) -> HttpResponse:
+    """List all services and their profiles."""
+    reading = await exchange.read()
+    services = tuple(
+        ServiceView(
+            name,
+            entity.revision,
+            entity.fields[_PROFILE],
+            reading.source,
+        )
+        for name, entity in reading.configuration.of_kind(SubjectKind.SERVICE)
+    )
+    revision = reading.configuration.revision
+    view = ServiceList(revision, services, reading.source)
+    return ok_response(view, revision)
+
+
+@serves(
+    Route(
+        method='GET',
+        path='/v1/services/{name}',
+        roles=(Role.READ,),
+        answers=(ServiceView,),
+    ),
+)
+async def show_service(exchange: Exchange) -> HttpResponse:
+    """Show a service and its profile."""
+    subject = Subject(SubjectKind.SERVICE, exchange.path['name'])
+    reading = await exchange.read()
+    entity = reading.configuration.find(subject)
+    if entity is None:
+        return error_response(NotFound(subject))
+    view = ServiceView(
+        subject.name,
+        entity.revision,
+        entity.fields[_PROFILE],
+        reading.source,
+    )
+    return ok_response(view, entity.revision)
+
+
+@serves(
+    Route(
+        method='PUT',
+        path='/v1/services/{name}',
+        roles=(Role.ASSIGN,),
+        body=Assignment,
+        answers=(WriteView, PreviewView),
+        query=(DRY_RUN,),
+        writes=True,
+    ),
+)
+async def assign_service(exchange: Exchange) -> HttpResponse:
+    """Assign a service, known or new, to a profile."""
+    decoded = exchange.body(Assignment)
+    if isinstance(decoded, Err):
+        return error_response(decoded.err_value)
+    body = decoded.ok_value
+    statement = Statement(
+        subject=Subject(SubjectKind.SERVICE, exchange.path['name']),
+        action=Action.PUT,
+        fields={_PROFILE: body.profile},
+        reason=body.reason,
+        reverting=body.reverting,
+    )
+    return await answer_write(exchange, statement)
--- /dev/null
+++ b/src/carobwalk/admin/routes/_tokens.py
@@ -0,0 +1,82 @@
+"""Tokens of operators."""
+
+import trio
+from result import Err
+
+from carobwalk.admin._answers import ok_response
+from carobwalk.admin._bodies import Deletion, NewToken
+from carobwalk.admin._error_view import error_response
+from carobwalk.admin._exchange import Exchange
+from carobwalk.admin._route import Route, serves
+from carobwalk.admin._state_views import TokenView
+from carobwalk.admin._tokens import hash_secret, issue_token
+from carobwalk.admin._views import WriteView
+from carobwalk.admin._writes import Statement, answer_write
+from carobwalk.http import HttpResponse
+from carobwalk.profiles import Action, Role, Subject, SubjectKind
+
+_ALL_ROLES = tuple(Role)
+_OK = 200
+
+
+@serves(
+    Route(
+        method='POST',
+        path='/v1/tokens',
+        roles=_ALL_ROLES,
+        body=NewToken,
+        answers=(TokenView,),
+        writes=True,
+    ),
+)
+async def create_token(exchange: Exchange) -> HttpResponse:
+    """Issue a token to an operator; an earlier one ends."""
+    decoded = exchange.body(NewToken)
+    if isinstance(decoded, Err):
+        return error_response(decoded.err_value)
+    body = decoded.ok_value
+    token = issue_token(body.operator)
+    secret_hash = await trio.to_thread.run_sync(hash_secret, token)
+    statement = Statement(
+        subject=Subject(SubjectKind.OPERATOR, body.operator),
+        action=Action.PUT,
+        fields={
+            'secret_hash': secret_hash,
+            'roles': sorted(set(body.roles)),
+        },
+        reason=body.reason,
+    )
+    answer = await answer_write(exchange, statement)
+    if answer.status != _OK:
+        return answer
+    revision = int(answer.headers['etag'].strip('"'))
+    return ok_response(
+        TokenView(body.operator, str(token), revision),
+        revision,
+    )
+
+
+@serves(
+    Route(
+        method='DELETE',
+        path='/v1/tokens/{operator}',
+        roles=_ALL_ROLES,
+        body=Deletion,
+        answers=(WriteView,),
+        writes=True,
+    ),
+)
+async def delete_token(exchange: Exchange) -> HttpResponse:
+    """End the token of an operator."""
+    decoded = exchange.body(Deletion)
+    if isinstance(decoded, Err):
+        return error_response(decoded.err_value)
+    body = decoded.ok_value
+    statement = Statement(
+        subject=Subject(SubjectKind.OPERATOR, exchange.path['operator']),
+        action=Action.DELETE,
+        fields={},
+        reason=body.reason,
+        reverting=body.reverting,
+    )
+    return await answer_write(exchange, statement)
--- a/src/carobwalk/profiles/__init__.py
+++ b/src/carobwalk/profiles/__init__.py
@@ -4,6 +4,7 @@
 from carobwalk.profiles._change import Action, Change, FieldChange
 from carobwalk.profiles._configuration import Configuration
 from carobwalk.profiles._effects import ServiceEffect, compare_services
+from carobwalk.profiles._entity import Entity, Fields
 from carobwalk.profiles._failures import (
     AlreadyExists,
     ConfigurationTooLarge,
@@ -13,19 +14,11 @@
     RevertsAnother,
     StaleRevision,
 )
-from carobwalk.profiles._head_record import HeadRecord
-from carobwalk.profiles._history import ConfigurationHistory
 from carobwalk.profiles._operator import Operator, Role, find_operator
 from carobwalk.profiles._policies import Policies
-from carobwalk.profiles._preview import Acceptance, Preview
 from carobwalk.profiles._problem import Problem, ProblemKind
 from carobwalk.profiles._profile import Profile
-from carobwalk.profiles._proposal import Proposal
 from carobwalk.profiles._rank_rule import RankRule
-from carobwalk.profiles._repository import (
-    ConfigurationRepository,
-    WriteSettings,
-)
 from carobwalk.profiles._resolution import plain_fields, resolve
 from carobwalk.profiles._service import Service
 from carobwalk.profiles._store_failures import (
@@ -38,6 +31,7 @@
     WriteIdTaken,
 )
 from carobwalk.profiles._subject import Subject, SubjectKind
+from carobwalk.profiles._use import find_use
 from carobwalk.profiles.spread import (
     ConfigurationFollower,
     FleetStatus,
@@ -45,6 +39,15 @@
     FollowerSettings,
     ProcessStatus,
 )
+from carobwalk.profiles.writing import (
+    Acceptance,
+    ConfigurationHistory,
+    ConfigurationRepository,
+    HeadRecord,
+    Preview,
+    Proposal,
+    WriteSettings,
+)
 
 __all__ = (
     'Acceptance',
@@ -59,7 +62,9 @@
     'ConfigurationHistory',
     'ConfigurationRepository',
     'ConfigurationTooLarge',
+    'Entity',
     'FieldChange',
+    'Fields',
     'FleetStatus',
     'FollowerParts',
     'FollowerSettings',
@@ -91,6 +96,7 @@
     'WriteSettings',
     'compare_services',
     'find_operator',
+    'find_use',
     'plain_fields',
     'resolve',
 )
--- a/src/carobwalk/profiles/spread/_store_watch.py
+++ b/src/carobwalk/profiles/spread/_store_watch.py
@@ -5,7 +5,6 @@
 
 from carobwalk.model import CarobwalkError
 from carobwalk.platform import StoreFailure, Unanswered, Versioned
-from carobwalk.profiles._head_store import HEAD_NAME, HeldHead, decode_head
 from carobwalk.profiles.spread._events import (
     ConfigurationDamaged,
     ConfigurationStoreBehind,
@@ -14,6 +13,11 @@
 from carobwalk.profiles.spread._follower_parts import FollowerParts
 from carobwalk.profiles.spread._held_configuration import HeldConfiguration
 from carobwalk.profiles.spread._peer_exchange import PeerExchange
+from carobwalk.profiles.writing._head_store import (
+    HEAD_NAME,
+    HeldHead,
+    decode_head,
+)
 
 _SOURCE = 'store'
 
--- a/src/carobwalk/profiles/_decision.py
+++ b/src/carobwalk/profiles/writing/_decision.py
@@ -19,10 +19,7 @@
     RevertsAnother,
     StaleRevision,
 )
-from carobwalk.profiles._head_record import HeadRecord
 from carobwalk.profiles._policies import Policies
-from carobwalk.profiles._proposal import Proposal
-from carobwalk.profiles._reverts import collect_reverted
 from carobwalk.profiles._store_failures import (
     ConfigurationFailure,
     StoreBehind,
@@ -30,6 +27,9 @@
 )
 from carobwalk.profiles._use import find_use
 from carobwalk.profiles._validation import validate
+from carobwalk.profiles.writing._head_record import HeadRecord
+from carobwalk.profiles.writing._proposal import Proposal
+from carobwalk.profiles.writing._reverts import collect_reverted
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobwalk/profiles/_head_store.py
+++ b/src/carobwalk/profiles/writing/_head_store.py
@@ -7,8 +7,8 @@
 from carobwalk.platform import Store, StoreFailure, Versioned
 from carobwalk.profiles._codec import decode, encode
 from carobwalk.profiles._failures import ConfigurationTooLarge
-from carobwalk.profiles._head_record import HeadRecord
-from carobwalk.profiles._history_pages import PAGE_LENGTH, HistoryPages
+from carobwalk.profiles.writing._head_record import HeadRecord
+from carobwalk.profiles.writing._history_pages import PAGE_LENGTH, HistoryPages
 
 HEAD_NAME = 'configuration/head'
 # A quarter of the platform's limit, so that peers can pass it on in a frame.
--- a/src/carobwalk/profiles/_history.py
+++ b/src/carobwalk/profiles/writing/_history.py
@@ -5,14 +5,14 @@
 
 from carobwalk.platform import Store
 from carobwalk.profiles._change import Change
-from carobwalk.profiles._head_record import HeadRecord
-from carobwalk.profiles._head_store import HeadStore
-from carobwalk.profiles._history_pages import page_of
 from carobwalk.profiles._store_failures import (
     ChangeNotKept,
     ReadFailure,
     StoreUnavailable,
 )
+from carobwalk.profiles.writing._head_record import HeadRecord
+from carobwalk.profiles.writing._head_store import HeadStore
+from carobwalk.profiles.writing._history_pages import page_of
 
 
 class ConfigurationHistory:
--- a/src/carobwalk/profiles/_repository.py
+++ b/src/carobwalk/profiles/writing/_repository.py
@@ -8,14 +8,9 @@
 from result import Err, Ok, Result
 
 from carobwalk.platform import Store
-from carobwalk.profiles._decision import Decision, decide
 from carobwalk.profiles._effects import compare_services
 from carobwalk.profiles._failures import ConfigurationTooLarge
-from carobwalk.profiles._head_record import HeadRecord
-from carobwalk.profiles._head_store import HeadStore, HeldHead
 from carobwalk.profiles._policies import Policies
-from carobwalk.profiles._preview import Acceptance, Preview
-from carobwalk.profiles._proposal import Proposal
 from carobwalk.profiles._resolution import resolve
 from carobwalk.profiles._store_failures import (
     ConfigurationFailure,
@@ -23,8 +18,13 @@
     StoreBehind,
     StoreUnavailable,
 )
-from carobwalk.profiles._write_attempt import WriteAttempt
-from carobwalk.profiles._write_check import check_step
+from carobwalk.profiles.writing._decision import Decision, decide
+from carobwalk.profiles.writing._head_record import HeadRecord
+from carobwalk.profiles.writing._head_store import HeadStore, HeldHead
+from carobwalk.profiles.writing._preview import Acceptance, Preview
+from carobwalk.profiles.writing._proposal import Proposal
+from carobwalk.profiles.writing._write_attempt import WriteAttempt
+from carobwalk.profiles.writing._write_check import check_step
 
 _PAUSE_SECONDS = 0.1
 
--- a/src/carobwalk/profiles/_write_check.py
+++ b/src/carobwalk/profiles/writing/_write_check.py
@@ -3,8 +3,8 @@
 from collections.abc import Mapping
 
 from carobwalk.profiles._entity import Entity
-from carobwalk.profiles._head_record import HeadRecord
 from carobwalk.profiles._invariants import require
+from carobwalk.profiles.writing._head_record import HeadRecord
 
 
 def check_step(before: HeadRecord, after: HeadRecord) -> None:
--- a/tests/profiles/test_decision.py
+++ b/tests/profiles/test_decision.py
@@ -20,7 +20,7 @@
     SubjectKind,
     WriteIdTaken,
 )
-from carobwalk.profiles._decision import decide
+from carobwalk.profiles.writing._decision import decide
 from tests.profiles._proposals import PROFILE, SERVICE, propose
 
 _POLICY_NAMES = ('guaranteed-shares',)
--- a/tests/profiles/test_repository.py
+++ b/tests/profiles/test_repository.py
@@ -18,7 +18,7 @@
     StaleRevision,
     StoreUnavailable,
 )
-from carobwalk.profiles._history_pages import (
+from carobwalk.profiles.writing._history_pages import (
     PAGE_COUNT,
     PAGE_LENGTH,
     HistoryPage,
