--- a/tests/profiles/test_decision.py
+++ b/tests/profiles/test_decision.py
@@ -20,7 +20,7 @@
     SubjectKind,
     WriteIdTaken,
 )
-from carobwalk.profiles._decision import decide
+from carobwalk.profiles.writing._decision import decide
 from tests.profiles._proposals import PROFILE, SERVICE, propose
 
 _POLICY_NAMES = ('guaranteed-shares',)
@@ -222,6 +222,16 @@
         )
         assert isinstance(_refuse(record, back), RevertsAnother)
 
+    def test_creation_after_another_deleted_it(self) -> None:
+        """Bringing back what another deleted is a revert, with any fields."""
+        record = _accept(
+            _case_office(),
+            propose(PROFILE, 'spare', {'slots': 1}, 3),
+            propose(PROFILE, 'spare', None, 4),
+        )
+        back = propose(PROFILE, 'spare', {'slots': 9}, 5, author='bo')
+        assert isinstance(_refuse(record, back), RevertsAnother)
+
 
 class TestValidation:
     """The configuration that a write would make."""
