--- a/src/carobwalk/dispatch/_actions.py
+++ b/src/carobwalk/dispatch/_actions.py
@@ -106,7 +106,7 @@
         digest: int,
         passage: Passage,
     ) -> _Ending:
-        tenure = passage.gate.tenure()
+        tenure = passage.gate.read_tenure()
         if isinstance(tenure, Err):
             detail = tenure.err_value.detail
             return Err(passage.failure(FailureKind.NOT_DISPATCHER, detail))
