Never run an action whose key is from the future

Cause: a caller's clock 10 s ahead made a key that ran at one dispatcher; after that one's loss the repeat looked new to the next, once its clock had passed the time in the key. Ruled out: a wider skew, since it only moves the bound. Change: a key up to 1 s ahead waits for its time, one further ahead is refused as not run, so that no key ever runs before the time inside it. The load tool and the demo make keys that tell their time.

--- a/demo/_scene.py
+++ b/demo/_scene.py
@@ -1,6 +1,7 @@
 """What the steps of the demo share."""
 
 import itertools
+import time
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import MappingProxyType
@@ -11,7 +12,12 @@
 from demo._errors import StepFailedError
 from standins.backend import RunRecord
 from standins.fleet import EntryProcess, Fleet
-from standins.load import Callers, LoadTask, Observation
+from standins.load import (
+    Callers,
+    LoadTask,
+    Observation,
+    make_action_key,
+)
 from standins.processes import Processes
 
 _TIMEOUT_SECONDS = 5
@@ -76,6 +82,7 @@
     ) -> Observation:
         """Send one request and note what its caller saw."""
         mark = f'demo-{next(self.numbers)}'
+        action = make_action_key(mark, time.time_ns())
         task = LoadTask(
             entry=entry.callers,
             service=ServiceName(service),
@@ -83,7 +90,7 @@
             method=_METHODS[rank],
             key=key,
             mark=mark,
-            idempotency_key=f'action-{mark}' if rank is Rank.MONEY else None,
+            idempotency_key=action if rank is Rank.MONEY else None,
             body_bytes=0 if rank is Rank.LOOKUP else 100,
             work_ms=work_ms,
         )
--- a/src/carobwalk/dispatch/_action_memory.py
+++ b/src/carobwalk/dispatch/_action_memory.py
@@ -11,6 +11,9 @@
     KeptAnswer,
 )
 
+MOST_LEAD_SECONDS = 1
+
+# Largest difference between the clocks of two dispatchers.
 _CLOCK_SKEW_SECONDS = 1
 _OPAQUE_REPEAT_SECONDS = 120
 
@@ -29,7 +32,7 @@
     """
 
     def __init__(self, wall_clock: Callable[[], float], limit: int) -> None:
-        self._wall_clock = wall_clock
+        self.wall_clock = wall_clock
         self._limit = limit
         self._size = 0
         self._forgotten_until: float = 0
@@ -43,13 +46,13 @@
         """Return whether an action not remembered was never sent before.
 
         Args:
-            issued_at: When its key was made, if the key tells.
+            issued_at: When its key was made, if the key tells; not in the
+                future.
             since: When the tenure of its shard began.
         """
-        now = self._wall_clock()
         complete_since = max(since, self._forgotten_until)
-        if issued_at is None or issued_at > now + _CLOCK_SKEW_SECONDS:
-            return now > complete_since + _OPAQUE_REPEAT_SECONDS
+        if issued_at is None:
+            return self.wall_clock() > complete_since + _OPAQUE_REPEAT_SECONDS
         return issued_at > complete_since + _CLOCK_SKEW_SECONDS
 
     def has_room(self) -> bool:
@@ -99,5 +102,5 @@
     def _forget(self, action: ActionId, record: ActionRecord) -> None:
         self._records_by_id.pop(action)
         self._size -= record.size
-        issued_at = record.issued_at or self._wall_clock()
+        issued_at = record.issued_at or self.wall_clock()
         self._forgotten_until = max(self._forgotten_until, issued_at)
--- a/src/carobwalk/dispatch/_actions.py
+++ b/src/carobwalk/dispatch/_actions.py
@@ -7,13 +7,16 @@
 import xxhash
 from result import Err, Ok, Result
 
-from carobwalk.dispatch._action_memory import ActionMemory
+from carobwalk.dispatch._action_memory import (
+    MOST_LEAD_SECONDS,
+    ActionMemory,
+)
 from carobwalk.dispatch._action_record import (
     ActionId,
     ActionRecord,
     KeptAnswer,
 )
-from carobwalk.dispatch._issue_time import issue_time
+from carobwalk.dispatch._issue_time import issue_time, lead_of
 from carobwalk.dispatch._passage import Passage
 from carobwalk.dispatch._presence import Presence
 from carobwalk.dispatch._recording_sink import RecordingSink
@@ -111,6 +114,14 @@
             detail = tenure.err_value.detail
             return Err(passage.failure(FailureKind.NOT_DISPATCHER, detail))
         issued_at = issue_time(action.idempotency_key)
+        lead = lead_of(issued_at, self._memory.wall_clock())
+        if lead > MOST_LEAD_SECONDS:
+            return Err(_key_ahead(lead))
+        if lead > 0:
+            # A key that ran before the time inside it would look new to a
+            # later dispatcher.
+            await trio.sleep(lead)
+            return await self.run(passage)
         shard = (passage.head.service, passage.shard)
         since = self._tenures.begin_of(shard, tenure.ok_value)
         if not self._memory.is_new(issued_at, since):
@@ -198,6 +209,15 @@
     return xxhash.xxh3_64_intdigest(f'{head.method} {head.target}'.encode())
 
 
+def _key_ahead(lead: float) -> Failure:
+    # No dispatcher runs such a key, so none has run it before.
+    return Failure(
+        kind=FailureKind.BAD_REQUEST,
+        outcome=Outcome.NOT_RUN,
+        detail=f'the idempotency key was made {lead:.1f} s in the future',
+    )
+
+
 def _misused_key() -> Failure:
     return Failure(
         kind=FailureKind.BAD_REQUEST,
--- a/src/carobwalk/dispatch/_issue_time.py
+++ b/src/carobwalk/dispatch/_issue_time.py
@@ -23,3 +23,15 @@
     if parsed.version != _VERSION:
         return None
     return (parsed.int >> _TIME_SHIFT) / _MILLISECONDS
+
+
+def lead_of(issued_at: float | None, now: float) -> float:
+    """Return how far in the future a key was made, in seconds.
+
+    Args:
+        issued_at: When the key was made, if the key tells.
+        now: Seconds since 1970.
+    """
+    if issued_at is None:
+        return 0
+    return max(0, issued_at - now)
--- a/standins/load/__init__.py
+++ b/standins/load/__init__.py
@@ -1,5 +1,6 @@
 """Load on the entries, as callers make it."""
 
+from standins.load._action_key import make_action_key
 from standins.load._audit import Violation, ViolationKind, audit
 from standins.load._callers import Callers
 from standins.load._generator import TaskGenerator
@@ -21,6 +22,7 @@
     'Violation',
     'ViolationKind',
     'audit',
+    'make_action_key',
     'run_load',
     'summarise',
 )
--- a/standins/load/_generator.py
+++ b/standins/load/_generator.py
@@ -2,12 +2,14 @@
 
 import itertools
 import random
+import time
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 from types import MappingProxyType
 
 from carobwalk.model import Rank
+from standins.load._action_key import make_action_key
 from standins.load._plan import LoadPlan
 from standins.load._rank_mix import RankMix
 from standins.load._task import LoadTask
@@ -28,10 +30,16 @@
 
     Args:
         plan: The plan.
+        now: Returns nanoseconds since 1970, for the idempotency keys.
     """
 
-    def __init__(self, plan: LoadPlan) -> None:
+    def __init__(
+        self,
+        plan: LoadPlan,
+        now: Callable[[], int] = time.time_ns,
+    ) -> None:
         self._plan = plan
+        self._now = now
         self._random = random.Random(plan.seed)
         self._numbers = itertools.count(1)
         self._actions: deque[LoadTask] = deque(maxlen=REPEATABLE_ACTIONS)
@@ -76,7 +84,9 @@
             method=_METHODS[work.rank],
             key=f'key-{self._choose_key()}',
             mark=mark,
-            idempotency_key=f'action-{mark}' if is_money else None,
+            idempotency_key=make_action_key(mark, self._now())
+            if is_money
+            else None,
             body_bytes=body_bytes.get(work.rank, 0),
             work_ms=plan.work_ms,
         )
--- a/tests/standins/load/test_generator.py
+++ b/tests/standins/load/test_generator.py
@@ -15,11 +15,15 @@
 )
 
 
+def _noon() -> int:
+    return 1_796_385_600_000_000_000
+
+
 class TestTaskGenerator:
     def test_seed(self) -> None:
-        """The same seed gives the same requests."""
-        first = tuple(islice(TaskGenerator(PLAN), 100))
-        assert first == tuple(islice(TaskGenerator(PLAN), 100))
+        """The same seed and the same time give the same requests."""
+        first = tuple(islice(TaskGenerator(PLAN, _noon), 100))
+        assert first == tuple(islice(TaskGenerator(PLAN, _noon), 100))
 
     def test_marks(self) -> None:
         """Each request has a mark of its own, repeats share the action."""
