Count a dispatcher's tenure from its lease, not from the first action

A lease that was lost and came back within an epoch had the same token, so a tenure with a gap looked unbroken. Ruled out: the caller's clock; all ran on one host. Change: leases say since when they are held without a gap, and their token differs after a gap; a process that forgot a dispatcher's actions says so.

--- a/benchmarks/_dispatch_actions.py
+++ b/benchmarks/_dispatch_actions.py
@@ -55,6 +55,7 @@
     """Lease of one dispatcher on one server, until it is taken away."""
 
     token: FenceToken
+    since: float
     is_live: bool = True
 
     def authorise(
@@ -68,6 +69,15 @@
             return Ok(self.token)
         return Err(NoLease('another process dispatches'))
 
+    def held_since(
+        self,
+        server: ServerId,
+        service: ServiceName,
+        key: Key | None,
+    ) -> float:
+        """Return when the lease was given."""
+        return self.since
+
 
 @dataclass
 class Tally:
@@ -128,7 +138,7 @@
     ) -> None:
         """Give the server's lease to a process with an empty memory."""
         self._sequence += 1
-        lease = OneLease(FenceToken(1, self._sequence))
+        lease = OneLease(FenceToken(1, self._sequence), trio.current_time())
         self._leases[server.name] = lease
         if self._is_naive:
             self._forwarders[server.name] = NaiveForwarder(lambda _: server)
--- a/benchmarks/_dispatch_run.py
+++ b/benchmarks/_dispatch_run.py
@@ -67,6 +67,15 @@
         """Return the token."""
         return Ok(self.token)
 
+    def held_since(
+        self,
+        server: ServerId,
+        service: ServiceName,
+        key: Key | None,
+    ) -> float:
+        """Return the begin of the run."""
+        return 0
+
 
 def endpoint_of(name: str) -> Endpoint:
     """Return an endpoint that nothing listens at."""
--- a/demo/steps/_three_ranks.py
+++ b/demo/steps/_three_ranks.py
@@ -1,5 +1,7 @@
 """Requests of all ranks through different entries."""
 
+import trio
+
 from carobwalk.model import Rank
 from demo._errors import StepFailedError
 from demo._registry import step
@@ -7,11 +9,15 @@
 from standins.load import Observation
 
 _ROUNDS = 10
+_TENURE_SECONDS = 2.5
 
 
 @step('requests of all three ranks through different entries')
 async def send_all_ranks(scene: Scene) -> str:
     """Send requests of each rank through each entry in turn."""
+    # An action made before its dispatcher's first second may be a repeat of
+    # one that an earlier dispatcher sent, so it is told unknown.
+    await trio.sleep(_TENURE_SECONDS)
     seen: list[Observation] = []
     for number in range(_ROUNDS):
         for fleet in scene.fleets:
--- a/src/carobwalk/dispatch/_action_memory.py
+++ b/src/carobwalk/dispatch/_action_memory.py
@@ -29,13 +29,20 @@
     Args:
         wall_clock: Returns seconds since 1970.
         limit: Most bytes of records.
+        complete_since: Begin of the time of which no action was forgotten,
+            in seconds since 1970.
     """
 
-    def __init__(self, wall_clock: Callable[[], float], limit: int) -> None:
+    def __init__(
+        self,
+        wall_clock: Callable[[], float],
+        limit: int,
+        complete_since: float,
+    ) -> None:
         self.wall_clock = wall_clock
         self._limit = limit
         self._size = 0
-        self._forgotten_until: float = 0
+        self._forgotten_until = complete_since
         self._records_by_id: OrderedDict[ActionId, ActionRecord] = OrderedDict()
 
     def find(self, action: ActionId) -> ActionRecord | None:
--- a/src/carobwalk/dispatch/_actions.py
+++ b/src/carobwalk/dispatch/_actions.py
@@ -122,8 +122,7 @@
             # later dispatcher.
             await trio.sleep(lead)
             return await self.run(passage)
-        shard = (passage.head.service, passage.shard)
-        since = self._tenures.begin_of(shard, tenure.ok_value)
+        since = self._tenures.begin_of(passage.head)
         if not self._memory.is_new(issued_at, since):
             detail = 'the action may have been sent before this dispatcher'
             return Err(passage.failure(FailureKind.REPEAT_UNSETTLED, detail))
--- a/src/carobwalk/dispatch/_dispatcher.py
+++ b/src/carobwalk/dispatch/_dispatcher.py
@@ -12,7 +12,7 @@
 from carobwalk.dispatch._passage import Passage
 from carobwalk.dispatch._passages import Passages
 from carobwalk.dispatch._presence import Presence
-from carobwalk.dispatch._quarantine import Quarantine
+from carobwalk.dispatch._process_state import ProcessState
 from carobwalk.dispatch._sender import Sender
 from carobwalk.dispatch._server_health import ServerHealth
 from carobwalk.dispatch._slots import Slots
@@ -44,8 +44,7 @@
         profile: Settings at first; each request brings the current ones.
         upstream: Connections to the server.
         context: Shared collaborators.
-        quarantine: Suspects of the process.
-        presence: Counts the requests of the process.
+        process: State that the dispatchers of the process share.
     """
 
     def __init__(
@@ -54,23 +53,26 @@
         profile: Profile,
         upstream: Upstream,
         context: DispatchContext,
-        quarantine: Quarantine,
-        presence: Presence,
+        process: ProcessState,
     ) -> None:
         self._server = server
         self._upstream = upstream
         self._context = context
-        self._presence = Presence(presence)
+        self._presence = Presence(process.presence)
         self._passages = Passages(ServerId(server.name), context)
         self._health = ServerHealth(server.name, context.events)
         self._slots = Slots(profile, context.clock, self._health)
-        suspicion = Suspicion(server.name, quarantine, context)
+        suspicion = Suspicion(server.name, process.quarantine, context)
         self._sender = Sender(self._slots, upstream, suspicion, context)
         self._actions = Actions(
             ServerId(server.name),
             self._send,
-            ActionMemory(context.wall_clock, context.memory_bytes),
-            Tenures(context.wall_clock),
+            ActionMemory(
+                context.wall_clock,
+                context.memory_bytes,
+                process.complete_since,
+            ),
+            Tenures(ServerId(server.name), context),
             self._presence,
         )
 
--- a/src/carobwalk/dispatch/_dispatcher_table.py
+++ b/src/carobwalk/dispatch/_dispatcher_table.py
@@ -8,6 +8,7 @@
 from carobwalk.dispatch._context import DispatchContext
 from carobwalk.dispatch._dispatcher import Dispatcher
 from carobwalk.dispatch._presence import Presence
+from carobwalk.dispatch._process_state import ProcessState
 from carobwalk.dispatch._quarantine import Quarantine
 from carobwalk.dispatch._upstream import Upstream
 from carobwalk.model import Clock, Endpoint, ServerId
@@ -39,6 +40,7 @@
         self._make_upstream = make_upstream
         self._quarantine = quarantine
         self._presence = presence
+        self._complete_since = context.wall_clock()
         self._dispatchers_by_server: OrderedDict[ServerId, Dispatcher]
         self._dispatchers_by_server = OrderedDict()
         self._nursery: trio.Nursery | None = None
@@ -89,6 +91,8 @@
         """Take out a dispatcher; its requests end on their own."""
         dispatcher = self._dispatchers_by_server.pop(server, None)
         if dispatcher is not None:
+            # Its actions are forgotten, so later ones may be repeats of them.
+            self._complete_since = self._context.wall_clock()
             await dispatcher.aclose()
 
     async def clear(self) -> None:
@@ -103,8 +107,11 @@
             profile,
             self._make_upstream(server, profile.connections, clock),
             self._context,
-            self._quarantine,
-            self._presence,
+            ProcessState(
+                self._quarantine,
+                self._presence,
+                self._complete_since,
+            ),
         )
         if self._nursery is not None:
             dispatcher.keep_runs_in(self._nursery)
--- a/src/carobwalk/dispatch/_tenures.py
+++ b/src/carobwalk/dispatch/_tenures.py
@@ -1,11 +1,9 @@
 """Since when this process alone has sent to the owner of a shard."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
-from carobwalk.model import FenceToken, ServiceName, ShardNumber
-
-ShardId = tuple[ServiceName, ShardNumber | None]
+from carobwalk.dispatch._context import DispatchContext
+from carobwalk.model import FenceToken, RequestHead, ServerId
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,24 +20,29 @@
 
 
 class Tenures:
-    """Begin of the current tenure of each shard.
+    """Begins of the tenures of one server's shards.
 
     Args:
-        wall_clock: Returns seconds since 1970.
+        server: The backend server.
+        context: Shared collaborators.
     """
 
-    def __init__(self, wall_clock: Callable[[], float]) -> None:
-        self._wall_clock = wall_clock
-        self._begins_by_shard: dict[ShardId, tuple[Tenure, float]] = {}
+    def __init__(self, server: ServerId, context: DispatchContext) -> None:
+        self._server = server
+        self._context = context
+
+    def begin_of(self, head: RequestHead) -> float:
+        """Return when the tenure that a request is sent under began.
 
-    def begin_of(self, shard: ShardId, tenure: Tenure) -> float:
-        """Return when a tenure was first seen, in seconds since 1970.
+        Before that time another process may have sent requests of its shard.
 
-        A tenure that differs from the last one seen begins now: in between,
-        another process may have sent requests of the shard.
+        Returns:
+            Seconds since 1970 on this host's clock.
         """
-        known, begin = self._begins_by_shard.get(shard, (None, 0))
-        if known != tenure:
-            begin = self._wall_clock()
-            self._begins_by_shard[shard] = (tenure, begin)
-        return begin
+        context = self._context
+        held_since = context.leases.held_since(
+            self._server,
+            head.service,
+            head.key,
+        )
+        return context.wall_clock() - (context.clock.now() - held_since)
--- a/src/carobwalk/ownership/_group_view.py
+++ b/src/carobwalk/ownership/_group_view.py
@@ -27,6 +27,8 @@
         dispatchers: Processes that dispatch.
         servers: Servers of the group.
         shards: Shards of the group.
+        changed_at: Reading of this process's clock at the last change of
+            owner or token, by shard.
     """
 
     epoch: int = 0
@@ -38,6 +40,7 @@
     dispatchers: dict[ProcessId, Endpoint] = field(default_factory=dict)
     servers: dict[ServerId, ServerRow] = field(default_factory=dict)
     shards: dict[ShardId, ShardRow] = field(default_factory=dict)
+    changed_at: dict[ShardId, float] = field(default_factory=dict)
 
     def accept(self, push: MapPush, now: float) -> bool:
         """Take over a push unless a later one came before it.
@@ -98,4 +101,6 @@
         )
         if fell:
             raise TokenFellError(f'{row.shard_id}: {row.token}')
+        if known is None or known.token != row.token:
+            self.changed_at[row.shard_id] = self.heard_at
         self.shards[row.shard_id] = row
--- a/src/carobwalk/ownership/_leases.py
+++ b/src/carobwalk/ownership/_leases.py
@@ -33,3 +33,16 @@
         The dispatcher's own lease must be live, and for a key the owner's
         grant must be live too on this process's clock.
         """
+
+    def held_since(
+        self,
+        server: ServerId,
+        service: ServiceName,
+        key: Key | None,
+    ) -> float:
+        """Return since when no other process can have sent to the server.
+
+        Returns:
+            Reading of this process's clock at which the unbroken lease, and
+            for a key the current grant, began; the present for none.
+        """
--- a/src/carobwalk/ownership/_map_leases.py
+++ b/src/carobwalk/ownership/_map_leases.py
@@ -1,5 +1,7 @@
 """Leases of this process as a dispatcher."""
 
+from typing import Final
+
 from result import Err, Ok, Result
 
 from carobwalk.model import FenceToken, Key, ServerId, ServiceName
@@ -7,6 +9,8 @@
 from carobwalk.ownership._map_placements import MapPlacements
 from carobwalk.ownership._shard_maps import ShardMaps
 
+_MICROSECONDS: Final = 1_000_000
+
 
 class MapLeases:
     """Authorises sends by the live leases and the shard maps.
@@ -37,7 +41,9 @@
         if lease is None:
             return Err(NoLease(f'no live lease on {server}'))
         if key is None:
-            return Ok(lease)
+            # A lease that was lost and came back must not look unbroken.
+            begun = int(lease.since * _MICROSECONDS)
+            return Ok(FenceToken(lease.epoch, begun))
         located = self._placements.locate(service, key)
         if isinstance(located, Err):
             return Err(NoLease(located.err_value.detail))
@@ -45,3 +51,24 @@
         if placement.server.name != server or placement.token is None:
             return Err(NoLease(f'{server} does not own the key'))
         return Ok(placement.token)
+
+    def held_since(
+        self,
+        server: ServerId,
+        service: ServiceName,
+        key: Key | None,
+    ) -> float:
+        """Return since when no other process can have sent to the server.
+
+        Args:
+            server: Backend server.
+            service: Service of the request.
+            key: Key of the request; ``None`` for unkeyed work.
+        """
+        lease = self._maps.lease_of(server)
+        if lease is None:
+            return self._maps.read_clock()
+        if key is None:
+            return lease.since
+        granted = self._placements.granted_since(service, key)
+        return max(lease.since, granted)
--- a/src/carobwalk/ownership/_map_placements.py
+++ b/src/carobwalk/ownership/_map_placements.py
@@ -40,6 +40,19 @@
             return self._none(service, f'{row.owner} has no dispatcher')
         return Ok(Placement(server.endpoint, dispatcher, row.shard, row.token))
 
+    def granted_since(self, service: ServiceName, key: Key) -> float:
+        """Return since when the current grant of a key's shard is known.
+
+        Returns:
+            Reading of this process's clock; the present if it has no row.
+        """
+        row = self._shard_row(service, key)
+        if row is None:
+            return self._context.clock.now()
+        division = self._maps.divisions[service]
+        view = self._maps.by_group[division.group_of(row.shard)]
+        return view.changed_at[row.shard_id]
+
     def candidates(
         self,
         service: ServiceName,
--- a/src/carobwalk/ownership/_shard_maps.py
+++ b/src/carobwalk/ownership/_shard_maps.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from carobwalk.model import FenceToken, ProcessId, ServerId
+from carobwalk.model import ProcessId, ServerId
 from carobwalk.ownership._context import OwnershipContext
 from carobwalk.ownership._division import Division
 from carobwalk.ownership._group_view import GroupView
@@ -19,10 +19,12 @@
     Args:
         epoch: Epoch of the coordinator that gave it.
         until: End on this process's clock.
+        since: Begin of the unbroken time for which it was held.
     """
 
     epoch: int
     until: float
+    since: float
 
 
 class ShardMaps:
@@ -66,6 +68,10 @@
             leaving=self.leaving,
         )
 
+    def read_clock(self) -> float:
+        """Return the reading of this process's clock."""
+        return self._context.clock.now()
+
     def live_leases(self, group: str) -> Mapping[ServerId, DispatchLease]:
         """Return the leases of a group that are not over."""
         now = self._context.clock.now()
@@ -76,13 +82,13 @@
             if lease.until > now
         }
 
-    def lease_of(self, server: ServerId) -> FenceToken | None:
-        """Return the token of the live lease on a server, if there is one."""
+    def lease_of(self, server: ServerId) -> DispatchLease | None:
+        """Return the live lease on a server, if there is one."""
         now = self._context.clock.now()
         for leases in self._leases_by_group.values():
             lease = leases.get(server)
             if lease is not None and lease.until > now:
-                return FenceToken(lease.epoch, 0)
+                return lease
         return None
 
     def row_of(self, server: ServerId) -> ServerRow | None:
@@ -100,12 +106,15 @@
         coordinator learns of them in the answer.
         """
         until = push.echo + push.ttl
+        live = self.live_leases(push.group)
         kept = {
             server: lease
-            for server, lease in self.live_leases(push.group).items()
+            for server, lease in live.items()
             if lease.epoch < push.epoch
         }
         if until > now:
-            fresh = DispatchLease(push.epoch, until)
-            kept |= dict.fromkeys(push.leases, fresh)
+            for server in push.leases:
+                held = live.get(server)
+                since = now if held is None else held.since
+                kept[server] = DispatchLease(push.epoch, until, since)
         self._leases_by_group[push.group] = kept
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -65,6 +65,8 @@
         default_factory=lambda: Ok(FenceToken(epoch=3, sequence=7)),
     )
     asked: int = 0
+    seen: Result[FenceToken, NoLease] | None = None
+    since: float = 0
 
     def authorise(
         self,
@@ -76,6 +78,18 @@
         self.asked += 1
         return self.answer
 
+    def held_since(
+        self,
+        server: ServerId,
+        service: ServiceName,
+        key: Key | None,
+    ) -> float:
+        """Return when the set answer was first seen."""
+        if self.seen != self.answer:
+            self.seen = self.answer
+            self.since = trio.current_time()
+        return self.since
+
 
 @dataclass
 class ListBody:
