--- a/packaging/check.py
+++ b/packaging/check.py
@@ -10,6 +10,7 @@
 
 import json
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -19,6 +20,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Final
 
@@ -30,6 +32,21 @@
 FORK: Final = re.compile(r'\b(v?fork|clone3?)\(')
 
 
+@dataclass(frozen=True, slots=True)
+class Served:
+    """What was seen of a run of ``serve``.
+
+    Args:
+        children: Process ids of its children.
+        exit_code: Exit code after SIGTERM.
+        resident_bytes: Resident set size before SIGTERM.
+    """
+
+    children: frozenset[str]
+    exit_code: int
+    resident_bytes: int
+
+
 def main() -> int:
     """Run all checks; return the exit code."""
     with tempfile.TemporaryDirectory() as name:
@@ -45,7 +62,7 @@
     first_seconds = run_version(place)
     next_seconds = run_version(place)
     settings = write_settings(place)
-    serve_children, serve_code = watch_serve(place, settings)
+    served = watch_serve(place, settings)
     checks = {
         'only_file': [path.name for path in BINARY.parent.iterdir()]
         == [BINARY.name],
@@ -54,8 +71,8 @@
             [str(BINARY), 'version'],
             place,
         ),
-        'serve_has_no_child': not serve_children,
-        'serve_ends_with_0': serve_code == 0,
+        'serve_has_no_child': not served.children,
+        'serve_ends_with_0': served.exit_code == 0,
         'wrong_settings_end_with_2': run_code(place, 'serve', '/dev/null') == 2,
         'repairs_unpacked_files': check_repair(place),
         'starts_at_once': check_parallel_starts(place),
@@ -69,6 +86,7 @@
         'checks': checks,
         'binary_bytes': BINARY.stat().st_size,
         'unpacked_bytes': unpacked_bytes(place),
+        'serve_resident_bytes': served.resident_bytes,
         'first_start_seconds': round(first_seconds, 3),
         'next_start_seconds': round(next_seconds, 3),
         'strace': shutil.which('strace') is not None,
@@ -135,15 +153,22 @@
     return ports
 
 
-def watch_serve(place: Path, settings: Path) -> tuple[set[str], int]:
-    """Run ``serve`` with a request; return its children and exit code."""
+def watch_serve(place: Path, settings: Path) -> Served:
+    """Run ``serve`` with a request until SIGTERM."""
     command = [str(BINARY), 'serve', str(settings)]
     with started(command, place) as process:
         children = poll_children(process, until_answered(settings))
         children |= poll_children(process, until_time(SERVE_SECONDS))
+        resident = resident_bytes(process.pid)
         process.send_signal(signal.SIGTERM)
         children |= poll_children(process, lambda: process.poll() is not None)
-        return children, process.returncode
+        return Served(frozenset(children), process.returncode, resident)
+
+
+def resident_bytes(process: int) -> int:
+    """Return the resident set size of a process."""
+    pages = int(Path(f'/proc/{process}/statm').read_text().split()[1])
+    return pages * resource.getpagesize()
 
 
 def watch_command(command: list[str], place: Path) -> set[str]:
