--- a/src/carobwalk/events/timeline/_layout.py
+++ b/src/carobwalk/events/timeline/_layout.py
@@ -14,7 +14,7 @@
 ROW_HEIGHT: Final = 16.0
 
 _LANE_GAP: Final = 14.0
-_CHARACTER_WIDTH: Final = 6.0
+_CHARACTER_WIDTH: Final = 6.5
 _MARK_WIDTH: Final = 14.0
 _MOST_LABELS: Final = 400
 
