--- a/src/carobwalk/events/_line_event_log.py
+++ b/src/carobwalk/events/_line_event_log.py
@@ -2,6 +2,7 @@
 
 import sys
 from dataclasses import fields
+from functools import cache
 from typing import Any, Final, Self
 
 from loguru import logger
@@ -25,12 +26,20 @@
         clock: Clock that stamps the events, shared with the connections to
             other processes.
         handler: Identity of loguru's sink.
+        level: Least level that is written.
     """
 
-    def __init__(self, process: str, clock: HybridClock, handler: int) -> None:
+    def __init__(
+        self,
+        process: str,
+        clock: HybridClock,
+        handler: int,
+        level: str,
+    ) -> None:
         self._process = process
         self._clock = clock
         self._handler = handler
+        self._severity = _severity_of(level)
         self._logger = logger.bind(**{_EXTRA: process})
 
     @classmethod
@@ -62,10 +71,12 @@
             backtrace=False,
             diagnose=False,
         )
-        return cls(process, clock, handler)
+        return cls(process, clock, handler, level)
 
     def emit(self, event: Event) -> None:
         """Write one event with the process id and the logical time."""
+        if _severity_of(event.level) < self._severity:
+            return
         logged = LoggedEvent(
             process=self._process,
             stamp=self._clock.stamp(),
@@ -79,6 +90,11 @@
         logger.remove(self._handler)
 
 
+@cache
+def _severity_of(level: str) -> int:
+    return logger.level(level.upper()).no
+
+
 def _fields_of(event: Event) -> dict[str, str]:
     texts_by_name = {}
     for member in fields(event):
--- a/tests/events/test_line_event_log.py
+++ b/tests/events/test_line_event_log.py
@@ -1,11 +1,18 @@
 """Tests of the event log that writes lines."""
 
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 from loguru import logger
 
-from carobwalk.events import Event, HybridClock, LineEventLog, parse_line
+from carobwalk.events import (
+    Event,
+    HybridClock,
+    HybridStamp,
+    LineEventLog,
+    parse_line,
+)
 from carobwalk.model import FenceToken, Rank, ServiceName
 
 
@@ -72,12 +79,14 @@
         assert event.fields == {'key': '{x} <red>'}
 
     def test_level(self, tmp_path: Path) -> None:
-        """An event below the level is not written."""
+        """An event below the level is not written, and takes no stamp."""
         path = tmp_path / 'events.log'
-        log = LineEventLog.open('e1', HybridClock(), str(path), 'info')
+        clock = HybridClock(partial(int, 5))
+        log = LineEventLog.open('e1', clock, str(path), 'info')
         log.emit(Detail('a'))
         log.close()
         assert path.read_text() == ''
+        assert clock.stamp() == HybridStamp(5, 0)
 
     def test_two_logs(self, tmp_path: Path) -> None:
         """Two logs in one process get their own events; stamps rise."""
