Take out the settings that nothing reads

Cause: seven settings were accepted and checked, but no part reads them: platform.prefix, limits.peer_connect_seconds, peer_idle_seconds, peer_window_bytes and body_chunk_bytes, ownership.groups and shards_per_server. An operator who sets one would believe it in force. A new test compares every field with what the composition root reads; it failed for the seven before. A setting comes back with its wiring.

--- a/src/carobwalk/settings/_allowed.py
+++ b/src/carobwalk/settings/_allowed.py
@@ -33,9 +33,6 @@
     if origin in {Union, UnionType}:
         members = get_args(annotation)
         return ' or '.join(describe_allowed(member, name) for member in members)
-    if origin is tuple:
-        member = describe_allowed(get_args(annotation)[0], name)
-        return f'a list, each member {member}'
     return _describe_plain(annotation, name)
 
 
--- a/src/carobwalk/settings/_checks.py
+++ b/src/carobwalk/settings/_checks.py
@@ -83,18 +83,5 @@
             )
 
 
-@check
-def check_window(settings: Settings) -> Iterator[Contradiction]:
-    """Check that a window holds at least two chunks."""
-    limits = settings.limits
-    smallest = limits.body_chunk_bytes * 2
-    if limits.peer_window_bytes < smallest:
-        yield Contradiction(
-            'limits.peer_window_bytes',
-            str(limits.peer_window_bytes),
-            f'at least {smallest} bytes, which is twice body_chunk_bytes',
-        )
-
-
 def _taken(path: str, address: object) -> Contradiction:
     return Contradiction(path, str(address), 'an address that is not used yet')
--- a/src/carobwalk/settings/_limits.py
+++ b/src/carobwalk/settings/_limits.py
@@ -2,13 +2,7 @@
 
 from dataclasses import dataclass
 
-from carobwalk.settings._ranges import (
-    MEBIBYTE,
-    Connections,
-    MessageSize,
-    Wait,
-    WindowSize,
-)
+from carobwalk.settings._ranges import Connections, MessageSize, Wait
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -23,10 +17,6 @@
             to the end of its header fields.
         caller_stall_seconds: Longest wait for the next part of a body, or for
             the caller to take the next part of an answer.
-        peer_connect_seconds: Longest wait for a connection to a peer.
-        peer_idle_seconds: Time after which an unused peer connection closes.
-        peer_window_bytes: Body bytes in flight for one request to a peer.
-        body_chunk_bytes: Largest part of a body that is passed on at once.
         drain_seconds: Longest time for requests in flight at a stop.
     """
 
@@ -35,8 +25,4 @@
     caller_idle_seconds: Wait = 60.0
     caller_header_seconds: Wait = 10.0
     caller_stall_seconds: Wait = 30.0
-    peer_connect_seconds: Wait = 2.0
-    peer_idle_seconds: Wait = 300.0
-    peer_window_bytes: WindowSize = MEBIBYTE
-    body_chunk_bytes: MessageSize = 65_536
     drain_seconds: Wait = 30.0
--- a/src/carobwalk/settings/_platform.py
+++ b/src/carobwalk/settings/_platform.py
@@ -1,9 +1,6 @@
 """Settings of the platform's services."""
 
 from dataclasses import dataclass
-from typing import Annotated
-
-import msgspec
 
 from carobwalk.model import Address
 from carobwalk.settings._ranges import Interval
@@ -18,17 +15,9 @@
         host_list: Address of the list of hosts.
         timeout_seconds: Longest wait for one answer.
         host_list_interval_seconds: Time between two reads of the host list.
-        prefix: Start of the names of all records in the store.
     """
 
     store: Address
     host_list: Address
     timeout_seconds: Interval = 2.0
     host_list_interval_seconds: Interval = 1.0
-    prefix: Annotated[
-        str,
-        msgspec.Meta(
-            pattern=r'\A[A-Za-z0-9._/-]{1,64}\Z',
-            description='1 to 64 ASCII letters, digits, ".", "_", "/" or "-"',
-        ),
-    ] = 'carobwalk/'
--- a/src/carobwalk/settings/_ranges.py
+++ b/src/carobwalk/settings/_ranges.py
@@ -14,7 +14,6 @@
 _SHORTEST_WAIT: Final = 0.1
 _LONGEST_WAIT: Final = 3600
 _MOST_CONNECTIONS: Final = 100_000
-_LARGEST_WINDOW: Final = 16_777_216
 
 Interval = Annotated[
     float,
@@ -24,5 +23,3 @@
 Wait = Annotated[float, msgspec.Meta(ge=_SHORTEST_WAIT, le=_LONGEST_WAIT)]
 Connections = Annotated[int, msgspec.Meta(ge=1, le=_MOST_CONNECTIONS)]
 MessageSize = Annotated[int, msgspec.Meta(ge=KIBIBYTE, le=MEBIBYTE)]
-WindowSize = Annotated[int, msgspec.Meta(ge=KIBIBYTE, le=_LARGEST_WINDOW)]
-ShardCount = Annotated[int, msgspec.Meta(ge=1, le=KIBIBYTE)]
--- /dev/null
+++ b/tests/settings/test_use.py
@@ -0,0 +1,33 @@
+"""Tests that settings have an effect."""
+
+import ast
+from dataclasses import fields
+from pathlib import Path
+from typing import get_type_hints
+
+import pytest
+
+from carobwalk import app
+from carobwalk.settings import Settings
+
+SECTIONS = get_type_hints(Settings)
+
+
+def _attributes_read() -> set[str]:
+    """Return the names of all attributes in the composition root."""
+    folder = Path(app.__file__).parent
+    trees = [ast.parse(path.read_text()) for path in folder.rglob('*.py')]
+    return {
+        node.attr
+        for tree in trees
+        for node in ast.walk(tree)
+        if isinstance(node, ast.Attribute)
+    }
+
+
+class TestUse:
+    @pytest.mark.parametrize('section', sorted(SECTIONS))
+    def test_each_is_read(self, section: str) -> None:
+        """The composition root reads every setting."""
+        names = {member.name for member in fields(SECTIONS[section])}
+        assert names - _attributes_read() == set()
