Give serve an exit code for what the host refuses

Cause: an address in use or a log that can't be opened ended serve with a traceback and exit code 1, like an error of the program. Change: exit code 9 with one line. A page for operators lists all codes, and a test compares it with the program.

--- a/src/carobwalk/cli/_exit_codes.py
+++ b/src/carobwalk/cli/_exit_codes.py
@@ -8,7 +8,9 @@
     """Exit codes of all commands.
 
     ``FAILURE`` is an error of the program itself, ``USAGE`` a wrong command
-    line or settings file. With ``UNKNOWN`` a change may have taken effect.
+    line or settings file, ``INPUT`` another file that can't be read. With
+    ``UNKNOWN`` a change may have taken effect. With ``HOST`` an address or a
+    file of this host can't be used by ``serve``.
     """
 
     OK = 0
@@ -20,3 +22,4 @@
     CONFLICT = 6
     REFUSED = 7
     UNKNOWN = 8
+    HOST = 9
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -1,6 +1,7 @@
 """Tests of the command line."""
 
 import json
+import socket
 import sys
 from pathlib import Path
 from types import ModuleType
@@ -14,7 +15,8 @@
 from carobwalk.cli._commands import DuplicateCommandError
 from carobwalk.settings import Settings
 
-EXAMPLE = str(Path(__file__).parents[2] / 'docs' / 'example-settings.json5')
+DOCS = Path(__file__).parents[2] / 'docs'
+EXAMPLE = str(DOCS / 'example-settings.json5')
 
 
 def _run(*arguments: str) -> Result:
@@ -116,6 +118,35 @@
         monkeypatch.setitem(sys.modules, 'carobwalk.app', None)
         assert _run('serve', wrong_settings).exit_code == ExitCode.USAGE
 
+    def test_taken_address(self, tmp_path: Path) -> None:
+        """An address in use ends with the exit code for the host."""
+        with socket.create_server(('127.0.0.1', 0)) as taken:
+            port = taken.getsockname()[1]
+            text = Path(EXAMPLE).read_text()
+            text = text.replace('127.0.0.1:8000', f'127.0.0.1:{port}')
+            path = tmp_path / 'taken.json5'
+            path.write_text(text)
+            outcome = _run('serve', str(path))
+        assert outcome.exit_code == ExitCode.HOST
+        assert outcome.stderr.startswith('cannot serve: ')
+
+    def test_unusable_log(self, tmp_path: Path) -> None:
+        """A log that can't be opened ends with the exit code for the host."""
+        text = Path(EXAMPLE).read_text()
+        text = text.replace('path: null', f"path: '{tmp_path}'")
+        path = tmp_path / 'log.json5'
+        path.write_text(text)
+        outcome = _run('serve', str(path))
+        assert outcome.exit_code == ExitCode.HOST
+
+
+class TestExitCodes:
+    def test_page(self) -> None:
+        """The operators' page lists every exit code with its number."""
+        page = (DOCS / 'operators' / 'commands.md').read_text()
+        for code in ExitCode:
+            assert f'| {code.value} | ' in page
+
 
 class TestCompletion:
     @pytest.mark.parametrize('shell', ['bash', 'zsh', 'fish'])
