Give events of one moment a common mark in the picture

Cause: a change of coordinator logs dozens of events at once, and the picture of the 2,300 events of a demo was 3,732 units high. Change: events of one name and process within the width of a mark share one mark with their count; the tooltip lists them.

--- a/src/carobwalk/events/timeline/_layout.py
+++ b/src/carobwalk/events/timeline/_layout.py
@@ -1,37 +1,48 @@
 """Places of events in the picture of a time line."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from carobwalk.events._logged_event import LoggedEvent
+from carobwalk.events.timeline._grouping import MARK_WIDTH, group_events
 from carobwalk.events.timeline._printable import printable
 from carobwalk.events.timeline._rows import Rows
+from carobwalk.events.timeline._scale import Scale, scale_of
 
-LEFT: Final = 150.0
-RIGHT: Final = 1440.0
 TOP: Final = 50.0
 ROW_HEIGHT: Final = 16.0
 
 _LANE_GAP: Final = 14.0
 _CHARACTER_WIDTH: Final = 6.5
-_MARK_WIDTH: Final = 14.0
 _MOST_LABELS: Final = 400
 
 
 @dataclass(frozen=True, slots=True)
-class PlacedEvent:
-    """An event with its place; ``label`` is empty where there are too many."""
+class PlacedGroup:
+    """Events of one name and process that one mark stands for.
 
-    event: LoggedEvent
+    Args:
+        events: The events, too close in time for marks of their own.
+        left: Place of the first event.
+        top: Middle of the row.
+        label: Text beside the mark.
+    """
+
+    events: tuple[LoggedEvent, ...]
     left: float
     top: float
     label: str
 
+    @property
+    def name(self) -> str:
+        """Name of the events."""
+        return self.events[0].name
+
     @property
     def process(self) -> str:
-        """Process that logged the event."""
-        return self.event.process
+        """Process that logged the events."""
+        return self.events[0].process
 
     @property
     def point(self) -> tuple[float, float]:
@@ -53,23 +64,6 @@
         return self.top + self.height
 
 
-@dataclass(frozen=True, slots=True)
-class Scale:
-    """Time axis.
-
-    Args:
-        start: Wall time at the left end, in seconds since 1970.
-        duration: Seconds from the left to the right end, above 0.
-    """
-
-    start: float
-    duration: float
-
-    def left_of(self, seconds: float) -> float:
-        """Return the place of a time that is given from the start."""
-        return LEFT + (RIGHT - LEFT) * seconds / self.duration
-
-
 @dataclass(frozen=True, slots=True)
 class Layout:
     """Places of all lanes and events.
@@ -77,12 +71,14 @@
     Args:
         scale: Time axis.
         lanes: Lanes from top to bottom, by process.
-        events: Events in their causal order.
+        groups: Groups in the causal order of their first events.
+        group_numbers: For each event in causal order, the index of its group.
     """
 
     scale: Scale
     lanes: tuple[Lane, ...]
-    events: tuple[PlacedEvent, ...]
+    groups: tuple[PlacedGroup, ...]
+    group_numbers: tuple[int, ...]
 
     @property
     def bottom(self) -> float:
@@ -93,49 +89,47 @@
 def lay_out(events: Sequence[LoggedEvent]) -> Layout:
     """Return the places of merged events.
 
-    Events of one process that are close in time are put below each other.
+    Groups of one process that are close in time are put below each other.
     """
-    scale = _scale_of(events)
+    scale = scale_of(events)
+    grouping = group_events(events, scale)
+    is_labelled = len(grouping.groups) <= _MOST_LABELS
     rows_by_process = {
         process: Rows()
         for process in sorted({event.process for event in events})
     }
-    placed = [
-        _take_row(event, scale, rows_by_process, len(events))
-        for event in events
+    rows = [
+        _place_in_row(
+            group, scale, rows_by_process[group[0].process], is_labelled
+        )
+        for group in grouping.groups
     ]
     lanes = _stack(rows_by_process)
     tops_by_process = {lane.process: lane.top for lane in lanes}
-    moved = tuple(
-        PlacedEvent(
-            item.event,
-            item.left,
-            item.top + tops_by_process[item.process],
-            item.label,
-        )
-        for item in placed
-    )
-    return Layout(scale, tuple(lanes), moved)
-
-
-def _scale_of(events: Sequence[LoggedEvent]) -> Scale:
-    moments = [event.stamp.seconds for event in events]
-    start = min(moments, default=0)
-    return Scale(start, max(moments, default=0) - start or 1.0)
+    groups = [
+        replace(group, top=group.top + tops_by_process[group.process])
+        for group in rows
+    ]
+    return Layout(scale, tuple(lanes), tuple(groups), grouping.numbers)
 
 
-def _take_row(
-    event: LoggedEvent,
+def _place_in_row(
+    events: tuple[LoggedEvent, ...],
     scale: Scale,
-    rows_by_process: dict[str, Rows],
-    count: int,
-) -> PlacedEvent:
-    """Return the event with its place within its lane."""
-    label = printable(event.name) if count <= _MOST_LABELS else ''
-    left = scale.left_of(event.stamp.seconds - scale.start)
-    width = _MARK_WIDTH + _CHARACTER_WIDTH * len(label)
-    row = rows_by_process[event.process].take(left, width)
-    return PlacedEvent(event, left, ROW_HEIGHT * row + ROW_HEIGHT / 2, label)
+    rows: Rows,
+    is_labelled: bool,
+) -> PlacedGroup:
+    """Return a group with its place within its lane."""
+    label = _label_of(events, is_labelled)
+    left = scale.place(events[0])
+    row = rows.take(left, MARK_WIDTH + _CHARACTER_WIDTH * len(label))
+    return PlacedGroup(events, left, ROW_HEIGHT * row + ROW_HEIGHT / 2, label)
+
+
+def _label_of(events: tuple[LoggedEvent, ...], is_labelled: bool) -> str:
+    count = f'({len(events)})' if len(events) > 1 else ''
+    name = printable(events[0].name) if is_labelled else ''
+    return f'{name} {count}'.strip()
 
 
 def _stack(rows_by_process: dict[str, Rows]) -> list[Lane]:
--- a/src/carobwalk/events/timeline/_svg.py
+++ b/src/carobwalk/events/timeline/_svg.py
@@ -12,17 +12,16 @@
     add_text,
 )
 from carobwalk.events.timeline._layout import (
-    LEFT,
-    RIGHT,
     TOP,
     Layout,
-    PlacedEvent,
+    PlacedGroup,
     lay_out,
 )
 from carobwalk.events.timeline._marks import Mark, marks_by_name
-from carobwalk.events.timeline._printable import describe_fields, printable
+from carobwalk.events.timeline._printable import printable
 from carobwalk.events.timeline._renderers import renders
-from carobwalk.events.timeline._text import format_time
+from carobwalk.events.timeline._scale import LEFT, RIGHT
+from carobwalk.events.timeline._text import describe_event, format_time
 from carobwalk.events.timeline._ticks import format_tick, ticks_of
 
 _WIDTH: Final = 1600
@@ -34,6 +33,7 @@
 _TICK_HEIGHT: Final = 4
 _LABEL_OFFSET: Final = 10
 _STYLE: Final = 'font-family:sans-serif;font-size:11px'
+_MOST_LINES: Final = 20
 _REQUEST: Final = 'request'
 
 
@@ -60,9 +60,9 @@
     add_element(root, 'rect', width='100%', height='100%', fill='white')
     _draw_lanes(root, layout)
     _draw_axis(root, layout)
-    _draw_requests(root, layout)
-    for placed in layout.events:
-        _draw_event(root, placed, marks[placed.event.name])
+    _draw_requests(root, events, layout)
+    for group in layout.groups:
+        _draw_group(root, group, marks[group.name])
     _draw_legend(root, layout.bottom + _MARGIN + _MARGIN / 2, marks)
     return root
 
@@ -89,35 +89,39 @@
         left = layout.scale.left_of(tick)
         add_line(root, (left, line_top), (left, layout.bottom), width=0.5)
         add_text(root, (left, label_top), format_tick(tick), anchor='middle')
-    if layout.events:
-        begin = format_time(layout.events[0].event)
+    if layout.groups:
+        begin = format_time(layout.groups[0].events[0])
         add_text(root, (LEFT, _MARGIN), f'from {begin}')
 
 
-def _draw_requests(root: Tree.Element, layout: Layout) -> None:
+def _draw_requests(
+    root: Tree.Element,
+    events: Sequence[LoggedEvent],
+    layout: Layout,
+) -> None:
     """Connect the events of one request that follow each other elsewhere."""
-    last_by_request: dict[str, PlacedEvent] = {}
-    for placed in layout.events:
-        request = placed.event.fields.get(_REQUEST)
+    last_by_request: dict[str, PlacedGroup] = {}
+    for event, number in zip(events, layout.group_numbers, strict=True):
+        request = event.fields.get(_REQUEST)
         if request is None:
             continue
+        group = layout.groups[number]
         last = last_by_request.get(request)
-        if last is not None and last.process != placed.process:
-            add_line(root, last.point, placed.point)
-        last_by_request[request] = placed
-
-
-def _draw_event(root: Tree.Element, placed: PlacedEvent, mark: Mark) -> None:
-    event = placed.event
-    group = add_element(root, 'g')
-    add_element(group, 'title').text = (
-        f'{format_time(event)} {printable(event.process)} '
-        f'{printable(event.name)} {describe_fields(dict(event.fields))}'
-    )
-    add_path(group, mark.shape, mark.colour, placed.point)
-    if placed.label:
-        place = (placed.left + _LABEL_OFFSET, placed.top + _TICK_HEIGHT)
-        add_text(group, place, placed.label)
+        if last is not None and last.process != group.process:
+            add_line(root, last.point, group.point)
+        last_by_request[request] = group
+
+
+def _draw_group(root: Tree.Element, group: PlacedGroup, mark: Mark) -> None:
+    element = add_element(root, 'g')
+    lines = [describe_event(event) for event in group.events[:_MOST_LINES]]
+    if len(group.events) > _MOST_LINES:
+        lines.append(f'and {len(group.events) - _MOST_LINES} more')
+    add_element(element, 'title').text = '\n'.join(lines)
+    add_path(element, mark.shape, mark.colour, group.point)
+    if group.label:
+        place = (group.left + _LABEL_OFFSET, group.top + _TICK_HEIGHT)
+        add_text(element, place, group.label)
 
 
 def _draw_legend(
--- a/src/carobwalk/events/timeline/_text.py
+++ b/src/carobwalk/events/timeline/_text.py
@@ -32,5 +32,11 @@
     return f'{moment:%Y-%m-%dT%H:%M:%S.%f}Z/{event.stamp.counter}'
 
 
+def describe_event(event: LoggedEvent) -> str:
+    """Return an event on one line."""
+    process = printable(event.process)
+    return f'{format_time(event)} {process} {_describe(event)}'
+
+
 def _describe(event: LoggedEvent) -> str:
     return f'{printable(event.name)} {describe_fields(dict(event.fields))}'
