--- a/packaging/binary.mk
+++ b/packaging/binary.mk
@@ -4,4 +4,4 @@
 	$(BIN)/python packaging/build.py
 
 binary-check: binary
-	$(BIN)/python packaging/check.py
+	PYTHONPATH=packaging $(BIN)/python -m binary_check
--- a/packaging/build.py
+++ b/packaging/build.py
@@ -7,6 +7,7 @@
 import hashlib
 import os
 import shutil
+import stat
 import struct
 import subprocess
 import sys
@@ -21,6 +22,8 @@
 BUILD: Final = ROOT / 'build' / 'binary'
 DIST: Final = ROOT / 'dist'
 MAGIC: Final = b'carobwalk-bundle'
+EXECUTABLE: Final = 0o755
+DIGEST_BYTES: Final = 16
 ENTRY: Final = struct.Struct('=QII')
 TRAILER: Final = struct.Struct('=QQ32s16s')
 
@@ -83,9 +86,9 @@
     DIST.mkdir()
     target = DIST / PROGRAM
     target.write_bytes(join_parts(launcher.read_bytes(), files))
-    target.chmod(0o755)
-    megabytes = target.stat().st_size / 1e6
-    sys.stdout.write(f'{target}: {megabytes:.1f} MB, {len(files)} files\n')
+    target.chmod(EXECUTABLE)
+    size = target.stat().st_size
+    sys.stdout.write(f'{target}: {size} bytes, {len(files)} files\n')
 
 
 def bundle_program() -> Path:
@@ -121,7 +124,7 @@
     for path in sorted(bundle.rglob('*')):
         if path.is_file() and path.suffix not in UNUSED_SUFFIXES:
             name = str(path.relative_to(bundle))
-            mode = 0o700 if os.access(path, os.X_OK) else 0o600
+            mode = stat.S_IMODE(path.stat().st_mode) & stat.S_IRWXU
             yield BundledFile(name, path.read_bytes(), mode)
 
 
@@ -156,7 +159,9 @@
 def join_parts(launcher: bytes, files: list[BundledFile]) -> bytes:
     """Return the binary: launcher, entries, trailer."""
     entries = b''.join(file.encode() for file in files)
-    digest = hashlib.blake2b(entries, digest_size=16).hexdigest().encode()
+    digest = (
+        hashlib.blake2b(entries, digest_size=DIGEST_BYTES).hexdigest().encode()
+    )
     trailer = TRAILER.pack(len(launcher), len(files), digest, MAGIC)
     return b''.join((launcher, entries, trailer))
 
