Allow a lease of exactly three heartbeats

A test showed it first. Change: nearly equal times are equal, and the message has no noise; the text expected of one older message changes from 6.0 to 6 seconds.

--- a/src/carobwalk/settings/_checks.py
+++ b/src/carobwalk/settings/_checks.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from ipaddress import ip_address
+from math import isclose
 from typing import Final
 
 from carobwalk.settings._settings import Settings
@@ -74,11 +75,11 @@
         'grant_seconds': ownership.grant_seconds,
     }
     for name, seconds in times_by_name.items():
-        if seconds < shortest:
+        if seconds < shortest and not isclose(seconds, shortest):
             yield Contradiction(
                 f'ownership.{name}',
                 str(seconds),
-                f'at least {shortest} seconds, which is '
+                f'at least {shortest:g} seconds, which is '
                 f'{_HEARTBEATS_PER_LEASE} times heartbeat_seconds',
             )
 
