--- a/src/carobwalk/dispatch/_send_gate.py
+++ b/src/carobwalk/dispatch/_send_gate.py
@@ -16,7 +16,8 @@
     """Counts the sends of one request and reads the leases for each.
 
     Args:
-        read_tenure: Reads the dispatcher's lease and the owner's grant.
+        read_tenure: Reads the dispatcher's lease and the owner's grant
+            without counting a send.
         idempotent: Whether the request may be sent more than once.
         name: Identity of the request, for errors.
         progress: Told whether a byte may have reached the server.
@@ -30,7 +31,7 @@
         name: str,
         progress: CallProgress | None = None,
     ) -> None:
-        self._read_tenure = read_tenure
+        self.read_tenure = read_tenure
         self._idempotent = idempotent
         self._name = name
         self._progress = progress or CallProgress()
@@ -71,10 +72,6 @@
         self._expected = tenure
         self._note()
 
-    def tenure(self) -> Result[Tenure, NoLease]:
-        """Return the current tenure without counting a send."""
-        return self._read_tenure()
-
     def open(self) -> Result[FenceToken, NoLease]:
         """Return the fence token, and count the request as sent.
 
@@ -83,7 +80,7 @@
         """
         if not self.may_send:
             raise DoubleSendError(self._name)
-        tenure = self._read_tenure()
+        tenure = self.read_tenure()
         if isinstance(tenure, Err):
             return tenure
         if self._expected not in {None, tenure.ok_value}:
