Derive counts from events and store calls

Cause: retries, quarantines, moved shards, unavailable time and store calls had methods that no part called, so no scrape showed them. Weighed: calls in each part, which would bind ownership and dispatch to the metrics; a log before the log, since the events tell all this already. The second is taken, with a registry of recorders by the type of the event, and a store before the store. record_control_bytes is gone, and watch_gauge became watch, which takes counters that others keep too; nothing called either. The test of counters has the count of events in the place of control bytes.

--- /dev/null
+++ b/src/carobwalk/metrics/_counting_event_log.py
@@ -0,0 +1,30 @@
+"""Event log that also counts."""
+
+from carobwalk.events import Event, EventLog
+from carobwalk.metrics._event_recorders import Records, recorders_by_event
+from carobwalk.metrics._metrics import Metrics
+from carobwalk.metrics._shard_history import ShardHistory
+from carobwalk.model import Clock
+
+
+class CountingEventLog:
+    """Passes events on to a log, and counts what they tell.
+
+    Args:
+        log: Log that writes the events.
+        metrics: Takes the counts.
+        clock: Clock of the time for which shards have no owner.
+    """
+
+    def __init__(self, log: EventLog, metrics: Metrics, clock: Clock) -> None:
+        self._log = log
+        self._records = Records(metrics, ShardHistory(metrics, clock))
+
+    def emit(self, event: Event) -> None:
+        """Write one event, and count it."""
+        self._log.emit(event)
+        kind = type(event)
+        self._records.metrics.record_event(kind.__name__)
+        recorder = recorders_by_event.get(kind)
+        if recorder is not None:
+            recorder(self._records, event)
--- a/src/carobwalk/metrics/_instruments.py
+++ b/src/carobwalk/metrics/_instruments.py
@@ -48,11 +48,11 @@
     'Calls of the key-value service.',
     ('operation', 'result'),
 )
-CONTROL: Final = TallySpec(
-    'control',
-    BYTES,
-    'Bytes that processes exchanged besides requests and answers.',
-    ('direction',),
+EVENTS: Final = TallySpec(
+    'events',
+    '',
+    'Events by name, written or not.',
+    ('event',),
 )
 MOVED_SHARDS: Final = TallySpec(
     'shards.moved',
@@ -71,7 +71,7 @@
     RETRIES,
     QUARANTINES,
     STORE_CALLS,
-    CONTROL,
+    EVENTS,
     MOVED_SHARDS,
     UNAVAILABLE,
 )
--- a/src/carobwalk/metrics/_metrics.py
+++ b/src/carobwalk/metrics/_metrics.py
@@ -1,6 +1,5 @@
 """Metrics of one process."""
 
-from collections.abc import Callable, Iterable
 from functools import partial
 from typing import Final
 
@@ -12,7 +11,7 @@
 
 from carobwalk._version import VERSION
 from carobwalk.metrics._instruments import (
-    CONTROL,
+    EVENTS,
     MOVED_SHARDS,
     QUARANTINES,
     RETRIES,
@@ -22,7 +21,7 @@
     create_tallies,
     observe_process,
 )
-from carobwalk.metrics._reading import Reading
+from carobwalk.metrics._watched import Watched
 from carobwalk.model import Outcome, Rank, ServiceName
 
 LATENCY_BOUNDS: Final = (
@@ -116,15 +115,6 @@
         """
         self._tallies[STORE_CALLS].add(1, operation, result)
 
-    def record_control_bytes(self, direction: str, count: int) -> None:
-        """Add bytes that processes exchange besides requests and answers.
-
-        Args:
-            direction: ``sent`` or ``received``.
-            count: Number of bytes.
-        """
-        self._tallies[CONTROL].add(count, direction)
-
     def record_moved_shards(self, service: ServiceName, count: int) -> None:
         """Count shards that were given to another backend server."""
         self._tallies[MOVED_SHARDS].add(count, service)
@@ -133,23 +123,22 @@
         """Add shard-seconds during which no server owned a shard."""
         self._tallies[UNAVAILABLE].add(seconds, service)
 
-    def watch_gauge(
-        self,
-        name: str,
-        description: str,
-        read: Callable[[], Iterable[Reading]],
-    ) -> None:
-        """Read a gauge at each scrape.
+    def record_event(self, name: str) -> None:
+        """Count an event by its name."""
+        self._tallies[EVENTS].add(1, name)
 
-        Args:
-            name: Name without the common prefix, parts split by dots.
-            description: What it shows, with its unit.
-            read: Returns the values of now.
-        """
-        self._meter.create_observable_gauge(
-            name,
-            callbacks=[partial(_observe_gauge, read)],
-            description=description,
+    def watch(self, watched: Watched) -> None:
+        """Read values that another part keeps at each scrape."""
+        create = (
+            self._meter.create_observable_counter
+            if watched.is_rising
+            else self._meter.create_observable_gauge
+        )
+        create(
+            watched.name,
+            callbacks=[partial(_observe, watched)],
+            unit=watched.unit,
+            description=watched.description,
         )
 
     def render(self) -> bytes:
@@ -157,10 +146,11 @@
         return generate_latest(self._registry)
 
 
-def _observe_gauge(
-    read: Callable[[], Iterable[Reading]],
+def _observe(
+    watched: Watched,
     options: CallbackOptions,
 ) -> list[Observation]:
     return [
-        Observation(reading.value, dict(reading.labels)) for reading in read()
+        Observation(reading.value, dict(reading.labels))
+        for reading in watched.read()
     ]
--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -17,6 +17,7 @@
     Metrics,
     Reading,
     ScrapeHandler,
+    Watched,
     cpu_seconds,
     resident_bytes,
 )
@@ -95,7 +96,7 @@
         metrics.record_quarantine(SERVICE)
         metrics.record_store_call('write', 'conflict')
         metrics.record_store_call('write', 'conflict')
-        metrics.record_control_bytes('sent', 700)
+        metrics.record_event('ShardMoved')
         metrics.record_moved_shards(SERVICE, 12)
         metrics.record_unavailable(SERVICE, 2.5)
         service = {'service': SERVICE}
@@ -105,7 +106,7 @@
             ('carobwalk_retries_total', service, 1),
             ('carobwalk_quarantines_total', service, 1),
             ('carobwalk_store_calls_total', write, 2),
-            ('carobwalk_control_bytes_total', {'direction': 'sent'}, 700),
+            ('carobwalk_events_total', {'event': 'ShardMoved'}, 1),
             ('carobwalk_shards_moved_total', service, 12),
             ('carobwalk_shards_unavailable_seconds_total', service, 2.5),
         )
@@ -136,15 +137,29 @@
 
 class TestGauges:
     def test_watch(self, metrics: Metrics) -> None:
-        """A gauge is read at the time of the scrape."""
-        depth = [1.0]
-        metrics.watch_gauge(
-            'queue.length',
-            'Requests that wait.',
-            lambda: [Reading(depth[0], {'server': 's1'})],
+        """Watched values are read at the time of the scrape."""
+        values = [1.0, 10.0]
+        metrics.watch(
+            Watched(
+                name='queue.length',
+                description='Requests that wait.',
+                read=lambda: [Reading(values[0], {'server': 's1'})],
+            ),
         )
-        depth[0] = 7
+        metrics.watch(
+            Watched(
+                name='peer',
+                description='Bytes exchanged with other processes.',
+                read=lambda: [Reading(values[1], {'direction': 'sent'})],
+                unit='By',
+                is_rising=True,
+            ),
+        )
+        values[0] = 7
+        values[1] = 12
         assert _value(metrics, 'carobwalk_queue_length', server='s1') == 7
+        sent = _value(metrics, 'carobwalk_peer_bytes_total', direction='sent')
+        assert sent == 12
 
     def test_process(self, metrics: Metrics) -> None:
         """The process's own processor time and memory are shown."""
