--- a/benchmarks/_dispatch_run.py
+++ b/benchmarks/_dispatch_run.py
@@ -1,7 +1,7 @@
 """Runs of arrivals over a forwarder on a virtual clock."""
 
 import functools
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import trio
@@ -33,6 +33,8 @@
 from carobwalk.profiles import Catalogue, Profile, Service
 
 PROFILE = Profile(name=ProfileName('bench'))
+Spread = Callable[[bytes], Awaitable[None]]
+
 _HUNDRED = 100
 _DIGITS = 4
 
@@ -88,9 +90,14 @@
     )
 
 
+async def keep(snapshot: bytes) -> None:
+    """Tell no other entry."""
+
+
 def pool_of(
     servers: Iterable[FakeServer],
     profile: Profile = PROFILE,
+    spread: Spread = keep,
 ) -> DispatchPool:
     """Return the product's dispatchers before fake servers."""
     servers_by_name = {server.name: server for server in servers}
@@ -100,6 +107,7 @@
         clock=TrioClock(),
         events=NullEventLog(),
         wall_clock=trio.current_time,
+        spread=spread,
     )
     return DispatchPool(context, functools.partial(connect, servers_by_name))
 
--- a/benchmarks/_dispatch_server.py
+++ b/benchmarks/_dispatch_server.py
@@ -66,6 +66,7 @@
     started_at: float = 0
     present: int = 0
     crashes: int = 0
+    attempts: int = 0
     sends: int = 0
     sheds: int = 0
     busy_seconds: float = 0
@@ -171,6 +172,7 @@
         sink: ReplySink,
     ) -> Result[Completion, UpstreamFailure]:
         """Send a request and answer it with a short body."""
+        self._server.attempts += 1
         await trio.sleep(_LATENCY_SECONDS)
         if self._server.fault is Fault.DOWN:
             return Err(NotConnected('connection refused'))
--- /dev/null
+++ b/benchmarks/gray.py
@@ -0,0 +1,303 @@
+"""Servers that are slow, frozen or lying while they seem healthy."""
+
+import json
+import sys
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from functools import partial
+from random import Random
+from types import MappingProxyType
+
+import trio
+from result import Result
+from trio.testing import MockClock
+
+from benchmarks._dispatch_fleet import fleet_traffic
+from benchmarks._dispatch_naive import NaiveForwarder
+from benchmarks._dispatch_run import (
+    Playback,
+    Record,
+    latency,
+    placement_of,
+    pool_of,
+    rounded,
+)
+from benchmarks._dispatch_server import FakeServer, Fault
+from benchmarks._dispatch_traffic import Arrival
+from carobwalk.dispatch import DispatchPool
+from carobwalk.model import (
+    Call,
+    Completion,
+    Failure,
+    Forwarder,
+    Placement,
+    Rank,
+    ReplySink,
+)
+
+DETECTION_TARGET_SECONDS = 5
+ANSWERED_TARGET = 0.98
+
+_SERVERS = 6
+_MOST_EJECTED = 2
+_LOAD = 0.5
+_FAULT = (10.0, 30.0)
+_END = 40.0
+_P99 = 99
+_SLOW_FACTOR = 10
+_POLL_SECONDS = 0.05
+
+
+def _slow(server: FakeServer) -> None:
+    server.factor = _SLOW_FACTOR
+
+
+def _freeze(server: FakeServer) -> None:
+    server.fault = Fault.FROZEN
+
+
+def _lie(server: FakeServer) -> None:
+    server.fault = Fault.LYING
+
+
+_FAULTS_BY_NAME: Mapping[str, Callable[[FakeServer], None]] = MappingProxyType(
+    {'slow': _slow, 'frozen': _freeze, 'lying': _lie},
+)
+
+
+class ChoosingForwarder:
+    """Sends unkeyed work where the entry's own outcomes are best."""
+
+    def __init__(
+        self,
+        pool: DispatchPool,
+        placements: Sequence[Placement],
+    ) -> None:
+        self._pool = pool
+        self._placements = placements
+
+    async def forward(
+        self,
+        call: Call,
+        placement: Placement,
+        sink: ReplySink,
+    ) -> Result[Completion, Failure]:
+        """Run a request at the server that the chooser names."""
+        chooser = self._pool.chooser
+        chosen = chooser.choose(self._placements) or placement
+        began_at = trio.current_time()
+        with chooser.sending(chosen):
+            ending = await self._pool.forward(call, chosen, sink)
+        chooser.record(chosen, ending, trio.current_time() - began_at)
+        return ending
+
+
+class GrayFailure:
+    """A run in which some servers fail without going down.
+
+    Args:
+        seed: Seed of the arrivals.
+        faulty: Number of servers that fail.
+    """
+
+    def __init__(self, seed: int, faulty: int = 1) -> None:
+        self._arrivals = fleet_traffic(Random(seed), _SERVERS, _LOAD, _END)
+        self._servers = [
+            FakeServer(name=f'server-{number}', started_at=-_END)
+            for number in range(_SERVERS)
+        ]
+        self._faulty = self._servers[:faulty]
+        self._placements = [placement_of(server) for server in self._servers]
+        self._detections: list[float] = []
+        self._most_ejected = 0
+
+    async def run_naive(
+        self,
+        fail: Callable[[FakeServer], None],
+    ) -> dict[str, float]:
+        """Spread the work over the servers that say they are healthy."""
+        servers_by_name = {server.name: server for server in self._servers}
+        forwarder = NaiveForwarder(
+            lambda placement: servers_by_name[placement.server.name],
+        )
+        place = partial(_healthy, self._servers, self._placements)
+        records = await self._play(forwarder, place, fail)
+        return rounded(self._shares(records))
+
+    async def run_unkeyed(
+        self,
+        fail: Callable[[FakeServer], None],
+    ) -> dict[str, float]:
+        """Choose a server for each request."""
+        pool = pool_of(self._servers)
+        forwarder = ChoosingForwarder(pool, self._placements)
+        async with trio.open_nursery() as nursery:
+            ejected = partial(pool.chooser.ejected, self._placements)
+            nursery.start_soon(self._watch, ejected)
+            records = await self._play(forwarder, self._owner, fail)
+            nursery.cancel_scope.cancel()
+        return rounded(
+            {
+                **self._shares(records),
+                **self._first_detection(),
+                'most_ejected': self._most_ejected,
+            },
+        )
+
+    async def run_keyed(
+        self,
+        fail: Callable[[FakeServer], None],
+    ) -> dict[str, float]:
+        """Send each request to the owner of its key, and only there."""
+        pool = pool_of(self._servers)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, lambda: pool.suspected)
+            records = await self._play(pool, self._owner, fail)
+            nursery.cancel_scope.cancel()
+        others = [
+            record
+            for record in records
+            if self._owner(record.arrival).server.name != 'server-0'
+        ]
+        return rounded(
+            {
+                'others_answered': _answered(others),
+                'others_lookup_p99_s': latency(
+                    others,
+                    Rank.LOOKUP,
+                    _FAULT,
+                    _P99,
+                ),
+                **self._first_detection(),
+            },
+        )
+
+    async def _play(
+        self,
+        forwarder: Forwarder,
+        place: Callable[[Arrival], Placement],
+        fail: Callable[[FakeServer], None],
+    ) -> list[Record]:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._fail, fail)
+            return await Playback(forwarder, place).run(self._arrivals)
+
+    async def _fail(self, fail: Callable[[FakeServer], None]) -> None:
+        await trio.sleep_until(_FAULT[0])
+        for server in self._faulty:
+            fail(server)
+        await trio.sleep_until(_FAULT[1])
+        for mended in self._faulty:
+            mended.factor = 1
+            mended.thaw()
+
+    async def _watch(self, suspected: Callable[[], frozenset[str]]) -> None:
+        await trio.sleep_until(_FAULT[0])
+        while True:
+            await trio.sleep(_POLL_SECONDS)
+            found = suspected()
+            self._most_ejected = max(self._most_ejected, len(found))
+            if 'server-0' in found:
+                self._detections.append(trio.current_time() - _FAULT[0])
+
+    def _shares(self, records: list[Record]) -> dict[str, float]:
+        return {
+            'answered': _answered(records),
+            'lookup_p99_s': latency(records, Rank.LOOKUP, _FAULT, _P99),
+        }
+
+    def _first_detection(self) -> dict[str, float]:
+        if self._detections:
+            return {'detected_after_s': self._detections[0]}
+        return {}
+
+    def _owner(self, arrival: Arrival) -> Placement:
+        return self._placements[arrival.number % _SERVERS]
+
+
+def _healthy(
+    servers: Sequence[FakeServer],
+    placements: Sequence[Placement],
+    arrival: Arrival,
+) -> Placement:
+    """Return one of the servers whose health endpoint answers, in turn."""
+    healthy = [
+        placement
+        for placement, server in zip(placements, servers, strict=True)
+        if server.health_answer
+    ]
+    return healthy[arrival.number % len(healthy)]
+
+
+def _answered(records: Sequence[Record]) -> float:
+    start, end = _FAULT
+    within = [each for each in records if start <= each.arrival.at < end]
+    return sum(each.failure is None for each in within) / len(within)
+
+
+def figures(seed: int, name: str) -> dict[str, dict[str, float]]:
+    """Return the figures of one fault in all three modes."""
+    fail = _FAULTS_BY_NAME[name]
+    return {
+        'naive': _run(GrayFailure(seed).run_naive, fail),
+        'unkeyed': _run(GrayFailure(seed).run_unkeyed, fail),
+        'keyed': _run(GrayFailure(seed).run_keyed, fail),
+    }
+
+
+def _run(
+    mode: Callable[
+        [Callable[[FakeServer], None]],
+        Awaitable[dict[str, float]],
+    ],
+    fail: Callable[[FakeServer], None],
+) -> dict[str, float]:
+    clock = MockClock(autojump_threshold=0)
+    return trio.run(mode, fail, clock=clock)
+
+
+def meets_targets(name: str, modes: dict[str, dict[str, float]]) -> bool:
+    """Return whether the product's figures of one fault meet the targets."""
+    unkeyed, keyed = modes['unkeyed'], modes['keyed']
+    slowest = max(
+        mode.get('detected_after_s', _END) for mode in (unkeyed, keyed)
+    )
+    is_found = name == 'slow' or slowest <= DETECTION_TARGET_SECONDS
+    return all(
+        (
+            is_found,
+            unkeyed['answered'] >= ANSWERED_TARGET,
+            keyed['others_answered'] >= 1,
+        ),
+    )
+
+
+def main(seed: int) -> int:
+    """Play the failures and print the figures as JSON.
+
+    Args:
+        seed: Seed of the arrivals.
+
+    Returns:
+        0 if the targets are met, otherwise 1.
+    """
+    modes_by_fault = {name: figures(seed, name) for name in _FAULTS_BY_NAME}
+    all_lie = _run(GrayFailure(seed, _SERVERS).run_unkeyed, _lie)
+    is_ok = all(
+        meets_targets(name, modes) for name, modes in modes_by_fault.items()
+    )
+    report = {
+        'bench': 'gray',
+        'seed': seed,
+        'servers': _SERVERS,
+        'faults': modes_by_fault,
+        'most_ejected_while_all_lie': all_lie['most_ejected'],
+        'target': {
+            'detected_after_s': DETECTION_TARGET_SECONDS,
+            'answered': ANSWERED_TARGET,
+            'others_answered': 1,
+            'most_ejected': _MOST_EJECTED,
+        },
+        'ok': is_ok and all_lie['most_ejected'] <= _MOST_EJECTED,
+    }
+    sys.stdout.write(f'{json.dumps(report)}\n')
+    return 0 if report['ok'] else 1
--- /dev/null
+++ b/benchmarks/ranks.py
@@ -0,0 +1,157 @@
+"""Service by rank as the load grows beyond the capacity."""
+
+import json
+import sys
+from collections.abc import Mapping
+from dataclasses import replace
+from random import Random
+from types import MappingProxyType
+
+import trio
+from trio.testing import MockClock
+
+from benchmarks._dispatch_naive import NaiveForwarder
+from benchmarks._dispatch_run import (
+    PROFILE,
+    Playback,
+    Record,
+    goodput,
+    latency,
+    placement_of,
+    pool_of,
+    rounded,
+)
+from benchmarks._dispatch_server import FakeServer
+from benchmarks._dispatch_traffic import SLOTS, Arrival, poisson
+from carobwalk.model import Forwarder, Rank
+
+LOADS = (0.5, 1.0, 1.5, 2.0, 3.0)
+KEPT_TARGET = 0.9
+VALUES_BY_RANK: Mapping[Rank, float] = MappingProxyType(
+    {Rank.LOOKUP: 1, Rank.MONEY: 5, Rank.BULK: 4},
+)
+
+_END = 30.0
+_SPAN = (5.0, _END)
+_MEDIAN = 50
+_P99 = 99
+
+
+def traffic(seed: int, load: float) -> list[Arrival]:
+    """Return arrivals of all ranks, each in proportion to its share.
+
+    Args:
+        seed: Seed of the draws.
+        load: Mean work in parts of the capacity.
+    """
+    random = Random(seed)
+    arrivals: list[Arrival] = []
+    for rank in Rank:
+        slots = PROFILE.shares[rank] * SLOTS * load
+        arrivals.extend(poisson(random, rank, slots, (0, _END)))
+    return arrivals
+
+
+def best_value(arrivals: list[Arrival]) -> float:
+    """Return a bound on the value that any schedule can serve.
+
+    It fills the slot time of the whole trace with the requests of most value
+    for their work, and ignores when they come and end.
+    """
+    room = SLOTS * _END
+    value: float = 0
+    by_density = sorted(
+        arrivals,
+        key=lambda each: VALUES_BY_RANK[each.rank] / each.work,
+        reverse=True,
+    )
+    for arrival in by_density:
+        part = min(1, max(room, 0) / arrival.work)
+        value += part * VALUES_BY_RANK[arrival.rank]
+        room -= arrival.work
+    return value
+
+
+def figures(seed: int, load: float, policy: str | None) -> dict[str, object]:
+    """Return the figures of one load under one policy.
+
+    Args:
+        seed: Seed of the arrivals.
+        load: Mean work in parts of the capacity.
+        policy: Queue policy of the product; ``None`` for the baseline.
+    """
+    arrivals = traffic(seed, load)
+    clock = MockClock(autojump_threshold=0)
+    records = trio.run(_play, arrivals, policy, clock=clock)
+    served = sum(
+        VALUES_BY_RANK[record.arrival.rank]
+        for record in records
+        if record.failure is None
+    )
+    return {
+        'value_of_optimum': round(served / best_value(arrivals), 4),
+        'ranks': {rank.value: _rank_figures(records, rank) for rank in Rank},
+    }
+
+
+async def _play(arrivals: list[Arrival], policy: str | None) -> list[Record]:
+    server = FakeServer(name='server-1', started_at=-_END)
+    placement = placement_of(server)
+    forwarder: Forwarder = NaiveForwarder(lambda _: server)
+    if policy is not None:
+        profile = replace(PROFILE, dispatch_policy=policy)
+        forwarder = pool_of([server], profile)
+    return await Playback(forwarder, lambda _: placement).run(arrivals)
+
+
+def _rank_figures(records: list[Record], rank: Rank) -> dict[str, float]:
+    own = [record for record in records if record.arrival.rank is rank]
+    return rounded(
+        {
+            'goodput_slots': goodput(records, rank, _SPAN),
+            'p50_s': latency(records, rank, _SPAN, _MEDIAN),
+            'p99_s': latency(records, rank, _SPAN, _P99),
+            'refused': sum(each.failure is not None for each in own) / len(own),
+        },
+    )
+
+
+def keeps_shares(load: float, product: dict[str, object]) -> bool:
+    """Return whether each rank has its guaranteed share, if it needs it."""
+    figures_by_rank = product['ranks']
+    assert isinstance(figures_by_rank, dict)
+    return all(
+        figures_by_rank[rank.value]['goodput_slots']
+        >= KEPT_TARGET * PROFILE.shares[rank] * SLOTS * min(load, 1)
+        for rank in Rank
+    )
+
+
+def main(seed: int) -> int:
+    """Play all loads and print the figures as JSON.
+
+    Args:
+        seed: Seed of the arrivals.
+
+    Returns:
+        0 if the targets are met, otherwise 1.
+    """
+    policies = ('fifo', 'strict', 'deficit-round-robin', 'guaranteed-shares')
+    runs: dict[str, dict[str, object]] = {}
+    is_ok = True
+    for load in LOADS:
+        run = {policy: figures(seed, load, policy) for policy in policies}
+        run['naive'] = figures(seed, load, None)
+        product = run[PROFILE.dispatch_policy]
+        is_ok = is_ok and keeps_shares(load, product)
+        runs[str(load)] = {**run}
+    report = {
+        'bench': 'ranks',
+        'seed': seed,
+        'product': PROFILE.dispatch_policy,
+        'runs_by_load': runs,
+        'target': {'kept_of_guaranteed_share': KEPT_TARGET},
+        'ok': is_ok,
+    }
+    sys.stdout.write(f'{json.dumps(report)}\n')
+    return 0 if is_ok else 1
--- a/src/carobwalk/dispatch/_server_chooser.py
+++ b/src/carobwalk/dispatch/_server_chooser.py
@@ -66,7 +66,7 @@
     def sending(self, placement: Placement) -> Iterator[None]:
         """Count a request as present at a server for a block."""
         candidate = self._of(placement)
-        candidate.begin()
+        candidate.begin(self._clock.now())
         try:
             yield
         finally:
@@ -87,7 +87,7 @@
         """
         candidate = self._of(placement)
         if isinstance(ending, Ok):
-            candidate.succeeded(seconds)
+            candidate.succeeded(seconds, self._clock.now())
         elif ending.err_value.kind in _REFUSALS:
             candidate.refused(self._clock.now())
         elif _is_loss(ending.err_value):
@@ -105,13 +105,13 @@
         most = int(len(placements) * _MOST_EJECTED)
         latest_first = sorted(
             placements,
-            key=lambda each: self._of(each).ejected_until,
+            key=lambda each: self._of(each).ejected_until(now),
             reverse=True,
         )
         return frozenset(
             placement.server.name
             for placement in latest_first[:most]
-            if self._of(placement).ejected_until > now
+            if self._of(placement).ejected_until(now) > now
         )
 
     def _cheapest_of_first_region(
