--- a/src/carobwalk/admin/routes/_tokens.py
+++ b/src/carobwalk/admin/routes/_tokens.py
@@ -7,10 +7,10 @@
 from carobwalk.admin._bodies import Deletion, NewToken
 from carobwalk.admin._error_view import error_response
 from carobwalk.admin._exchange import Exchange
-from carobwalk.admin._route import Route, serves
+from carobwalk.admin._route import DRY_RUN, Route, serves
 from carobwalk.admin._state_views import TokenView
 from carobwalk.admin._tokens import hash_secret, issue_token
-from carobwalk.admin._views import WriteView
+from carobwalk.admin._views import PreviewView, WriteView
 from carobwalk.admin._writes import Statement, answer_write
 from carobwalk.http import HttpResponse
 from carobwalk.profiles import Action, Role, Subject, SubjectKind
@@ -25,7 +25,8 @@
         path='/v1/tokens',
         roles=_ALL_ROLES,
         body=NewToken,
-        answers=(TokenView,),
+        answers=(TokenView, PreviewView),
+        query=(DRY_RUN,),
         writes=True,
     ),
 )
@@ -47,7 +48,7 @@
         reason=body.reason,
     )
     answer = await answer_write(exchange, statement)
-    if answer.status != _OK:
+    if exchange.is_dry_run or answer.status != _OK:
         return answer
     revision = int(answer.headers['etag'].strip('"'))
     return ok_response(
@@ -62,7 +63,8 @@
         path='/v1/tokens/{operator}',
         roles=_ALL_ROLES,
         body=Deletion,
-        answers=(WriteView,),
+        answers=(WriteView, PreviewView),
+        query=(DRY_RUN,),
         writes=True,
     ),
 )
--- /dev/null
+++ b/src/carobwalk/cli/_admin_profile_reads.py
@@ -0,0 +1,121 @@
+"""The commands ``profile`` that read."""
+
+from typing import Any
+
+import click
+
+from carobwalk.cli._admin_answer import AdminSession
+from carobwalk.cli._admin_connection import AdminCall
+from carobwalk.cli._admin_history import (
+    changes_of,
+    compare_resolved,
+    net_changes,
+)
+from carobwalk.cli._admin_session import session_options
+from carobwalk.cli._admin_text import (
+    change_lines,
+    field_lines,
+    table_lines,
+    value_text,
+)
+from carobwalk.cli._commands import register
+
+PROFILES_PATH = '/v1/profiles'
+_MANY = 1_000_000
+_PAGE = 20
+
+
+def fetch_profile(session: AdminSession, name: str) -> dict[str, Any]:
+    """Return a profile as the administration shows it."""
+    path = f'{PROFILES_PATH}/{name}'
+    return session.fetch(AdminCall(method='GET', path=path))
+
+
+def fetch_profiles(session: AdminSession) -> dict[str, Any]:
+    """Return the list of profiles."""
+    return session.fetch(AdminCall(method='GET', path=PROFILES_PATH))
+
+
+@register
+@click.group('profile')
+def profile_group() -> None:
+    """Look at profiles and change them."""
+
+
+@profile_group.command('list')
+@session_options
+def list_profiles(session: AdminSession) -> None:
+    """List all profiles."""
+    answer = fetch_profiles(session)
+    rows = [
+        (
+            profile['name'],
+            profile['revision'],
+            profile['parent'] or '-',
+            profile['services'],
+        )
+        for profile in answer['profiles']
+    ]
+    header = ('NAME', 'REVISION', 'PARENT', 'SERVICES')
+    session.echo(answer, *table_lines([header, *rows]))
+
+
+@profile_group.command('show')
+@click.argument('name')
+@session_options
+def show_profile(session: AdminSession, name: str) -> None:
+    """Show the profile NAME with inherited values."""
+    answer = fetch_profile(session, name)
+    rows = [
+        (field, 'yes' if field in answer['fields'] else '-', value_text(value))
+        for field, value in sorted(answer['resolved'].items())
+    ]
+    services = ', '.join(answer['services']) or '-'
+    parent = answer['fields'].get('parent', '-')
+    revision = answer['revision']
+    session.echo(
+        answer,
+        f'profile {name} at revision {revision}',
+        f'parent {parent}, services {services}',
+        *table_lines([('FIELD', 'SET HERE', 'VALUE'), *rows]),
+    )
+
+
+@profile_group.command('history')
+@click.argument('name')
+@click.option('--limit', default=_PAGE, show_default=True, help='Most changes.')
+@session_options
+def show_history(session: AdminSession, name: str, limit: int) -> None:
+    """Show who changed the profile NAME, when, why and how."""
+    changes = changes_of(session, f'profile/{name}', limit)
+    lines = [line for change in changes for line in change_lines(change)]
+    session.echo({'changes': changes}, *lines)
+
+
+@profile_group.command('diff')
+@click.argument('name')
+@click.argument('other', required=False)
+@click.option(
+    '--since',
+    type=click.IntRange(min=0),
+    default=0,
+    help='Revision to compare with; from the start if left out.',
+)
+@session_options
+def show_difference(
+    session: AdminSession,
+    name: str,
+    other: str | None,
+    since: int,
+) -> None:
+    """Show how NAME changed since a revision, or differs from OTHER."""
+    if other is None:
+        changes = changes_of(session, f'profile/{name}', _MANY, since)
+        fields = net_changes(changes)
+    else:
+        fields = compare_resolved(
+            fetch_profile(session, name),
+            fetch_profile(session, other),
+        )
+    lines = list(field_lines(fields)) or ['no difference']
+    session.echo({'fields': fields}, *lines)
--- /dev/null
+++ b/src/carobwalk/cli/_admin_session.py
@@ -0,0 +1,62 @@
+"""Options that name an entry, a token and the format of the answer."""
+
+import functools
+import re
+from collections.abc import Callable
+from typing import Any, Final
+
+import click
+
+from carobwalk.cli._admin_answer import AdminSession
+from carobwalk.cli._admin_connection import AdminConnection
+from carobwalk.cli._output import output_option
+from carobwalk.model import Address
+
+_ADDRESS: Final = re.compile(
+    r'\[?(?P<host>[0-9a-fA-F.:]+?)\]?:(?P<port>[0-9]+)',
+)
+
+
+class _AddressType(click.ParamType[Address]):
+    """An IP number and a port."""
+
+    name = 'host:port'
+
+    def convert(
+        self,
+        value: Any,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> Address:
+        """Return the address that a text names."""
+        match = _ADDRESS.fullmatch(str(value))
+        if match is None:
+            self.fail(f'{value!r} is not HOST:PORT', param, ctx)
+        return Address(match['host'], int(match['port']))
+
+
+_ADDRESS_OPTION: Final = click.option(
+    '--address',
+    type=_AddressType(),
+    envvar='CAROBWALK_ADDRESS',
+    required=True,
+    help='Administration of any entry, as HOST:PORT.',
+)
+_TOKEN_OPTION: Final = click.option(
+    '--token',
+    envvar='CAROBWALK_TOKEN',
+    required=True,
+    help='Your token; better set in the environment.',
+)
+
+
+def session_options(function: Callable[..., Any]) -> Callable[..., Any]:
+    """Add the options of every call, passed on as ``session``."""
+
+    @functools.wraps(function)
+    def wrapper(*args: Any, **named: Any) -> Any:
+        connection = AdminConnection(named.pop('address'), named.pop('token'))
+        session = AdminSession(connection, named.pop('output'))
+        return function(*args, session=session, **named)
+
+    return _ADDRESS_OPTION(_TOKEN_OPTION(output_option(wrapper)))
--- /dev/null
+++ b/src/carobwalk/cli/_admin_token.py
@@ -0,0 +1,79 @@
+"""The commands ``token``."""
+
+import click
+
+from carobwalk.admin import Token, hash_secret, issue_token
+from carobwalk.cli._admin_answer import AdminSession
+from carobwalk.cli._admin_profile_reads import fetch_profiles
+from carobwalk.cli._admin_session import session_options
+from carobwalk.cli._admin_write import (
+    WriteOptions,
+    send_write,
+    write_options,
+)
+from carobwalk.cli._commands import register
+from carobwalk.cli._output import OutputFormat, echo_json, output_option
+
+_PATH = '/v1/tokens'
+_ROLES = ('read', 'edit', 'assign')
+_FIRST_OPERATOR = 'bootstrap'
+
+
+@register
+@click.group('token')
+def token_group() -> None:
+    """Give operators tokens."""
+
+
+@token_group.command('bootstrap')
+@output_option
+def make_bootstrap(output: str) -> None:
+    """Make the first token, and the hash of it for the settings file."""
+    token: Token = issue_token(_FIRST_OPERATOR)
+    secret_hash = hash_secret(token)
+    if output == OutputFormat.JSON:
+        echo_json({'token': str(token), 'hash': secret_hash})
+        return
+    click.echo(f'token {token}')
+    click.echo(f'hash {secret_hash}')
+
+
+@token_group.command('create')
+@click.argument('operator')
+@click.option(
+    '--role',
+    'roles',
+    type=click.Choice(_ROLES),
+    multiple=True,
+    required=True,
+    help='Right that the token carries; may be repeated.',
+)
+@write_options
+@session_options
+def create_token(
+    session: AdminSession,
+    write: WriteOptions,
+    operator: str,
+    roles: tuple[str, ...],
+) -> None:
+    """Issue a token to OPERATOR; it is shown once, and ends an earlier one."""
+    base = write.base_or(fetch_profiles(session)['revision'])
+    answer = session.fetch(
+        write.call('POST', _PATH, base, operator=operator, roles=roles),
+    )
+    session.echo(answer, answer.get('token', 'dry run: no token was made'))
+
+
+@token_group.command('delete')
+@click.argument('operator')
+@write_options
+@session_options
+def delete_token(
+    session: AdminSession,
+    write: WriteOptions,
+    operator: str,
+) -> None:
+    """End the token of OPERATOR."""
+    base = write.base_or(fetch_profiles(session)['revision'])
+    path = f'{_PATH}/{operator}'
+    send_write(session, write.call('DELETE', path, base))
--- /dev/null
+++ b/src/carobwalk/cli/_status.py
@@ -0,0 +1,68 @@
+"""The command ``status``."""
+
+import time
+from typing import Any
+
+import click
+
+from carobwalk.cli._admin_answer import AdminSession
+from carobwalk.cli._admin_connection import AdminCall
+from carobwalk.cli._admin_session import session_options
+from carobwalk.cli._admin_text import value_text
+from carobwalk.cli._commands import register
+from carobwalk.cli._exit_codes import ExitCode
+
+_PAUSE_SECONDS = 0.5
+
+
+@register
+@click.command('status')
+@click.option(
+    '--revision',
+    type=click.IntRange(min=0),
+    help='Revision to look for; the highest accepted one if left out.',
+)
+@click.option(
+    '--wait',
+    type=click.FloatRange(min=0),
+    default=0,
+    help='Longest wait in seconds until it is in force everywhere.',
+)
+@session_options
+def status_command(
+    session: AdminSession,
+    revision: int | None,
+    wait: float,
+) -> None:
+    """Show at how many processes the configuration is in force.
+
+    Exit code 4 means that some process still lags or does not answer.
+    """
+    deadline = time.monotonic() + wait
+    answer = _fetch(session, revision)
+    while answer['lagging'] and time.monotonic() < deadline:
+        time.sleep(_PAUSE_SECONDS)
+        answer = _fetch(session, revision)
+    session.echo(
+        answer,
+        'revision {revision} in force at {in_force} of {processes}'.format_map(
+            answer,
+        ),
+        *map(_lag_line, answer['lagging']),
+    )
+    if answer['lagging']:
+        raise click.exceptions.Exit(ExitCode.UNREACHABLE)
+
+
+def _fetch(session: AdminSession, revision: int | None) -> dict[str, Any]:
+    query = {} if revision is None else {'revision': str(revision)}
+    call = AdminCall(method='GET', path='/v1/status', query=query)
+    return session.fetch(call)
+
+
+def _lag_line(process: dict[str, Any]) -> str:
+    held = value_text(process['revision'])
+    detail = process['detail'] or 'lags'
+    return (
+        f'  {process["process"]} in {process["data_centre"]}: {held} {detail}'
+    )
