Prove the spread by randomised runs

Cause: operators race while the store, the links and the processes fail, and no accepted change may be lost, reverted, doubled or late. Ruled out: late processes in the first runs were a fault of the harness, which removed the handlers of a process that had been started again. Change: a repeatable trial with a naive replay of the history.

--- a/benchmarks/_config_fleet.py
+++ b/benchmarks/_config_fleet.py
@@ -1,5 +1,6 @@
 """Processes that follow the configuration, with an in-memory wire."""
 
+import importlib
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -23,7 +24,11 @@
     FollowerParts,
     WriteSettings,
 )
-from standins.memory_store import MemoryStore, MemoryStoreClient
+from standins.memory_store import (
+    MemoryStore,
+    MemoryStoreClient,
+    StoreFaults,
+)
 
 _REGIONS = 3
 _DATA_CENTRES = 6
@@ -53,7 +58,8 @@
 
     def remove(self, name: str) -> None:
         """Remove the handlers of a process that ended."""
-        for key in [key for key in self._handlers if key[0] == name]:
+        gone = [key for key in self._handlers if key[0] == name]
+        for key in gone:
             self._handlers.pop(key)
 
     def find(self, name: str, topic: Topic) -> TopicHandler | None:
@@ -144,6 +150,7 @@
         self.store = store
         self.scope = trio.CancelScope()
         self.stable_since = trio.current_time()
+        self.writes: list[trio.CancelScope] = []
         peers = WirePeers(own, fleet.wire)
         self._fleet = fleet
         self.follower = ConfigurationFollower(
@@ -174,7 +181,6 @@
         """Run until the process is stopped."""
         with self.scope:
             await self.follower.run()
-        self._fleet.wire.remove(self.own.name)
 
 
 class Fleet:
@@ -202,6 +208,8 @@
         self.processes: dict[str, Process] = {}
         self.note = note
         self.started = 0
+        self.store_faults = StoreFaults()
+        self.stopped_calls = 0
         self._nursery = nursery
 
     def start(self, own: Endpoint) -> Process:
@@ -209,14 +217,20 @@
         self.started += 1
         process = Process(self, own, self.store.client(), self.started)
         self.processes[own.name] = process
+        if own.region in self.wire.cut_regions:
+            process.stable_since = float('inf')
+        self.apply_store_faults()
         self._nursery.start_soon(process.run)
         return process
 
     def stop(self, process: Process) -> None:
         """Stop a process without notice."""
         process.scope.cancel()
+        for write in process.writes:
+            write.cancel()
         self.wire.remove(process.own.name)
         self.processes.pop(process.own.name)
+        self.stopped_calls += process.store.counts.total
 
     def heal(self) -> None:
         """End all partitions."""
@@ -225,10 +239,49 @@
             if process.own.region in self.wire.cut_regions:
                 process.stable_since = now
         self.wire.cut_regions.clear()
+        self.apply_store_faults()
 
     def cut(self, region: str) -> None:
-        """Cut a region off from the others."""
+        """Cut a region off from the others and from the store."""
         self.wire.cut_regions.add(region)
         for process in self.processes.values():
             if process.own.region == region:
                 process.stable_since = float('inf')
+        self.apply_store_faults()
+
+    def apply_store_faults(self) -> None:
+        """Put the faults of the store in force at all processes."""
+        cut_off = StoreFaults(down=True)
+        for process in self.processes.values():
+            is_cut = process.own.region in self.wire.cut_regions
+            process.store.inject(cut_off if is_cut else self.store_faults)
+
+    def store_calls(self) -> int:
+        """Return the calls of all processes to the store so far."""
+        return self.stopped_calls + sum(
+            process.store.counts.total for process in self.processes.values()
+        )
+
+    def restart(self, process: Process) -> None:
+        """Stop a process and start it again, unless it is cut off.
+
+        Cut off from store and peers, a process with empty memory has no way
+        to know what it had in force.
+        """
+        if process.own.region not in self.wire.cut_regions:
+            self.stop(process)
+            self.start(process.own)
+
+    def any_process(self, generator: random.Random) -> Process:
+        """Return one process."""
+        return self.processes[generator.choice(sorted(self.processes))]
+
+
+def make_scheduling_repeatable(seed: int) -> None:
+    """Let trio choose the order of tasks by a seed.
+
+    The same seed then gives the same run, also in another process.
+    """
+    scheduler = vars(importlib.import_module('trio._core._run'))
+    scheduler['_ALLOW_DETERMINISTIC_SCHEDULING'] = True
+    scheduler['_r'].seed(seed)
--- a/src/carobwalk/profiles/spread/_neighbour_tasks.py
+++ b/src/carobwalk/profiles/spread/_neighbour_tasks.py
@@ -41,8 +41,9 @@
     def _refresh(self, nursery: trio.Nursery) -> None:
         parts = self._parts
         chosen = set(choose_neighbours(parts.own, parts.known_peers()))
-        for gone in self._scopes_by_peer.keys() - chosen:
-            self._scopes_by_peer.pop(gone).cancel()
+        gone = [peer for peer in self._scopes_by_peer if peer not in chosen]
+        for peer in gone:
+            self._scopes_by_peer.pop(peer).cancel()
         for peer in sorted(
             chosen - self._scopes_by_peer.keys(),
             key=lambda endpoint: endpoint.name,
