--- a/benchmarks/_process_facts.py
+++ b/benchmarks/_process_facts.py
@@ -1,6 +1,8 @@
 """Facts of running processes, read from /proc."""
 
 import re
+from collections.abc import Iterator
+from contextlib import suppress
 from pathlib import Path
 
 # Columns of /proc/net/tcp.
@@ -16,16 +18,20 @@
     return int(found[1]) if found else 0
 
 
-def is_connected(pid: int, port: int) -> bool:
-    """Return whether a process has a TCP connection to a port."""
-    own = {
-        match[1]
-        for link in Path(f'/proc/{pid}/fd').iterdir()
-        if (match := _SOCKET.match(str(link.readlink())))
-    }
+def count_connections(pid: int, port: int) -> int:
+    """Return the number of TCP connections of a process to a port."""
+    own = set(_socket_inodes(pid))
     table = Path(f'/proc/{pid}/net/tcp').read_text()
     rows = [row.split() for row in table.splitlines()]
-    return any(
+    return sum(
         row[_REMOTE].endswith(f':{port:04X}') and row[_INODE] in own
         for row in rows
     )
+
+
+def _socket_inodes(pid: int) -> Iterator[str]:
+    for link in Path(f'/proc/{pid}/fd').iterdir():
+        with suppress(FileNotFoundError):
+            match = _SOCKET.match(str(link.readlink()))
+            if match:
+                yield match[1]
--- a/benchmarks/_raw_caller.py
+++ b/benchmarks/_raw_caller.py
@@ -52,7 +52,7 @@
         start = head.lower().index(_LENGTH) + len(_LENGTH)
         length = int(head[start:].partition(b'\r\n')[0])
         while len(body) < length:
-            body += await self._stream.receive_some(_RECEIVE_BYTES)
+            body += await self._receive()
         if head.startswith(b'HTTP/1.1 200 '):
             self._timings.seconds.append(time.perf_counter() - began)
         else:
@@ -61,10 +61,16 @@
     async def _read_head(self) -> tuple[bytes, bytes]:
         received = b''
         while _HEAD_END not in received:
-            received += await self._stream.receive_some(_RECEIVE_BYTES)
+            received += await self._receive()
         head, _, body = received.partition(_HEAD_END)
         return head, body
 
+    async def _receive(self) -> bytes:
+        chunk = await self._stream.receive_some(_RECEIVE_BYTES)
+        if not chunk:
+            raise trio.BrokenResourceError('closed before the whole answer')
+        return bytes(chunk)
+
 
 async def run_closed_loop(
     address: Address,
--- a/benchmarks/_relay_scene.py
+++ b/benchmarks/_relay_scene.py
@@ -1,12 +1,13 @@
 """Ways to one backend server: direct, by a bare proxy, by the product."""
 
+from collections import Counter
 from collections.abc import Mapping
 from pathlib import Path
 
 import trio
 
-from benchmarks._process_facts import is_connected
-from benchmarks._raw_caller import run_paced
+from benchmarks._process_facts import count_connections
+from benchmarks._raw_caller import run_closed_loop, run_paced
 from benchmarks._single_service import SERVER, SERVICE, make_fleet
 from carobwalk.model import Address, CarobwalkError
 from standins.processes import Processes, find_free_addresses
@@ -14,6 +15,8 @@
 READY_SECONDS = 30
 PROXY = 'bare-proxy'
 _PAUSE_SECONDS = 0.2
+_PROBE_SECONDS = 4.0
+_CALLERS = 8
 
 
 class NotReadyError(CarobwalkError):
@@ -53,17 +56,19 @@
 async def open_ways(
     processes: Processes,
     directory: Path,
+    server_module: tuple[str, ...] = ('standins', 'server'),
 ) -> Ways:
     """Start all processes and find out which entry dispatches.
 
     Args:
         processes: Owner of the processes.
         directory: Directory of their files.
+        server_module: Module that runs the backend server, and its command.
 
     Raises:
         NotReadyError: If the entries do not serve, or not just one dispatches.
     """
-    fleet = make_fleet(processes, directory)
+    fleet = make_fleet(processes, directory, server_module)
     await fleet.start()
     await fleet.start_entries()
     server = fleet.servers.address(SERVER)
@@ -75,22 +80,16 @@
     }
     for address in callers_by_name.values():
         await _wait_served(address)
-    connected = {
-        name: is_connected(processes.pid(name), server.port)
-        for name in callers_by_name
-    }
-    dispatchers = [name for name, holds in connected.items() if holds]
-    others = [name for name, holds in connected.items() if not holds]
-    if len(dispatchers) != 1:
-        raise NotReadyError(f'one entry must dispatch: {connected}')
+    dispatcher = await _find_dispatcher(processes, callers_by_name, server)
+    others = [name for name in callers_by_name if name != dispatcher]
     return Ways(
         {
             Ways.DIRECT: server,
             Ways.BARE: proxy,
-            Ways.SAME: callers_by_name[dispatchers[0]],
+            Ways.SAME: callers_by_name[dispatcher],
             Ways.TWO: callers_by_name[others[0]],
         },
-        dispatchers[0],
+        dispatcher,
         others[0],
     )
 
@@ -106,3 +105,28 @@
 async def _is_served(address: Address) -> bool:
     timings = await run_paced(address, f'/{SERVICE}/cases/a', 1, 1)
     return not timings.failed
+
+
+async def _find_dispatcher(
+    processes: Processes,
+    callers_by_name: Mapping[str, Address],
+    server: Address,
+) -> str:
+    """Return the entry whose connections carry requests to the server."""
+    counts: Counter[str] = Counter()
+    async with trio.open_nursery() as nursery:
+        for address in callers_by_name.values():
+            nursery.start_soon(
+                run_closed_loop,
+                address,
+                f'/{SERVICE}/cases/a',
+                _CALLERS,
+                _PROBE_SECONDS,
+            )
+        await trio.sleep(_PROBE_SECONDS - 1)
+        for name in callers_by_name:
+            counts[name] = count_connections(processes.pid(name), server.port)
+    dispatcher, count = counts.most_common(1)[0]
+    if count <= min(counts.values()) + 1:
+        raise NotReadyError(f'no entry dispatches: {counts}')
+    return dispatcher
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -21,7 +21,8 @@
 LEAST_THROUGHPUT_SHARE = 0.5
 MOST_ADDED_P99_RATIO = 3.0
 
-_PATH = '/cases/a?size=200'
+_PATH = '/cases/a'
+_SERVER = ('benchmarks._raw_server',)
 _WAYS = (Ways.DIRECT, Ways.BARE, Ways.SAME, Ways.TWO)
 
 
@@ -45,7 +46,7 @@
     paced: dict[str, Timings] = defaultdict(Timings)
     failed = 0
     async with Processes(directory) as processes:
-        ways = await open_ways(processes, directory)
+        ways = await open_ways(processes, directory, _SERVER)
         for _ in range(ROUNDS):
             for turn in order.sample(_WAYS, len(_WAYS)):
                 address = ways.addresses_by_way[turn]
--- a/standins/fleet/_deployment.py
+++ b/standins/fleet/_deployment.py
@@ -18,6 +18,7 @@
         entries: Data centre of each entry.
         profile_fields: Fields that all its profiles set.
         server_options: Further options of the stand-in backend servers.
+        server_module: Module that runs a backend server, and its command.
         limits: Fields of the section ``limits`` of the entries' settings.
         ownership: Fields of the section ``ownership``.
     """
@@ -28,5 +29,6 @@
     entries: tuple[DataCentreName, ...]
     profile_fields: Mapping[str, object] = field(default_factory=dict)
     server_options: tuple[str, ...] = ()
+    server_module: tuple[str, ...] = ('standins', 'server')
     limits: Mapping[str, object] = field(default_factory=dict)
     ownership: Mapping[str, object] = field(default_factory=dict)
--- a/standins/fleet/_server_processes.py
+++ b/standins/fleet/_server_processes.py
@@ -42,8 +42,7 @@
         host = self.hosts_by_name[name]
         address = host.endpoint.address
         arguments = (
-            'standins',
-            'server',
+            *self._deployment.server_module,
             f'--id={name}',
             f'--service={host.service}',
             f'--listen={address}',
