--- a/demo/_deployments.py
+++ b/demo/_deployments.py
@@ -2,6 +2,7 @@
 
 from types import MappingProxyType
 
+from carobwalk.admin import issue_token
 from carobwalk.model import DataCentreName, RegionName, ServiceName
 from standins.fleet import Deployment, FleetService
 
@@ -13,6 +14,8 @@
     },
 )
 
+TOKENS = (issue_token('marisol'), issue_token('devon'))
+
 _SPAIN_A = DataCentreName('port-of-spain-a')
 _SPAIN_B = DataCentreName('port-of-spain-b')
 _ARIMA_A = DataCentreName('arima-a')
@@ -47,6 +50,7 @@
         ),
     ),
     entries=(_SPAIN_A, _SPAIN_B, _SPAIN_B, _ARIMA_A),
+    tokens=TOKENS,
     ownership=_OWNERSHIP,
 )
 
--- a/demo/_scene.py
+++ b/demo/_scene.py
@@ -57,17 +57,21 @@
         caroni = self.caroni.servers.records()
         return (*caroni, *self.dong_phuong.servers.records())
 
+    def live_entries(self, fleet: Fleet) -> tuple[EntryProcess, ...]:
+        """Return the entries that run."""
+        return tuple(
+            entry
+            for entry in fleet.entries_by_name.values()
+            if self.processes.is_running(entry.name)
+        )
+
     def live_entry(self, fleet: Fleet, place: int = 0) -> EntryProcess:
         """Return one of the entries that run.
 
         Raises:
             StepFailedError: If none runs.
         """
-        live = [
-            entry
-            for entry in fleet.entries_by_name.values()
-            if self.processes.is_running(entry.name)
-        ]
+        live = self.live_entries(fleet)
         if not live:
             raise StepFailedError('no entry runs')
         return live[place % len(live)]
--- a/demo/steps/_racing_operators.py
+++ b/demo/steps/_racing_operators.py
@@ -1,13 +1,87 @@
 """Two operators race on one change."""
 
-from demo._commands import run_command
-from demo._errors import MissingError
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import msgspec
+import trio
+
+from carobwalk.admin import Token
+from carobwalk.http import HttpClient, HttpRequest, HttpResponse
+from carobwalk.model import Address
+from demo._deployments import TOKENS
+from demo._errors import MissingError, StepFailedError
 from demo._registry import step
 from demo._scene import Scene
 
+_PATH = '/v1/profiles/claims'
+_SECONDS = 10
+_SLOTS = (3, 2)
+_WON_AND_TOLD = (HTTPStatus.OK, HTTPStatus.PRECONDITION_FAILED)
+
+
+@dataclass(frozen=True, slots=True)
+class _Operator:
+    """An operator at the administration address of an entry."""
+
+    http: HttpClient
+    address: Address
+    token: Token
+
+    async def call(
+        self,
+        method: str,
+        headers: dict[str, str],
+        body: bytes = b'',
+    ) -> HttpResponse:
+        """Send a request for the profile."""
+        sent = await self.http.send(
+            self.address,
+            HttpRequest(
+                method,
+                _PATH,
+                headers={'authorization': f'Bearer {self.token}', **headers},
+                body=body,
+            ),
+            _SECONDS,
+        )
+        return sent.unwrap()
+
 
 @step('two operators race on one change; one wins, the other is told')
 async def race_operators(scene: Scene) -> str:
-    """Edit one profile twice at once, from the same revision."""
-    await run_command('profile', '--help')
-    raise MissingError('the race by operators of the command line')
+    """Edit one profile at two entries at once, from the same revision."""
+    http = HttpClient()
+    entries = scene.live_entries(scene.caroni)[: len(TOKENS)]
+    operators = [
+        _Operator(
+            http, scene.live_entry(scene.caroni, number).administration, t
+        )
+        for number, t in enumerate(TOKENS)
+    ]
+    read = await operators[0].call('GET', {})
+    if read.status == HTTPStatus.NOT_FOUND:
+        raise MissingError('no administration of profiles at the entries')
+    if read.status != HTTPStatus.OK:
+        raise StepFailedError(f'reading the profile gave {read.status}')
+    answers: list[HttpResponse] = []
+    async with trio.open_nursery() as nursery:
+        for operator, slots in zip(operators, _SLOTS, strict=True):
+            nursery.start_soon(_edit, operator, read, slots, answers)
+    answers.sort(key=lambda answer: answer.status)
+    if tuple(answer.status for answer in answers) != _WON_AND_TOLD:
+        raise StepFailedError(f'answers {[item.body for item in answers]}')
+    return f'one accepted, the other told: {answers[1].body.decode()[:160]}'
+
+
+async def _edit(
+    operator: _Operator,
+    read: HttpResponse,
+    slots: int,
+    answers: list[HttpResponse],
+) -> None:
+    body = {'fields': {'slots': slots}, 'reason': f'{slots} slots'}
+    headers = {'if-match': read.headers['etag']}
+    answers.append(
+        await operator.call('PUT', headers, msgspec.json.encode(body)),
+    )
--- a/demo/steps/_three_ranks.py
+++ b/demo/steps/_three_ranks.py
@@ -1,5 +1,7 @@
 """Requests of all ranks through different entries."""
 
+import trio
+
 from carobwalk.model import Rank
 from demo._errors import StepFailedError
 from demo._registry import step
@@ -7,11 +9,14 @@
 from standins.load import Observation
 
 _ROUNDS = 10
+_NEW_DISPATCHER_SECONDS = 1.5
 
 
 @step('requests of all three ranks through different entries')
 async def send_all_ranks(scene: Scene) -> str:
     """Send requests of each rank through each entry in turn."""
+    # A dispatcher that has just begun can't know of a key made before.
+    await trio.sleep(_NEW_DISPATCHER_SECONDS)
     seen: list[Observation] = []
     for number in range(_ROUNDS):
         for fleet in scene.fleets:
--- a/standins/fleet/_configure.py
+++ b/standins/fleet/_configure.py
@@ -7,12 +7,14 @@
 
 from result import Err
 
+from carobwalk.admin import hash_secret
 from carobwalk.model import CarobwalkError, OperatorName
 from carobwalk.platform import Store
 from carobwalk.profiles import (
     Action,
     ConfigurationRepository,
     Proposal,
+    Role,
     Subject,
     SubjectKind,
 )
@@ -63,3 +65,6 @@
         yield Subject(SubjectKind.PROFILE, service.profile), fields
         assignment = {'profile': service.profile}
         yield Subject(SubjectKind.SERVICE, service.name), assignment
+    for token in deployment.tokens:
+        fields = {'secret_hash': hash_secret(token), 'roles': sorted(Role)}
+        yield Subject(SubjectKind.OPERATOR, token.operator), fields
--- a/standins/fleet/_deployment.py
+++ b/standins/fleet/_deployment.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from carobwalk.admin import Token
 from carobwalk.model import DataCentreName, RegionName
 from standins.fleet._fleet_service import FleetService
 
@@ -19,6 +20,7 @@
         profile_fields: Fields that all its profiles set.
         server_options: Further options of the stand-in backend servers.
         server_module: Module that runs a backend server, and its command.
+        tokens: Tokens of operators with all roles.
         limits: Fields of the section ``limits`` of the entries' settings.
         ownership: Fields of the section ``ownership``.
     """
@@ -30,5 +32,6 @@
     profile_fields: Mapping[str, object] = field(default_factory=dict)
     server_options: tuple[str, ...] = ()
     server_module: tuple[str, ...] = ('standins', 'server')
+    tokens: tuple[Token, ...] = ()
     limits: Mapping[str, object] = field(default_factory=dict)
     ownership: Mapping[str, object] = field(default_factory=dict)
