--- a/demo/steps/_racing_operators.py
+++ b/demo/steps/_racing_operators.py
@@ -54,10 +54,8 @@
     http = HttpClient()
     entries = scene.live_entries(scene.caroni)[: len(TOKENS)]
     operators = [
-        _Operator(
-            http, scene.live_entry(scene.caroni, number).administration, t
-        )
-        for number, t in enumerate(TOKENS)
+        _Operator(http, entry.administration, token)
+        for entry, token in zip(entries, TOKENS, strict=True)
     ]
     read = await operators[0].call('GET', {})
     if read.status == HTTPStatus.NOT_FOUND:
