--- a/standins/fleet/_deployment.py
+++ b/standins/fleet/_deployment.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from carobwalk.admin import Token
 from carobwalk.model import DataCentreName, RegionName
 from standins.fleet._fleet_service import FleetService
 
@@ -18,6 +19,8 @@
         entries: Data centre of each entry.
         profile_fields: Fields that all its profiles set.
         server_options: Further options of the stand-in backend servers.
+        server_module: Module that runs a backend server, and its command.
+        tokens: Tokens of operators with all roles.
         limits: Fields of the section ``limits`` of the entries' settings.
         ownership: Fields of the section ``ownership``.
     """
@@ -28,5 +31,7 @@
     entries: tuple[DataCentreName, ...]
     profile_fields: Mapping[str, object] = field(default_factory=dict)
     server_options: tuple[str, ...] = ()
+    server_module: tuple[str, ...] = ('standins', 'server')
+    tokens: tuple[Token, ...] = ()
     limits: Mapping[str, object] = field(default_factory=dict)
     ownership: Mapping[str, object] = field(default_factory=dict)
