Wire administration, quarantine spread and metrics into the process

Cause: the parts stood alone; unkeyed work was placed by turns. Change: operators' API, tokens' first hash, explain, quarantine told to all entries on a loss and exchanged now and then, store calls and events counted, unkeyed work placed by own outcomes; all commands in the command line. The store and an owner lost in one instant wait for the host list since, and the race of operators replaces whole profiles, which the API refuses.

--- /dev/null
+++ b/src/carobwalk/app/_build_administration.py
@@ -0,0 +1,56 @@
+"""Administration of a process."""
+
+import random
+import time
+
+from carobwalk.admin import (
+    AdministrationApi,
+    AdministrationParts,
+    Authenticator,
+    PlacementExplainer,
+    QuarantineDesk,
+)
+from carobwalk.app._administration_handler import AdministrationHandler
+from carobwalk.app._core import Core
+from carobwalk.metrics import ScrapeHandler
+from carobwalk.ownership import Placements
+from carobwalk.profiles import (
+    ConfigurationFollower,
+    ConfigurationHistory,
+    ConfigurationRepository,
+)
+
+
+def build_administration(
+    core: Core,
+    follower: ConfigurationFollower,
+    placements: Placements,
+    quarantine: QuarantineDesk,
+) -> AdministrationHandler:
+    """Return the handler of the administration address.
+
+    Args:
+        core: Parts of the process.
+        follower: Configuration in force.
+        placements: The shard map.
+        quarantine: Operators' view of the quarantine.
+    """
+    repository = ConfigurationRepository(
+        core.store,
+        time.time,
+        random.Random(),
+    )
+    api = AdministrationApi(
+        AdministrationParts(
+            repository=repository,
+            history=ConfigurationHistory(core.store),
+            follower=follower,
+            authenticator=Authenticator(
+                follower.configuration,
+                core.settings.administration.bootstrap_hash,
+            ),
+            explain_ownership=PlacementExplainer(placements),
+            quarantine=quarantine,
+        ),
+    )
+    return AdministrationHandler(ScrapeHandler(core.metrics), api)
--- a/src/carobwalk/app/_build_dispatch.py
+++ b/src/carobwalk/app/_build_dispatch.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from carobwalk.app._core import Core
-from carobwalk.dispatch import DispatchContext, DispatchPool
+from carobwalk.dispatch import DispatchContext, DispatchPool, Spread
 from carobwalk.ownership import Leases
 from carobwalk.profiles import Catalogue
 
@@ -13,6 +13,7 @@
     core: Core,
     leases: Leases,
     catalogue: Callable[[], Catalogue],
+    spread: Spread,
 ) -> DispatchPool:
     """Return the dispatchers of a process.
 
@@ -20,6 +21,7 @@
         core: Parts of the process.
         leases: Says what may be sent now.
         catalogue: Returns the configuration in force.
+        spread: Tells other entries what is in quarantine.
     """
     return DispatchPool(
         DispatchContext(
@@ -28,5 +30,6 @@
             clock=core.clock,
             events=core.events,
             wall_clock=time.time,
+            spread=spread,
         ),
     )
--- a/src/carobwalk/app/_build_follower.py
+++ b/src/carobwalk/app/_build_follower.py
@@ -23,7 +23,7 @@
     return ConfigurationFollower(
         FollowerParts(
             own=core.own,
-            store=core.clients.store,
+            store=core.store,
             peers=core.hub,
             topics=core.topics,
             known_peers=known_peers,
--- a/src/carobwalk/app/_build_ownership.py
+++ b/src/carobwalk/app/_build_ownership.py
@@ -25,11 +25,11 @@
     return OwnershipRole(
         OwnershipContext(
             own=core.own,
-            store=core.clients.store,
-            host_list=core.clients.host_list,
+            store=core.store,
+            host_list=core.host_list,
             peers=core.hub,
             topics=core.topics,
-            channel=HttpGrantChannel(core.clients.http),
+            channel=HttpGrantChannel(core.http),
             clock=core.clock,
             events=core.events,
             catalogue=catalogue,
--- a/src/carobwalk/app/_core.py
+++ b/src/carobwalk/app/_core.py
@@ -2,11 +2,14 @@
 
 from dataclasses import dataclass
 
-from carobwalk.app._clients import Clients, connect_platform
-from carobwalk.events import HybridClock, LineEventLog
-from carobwalk.metrics import Metrics
+from carobwalk.app._clients import connect_platform
+from carobwalk.app._peer_bytes import watch_peer_bytes
+from carobwalk.events import EventLog, HybridClock, LineEventLog
+from carobwalk.http import HttpClient
+from carobwalk.metrics import CountingEventLog, MeteredStore, Metrics
 from carobwalk.model import Clock, Endpoint, SuspendAwareClock
 from carobwalk.peer import PeerHub, TopicRegistry
+from carobwalk.platform import HostList, Store
 from carobwalk.settings import Settings
 
 
@@ -18,21 +21,27 @@
         settings: Validated settings.
         own: This process; its address is that of its peer listener.
         clock: Clock of leases and deadlines.
-        events: Log of events.
+        log: Log that writes events, closed at the end.
+        events: Log that counts events and passes them on.
         metrics: Counts and times.
         topics: Handlers of other processes' questions.
         hub: Connections to other processes.
-        clients: Clients of the platform's services.
+        http: Sender of small HTTP requests.
+        store: The platform's key-value service.
+        host_list: The platform's list of hosts.
     """
 
     settings: Settings
     own: Endpoint
     clock: Clock
-    events: LineEventLog
+    log: LineEventLog
+    events: EventLog
     metrics: Metrics
     topics: TopicRegistry
     hub: PeerHub
-    clients: Clients
+    http: HttpClient
+    store: Store
+    host_list: HostList
 
 
 def build_core(settings: Settings) -> Core:
@@ -49,15 +58,28 @@
         place.data_centre,
     )
     stamps = HybridClock()
-    log = settings.log
+    log = LineEventLog.open(
+        place.id,
+        stamps,
+        settings.log.path,
+        settings.log.level,
+    )
+    clock = SuspendAwareClock()
+    metrics = Metrics(place.id)
     topics = TopicRegistry()
+    hub = PeerHub(own, stamps, topics)
+    watch_peer_bytes(metrics, hub.traffic)
+    clients = connect_platform(settings.platform)
     return Core(
         settings=settings,
         own=own,
-        clock=SuspendAwareClock(),
-        events=LineEventLog.open(place.id, stamps, log.path, log.level),
-        metrics=Metrics(place.id),
+        clock=clock,
+        log=log,
+        events=CountingEventLog(log, metrics, clock),
+        metrics=metrics,
         topics=topics,
-        hub=PeerHub(own, stamps, topics),
-        clients=connect_platform(settings.platform),
+        hub=hub,
+        http=clients.http,
+        store=MeteredStore(clients.store, metrics),
+        host_list=clients.host_list,
     )
--- a/src/carobwalk/app/_process.py
+++ b/src/carobwalk/app/_process.py
@@ -5,15 +5,18 @@
 
 import trio
 
+from carobwalk.app._build_administration import build_administration
 from carobwalk.app._build_dispatch import build_dispatch
 from carobwalk.app._build_entry import build_entry
 from carobwalk.app._build_follower import build_follower
 from carobwalk.app._build_ownership import build_ownership
 from carobwalk.app._core import build_core
 from carobwalk.app._listeners import open_listeners
+from carobwalk.app._quarantine_desk import ProcessQuarantineDesk
+from carobwalk.app._quarantine_spread import QuarantineSpread
 from carobwalk.app._stop import ProcessStopped, ProcessStopping
+from carobwalk.dispatch import Quarantine
 from carobwalk.http import serve_http
-from carobwalk.metrics import ScrapeHandler
 from carobwalk.profiles import Catalogue
 from carobwalk.settings import Settings
 
@@ -38,10 +41,16 @@
             self._role.hosts.entries,
             self._is_coordinating,
         )
+        self._spread = QuarantineSpread(
+            self._core,
+            self._role.hosts.entries,
+            self._quarantine,
+        )
         self._pool = build_dispatch(
             self._core,
             self._role.leases,
             self._catalogue,
+            self._spread.tell,
         )
         self._entry = build_entry(
             self._core,
@@ -49,7 +58,16 @@
             self._pool,
             self._catalogue,
         )
-        self._administration = ScrapeHandler(self._core.metrics)
+        self._administration = build_administration(
+            self._core,
+            self._follower,
+            self._role.placements,
+            ProcessQuarantineDesk(
+                self._quarantine,
+                self._spread,
+                self._core.events,
+            ),
+        )
 
     async def run(self) -> bool:
         """Serve until SIGTERM or SIGINT.
@@ -67,6 +85,7 @@
             await nursery.start(self._pool.run)
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self._role.run)
+            nursery.start_soon(self._spread.run)
             nursery.start_soon(self._entry.run, listeners.callers)
             nursery.start_soon(
                 serve_http,
@@ -75,7 +94,7 @@
             )
             is_graceful = await self._wait_and_stop()
             nursery.cancel_scope.cancel()
-        core.events.close()
+        core.log.close()
         return is_graceful
 
     async def _wait_and_stop(self) -> bool:
@@ -98,5 +117,8 @@
     def _catalogue(self) -> Catalogue:
         return self._follower.current()
 
+    def _quarantine(self) -> Quarantine:
+        return self._pool.quarantine
+
     def _is_coordinating(self) -> bool:
         return bool(self._role.snapshot().coordinating)
--- a/src/carobwalk/cli/_main.py
+++ b/src/carobwalk/cli/_main.py
@@ -10,9 +10,15 @@
 
 # Modules that register commands when they are imported.
 _MODULES: Final = (
+    'carobwalk.cli._admin_quarantine',
+    'carobwalk.cli._admin_token',
     'carobwalk.cli._check_settings',
     'carobwalk.cli._completion',
+    'carobwalk.cli._explain',
+    'carobwalk.cli._profile',
     'carobwalk.cli._serve',
+    'carobwalk.cli._service',
+    'carobwalk.cli._status',
     'carobwalk.cli._timeline',
     'carobwalk.cli._version',
 )
--- a/src/carobwalk/dispatch/__init__.py
+++ b/src/carobwalk/dispatch/__init__.py
@@ -1,6 +1,6 @@
 """Sending of requests to backend servers, by rank and at most once."""
 
-from carobwalk.dispatch._context import DispatchContext
+from carobwalk.dispatch._context import DispatchContext, Spread
 from carobwalk.dispatch._deficit_round_robin import DeficitRoundRobin
 from carobwalk.dispatch._dispatch_pool import DispatchPool
 from carobwalk.dispatch._dispatcher import Dispatcher
@@ -70,6 +70,7 @@
     'ServerChooser',
     'SlotLimitError',
     'SlotsLimit',
+    'Spread',
     'Strict',
     'Suspect',
     'SuspectId',
--- a/src/carobwalk/dispatch/_quarantine.py
+++ b/src/carobwalk/dispatch/_quarantine.py
@@ -7,7 +7,6 @@
 from carobwalk.dispatch._suspect import Incident, Suspect, SuspectId
 from carobwalk.dispatch._suspect_table import SuspectTable
 
-_EXPIRY_SECONDS = 600
 # Equal requests that run at once share one loss of their server.
 _SAME_LOSS_SECONDS = 1
 
@@ -106,4 +105,4 @@
                 self._table.drop(suspect.id)
 
     def _is_expired(self, suspect: Suspect) -> bool:
-        return self._wall_clock() > suspect.changed_at + _EXPIRY_SECONDS
+        return self._wall_clock() > suspect.expires_at
--- a/src/carobwalk/dispatch/_suspect.py
+++ b/src/carobwalk/dispatch/_suspect.py
@@ -3,6 +3,7 @@
 import msgspec
 
 _CONVICTING_LOSSES = 2
+_EXPIRY_SECONDS = 600
 
 
 class Incident(msgspec.Struct, frozen=True, order=True):
@@ -30,6 +31,10 @@
     length: int
     body: int
 
+    def __str__(self) -> str:
+        """Return the form that operators use."""
+        return f'{self.head:x}-{self.length}-{self.body:x}'
+
 
 class Suspect(msgspec.Struct, frozen=True):
     """What is known against a request.
@@ -53,6 +58,11 @@
         last = self.incidents[-1].at if self.incidents else 0
         return max(self.cleared_at, last)
 
+    @property
+    def expires_at(self) -> float:
+        """Return when it is forgotten, in seconds since 1970."""
+        return self.changed_at + _EXPIRY_SECONDS
+
     @property
     def is_suspected(self) -> bool:
         """Whether a loss counts against it."""
--- a/src/carobwalk/entry/_router.py
+++ b/src/carobwalk/entry/_router.py
@@ -1,12 +1,12 @@
 """Choice of the placement of a request, and its hand-over."""
 
-from collections.abc import Callable
 from dataclasses import replace
 from typing import Final
 
 import trio
 from result import Err, Ok, Result
 
+from carobwalk.dispatch import ServerChooser
 from carobwalk.entry._caller_body import CallerBody
 from carobwalk.entry._caller_sink import CallerSink
 from carobwalk.entry._refusals import deadline_exceeded
@@ -43,8 +43,6 @@
     ),
 )
 
-Chooser = Callable[[tuple[Placement, ...]], Placement]
-
 
 class Router:
     """Finds the placement of each request and hands the request over.
@@ -56,18 +54,19 @@
     Args:
         placements: The shard map.
         forwarder: Takes a request to its dispatcher.
-        choose: Picks one of several candidates for unkeyed work.
+        chooser: Picks one of several candidates for unkeyed work, by the
+            outcomes that it is told.
     """
 
     def __init__(
         self,
         placements: Placements,
         forwarder: Forwarder,
-        choose: Chooser,
+        chooser: ServerChooser,
     ) -> None:
         self._placements = placements
         self._forwarder = forwarder
-        self._choose = choose
+        self._chooser = chooser
 
     async def route(
         self,
@@ -113,11 +112,26 @@
         if isinstance(placed, Err):
             return Err(_no_owner(placed.err_value))
         placement = placed.ok_value
-        ended = await self._forwarder.forward(call, placement, sink)
+        if call.head.key is not None:
+            return await self._forwarder.forward(call, placement, sink)
+        ended = await self._forward_unkeyed(call, placement, sink)
         if ended.is_err():
             tried.add(placement.server.name)
         return ended
 
+    async def _forward_unkeyed(
+        self,
+        call: Call,
+        placement: Placement,
+        sink: CallerSink,
+    ) -> Result[Completion, Failure]:
+        began = trio.current_time()
+        with self._chooser.sending(placement):
+            ended = await self._forwarder.forward(call, placement, sink)
+        seconds = trio.current_time() - began
+        self._chooser.record(placement, ended, seconds)
+        return ended
+
     def _place(
         self,
         head: RequestHead,
@@ -134,11 +148,12 @@
             for candidate in candidates
             if ServerId(candidate.server.name) not in tried
         )
-        if not fresh:
+        chosen = self._chooser.choose(fresh)
+        if chosen is None:
             return Err(
                 NoPlacement(head.service, 'every backend server refused it'),
             )
-        return Ok(self._choose(fresh))
+        return Ok(chosen)
 
 
 def _with_time_left(head: RequestHead, ends: float) -> RequestHead:
--- a/src/carobwalk/peer/__init__.py
+++ b/src/carobwalk/peer/__init__.py
@@ -6,6 +6,7 @@
 from carobwalk.peer._stamp_source import StampSource
 from carobwalk.peer._topic import Topic
 from carobwalk.peer._topic_registry import DuplicateTopicError, TopicRegistry
+from carobwalk.peer._traffic import Traffic
 
 __all__ = (
     'DuplicateTopicError',
@@ -19,4 +20,5 @@
     'TopicHandler',
     'TopicRegistry',
     'Topics',
+    'Traffic',
 )
--- a/src/carobwalk/settings/__init__.py
+++ b/src/carobwalk/settings/__init__.py
@@ -1,5 +1,6 @@
 """Settings of a process: a file of JSON with comments, validated."""
 
+from carobwalk.settings._administration import Administration
 from carobwalk.settings._errors import (
     SettingsError,
     SettingsErrorKind,
@@ -15,6 +16,7 @@
 from carobwalk.settings._settings import Settings
 
 __all__ = (
+    'Administration',
     'Limits',
     'Listen',
     'Log',
--- a/src/carobwalk/settings/_settings.py
+++ b/src/carobwalk/settings/_settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from carobwalk.settings._administration import Administration
 from carobwalk.settings._limits import Limits
 from carobwalk.settings._listen import Listen
 from carobwalk.settings._log import Log
@@ -21,6 +22,7 @@
         log: Where events are written.
         limits: Bounds on memory, connections and waits.
         ownership: Times of leases and grants.
+        administration: Access of the first operator.
     """
 
     process: Process
@@ -29,3 +31,4 @@
     log: Log = field(default_factory=Log)
     limits: Limits = field(default_factory=Limits)
     ownership: Ownership = field(default_factory=Ownership)
+    administration: Administration = field(default_factory=Administration)
--- a/tests/entry/test_fuzz.py
+++ b/tests/entry/test_fuzz.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 from trio.testing import MockClock, memory_stream_pair
 
+from carobwalk.dispatch import ServerChooser
 from carobwalk.entry import Classifier, EntryLimits, Router
 from carobwalk.entry._caller_connection import CallerConnection
 from carobwalk.entry._caller_service import CallerService
@@ -31,6 +32,7 @@
     ReplySink,
     ServerId,
     ServiceName,
+    TrioClock,
 )
 from carobwalk.ownership import NoPlacement
 from carobwalk.profiles import Catalogue, Profile, Service
@@ -137,7 +139,7 @@
         router=Router(
             FakePlacements(),
             EchoForwarder(),
-            lambda candidates: candidates[0],
+            ServerChooser(TrioClock()),
         ),
         observer=CountingObserver(),
         limits=EntryLimits(),
