--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 lint: $(VENV)/.installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 src standins benchmarks demo tests
+	$(BIN)/flake8 src standins benchmarks demo tests packaging
 
 types: $(VENV)/.installed
 	$(BIN)/mypy
