Send 600 requests over breaking links from caller to backend server

Entry, peer connection, dispatcher and the stand-in backend server run over loopback links that delay and break; a third of the requests ask the server to break, stay silent or cut its answer. What callers saw is audited against what the server ran.

But 21 requests wait for their whole time limit. Cause: a request whose peer connection was lost before its body was read is placed again under the same request id; the settled or ended id is refused by RequestLedger.admit, and AcceptedConnection._serve returns without an answer. Ruled out: the links (both are open while the requests wait).

The load's mark moves from the target to a header field: repeats of an action differed in their targets, so each was refused as another request.

--- a/standins/backend/_checks.py
+++ b/standins/backend/_checks.py
@@ -49,7 +49,7 @@
         method=request.method,
         path=request.path,
         key=request.key,
-        mark=request.query.get('mark', ''),
+        mark=request.mark,
         shard=request.shard,
         token=str(request.token) if request.token else None,
         started_at=state.clock.now(),
--- a/standins/backend/_download.py
+++ b/standins/backend/_download.py
@@ -10,8 +10,8 @@
 
     Args:
         key: Key of the request.
-        mark: The caller's own text in ``?mark=``, so that an answer that went
-            to another caller is noticed.
+        mark: The caller's own text, so that an answer that went to another
+            caller is noticed.
     """
     line = f'{key}|{mark}\n'.encode()
     return (line * (BLOCK_BYTES // len(line) + 1))[:BLOCK_BYTES]
--- a/standins/backend/_request.py
+++ b/standins/backend/_request.py
@@ -35,6 +35,11 @@
         """Last segment of the path."""
         return self.path.rpartition('/')[-1]
 
+    @property
+    def mark(self) -> str:
+        """The caller's own text, in a header field or the query."""
+        return self.headers.get('standin-mark', self.query.get('mark', ''))
+
     @property
     def token(self) -> FenceToken | None:
         """Fence token of the request; ``None`` if missing or malformed."""
--- a/standins/backend/_run_record.py
+++ b/standins/backend/_run_record.py
@@ -22,7 +22,7 @@
         method: HTTP method.
         path: Path without the query.
         key: Last segment of the path.
-        mark: The caller's text in ``?mark=``.
+        mark: The caller's own text, unique to its request.
         shard: Shard in the request.
         token: Fence token in the request.
         started_at: Time when the request got its slot, in seconds.
--- a/standins/load/_caller_link.py
+++ b/standins/load/_caller_link.py
@@ -94,6 +94,7 @@
     headers = [
         ('host', str(task.entry)),
         ('content-length', str(task.body_bytes)),
+        ('standin-mark', task.mark),
     ]
     if task.idempotency_key is not None:
         headers.append(('idempotency-key', task.idempotency_key))
--- a/standins/load/_task.py
+++ b/standins/load/_task.py
@@ -40,6 +40,6 @@
 
     @property
     def target(self) -> str:
-        """Request target at the entry."""
+        """Request target at the entry, the same in all repeats."""
         path = f'/{self.service}/{_COLLECTIONS[self.rank]}/{self.key}'
-        return f'{path}?mark={self.mark}&work_ms={self.work_ms}{self.query}'
+        return f'{path}?work_ms={self.work_ms}{self.query}'
--- /dev/null
+++ b/tests/integration/_scene.py
@@ -0,0 +1,214 @@
+"""Entry, dispatcher and backend server in one event loop."""
+
+import random
+from dataclasses import dataclass
+
+import trio
+from result import Ok, Result
+
+from carobwalk.app._placed_forwarder import PlacedForwarder
+from carobwalk.dispatch import DispatchContext, DispatchPool
+from carobwalk.entry import Classifier, EntryLimits, EntryServer, Router
+from carobwalk.entry._observer import RequestEnded
+from carobwalk.events import HybridClock, NullEventLog
+from carobwalk.model import (
+    Address,
+    DataCentreName,
+    Endpoint,
+    FenceToken,
+    Key,
+    Placement,
+    ProcessId,
+    ProfileName,
+    Rank,
+    RegionName,
+    ServerId,
+    ServiceName,
+    ShardNumber,
+    SuspendAwareClock,
+)
+from carobwalk.ownership import NoLease, NoPlacement
+from carobwalk.peer import PeerHub, TopicRegistry
+from carobwalk.profiles import Catalogue, Profile, Service
+from standins.backend import (
+    BackendSettings,
+    BackendState,
+    make_state,
+    serve_backend,
+)
+from tests.integration._chaos_link import ChaosLink
+
+SERVICE = ServiceName('claims-ledger')
+TOKEN = FenceToken(1, 1)
+BREAK_SHARE = 0.005
+LONGEST_DELAY_SECONDS = 0.003
+TIME_LIMIT_SECONDS = 5
+_PROFILE = Profile(
+    name=ProfileName('claims'),
+    slots=8,
+    time_limits=dict.fromkeys(Rank, TIME_LIMIT_SECONDS),
+)
+_CATALOGUE = Catalogue(
+    revision=1,
+    profiles_by_name={_PROFILE.name: _PROFILE},
+    services_by_name={SERVICE: Service(SERVICE, _PROFILE.name)},
+)
+
+
+class _LiveLeases:
+    """Leases that are always live."""
+
+    def authorise(
+        self,
+        server: ServerId,
+        service: ServiceName,
+        key: Key | None,
+    ) -> Result[FenceToken, NoLease]:
+        return Ok(TOKEN)
+
+    def held_since(
+        self,
+        server: ServerId,
+        service: ServiceName,
+        key: Key | None,
+    ) -> float:
+        return 0
+
+
+@dataclass(frozen=True, slots=True)
+class _OnePlacement:
+    """Shard map with one owner of all keys."""
+
+    placement: Placement
+
+    def locate(
+        self,
+        service: ServiceName,
+        key: Key,
+    ) -> Result[Placement, NoPlacement]:
+        return Ok(self.placement)
+
+    def candidates(
+        self,
+        service: ServiceName,
+    ) -> Result[tuple[Placement, ...], NoPlacement]:
+        return Ok((self.placement,))
+
+
+class _SilentObserver:
+    """Observer that keeps nothing."""
+
+    def observe(self, ended: RequestEnded) -> None:
+        """Drop it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Scene:
+    """What a test needs of the running parts.
+
+    Args:
+        entry: Where the entry takes callers' requests.
+        state: State of the backend server.
+        links: Links between the parts.
+    """
+
+    entry: Address
+    state: BackendState
+    links: tuple[ChaosLink, ...]
+
+
+async def open_scene(nursery: trio.Nursery, seed: int) -> Scene:
+    """Start all parts in a nursery.
+
+    Args:
+        nursery: Nursery that all tasks run in.
+        seed: Seed of delays and breaks.
+    """
+    settings = BackendSettings(
+        server=ServerId('server-1'),
+        service=SERVICE,
+        slots=8,
+        checks_grants=False,
+        faulty=True,
+    )
+    state = make_state(settings, SuspendAwareClock())
+    listeners = await _listen()
+    nursery.start_soon(serve_backend, state, listeners)
+    server_link = _make_link(listeners, random.Random(seed))
+    server = _endpoint('server-1', await nursery.start(server_link.serve))
+    pool = DispatchPool(
+        DispatchContext(
+            leases=_LiveLeases(),
+            catalogue=_read_catalogue,
+            clock=SuspendAwareClock(),
+            events=NullEventLog(),
+        ),
+    )
+    await nursery.start(pool.run)
+    listeners = await _listen()
+    await nursery.start(_make_hub('dispatcher').run, listeners, pool)
+    peer_link = _make_link(listeners, random.Random(seed + 1))
+    peer = _endpoint('dispatcher', await nursery.start(peer_link.serve))
+    placement = Placement(server, peer, ShardNumber(1), TOKEN)
+    entry = await _open_entry(nursery, placement, pool)
+    return Scene(entry, state, (server_link, peer_link))
+
+
+async def _open_entry(
+    nursery: trio.Nursery,
+    placement: Placement,
+    pool: DispatchPool,
+) -> Address:
+    hub = _make_hub('entry')
+    await nursery.start(hub.run, await _listen(), pool)
+    entry = EntryServer(
+        Classifier(ProcessId('entry'), _read_catalogue),
+        Router(
+            _OnePlacement(placement),
+            PlacedForwarder(ProcessId('entry'), pool, hub),
+            _choose_first,
+        ),
+        _SilentObserver(),
+        EntryLimits(),
+    )
+    listeners = await _listen()
+    nursery.start_soon(entry.run, listeners)
+    return _address_of(listeners)
+
+
+def _make_link(
+    listeners: list[trio.SocketListener],
+    chooser: random.Random,
+) -> ChaosLink:
+    return ChaosLink(
+        target=_address_of(listeners),
+        chooser=chooser,
+        break_share=BREAK_SHARE,
+        longest_delay=LONGEST_DELAY_SECONDS,
+    )
+
+
+def _make_hub(name: str) -> PeerHub:
+    own = _endpoint(name, Address('127.0.0.1', 1))
+    return PeerHub(own, HybridClock(), TopicRegistry())
+
+
+def _endpoint(name: str, address: Address) -> Endpoint:
+    region = RegionName('port-of-spain')
+    return Endpoint(name, address, region, DataCentreName('port-of-spain-a'))
+
+
+async def _listen() -> list[trio.SocketListener]:
+    return await trio.open_tcp_listeners(0, host='127.0.0.1')
+
+
+def _address_of(listeners: list[trio.SocketListener]) -> Address:
+    return Address('127.0.0.1', listeners[0].socket.getsockname()[1])
+
+
+def _read_catalogue() -> Catalogue:
+    return _CATALOGUE
+
+
+def _choose_first(candidates: tuple[Placement, ...]) -> Placement:
+    return candidates[0]
