Give each attempt an id of its own, and answer a refused one

Ruled out: the links, both open meanwhile. Change: attempts are numbered in the id; a refused head is answered not-run. Before: test_breaking_links fails.

--- a/src/carobwalk/entry/_router.py
+++ b/src/carobwalk/entry/_router.py
@@ -1,5 +1,6 @@
 """Choice of the placement of a request, and its hand-over."""
 
+import itertools
 from dataclasses import replace
 from typing import Final
 
@@ -19,6 +20,7 @@
     Outcome,
     Placement,
     RequestHead,
+    RequestId,
     ServerId,
 )
 from carobwalk.ownership import NoPlacement, Placements
@@ -88,8 +90,8 @@
         attempt = Call(head, body)
         tried: set[str] = set()
         with trio.move_on_at(ends + _GRACE_SECONDS):
-            while True:
-                attempt = Call(_with_time_left(head, ends), body)
+            for number in itertools.count(1):
+                attempt = Call(_nth_attempt(head, number, ends), body)
                 ended = await self._attempt(attempt, sink, tried)
                 if isinstance(ended, Ok):
                     return ended
@@ -156,8 +158,22 @@
         return Ok(chosen)
 
 
-def _with_time_left(head: RequestHead, ends: float) -> RequestHead:
-    return replace(head, deadline=max(0, ends - trio.current_time()))
+def _nth_attempt(
+    head: RequestHead,
+    number: int,
+    ends: float,
+) -> RequestHead:
+    """Return the head of an attempt, with an id of its own.
+
+    A dispatcher that was told to forget an attempt must not mistake the next
+    one for it.
+    """
+    own_id = f'{head.request_id}.{number}' if number > 1 else head.request_id
+    return replace(
+        head,
+        request_id=RequestId(own_id),
+        deadline=max(0, ends - trio.current_time()),
+    )
 
 
 def _may_place_again(head: RequestHead, failure: Failure) -> bool:
--- a/src/carobwalk/peer/_accepted.py
+++ b/src/carobwalk/peer/_accepted.py
@@ -3,7 +3,14 @@
 import trio
 from loguru import logger
 
-from carobwalk.model import Call, Forwarder, ProcessId
+from carobwalk.model import (
+    Call,
+    Failure,
+    FailureKind,
+    Forwarder,
+    Outcome,
+    ProcessId,
+)
 from carobwalk.peer._exceptions import FrameError, PeerLostError
 from carobwalk.peer._exchange import Exchange
 from carobwalk.peer._exchange_body import ExchangeBody
@@ -113,6 +120,8 @@
         call = Call(head, body)
         running = RunningRequest(call.progress)
         if not self._ledger.admit(head.request_id, running):
+            self._exchanges_by_number.pop(exchange.number)
+            await self._link.send_if_open(exchange.number, _given_up())
             return
         self._scopes_by_number[exchange.number] = running.scope
         try:
@@ -145,3 +154,13 @@
             await self._link.send_if_open(
                 exchange.number, Failed(ended.unwrap_err())
             )
+
+
+def _given_up() -> Failed:
+    return Failed(
+        Failure(
+            FailureKind.PEER_LOST,
+            Outcome.NOT_RUN,
+            'the request was given up before it arrived',
+        ),
+    )
