Let the outage of the demo come before the loss

Cause: an owner lost in the same instant as the store waits for the host list, which the demo never tells; the promise holds once the holders have agreed to do without the store.

--- a/demo/steps/_store_down.py
+++ b/demo/steps/_store_down.py
@@ -1,5 +1,7 @@
 """An outage of the store."""
 
+import trio
+
 from demo._errors import StepFailedError
 from demo._registry import step
 from demo._scene import Scene
@@ -7,6 +9,7 @@
 _KEY = 'store-down'
 _SERVICE = 'tien-do'
 _SERVED_SECONDS = 15
+_AUTONOMY_SECONDS = 3
 
 
 @step('the store is down; requests go on, and an owner is lost meanwhile')
@@ -19,6 +22,9 @@
     owner = seen.server
     await platform.control(platform.store, 'PUT', 'faults', b'{"down":true}')
     try:
+        # The outage comes first: the coordinator and both holders of a shard
+        # must have agreed to do without the store.
+        await trio.sleep(_AUTONOMY_SECONDS)
         await scene.processes.kill(owner)
         seen, gap = await scene.wait_served(
             entry,
