--- a/demo/steps/_racing_operators.py
+++ b/demo/steps/_racing_operators.py
@@ -69,7 +69,8 @@
     answers.sort(key=lambda answer: answer.status)
     if tuple(answer.status for answer in answers) != _WON_AND_TOLD:
         raise StepFailedError(f'answers {[item.body for item in answers]}')
-    return f'one accepted, the other told: {answers[1].body.decode()[:160]}'
+    told = msgspec.json.decode(answers[1].body)
+    return f'one accepted, the other told {told["kind"]}: {told["detail"]}'
 
 
 async def _edit(
@@ -78,7 +79,8 @@
     slots: int,
     answers: list[HttpResponse],
 ) -> None:
-    body = {'fields': {'slots': slots}, 'reason': f'{slots} slots'}
+    known = msgspec.json.decode(read.body)['fields']
+    body = {'fields': {**known, 'slots': slots}, 'reason': f'{slots} slots'}
     headers = {'if-match': read.headers['etag']}
     answers.append(
         await operator.call('PUT', headers, msgspec.json.encode(body)),
