Keep the revision in force when a record can't be read

Cause: a record of a newer program, or a damaged one, would have ended the task that follows the configuration; a revision that a peer merely mentioned would have stopped all writes; a lost race over a token showed its hash. Change: such a record counts as unavailable and is reported; only content that was seen bounds the store's revision; hashes are hidden in errors too; a token can be issued with a statement of reverts. Adds the benchmark of the spread.

--- a/benchmarks/_config_faults.py
+++ b/benchmarks/_config_faults.py
@@ -71,7 +71,7 @@
         held = [self._fleet.any_process(self._generator) for _ in range(4)]
         for process in held:
             process.store.inject(StoreFaults(holds_writes=True, timeout=0.5))
-        await trio.sleep(self._generator.uniform(0.1, 3))
+        await trio.sleep(self._generator.uniform(0.1, 6))
         for process in held:
             process.store.release_held()
             process.store.inject(StoreFaults())
--- a/benchmarks/_config_findings.py
+++ b/benchmarks/_config_findings.py
@@ -6,10 +6,14 @@
 
 from benchmarks._config_fleet import Process
 from carobwalk.events import Event
-from carobwalk.profiles import Action, Change, Configuration
+from carobwalk.profiles import Action, Change, Configuration, FieldChange
 from carobwalk.profiles.spread import ConfigurationInForce
 
 LIMIT_SECONDS = 4
+# Changes that count as recent at least.
+_RECENT = 128
+
+_Older = tuple[int, str, object]
 
 
 @dataclass
@@ -90,40 +94,41 @@
     """
 
     def __init__(self, history: tuple[Change, ...]) -> None:
-        self.faults: list[str] = []
+        self.lost: list[str] = []
+        self.reverted: list[str] = []
+        self._older: dict[tuple[str, str], list[_Older]] = {}
         self.revisions_by_write: dict[str, int] = {}
         self.entities: dict[str, dict[str, object]] = {}
         for revision, change in enumerate(history, start=1):
             known = change.write_id in self.revisions_by_write
             if change.revision != revision or known:
-                self.faults.append(f'revision {revision} is lost or doubled')
+                self.lost.append(f'revision {revision} is lost or doubled')
             self.revisions_by_write[change.write_id] = revision
             self._apply(change)
 
-    def check(self, findings: Findings, held: Configuration) -> list[str]:
-        """Return everything wrong with a trial.
+    def check(self, findings: Findings, held: Configuration) -> None:
+        """Add what is wrong with a trial to the faults of the history.
 
         Args:
             findings: What the trial saw.
             held: Configuration that a process has in force at the end.
         """
-        lost = [
+        self.lost.extend(
             f'accepted write {write_id} is lost'
             for write_id, (_, revision) in findings.accepted.items()
             if self.revisions_by_write.get(write_id) != revision
-        ]
-        ghosts = [
+        )
+        self.lost.extend(
             f'refused write {write_id} took effect'
-            for write_id in findings.refused
+            for write_id in sorted(findings.refused)
             if write_id in self.revisions_by_write
-        ]
+        )
         expected = {
             subject: dict(entity.fields)
             for subject, entity in held.entities_by_subject.items()
         }
-        differs = ['the configuration in force differs from the replay']
-        wrong = [] if expected == self.entities else differs
-        return [*self.faults, *lost, *ghosts, *wrong]
+        if expected != self.entities:
+            self.lost.append('the replay differs from what is in force')
 
     def _apply(self, change: Change) -> None:
         subject = str(change.subject)
@@ -131,8 +136,33 @@
         for entry in change.fields:
             if fields.pop(entry.field, None) != entry.before:
                 detail = f'{subject} was undone before {change.revision}'
-                self.faults.append(detail)
+                self.reverted.append(detail)
+            self._check_field(change, entry)
             if entry.after is not None:
                 fields[entry.field] = entry.after
         if change.action is not Action.DELETE:
             self.entities[subject] = fields
+
+    def _check_field(self, change: Change, entry: FieldChange) -> None:
+        """Look for a quiet return to a value from before others' changes."""
+        place = (str(change.subject), entry.field)
+        older = self._older.setdefault(place, [])
+        authors = {change.author}
+        for revision, author, before in reversed(older):
+            if revision <= change.revision - _RECENT:
+                break
+            authors.add(author)
+            if before == entry.after:
+                self._note_return(change, place, authors)
+                break
+        older.append((change.revision, change.author, entry.before))
+
+    def _note_return(
+        self,
+        change: Change,
+        place: tuple[str, str],
+        authors: set[str],
+    ) -> None:
+        if len(authors) > 1 and not change.reverted:
+            detail = f'{place} was set back by {change.revision}'
+            self.reverted.append(detail)
--- a/benchmarks/_config_trial.py
+++ b/benchmarks/_config_trial.py
@@ -41,7 +41,8 @@
 
     Args:
         findings: What was seen.
-        faults: What is wrong with it; empty for a sound run.
+        lost: Accepted writes that are lost or doubled, and the like.
+        reverted: Changes that were undone quietly.
         seconds: Length of the run on the virtual clock.
         store_calls: Calls of all processes to the store.
         asks: Questions between processes.
@@ -49,7 +50,8 @@
     """
 
     findings: Findings
-    faults: tuple[str, ...]
+    lost: tuple[str, ...]
+    reverted: tuple[str, ...]
     seconds: float
     store_calls: int
     asks: int
@@ -72,11 +74,12 @@
             fleet.start(endpoint)
         seconds = await _race(settings, fleet, witness)
         calls = fleet.store_calls()
-        faults = await _check(fleet, witness)
+        replay = await _replay(fleet, witness)
         nursery.cancel_scope.cancel()
     return TrialReport(
         findings=witness.findings,
-        faults=tuple(faults),
+        lost=tuple(replay.lost),
+        reverted=tuple(replay.reverted),
         seconds=seconds,
         store_calls=calls,
         asks=fleet.wire.asks,
@@ -124,15 +127,16 @@
                 witness.check_spread(process, at, revision)
 
 
-async def _check(fleet: Fleet, witness: Witness) -> list[str]:
-    """Return everything wrong with a run that was mended."""
+async def _replay(fleet: Fleet, witness: Witness) -> Replay:
+    """Replay the history of a run that was mended, and check the end."""
     processes = list(fleet.processes.values())
     history = await _read_history(processes[0].store)
     held = [process.follower.configuration() for process in processes]
-    faults = Replay(history).check(witness.findings, held[0])
+    replay = Replay(history)
+    replay.check(witness.findings, held[0])
     if {one.revision for one in held} != {len(history)}:
-        faults.append('a process does not have the last revision in force')
-    return faults
+        replay.lost.append('a process lacks the last revision')
+    return replay
 
 
 async def _read_history(store: MemoryStoreClient) -> tuple[Change, ...]:
--- /dev/null
+++ b/benchmarks/config.py
@@ -0,0 +1,121 @@
+"""Spread of 3,000 changes of configuration under faults."""
+
+import json
+import sys
+from collections.abc import Mapping
+
+import trio
+from trio.testing import MockClock
+
+from benchmarks._config_findings import LIMIT_SECONDS
+from benchmarks._config_naive import POLL_SECONDS, NaiveRun
+from benchmarks._config_trial import TrialSettings, run_trial
+
+# All changes at the processes of today, and a share of them at 200.
+_SIZES = ((12, 3000), (200, 200))
+_PAUSE_SECONDS = 0.6
+_P50 = 0.5
+_P99 = 0.99
+_DIGITS = 4
+
+
+def main(seed: int) -> int:
+    """Run the product and a naive baseline, and print the figures as JSON.
+
+    Args:
+        seed: Seed of writes and faults.
+
+    Returns:
+        0 if the targets are met, otherwise 1.
+    """
+    product = [
+        _product(seed, processes, changes) for processes, changes in _SIZES
+    ]
+    naive = [_naive(seed, processes, changes) for processes, changes in _SIZES]
+    is_ok = all(map(_is_sound, product))
+    report = {
+        'bench': 'config',
+        'seed': seed,
+        'product': product,
+        'naive': naive,
+        'target': {
+            'most_seconds_to_force': LIMIT_SECONDS,
+            'lost': 0,
+            'reverted': 0,
+            'late': 0,
+        },
+        'ok': is_ok,
+    }
+    sys.stdout.write(f'{json.dumps(report)}\n')
+    return 0 if is_ok else 1
+
+
+def _is_sound(figures: Mapping[str, object]) -> bool:
+    wrongs = ('lost', 'reverted', 'late', 'fallen', 'diverged')
+    most = figures['most_seconds_to_force']
+    in_time = isinstance(most, float) and most <= LIMIT_SECONDS
+    return in_time and all(figures[name] == 0 for name in wrongs)
+
+
+def _product(seed: int, processes: int, changes: int) -> dict[str, object]:
+    settings = TrialSettings(
+        seed=seed,
+        processes=processes,
+        changes=changes,
+        pause=_PAUSE_SECONDS,
+    )
+    report = trio.run(
+        run_trial,
+        settings,
+        clock=MockClock(autojump_threshold=0),
+    )
+    findings = report.findings
+    accepted = len(findings.accepted)
+    return {
+        'processes': processes,
+        'accepted': accepted,
+        'refused': len(findings.refused),
+        'unknown_at_first': len(findings.unknown),
+        'lost': len(report.lost),
+        'reverted': len(report.reverted),
+        'late': len(findings.late),
+        'fallen': len(findings.fallen),
+        'diverged': len(findings.diverged),
+        **_spread(findings.delays),
+        'seconds': round(report.seconds, 1),
+        'store_calls': report.store_calls,
+        'store_calls_per_change': round(report.store_calls / accepted, 2),
+        'store_calls_per_second': round(
+            report.store_calls / report.seconds,
+            2,
+        ),
+        'peer_bytes_per_process_and_change': round(
+            report.asked_bytes / accepted / processes,
+        ),
+    }
+
+
+def _naive(seed: int, processes: int, changes: int) -> dict[str, object]:
+    run = NaiveRun(seed, processes, changes, _PAUSE_SECONDS)
+    trio.run(run.run, clock=MockClock(autojump_threshold=0))
+    calls = run.store_calls()
+    return {
+        'processes': processes,
+        'poll_seconds': POLL_SECONDS,
+        'written': run.findings.writes,
+        'reverted': run.findings.reverted,
+        **_spread(run.findings.delays),
+        'store_calls': calls,
+        'store_calls_per_change': round(calls / run.findings.writes, 2),
+        'store_calls_per_second': round(calls / run.seconds, 2),
+    }
+
+
+def _spread(delays: list[float]) -> dict[str, object]:
+    ordered = sorted(delays)
+    last = len(ordered) - 1
+    return {
+        'p50_seconds_to_force': round(ordered[int(last * _P50)], _DIGITS),
+        'p99_seconds_to_force': round(ordered[int(last * _P99)], _DIGITS),
+        'most_seconds_to_force': round(ordered[-1], _DIGITS),
+    }
--- a/src/carobwalk/admin/_bodies.py
+++ b/src/carobwalk/admin/_bodies.py
@@ -73,3 +73,4 @@
     operator: str
     roles: tuple[Role, ...]
     reason: Reason
+    reverting: tuple[int, ...] = ()
--- a/src/carobwalk/admin/_error_view.py
+++ b/src/carobwalk/admin/_error_view.py
@@ -7,7 +7,7 @@
 
 from carobwalk import profiles
 from carobwalk.admin import _failures as calls
-from carobwalk.admin._answers import json_response
+from carobwalk.admin._answers import hide_secrets, json_response
 from carobwalk.admin._state_views import ErrorView
 from carobwalk.http import HttpResponse
 
@@ -62,7 +62,7 @@
         detail=failure.detail,
         way_out=failure.way_out,
         current_revision=getattr(failure, 'current_revision', None),
-        changes=getattr(failure, 'changes', ()),
+        changes=tuple(map(hide_secrets, getattr(failure, 'changes', ()))),
         problems=getattr(failure, 'problems', ()),
         services=getattr(failure, 'services', ()),
         children=getattr(failure, 'children', ()),
--- a/src/carobwalk/admin/routes/_tokens.py
+++ b/src/carobwalk/admin/routes/_tokens.py
@@ -46,6 +46,7 @@
             'roles': sorted(set(body.roles)),
         },
         reason=body.reason,
+        reverting=body.reverting,
     )
     answer = await answer_write(exchange, statement)
     if exchange.is_dry_run or answer.status != _OK:
--- a/src/carobwalk/profiles/spread/_follower.py
+++ b/src/carobwalk/profiles/spread/_follower.py
@@ -59,8 +59,12 @@
         return Configuration()
 
     def known_revision(self) -> int:
-        """Return the highest revision that is known to be accepted."""
-        return self._held.heard
+        """Return the highest revision whose content this process saw.
+
+        It is a lower bound of what the store must hold. What peers only
+        mentioned does not count, as it can't be checked.
+        """
+        return self._held.configuration.revision
 
     async def wait_above(self, revision: int) -> None:
         """Wait until a higher revision is in force at this process."""
--- a/src/carobwalk/profiles/spread/_held_configuration.py
+++ b/src/carobwalk/profiles/spread/_held_configuration.py
@@ -1,9 +1,10 @@
 """The configuration that a process holds."""
 
+import msgspec
 import trio
 
 from carobwalk.profiles._catalogue import Catalogue
-from carobwalk.profiles._codec import encode
+from carobwalk.profiles._codec import RecordError, encode
 from carobwalk.profiles._configuration import Configuration
 from carobwalk.profiles._invariants import require
 from carobwalk.profiles._resolution import resolve
@@ -20,6 +21,7 @@
         self.heard = 0
         self.joined = False
         self._configuration = Configuration()
+        self._resolved = Catalogue()
         self._catalogue = Catalogue()
         self._content = b''
         self._changed = trio.Event()
@@ -58,10 +60,15 @@
 
         Returns:
             Whether it was newer.
+
+        Raises:
+            RecordError: If this program can't resolve it, because a newer
+                one wrote it; the present one stays.
         """
         self.hear(configuration.revision)
         if configuration.revision <= self._configuration.revision:
             return False
+        self._resolved = _resolve(configuration)
         self._configuration = configuration
         self._content = b''
         if self.joined:
@@ -80,7 +87,7 @@
             await self._changed.wait()
 
     def _put_in_force(self) -> None:
-        catalogue = resolve(self._configuration)
+        catalogue = self._resolved
         require(
             catalogue.revision > self._catalogue.revision,
             'the revision in force never falls',
@@ -92,3 +99,10 @@
         self._catalogue = catalogue
         self._changed.set()
         self._changed = trio.Event()
+
+
+def _resolve(configuration: Configuration) -> Catalogue:
+    try:
+        return resolve(configuration)
+    except (msgspec.ValidationError, KeyError) as error:
+        raise RecordError(str(error)) from error
--- a/src/carobwalk/profiles/spread/_peer_exchange.py
+++ b/src/carobwalk/profiles/spread/_peer_exchange.py
@@ -131,6 +131,11 @@
             configuration: A configuration that the store accepted.
             source: Where it came from, for the log.
         """
-        if self._held.offer(configuration) and self._held.joined:
+        try:
+            is_newer = self._held.offer(configuration)
+        except RecordError as error:
+            self._parts.events.emit(ConfigurationDamaged(source, str(error)))
+            return
+        if is_newer and self._held.joined:
             revision = configuration.revision
             self._parts.events.emit(ConfigurationInForce(revision, source))
--- a/src/carobwalk/profiles/writing/_head_store.py
+++ b/src/carobwalk/profiles/writing/_head_store.py
@@ -4,7 +4,8 @@
 
 from result import Err, Ok, Result
 
-from carobwalk.platform import Store, StoreFailure, Versioned
+from carobwalk.model import CarobwalkError
+from carobwalk.platform import Store, StoreFailure, Unavailable, Versioned
 from carobwalk.profiles._codec import decode, encode
 from carobwalk.profiles._failures import ConfigurationTooLarge
 from carobwalk.profiles.writing._head_record import HeadRecord
@@ -46,9 +47,17 @@
         self._store = store
 
     async def read(self) -> Result[HeldHead, StoreFailure]:
-        """Return the record as it stands."""
+        """Return the record as it stands.
+
+        A record that can't be read, because it is damaged or a newer program
+        wrote it, counts as unavailable.
+        """
         stored = await self._store.read(HEAD_NAME)
-        return stored.map(decode_head)
+        try:
+            return stored.map(decode_head)
+        except CarobwalkError as error:
+            detail = f'{HEAD_NAME} can not be read: {error}'
+            return Err(Unavailable(detail))
 
     async def shorten(
         self,
--- a/tests/profiles/test_random_spread.py
+++ b/tests/profiles/test_random_spread.py
@@ -31,7 +31,8 @@
         findings = report.findings
         assert len(findings.accepted) >= _CHANGES
         assert findings.refused
-        assert not report.faults
+        assert not report.lost
+        assert not report.reverted
         assert not findings.fallen
         assert not findings.diverged
         assert not findings.late
--- a/tests/profiles/test_spread.py
+++ b/tests/profiles/test_spread.py
@@ -2,16 +2,21 @@
 
 from collections.abc import Awaitable, Callable
 
+import pytest
 import trio
 from trio.testing import MockClock
 
 from benchmarks._config_fleet import Fleet, Process, make_endpoints
 from carobwalk.events import Event
+from carobwalk.profiles import Configuration, Entity, HeadRecord
+from carobwalk.profiles._codec import encode
 from carobwalk.profiles.spread import (
+    ConfigurationDamaged,
     ConfigurationStoreBehind,
     ConfigurationStoreLost,
 )
 from carobwalk.profiles.spread._neighbours import choose_neighbours
+from carobwalk.profiles.writing._head_store import HEAD_NAME
 from standins.memory_store import StoreFaults
 from tests.profiles._proposals import PROFILE, propose
 
@@ -174,14 +179,14 @@
         async def test(fleet: Fleet) -> None:
             process = fleet.processes['entry-000']
             await _write(process, 1, 0)
-            held = (await process.store.read('configuration/head')).unwrap()
+            held = (await process.store.read(HEAD_NAME)).unwrap()
             assert held is not None
             await _write(process, 2, 1)
             await trio.sleep(_LIMIT_SECONDS)
-            present = (await process.store.read('configuration/head')).unwrap()
+            present = (await process.store.read(HEAD_NAME)).unwrap()
             assert present is not None
             await process.store.write(
-                'configuration/head',
+                HEAD_NAME,
                 held.content,
                 present.revision,
             )
@@ -194,6 +199,44 @@
         events = _run(virtual_clock, test)
         assert events.count(ConfigurationStoreBehind) > 0
 
+    @pytest.mark.parametrize(
+        'content',
+        [
+            b'no record',
+            encode(HeadRecord())[:-4],
+            encode(
+                HeadRecord(
+                    Configuration(
+                        5,
+                        {'profile/a': Entity({'slots': 'many'}, 5, 'w')},
+                    ),
+                ),
+            ),
+        ],
+    )
+    def test_record_that_can_not_be_read(
+        self,
+        virtual_clock: MockClock,
+        content: bytes,
+    ) -> None:
+        """The revision in force stays, and writes are refused for certain."""
+
+        async def test(fleet: Fleet) -> None:
+            process = fleet.processes['entry-000']
+            await _write(process, 1, 0)
+            await trio.sleep(1)
+            head = (await process.store.read(HEAD_NAME)).unwrap()
+            assert head is not None
+            await process.store.write(HEAD_NAME, content, head.revision)
+            await trio.sleep(_LIMIT_SECONDS)
+            assert _revisions(fleet) == {1}
+            write = propose(PROFILE, 'a', {'slots': 3}, 1)
+            refused = await process.repository.write(write)
+            assert refused.is_err()
+
+        events = _run(virtual_clock, test)
+        assert events.count(ConfigurationDamaged) > 0
+
     def test_survey(self, virtual_clock: MockClock) -> None:
         """The status names the processes that lag or do not answer."""
 
