Count the calls of the spread apart from those of operators

Cause: the benchmark's calls per change mixed the followers' watches with the operators' reads and writes, so it showed nothing of how the spread scales. Change: both figures, for the product and the naive baseline.

--- a/benchmarks/_config_faults.py
+++ b/benchmarks/_config_faults.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from benchmarks._config_fleet import Fleet
+from benchmarks._config_fleet import Fleet, any_process
 from standins.memory_store import StoreFaults
 
 _REPAIR_CHANCE = 0.7
@@ -63,12 +63,12 @@
     async def _lose_replies(self) -> None:
         count = self._generator.randint(1, 3)
         for _ in range(3):
-            process = self._fleet.any_process(self._generator)
+            process = any_process(self._fleet, self._generator)
             process.store.inject(StoreFaults(lost_replies=count))
         await trio.sleep(self._generator.uniform(0.1, 2))
 
     async def _hold_writes(self) -> None:
-        held = [self._fleet.any_process(self._generator) for _ in range(4)]
+        held = [any_process(self._fleet, self._generator) for _ in range(4)]
         for process in held:
             process.store.inject(StoreFaults(holds_writes=True, timeout=0.5))
         await trio.sleep(self._generator.uniform(0.1, 6))
@@ -82,7 +82,7 @@
         await trio.sleep(self._generator.uniform(0.1, 8))
 
     async def _lose_process(self) -> None:
-        self._fleet.restart(self._fleet.any_process(self._generator))
+        self._fleet.restart(any_process(self._fleet, self._generator))
 
     async def _lose_watchers(self) -> None:
         for name in sorted(self._fleet.watchers):
--- a/benchmarks/_config_fleet.py
+++ b/benchmarks/_config_fleet.py
@@ -25,6 +25,7 @@
     WriteSettings,
 )
 from standins.memory_store import (
+    CallCounts,
     MemoryStore,
     MemoryStoreClient,
     StoreFaults,
@@ -209,7 +210,7 @@
         self.note = note
         self.started = 0
         self.store_faults = StoreFaults()
-        self.stopped_calls = 0
+        self._stopped: list[CallCounts] = []
         self._nursery = nursery
 
     def start(self, own: Endpoint) -> Process:
@@ -230,7 +231,7 @@
             write.cancel()
         self.wire.remove(process.own.name)
         self.processes.pop(process.own.name)
-        self.stopped_calls += process.store.counts.total
+        self._stopped.append(process.store.counts)
 
     def heal(self) -> None:
         """End all partitions."""
@@ -256,12 +257,20 @@
             is_cut = process.own.region in self.wire.cut_regions
             process.store.inject(cut_off if is_cut else self.store_faults)
 
-    def store_calls(self) -> int:
-        """Return the calls of all processes to the store so far."""
-        return self.stopped_calls + sum(
-            process.store.counts.total for process in self.processes.values()
+    def spread_calls(self) -> int:
+        """Return the calls of followers to the store, which are watches."""
+        return sum(counts.watches for counts in self._store_counts())
+
+    def operator_calls(self) -> int:
+        """Return the reads and writes that operators caused."""
+        return sum(
+            counts.reads + counts.writes for counts in self._store_counts()
         )
 
+    def _store_counts(self) -> list[CallCounts]:
+        processes = self.processes.values()
+        return [*self._stopped, *(one.store.counts for one in processes)]
+
     def restart(self, process: Process) -> None:
         """Stop a process and start it again, unless it is cut off.
 
@@ -272,9 +281,10 @@
             self.stop(process)
             self.start(process.own)
 
-    def any_process(self, generator: random.Random) -> Process:
-        """Return one process."""
-        return self.processes[generator.choice(sorted(self.processes))]
+
+def any_process(fleet: Fleet, generator: random.Random) -> Process:
+    """Return one process."""
+    return fleet.processes[generator.choice(sorted(fleet.processes))]
 
 
 def make_scheduling_repeatable(seed: int) -> None:
--- a/benchmarks/_config_naive.py
+++ b/benchmarks/_config_naive.py
@@ -52,8 +52,8 @@
         pause: float,
     ) -> None:
         self.findings = NaiveFindings()
-        self.clients: list[MemoryStoreClient] = []
         self.seconds: float = 0
+        self.spread_calls = 0
         self._store = MemoryStore()
         self._generator = random.Random(seed)
         self._processes = processes
@@ -74,20 +74,12 @@
             await trio.sleep(LIMIT_SECONDS + 1)
             nursery.cancel_scope.cancel()
 
-    def store_calls(self) -> int:
-        """Return the calls of all processes and operators to the store."""
-        return sum(client.counts.total for client in self.clients)
-
-    def _connect(self) -> MemoryStoreClient:
-        client = self._store.client()
-        self.clients.append(client)
-        return client
-
     async def _poll(self) -> None:
-        client = self._connect()
+        client = self._store.client()
         seen = 0
         await trio.sleep(self._generator.uniform(0, POLL_SECONDS))
         while True:
+            self.spread_calls += 1
             answer = await client.read(_NAME)
             if isinstance(answer, Ok) and answer.ok_value is not None:
                 seen = self._note(seen, answer.ok_value.revision)
@@ -101,7 +93,7 @@
         return revision
 
     async def _operate(self) -> None:
-        client = self._connect()
+        client = self._store.client()
         while self.findings.writes < self._changes:
             await trio.sleep(self._generator.uniform(0, 2 * self._pause))
             document = await self._read(client)
--- a/benchmarks/_config_operators.py
+++ b/benchmarks/_config_operators.py
@@ -8,7 +8,7 @@
 from result import Ok, Result
 
 from benchmarks._config_findings import Findings
-from benchmarks._config_fleet import Fleet, Process
+from benchmarks._config_fleet import Fleet, Process, any_process
 from carobwalk.model import OperatorName
 from carobwalk.profiles import (
     Acceptance,
@@ -57,7 +57,7 @@
         base = 0
         while len(self._findings.accepted) < changes:
             await trio.sleep(self._generator.uniform(0, 2 * self._pause))
-            process = self._fleet.any_process(self._generator)
+            process = any_process(self._fleet, self._generator)
             if self._generator.random() < _FRESH_CHANCE:
                 head = await process.repository.read()
                 base = head.ok_value.revision if isinstance(head, Ok) else base
--- a/benchmarks/_config_trial.py
+++ b/benchmarks/_config_trial.py
@@ -44,7 +44,8 @@
         lost: Accepted writes that are lost or doubled, and the like.
         reverted: Changes that were undone quietly.
         seconds: Length of the run on the virtual clock.
-        store_calls: Calls of all processes to the store.
+        spread_calls: Calls of all followers to the store.
+        operator_calls: Reads and writes of the store by operators.
         asks: Questions between processes.
         asked_bytes: Bytes of the questions and answers.
     """
@@ -53,7 +54,8 @@
     lost: tuple[str, ...]
     reverted: tuple[str, ...]
     seconds: float
-    store_calls: int
+    spread_calls: int
+    operator_calls: int
     asks: int
     asked_bytes: int
 
@@ -73,7 +75,8 @@
         for endpoint in fleet.endpoints:
             fleet.start(endpoint)
         seconds = await _race(settings, fleet, witness)
-        calls = fleet.store_calls()
+        spread_calls = fleet.spread_calls()
+        operator_calls = fleet.operator_calls()
         replay = await _replay(fleet, witness)
         nursery.cancel_scope.cancel()
     return TrialReport(
@@ -81,7 +84,8 @@
         lost=tuple(replay.lost),
         reverted=tuple(replay.reverted),
         seconds=seconds,
-        store_calls=calls,
+        spread_calls=spread_calls,
+        operator_calls=operator_calls,
         asks=fleet.wire.asks,
         asked_bytes=fleet.wire.bytes,
     )
--- a/benchmarks/config.py
+++ b/benchmarks/config.py
@@ -83,10 +83,13 @@
         'diverged': len(findings.diverged),
         **_spread(findings.delays),
         'seconds': round(report.seconds, 1),
-        'store_calls': report.store_calls,
-        'store_calls_per_change': round(report.store_calls / accepted, 2),
-        'store_calls_per_second': round(
-            report.store_calls / report.seconds,
+        'spread_calls_per_second': round(
+            report.spread_calls / report.seconds,
+            2,
+        ),
+        'spread_calls_per_change': round(report.spread_calls / accepted, 2),
+        'operator_calls_per_change': round(
+            report.operator_calls / accepted,
             2,
         ),
         'peer_bytes_per_process_and_change': round(
@@ -98,16 +101,15 @@
 def _naive(seed: int, processes: int, changes: int) -> dict[str, object]:
     run = NaiveRun(seed, processes, changes, _PAUSE_SECONDS)
     trio.run(run.run, clock=MockClock(autojump_threshold=0))
-    calls = run.store_calls()
+    written = run.findings.writes
     return {
         'processes': processes,
         'poll_seconds': POLL_SECONDS,
-        'written': run.findings.writes,
+        'written': written,
         'reverted': run.findings.reverted,
         **_spread(run.findings.delays),
-        'store_calls': calls,
-        'store_calls_per_change': round(calls / run.findings.writes, 2),
-        'store_calls_per_second': round(calls / run.seconds, 2),
+        'spread_calls_per_second': round(run.spread_calls / run.seconds, 2),
+        'spread_calls_per_change': round(run.spread_calls / written, 2),
     }
 
 
--- a/tests/profiles/test_spread.py
+++ b/tests/profiles/test_spread.py
@@ -265,11 +265,11 @@
             async def test(fleet: Fleet) -> None:
                 fleet.store.inject(_DOWN)
                 await trio.sleep(30)
-                before = _calls(fleet)
+                before = fleet.spread_calls()
                 await trio.sleep(10)
                 fleet.store.inject(StoreFaults())
                 await trio.sleep(10)
-                totals[count] = (_calls(fleet) - before) / 20
+                totals[count] = (fleet.spread_calls() - before) / 20
 
             return test
 
@@ -280,12 +280,6 @@
         assert totals[72] < 10
 
 
-def _calls(fleet: Fleet) -> int:
-    return sum(
-        process.store.counts.total for process in fleet.processes.values()
-    )
-
-
 class TestNeighbours:
     """Choice of neighbours."""
 
