Let dispatchers hold the grants of servers that do not check them

Cause: where servers do not check grants, the dispatcher is the only gate. Ruled out: a special takeover for such servers; the dispatcher keeps the same table of grants as a server would, under an incarnation of its own, so that all rules hold unchanged. Change: orders go to the dispatcher; a send needs its live grant; an owner that is given up is waited for until the longest request that the profile allows is over, also by a new coordinator; a drain counts a sent request for that time, since such a server tells nothing of its end. Figures: after the loss of a dispatcher, with requests of 3 s at most, the keys were sent elsewhere after 3 s and not before, and no shard had two live gates at any 10 ms sample (test bound).

--- a/src/carobwalk/ownership/_activation.py
+++ b/src/carobwalk/ownership/_activation.py
@@ -29,7 +29,8 @@
             self._check_owner(shard, shard.owner)
         if shard.owner is None:
             holder = self._choice.next_holder(shard)
-            if holder is not None:
+            held_back = self._state.now() < shard.not_before
+            if holder is not None and not held_back:
                 self._activate(shard, holder)
 
     def _check_owner(self, shard: ShardState, owner: Holder) -> None:
@@ -95,7 +96,8 @@
         state = self._state
         link = state.links[holder.server]
         ttl = state.context.times.lapse(state.context.times.grant_ttl)
-        link.extend(holder.incarnation, link.reported_at + ttl)
+        until = link.reported_at + ttl + state.context.hold_of(link.service)
+        link.extend(holder.incarnation, until)
         state.activate(shard, holder)
         shard.target = None
         service, number = shard.shard_id
--- a/src/carobwalk/ownership/_context.py
+++ b/src/carobwalk/ownership/_context.py
@@ -62,6 +62,23 @@
         profile = self.catalogue().profile_of(service)
         return profile is None or profile.checks_grants
 
+    def longest_request(self, service: ServiceName) -> float:
+        """Return the longest time in seconds that a request may run."""
+        profile = self.catalogue().profile_of(service)
+        if profile is None:
+            return self.times.longest_request
+        return max(profile.time_limits.values())
+
+    def hold_of(self, service: ServiceName) -> float:
+        """Return how long requests may run on after a server's grants.
+
+        A server that checks grants waits for its own requests; of another
+        one nobody knows more than the longest time of a request.
+        """
+        if self.checks_grants(service):
+            return 0
+        return self.times.lapse(self.longest_request(service))
+
 
 def group_of(endpoint: Endpoint) -> str:
     """Return the group whose home is the data centre of an endpoint."""
--- /dev/null
+++ b/src/carobwalk/ownership/_gate_channel.py
@@ -0,0 +1,81 @@
+"""Orders to servers that do not check grants, by way of their dispatchers."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from carobwalk.model import Endpoint, ServerId
+from carobwalk.ownership._codec import SCHEMA
+from carobwalk.ownership._context import OwnershipContext
+from carobwalk.ownership._gates import GATE_TOPIC, ORDER_KINDS
+from carobwalk.ownership._grant_channel import GrantFailure
+from carobwalk.ownership._server_messages import GrantReport, ServerOrder
+from carobwalk.ownership._shard_maps import ShardMaps
+from carobwalk.ownership._shard_row import ServerRow
+
+
+class GateChannel:
+    """Sends an order to the server, or to its dispatcher where that is it.
+
+    Args:
+        context: Surroundings of the process, with the way to servers.
+        maps: Shard maps, which name the dispatchers.
+    """
+
+    def __init__(self, context: OwnershipContext, maps: ShardMaps) -> None:
+        self._context = context
+        self._maps = maps
+
+    async def send(
+        self,
+        server: Endpoint,
+        order: ServerOrder,
+        timeout: float,
+    ) -> Result[GrantReport, GrantFailure]:
+        """Send an order and wait for the report.
+
+        Args:
+            server: Backend server that the order is for.
+            order: The order.
+            timeout: Longest wait in seconds.
+        """
+        row = self._maps.row_of(ServerId(server.name))
+        if row is None or self._context.checks_grants(row.service):
+            return await self._context.channel.send(server, order, timeout)
+        dispatcher = self._dispatcher(row)
+        if dispatcher is None:
+            return Err(GrantFailure(refused=False, detail='no dispatcher'))
+        reply = await self._context.peers.ask(
+            dispatcher,
+            GATE_TOPIC,
+            _encode(server, order),
+            timeout,
+        )
+        if isinstance(reply, Err):
+            detail = reply.err_value.detail
+            return Err(GrantFailure(refused=False, detail=detail))
+        return _decode(reply.ok_value)
+
+    def _dispatcher(self, row: ServerRow) -> Endpoint | None:
+        if row.dispatcher is None:
+            return None
+        for view in self._maps.by_group.values():
+            if row.server in view.servers:
+                return view.dispatchers.get(row.dispatcher)
+        return None
+
+
+def _encode(server: Endpoint, order: ServerOrder) -> bytes:
+    kinds = {kind: name for name, kind in ORDER_KINDS.items()}
+    message = SCHEMA.GateOrder.new_message(
+        server=server.name,
+        kind=kinds[type(order)],
+        order=msgspec.json.encode(order),
+    )
+    return bytes(message.to_bytes_packed())
+
+
+def _decode(payload: bytes) -> Result[GrantReport, GrantFailure]:
+    message = SCHEMA.GateAnswer.from_bytes_packed(payload)
+    if not message.report:
+        return Err(GrantFailure(refused=False, detail='not the dispatcher'))
+    return Ok(msgspec.json.decode(message.report, type=GrantReport))
--- a/src/carobwalk/ownership/_map_leases.py
+++ b/src/carobwalk/ownership/_map_leases.py
@@ -2,7 +2,9 @@
 
 from result import Err, Ok, Result
 
-from carobwalk.model import FenceToken, Key, ServerId, ServiceName
+from carobwalk.model import FenceToken, Key, Placement, ServerId, ServiceName
+from carobwalk.ownership._context import OwnershipContext
+from carobwalk.ownership._gates import Gates
 from carobwalk.ownership._leases import NoLease
 from carobwalk.ownership._map_placements import MapPlacements
 from carobwalk.ownership._shard_maps import ShardMaps
@@ -12,11 +14,21 @@
     """Authorises sends by the live leases and the shard maps.
 
     Args:
+        context: Surroundings of the process.
         maps: Shard maps and leases.
         placements: Reader of the shard maps.
+        gates: Grants of servers that do not check them.
     """
 
-    def __init__(self, maps: ShardMaps, placements: MapPlacements) -> None:
+    def __init__(
+        self,
+        context: OwnershipContext,
+        maps: ShardMaps,
+        placements: MapPlacements,
+        gates: Gates,
+    ) -> None:
+        self._context = context
+        self._gates = gates
         self._maps = maps
         self._placements = placements
 
@@ -44,4 +56,20 @@
         placement = located.ok_value
         if placement.server.name != server or placement.token is None:
             return Err(NoLease(f'{server} does not own the key'))
-        return Ok(placement.token)
+        return self._pass_gate(server, service, placement)
+
+    def _pass_gate(
+        self,
+        server: ServerId,
+        service: ServiceName,
+        placement: Placement,
+    ) -> Result[FenceToken, NoLease]:
+        token = placement.token
+        shard = placement.shard
+        if token is None or shard is None:
+            return Err(NoLease(f'{server} has no grant'))
+        if self._context.checks_grants(service):
+            return Ok(token)
+        if self._gates.admits(server, (service, shard), token):
+            return Ok(token)
+        return Err(NoLease(f'the grant of {server} is not live here'))
--- a/src/carobwalk/ownership/_role.py
+++ b/src/carobwalk/ownership/_role.py
@@ -1,5 +1,6 @@
 """Ownership as one process takes part in it."""
 
+from dataclasses import replace
 from typing import Final
 
 import trio
@@ -9,6 +10,8 @@
 from carobwalk.ownership._codec import decode_push, encode_answer
 from carobwalk.ownership._context import OwnershipContext, region_of
 from carobwalk.ownership._entry_pushes import MAP_TOPIC
+from carobwalk.ownership._gate_channel import GateChannel
+from carobwalk.ownership._gates import GATE_TOPIC, Gates
 from carobwalk.ownership._heard import HEARD_TOPIC, HeardQuestions
 from carobwalk.ownership._host_view import HostView
 from carobwalk.ownership._leases import Leases
@@ -37,11 +40,15 @@
         self._maps = ShardMaps(context)
         self._heard = HeardQuestions(context, self._maps)
         self._candidates: dict[str, Candidate] = {}
+        self._gates = Gates(context, self._maps)
+        channel = GateChannel(context, self._maps)
+        self._coordinating_context = replace(context, channel=channel)
         placements = MapPlacements(context, self._maps)
         self.placements = placements
-        self.leases = MapLeases(self._maps, placements)
+        self.leases = MapLeases(context, self._maps, placements, self._gates)
         context.topics.register(MAP_TOPIC, self._receive)
         context.topics.register(HEARD_TOPIC, self._heard.answer)
+        context.topics.register(GATE_TOPIC, self._gates.receive)
 
     async def run(self) -> None:
         """Take part until cancelled."""
@@ -117,7 +124,7 @@
 
     def _candidate(self, group: str) -> Candidate:
         candidate = Candidate(
-            self._context,
+            self._coordinating_context,
             self._hosts,
             self._maps,
             self._heard,
--- a/src/carobwalk/ownership/_server_heartbeats.py
+++ b/src/carobwalk/ownership/_server_heartbeats.py
@@ -107,6 +107,7 @@
         owned = state.owned.order_of(holder)
         if owned.granted or owned.releasing:
             until = link.reported_at + self._context.times.lapse(ttl)
+            until += state.context.hold_of(link.service)
             link.extend(holder.incarnation, until)
         link.sequence += 1
         if not state.contact.autonomous:
--- a/src/carobwalk/ownership/_shard_state.py
+++ b/src/carobwalk/ownership/_shard_state.py
@@ -20,6 +20,7 @@
         lost: Holder that was owner last.
         lapsed_at: When the coordinator found that a silent owner's grant is
             over; minus infinity where no silent owner was given up.
+        not_before: When requests of an earlier owner are surely over.
         sequence: Sequence of the owner's fence token.
         release: Sequence of the order that made the owner drain.
         target: Server that a planned move goes to.
@@ -32,6 +33,7 @@
     owner: Holder | None = None
     lost: Holder | None = None
     lapsed_at: float = -inf
+    not_before: float = -inf
     sequence: int = 0
     release: int | None = None
     target: Holder | None = None
--- a/src/carobwalk/ownership/_takeover.py
+++ b/src/carobwalk/ownership/_takeover.py
@@ -55,7 +55,9 @@
             return
         shard.ready = True
         owner = self._owner(claims)
-        if owner is not None:
+        if owner is None:
+            self._hold_back(shard, holders)
+        else:
             self._keep(shard, owner)
         service, number = shard.shard_id
         self._state.emit(
@@ -104,12 +106,27 @@
             return max(claims, key=_token_of)
         return claims[0]
 
+    def _hold_back(
+        self,
+        shard: ShardState,
+        holders: tuple[Holder, ...],
+    ) -> None:
+        """Wait for requests of an owner whose grant lapsed earlier."""
+        links = [self._state.links.get(holder.server) for holder in holders]
+        holds = [
+            self._state.context.hold_of(link.service) for link in links if link
+        ]
+        shard.not_before = self._state.now() + max(holds, default=0)
+
     def _keep(self, shard: ShardState, owner: _Claim) -> None:
         link = self._state.links[owner.holder.server]
         remaining = self._state.context.times.lapse(owner.held.remaining)
         guarded = self._state.context.rules.token_order
         reported_at = link.fenced_at if guarded else self._state.now()
-        link.extend(owner.holder.incarnation, reported_at + remaining)
+        until = (
+            reported_at + remaining + self._state.context.hold_of(link.service)
+        )
+        link.extend(owner.holder.incarnation, until)
         self._state.activate(shard, owner.holder)
 
 
--- a/src/carobwalk/ownership/ownership.capnp
+++ b/src/carobwalk/ownership/ownership.capnp
@@ -70,3 +70,22 @@
   epoch @0 :UInt64;
   age @1 :Float64;
 }
+
+struct GateOrder {
+  # An order to the dispatcher of a server that does not check grants. The
+  # order is the JSON that a server that checks them would get.
+  server @0 :Text;
+  kind @1 :Kind;
+  order @2 :Data;
+
+  enum Kind {
+    grant @0;
+    fence @1;
+    release @2;
+  }
+}
+
+struct GateAnswer {
+  # The report as JSON; empty where the process does not dispatch.
+  report @0 :Data;
+}
--- a/standins/fake_fleet.py
+++ b/standins/fake_fleet.py
@@ -10,7 +10,6 @@
     Address,
     DataCentreName,
     Endpoint,
-    ProfileName,
     RegionName,
     ServiceName,
 )
@@ -27,7 +26,6 @@
 SERVICE: Final = ServiceName('claims')
 REGION: Final = RegionName('north')
 _POLL_SECONDS: Final = 0.01
-_PROFILE: Final = ProfileName('keyed')
 
 
 class FakeFleet:
@@ -47,7 +45,7 @@
         self.host_list = MemoryHostList()
         self.servers = self.record.servers
         self.processes: dict[str, FakeProcess] = {}
-        self.catalogue = _catalogue()
+        self.catalogue = _catalogue(shape.profile)
         for number in range(shape.data_centres):
             self._add_data_centre(DataCentreName(f'dc{number + 1}'))
         self.inject(StoreFaults(timeout=shape.store_timeout))
@@ -134,9 +132,9 @@
     return Endpoint(name, Address('127.0.0.1', 1), REGION, data_centre)
 
 
-def _catalogue() -> Catalogue:
+def _catalogue(profile: Profile) -> Catalogue:
     return Catalogue(
         revision=1,
-        profiles_by_name={_PROFILE: Profile(name=_PROFILE)},
-        services_by_name={SERVICE: Service(SERVICE, _PROFILE)},
+        profiles_by_name={profile.name: profile},
+        services_by_name={SERVICE: Service(SERVICE, profile.name)},
     )
--- a/standins/fake_fleet_shape.py
+++ b/standins/fake_fleet_shape.py
@@ -1,8 +1,13 @@
 """Size and settings of a fake fleet."""
 
 from dataclasses import dataclass, field
+from typing import Final
 
+from carobwalk.model import ProfileName
 from carobwalk.ownership import OwnershipTimes, SafetyRules
+from carobwalk.profiles import Profile
+
+_KEYED: Final = Profile(name=ProfileName('keyed'))
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -18,6 +23,7 @@
         drift: Largest deviation of a clock's rate from 1.
         times: Time limits.
         rules: Safety rules in force.
+        profile: Profile of the service.
         store_timeout: Timeout of calls to the store, in seconds.
     """
 
@@ -29,6 +35,7 @@
     drift: float = 0
     times: OwnershipTimes = field(default_factory=OwnershipTimes)
     rules: SafetyRules = field(default_factory=SafetyRules)
+    profile: Profile = _KEYED
     store_timeout: float = 2
 
     @property
--- /dev/null
+++ b/tests/ownership/test_gates.py
@@ -0,0 +1,107 @@
+"""Tests of servers that do not check grants."""
+
+import trio
+from result import Ok
+from trio.testing import MockClock
+
+from carobwalk.model import Key, ProfileName, Rank, ServerId, ShardNumber
+from carobwalk.profiles import Profile
+from standins.fake_fleet import SERVICE, FakeFleet
+from standins.fake_fleet_shape import FleetShape
+from standins.fake_process import FakeProcess
+
+LONGEST_SECONDS = 3
+SHARDS = 4
+PROFILE = Profile(
+    name=ProfileName('unchecked'),
+    checks_grants=False,
+    time_limits=dict.fromkeys(Rank, LONGEST_SECONDS),
+)
+SHAPE = FleetShape(shards_per_server=1, profile=PROFILE)
+KEY = Key('case-1')
+
+
+def gated_owners(fleet: FakeFleet, shard: int) -> set[str]:
+    """Return the servers for which some dispatcher holds a live grant."""
+    return {
+        name
+        for name in fleet.servers
+        for process in fleet.processes.values()
+        if process.role._gates.owns(
+            ServerId(name),
+            (SERVICE, ShardNumber(shard)),
+        )
+    }
+
+
+def sender(fleet: FakeFleet) -> tuple[FakeProcess, str] | None:
+    """Return the dispatcher that may send for the key, and the server."""
+    for process in fleet.processes.values():
+        located = process.role.placements.locate(SERVICE, KEY)
+        if process.name in fleet.network.down or not isinstance(located, Ok):
+            continue
+        placement = located.ok_value
+        dispatcher = fleet.processes[placement.dispatcher.name]
+        server = ServerId(placement.server.name)
+        lease = dispatcher.role.leases.authorise(server, SERVICE, KEY)
+        if lease.is_ok() and dispatcher.name not in fleet.network.down:
+            return dispatcher, server
+    return None
+
+
+async def watch(fleet: FakeFleet, seconds: float) -> None:
+    """Check for a while that no shard has two servers."""
+    end = trio.current_time() + seconds
+    while trio.current_time() < end:
+        for shard in range(SHARDS):
+            assert len(gated_owners(fleet, shard)) <= 1
+        await trio.sleep(0.01)
+
+
+class TestGates:
+    def test_dispatcher_lost(self, virtual_clock: MockClock) -> None:
+        """Nobody else is sent the keys while an old request may run."""
+
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                fleet = FakeFleet(nursery, SHAPE)
+                fleet.start()
+                await fleet.wait_until(lambda: sender(fleet) is not None, 10)
+                await watch(fleet, 3)
+                found = sender(fleet)
+                assert found is not None
+                found[0].crash()
+                lost_at = trio.current_time()
+                await fleet.wait_until(
+                    lambda: sender(fleet) not in {None, found},
+                    10,
+                )
+                assert trio.current_time() - lost_at >= LONGEST_SECONDS
+                await watch(fleet, 2)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=virtual_clock)
+
+    def test_sends_need_grant(self, virtual_clock: MockClock) -> None:
+        """A dispatcher that hears no coordinator stops sending."""
+
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                fleet = FakeFleet(nursery, SHAPE)
+                fleet.start()
+                await fleet.wait_until(lambda: sender(fleet) is not None, 10)
+                found = sender(fleet)
+                assert found is not None
+                dispatcher, server = found
+                for name in fleet.processes:
+                    fleet.network.cuts.add((name, dispatcher.name))
+                await trio.sleep(1)
+                lease = dispatcher.role.leases.authorise(
+                    ServerId(server),
+                    SERVICE,
+                    KEY,
+                )
+                assert lease.is_err()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=virtual_clock)
