--- a/tests/ownership/test_held_since.py
+++ b/tests/ownership/test_held_since.py
@@ -13,6 +13,7 @@
     ServiceName,
 )
 from carobwalk.ownership import OwnershipContext
+from carobwalk.ownership._gates import Gates
 from carobwalk.ownership._map_leases import MapLeases
 from carobwalk.ownership._map_placements import MapPlacements
 from carobwalk.ownership._map_push import MapPush
@@ -55,7 +56,12 @@
             _Context(_place('e1'), self.clock, NullEventLog()),
         )
         self.maps = ShardMaps(context)
-        self.leases = MapLeases(self.maps, MapPlacements(context, self.maps))
+        self.leases = MapLeases(
+            context,
+            self.maps,
+            MapPlacements(context, self.maps),
+            Gates(context, self.maps),
+        )
 
     def push(self, at: float, epoch: int, *leases: ServerId) -> None:
         """Receive a push that gives leases."""
