Lower the slots of a server that sheds, and measure three limits

Cause: counted slots kept half of all sends shed at a server that ran fewer. Change: a shed lowers the limit to what runs; one more is tried after 1 s.

--- a/benchmarks/_dispatch_server.py
+++ b/benchmarks/_dispatch_server.py
@@ -100,6 +100,11 @@
         self._thawed.set()
         self._thawed = trio.Event()
 
+    def resize(self, slots: int) -> None:
+        """Run another number of requests from now on."""
+        self.slots = slots
+        self._semaphore = trio.Semaphore(slots)
+
     async def take(self, head: RequestHead) -> UpstreamFailure | None:
         """Run a request whose bytes have arrived.
 
--- a/benchmarks/ranks.py
+++ b/benchmarks/ranks.py
@@ -3,13 +3,14 @@
 import json
 import sys
 from collections.abc import Mapping
-from dataclasses import replace
+from dataclasses import asdict, dataclass, replace
 from random import Random
 from types import MappingProxyType
 
 import trio
 from trio.testing import MockClock
 
+from benchmarks._dispatch_limits import LIMITS, limit_figures
 from benchmarks._dispatch_naive import NaiveForwarder
 from benchmarks._dispatch_run import (
     PROFILE,
@@ -26,6 +27,7 @@
 from carobwalk.model import Forwarder, Rank
 
 LOADS = (0.5, 1.0, 1.5, 2.0, 3.0)
+LIMIT_LOADS = (0.4, 1.5)
 KEPT_TARGET = 0.9
 VALUES_BY_RANK: Mapping[Rank, float] = MappingProxyType(
     {Rank.LOOKUP: 1, Rank.MONEY: 5, Rank.BULK: 4},
@@ -35,6 +37,20 @@
 _SPAN = (5.0, _END)
 _MEDIAN = 50
 _P99 = 99
+_DIGITS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class LoadFigures:
+    """Figures of one load under one policy.
+
+    Args:
+        value_of_optimum: Value served, in parts of the bound.
+        ranks: Figures by name of the rank.
+    """
+
+    value_of_optimum: float
+    ranks: dict[str, dict[str, float]]
 
 
 def traffic(seed: int, load: float) -> list[Arrival]:
@@ -72,7 +88,7 @@
     return value
 
 
-def figures(seed: int, load: float, policy: str | None) -> dict[str, object]:
+def figures(seed: int, load: float, policy: str | None) -> LoadFigures:
     """Return the figures of one load under one policy.
 
     Args:
@@ -86,12 +102,12 @@
     served = sum(
         VALUES_BY_RANK[record.arrival.rank]
         for record in records
-        if record.failure is None
+        if record.failure is None and record.arrival.at + record.seconds <= _END
+    )
+    return LoadFigures(
+        value_of_optimum=round(served / best_value(arrivals), _DIGITS),
+        ranks={rank.value: _rank_figures(records, rank) for rank in Rank},
     )
-    return {
-        'value_of_optimum': round(served / best_value(arrivals), 4),
-        'ranks': {rank.value: _rank_figures(records, rank) for rank in Rank},
-    }
 
 
 async def _play(arrivals: list[Arrival], policy: str | None) -> list[Record]:
@@ -106,8 +122,15 @@
 
 def _rank_figures(records: list[Record], rank: Rank) -> dict[str, float]:
     own = [record for record in records if record.arrival.rank is rank]
+    start, end = _SPAN
+    offered = sum(
+        record.arrival.work
+        for record in own
+        if start <= record.arrival.at < end
+    )
     return rounded(
         {
+            'offered_slots': offered / (end - start),
             'goodput_slots': goodput(records, rank, _SPAN),
             'p50_s': latency(records, rank, _SPAN, _MEDIAN),
             'p99_s': latency(records, rank, _SPAN, _P99),
@@ -116,13 +139,15 @@
     )
 
 
-def keeps_shares(load: float, product: dict[str, object]) -> bool:
+def keeps_shares(ranks: Mapping[str, Mapping[str, float]]) -> bool:
     """Return whether each rank has its guaranteed share, if it needs it."""
-    figures_by_rank = product['ranks']
-    assert isinstance(figures_by_rank, dict)
     return all(
-        figures_by_rank[rank.value]['goodput_slots']
-        >= KEPT_TARGET * PROFILE.shares[rank] * SLOTS * min(load, 1)
+        ranks[rank.value]['goodput_slots']
+        >= KEPT_TARGET
+        * min(
+            PROFILE.shares[rank] * SLOTS,
+            ranks[rank.value]['offered_slots'],
+        )
         for rank in Rank
     )
 
@@ -137,19 +162,26 @@
         0 if the targets are met, otherwise 1.
     """
     policies = ('fifo', 'strict', 'deficit-round-robin', 'guaranteed-shares')
-    runs: dict[str, dict[str, object]] = {}
+    runs: dict[str, object] = {}
     is_ok = True
     for load in LOADS:
         run = {policy: figures(seed, load, policy) for policy in policies}
         run['naive'] = figures(seed, load, None)
         product = run[PROFILE.dispatch_policy]
-        is_ok = is_ok and keeps_shares(load, product)
-        runs[str(load)] = {**run}
+        is_ok = is_ok and keeps_shares(product.ranks)
+        runs[str(load)] = {name: asdict(each) for name, each in run.items()}
     report = {
         'bench': 'ranks',
         'seed': seed,
         'product': PROFILE.dispatch_policy,
         'runs_by_load': runs,
+        'limits_by_load': {
+            str(load): {
+                limit: limit_figures(seed, load, limit)
+                for limit in (*LIMITS, 'naive')
+            }
+            for load in LIMIT_LOADS
+        },
         'target': {'kept_of_guaranteed_share': KEPT_TARGET},
         'ok': is_ok,
     }
--- a/src/carobwalk/dispatch/__init__.py
+++ b/src/carobwalk/dispatch/__init__.py
@@ -1,7 +1,6 @@
 """Sending of requests to backend servers, by rank and at most once."""
 
 from carobwalk.dispatch._context import DispatchContext
-from carobwalk.dispatch._deficit_round_robin import DeficitRoundRobin
 from carobwalk.dispatch._dispatch_pool import DispatchPool
 from carobwalk.dispatch._dispatcher import Dispatcher
 from carobwalk.dispatch._dispatcher_table import MakeUpstream
@@ -13,20 +12,25 @@
     SlotLimitError,
     UnknownPolicyError,
 )
-from carobwalk.dispatch._fifo import Fifo
-from carobwalk.dispatch._guaranteed_shares import GuaranteedShares
 from carobwalk.dispatch._h11_upstream import H11Upstream
 from carobwalk.dispatch._limit_policy import (
     LimitPolicy,
     SendEnd,
     limit_policies,
 )
+from carobwalk.dispatch._policies import (
+    AdaptiveDelayLimit,
+    AimdLimit,
+    DeficitRoundRobin,
+    Fifo,
+    GuaranteedShares,
+    SlotsLimit,
+    Strict,
+)
 from carobwalk.dispatch._quarantine import Quarantine
 from carobwalk.dispatch._queue_policy import QueuePolicy, queue_policies
 from carobwalk.dispatch._send_gate import SendGate
 from carobwalk.dispatch._server_chooser import ServerChooser
-from carobwalk.dispatch._slots_limit import SlotsLimit
-from carobwalk.dispatch._strict import Strict
 from carobwalk.dispatch._suspect import Incident, Suspect, SuspectId
 from carobwalk.dispatch._tenures import Tenure
 from carobwalk.dispatch._upstream import Upstream, UpstreamRequest
@@ -43,6 +47,8 @@
 )
 
 __all__ = (
+    'AdaptiveDelayLimit',
+    'AimdLimit',
     'CallerLost',
     'ConnectionLimitError',
     'DeficitRoundRobin',
--- a/src/carobwalk/dispatch/_limit_policy.py
+++ b/src/carobwalk/dispatch/_limit_policy.py
@@ -37,8 +37,14 @@
     def started(self, now: float) -> None:
         """Note that a request started."""
 
-    def ended(self, end: SendEnd, now: float) -> None:
-        """Note how a request left its slot."""
+    def ended(self, end: SendEnd, running: int, now: float) -> None:
+        """Note how a request left its slot.
+
+        Args:
+            end: How the slot's use ended.
+            running: Requests that run on.
+            now: Time on the dispatcher's clock.
+        """
 
 
 limit_policies: Registry[LimitPolicy] = Registry()
--- a/src/carobwalk/dispatch/_slots.py
+++ b/src/carobwalk/dispatch/_slots.py
@@ -97,7 +97,7 @@
         if end is SendEnd.ANSWERED:
             self._durations.note(ticket.rank, held)
         self._health.note(end)
-        self._limit.ended(end, now)
+        self._limit.ended(end, self.running, now)
         self._start_waiting()
 
     async def _wait(self, ticket: Ticket) -> None:
--- a/src/carobwalk/dispatch/_slots_limit.py
+++ b/src/carobwalk/dispatch/_slots_limit.py
@@ -7,13 +7,15 @@
 
 _COLD_LIMIT = 1
 _ANSWERS_PER_STEP = 4
+_PROBE_SECONDS = 1
 
 
 @limit_policies.register('slots')
 class SlotsLimit:
-    """Counts slots; a cold or failing server gets one request at a time.
+    """Counts slots, from one at a cold server up to the profile's number.
 
-    Each few answers in a row add a slot, up to the profile's number.
+    Each few answers in a row add a slot; a loss halves the limit. A server
+    that sheds gets no more than it ran then, and one more after a while.
 
     Args:
         profile: Settings that give the number of slots.
@@ -23,6 +25,7 @@
         self._slots = profile.slots
         self._limit = min(_COLD_LIMIT, self._slots)
         self._answers = 0
+        self._shed_until = -math.inf
 
     def apply(self, profile: Profile) -> None:
         """Take over a changed number of slots."""
@@ -40,13 +43,22 @@
     def started(self, now: float) -> None:
         """Do nothing: the caller counts what runs."""
 
-    def ended(self, end: SendEnd, now: float) -> None:
-        """Raise the limit after answers, drop it after a loss."""
+    def ended(self, end: SendEnd, running: int, now: float) -> None:
+        """Raise the limit after answers, lower it when the server fails."""
         if end is SendEnd.LOST:
-            self._limit = min(_COLD_LIMIT, self._slots)
+            self._lower(self._limit // 2)
+        if end is SendEnd.SHED:
+            self._lower(running)
+            self._shed_until = now + _PROBE_SECONDS
+        if end is SendEnd.ANSWERED and now > self._shed_until:
+            self._raise()
+
+    def _lower(self, limit: int) -> None:
+        self._limit = max(min(self._limit, limit), _COLD_LIMIT)
+        self._answers = 0
+
+    def _raise(self) -> None:
+        self._answers += 1
+        if self._answers >= _ANSWERS_PER_STEP:
             self._answers = 0
-        if end is SendEnd.ANSWERED:
-            self._answers += 1
-            steps = self._answers // _ANSWERS_PER_STEP
-            self._answers %= _ANSWERS_PER_STEP
-            self._limit = min(self._limit + steps, self._slots)
+            self._limit = min(self._limit + 1, self._slots)
