--- a/benchmarks/ranks.py
+++ b/benchmarks/ranks.py
@@ -176,11 +176,11 @@
         'product': PROFILE.dispatch_policy,
         'runs_by_load': runs,
         'limits_by_load': {
-            str(load): {
-                limit: limit_figures(seed, load, limit)
+            str(limited): {
+                limit: limit_figures(seed, limited, limit)
                 for limit in (*LIMITS, 'naive')
             }
-            for load in LIMIT_LOADS
+            for limited in LIMIT_LOADS
         },
         'target': {'kept_of_guaranteed_share': KEPT_TARGET},
         'ok': is_ok,
