Serve the rank that went longest without its share

Cause: of several ranks below their share the most urgent one came first, so in a flood of all ranks uploads got 0.72 of their 0.8 slots (test, 20 s); a slot granted at time 0 counted as held for 0 s; ten successes earned 0.999 of a retry.

--- a/src/carobwalk/dispatch/_guaranteed_shares.py
+++ b/src/carobwalk/dispatch/_guaranteed_shares.py
@@ -50,13 +50,18 @@
     def finish(self, ticket: Ticket, now: float) -> None:
         """Charge the slot time to the rank."""
         self._accounts_by_rank[ticket.rank].finish(now)
-        self._durations.note(ticket.rank, now - (ticket.started_at or now))
+        self._durations.note(ticket.rank, ticket.held(now))
 
     def _next(self, now: float) -> Rank | None:
         ranks = self.backlogged
-        for owed in ranks:
-            if self._accounts_by_rank[owed].is_owed(now):
-                return owed
+        owed_by_rank = {
+            rank: self._accounts_by_rank[rank].owed_seconds(now)
+            for rank in ranks
+        }
+        # The first of equals is the most urgent one.
+        most_owed = max(ranks, key=owed_by_rank.__getitem__, default=None)
+        if most_owed is not None and owed_by_rank[most_owed] > 0:
+            return most_owed
         for rank in ranks:
             if self._may_exceed_share(rank, now):
                 return rank
--- a/src/carobwalk/dispatch/_retry_budget.py
+++ b/src/carobwalk/dispatch/_retry_budget.py
@@ -1,6 +1,7 @@
 """Bound on the retries of a dispatcher."""
 
 _MOST_SAVED = 10
+_ROUNDING = 1e-9
 
 
 class RetryBudget:
@@ -23,7 +24,7 @@
 
     def spend(self) -> bool:
         """Take one retry out; return whether there was one."""
-        if self._saved < 1:
+        if self._saved < 1 - _ROUNDING:
             return False
         self._saved -= 1
         return True
--- a/src/carobwalk/dispatch/_share_account.py
+++ b/src/carobwalk/dispatch/_share_account.py
@@ -31,10 +31,15 @@
         self._update(now)
         return self._usage
 
-    def is_owed(self, now: float) -> bool:
-        """Return whether the rank used less than its guaranteed share."""
+    def owed_seconds(self, now: float) -> float:
+        """Return for how long the rank went without its guaranteed share.
+
+        It is 0 while the rank runs as many requests as it has slots.
+        """
         self._update(now)
-        return self._balance > 0 and self._running < self._entitled
+        if self._running >= self._entitled:
+            return 0
+        return max(self._balance / self._entitled, 0)
 
     def start(self, now: float) -> None:
         """Note that a request of the rank got a slot."""
--- a/src/carobwalk/dispatch/_slots.py
+++ b/src/carobwalk/dispatch/_slots.py
@@ -90,7 +90,7 @@
         """
         now = self._clock.now()
         self._policies_by_ticket.pop(ticket).finish(ticket, now)
-        held = now - (ticket.started_at or now)
+        held = ticket.held(now)
         if end is SendEnd.OVERDUE:
             is_slow = held > _SLOW_FACTOR * self._durations.mean(ticket.rank)
             end = SendEnd.LOST if is_slow else SendEnd.UNUSED
--- a/src/carobwalk/dispatch/_ticket.py
+++ b/src/carobwalk/dispatch/_ticket.py
@@ -36,6 +36,10 @@
         self.started_at = now
         self.settled.set()
 
+    def held(self, now: float) -> float:
+        """Return for how many seconds the request has had its slot."""
+        return 0 if self.started_at is None else now - self.started_at
+
     def refuse(self, failure: Failure) -> None:
         """End the wait without a slot."""
         self.refusal = failure
