Run actions in their own task after the pool's tasks ended

Cause: an action that came after the pool's nursery was closed failed with an untyped error (test, fails without the change). Change: the dispatchers leave the nursery when it ends.

--- a/src/carobwalk/dispatch/_actions.py
+++ b/src/carobwalk/dispatch/_actions.py
@@ -76,7 +76,7 @@
         self._nursery: trio.Nursery | None = None
         self._presence = presence
 
-    def keep_runs_in(self, nursery: trio.Nursery) -> None:
+    def keep_runs_in(self, nursery: trio.Nursery | None) -> None:
         """Let runs go on in a nursery when their callers leave."""
         self._nursery = nursery
 
--- a/src/carobwalk/dispatch/_dispatch_pool.py
+++ b/src/carobwalk/dispatch/_dispatch_pool.py
@@ -80,7 +80,10 @@
         async with trio.open_nursery() as nursery:
             self._dispatchers.keep_runs_in(nursery)
             task_status.started()
-            await trio.sleep_forever()
+            try:
+                await trio.sleep_forever()
+            finally:
+                self._dispatchers.keep_runs_in(None)
 
     async def forward(
         self,
--- a/src/carobwalk/dispatch/_dispatcher.py
+++ b/src/carobwalk/dispatch/_dispatcher.py
@@ -84,7 +84,7 @@
         """Whether the server stopped answering requests."""
         return self._health.is_suspected
 
-    def keep_runs_in(self, nursery: trio.Nursery) -> None:
+    def keep_runs_in(self, nursery: trio.Nursery | None) -> None:
         """Let actions run on in a nursery when their callers leave."""
         self._actions.keep_runs_in(nursery)
 
--- a/src/carobwalk/dispatch/_dispatcher_table.py
+++ b/src/carobwalk/dispatch/_dispatcher_table.py
@@ -52,7 +52,7 @@
             if dispatcher.is_suspected
         )
 
-    def keep_runs_in(self, nursery: trio.Nursery) -> None:
+    def keep_runs_in(self, nursery: trio.Nursery | None) -> None:
         """Let actions run on in a nursery when their callers leave."""
         self._nursery = nursery
         for dispatcher in self._dispatchers_by_server.values():
--- a/tests/dispatch/test_actions.py
+++ b/tests/dispatch/test_actions.py
@@ -275,6 +275,23 @@
     leases.answer = Ok(FenceToken(epoch=4, sequence=1))
 
 
+class TestPool:
+    def test_that_ended(self, virtual_clock: MockClock) -> None:
+        """An action that comes after the pool's tasks still runs."""
+
+        async def case() -> None:
+            pool = pool_of(ScriptedUpstream())
+            async with trio.open_nursery() as nursery:
+                await nursery.start(pool.run)
+                await begin_tenure(pool)
+                nursery.cancel_scope.cancel()
+            call = call_of(b'x', idempotency_key=uuid7(trio.current_time()))
+            ending = await pool.forward(call, PLACEMENT, ListSink())
+            assert isinstance(ending, Ok)
+
+        trio.run(case, clock=virtual_clock)
+
+
 class TestCaller:
     def test_that_leaves_within_its_body(
         self,
--- a/tests/dispatch/test_h11_upstream.py
+++ b/tests/dispatch/test_h11_upstream.py
@@ -1,19 +1,28 @@
 """Tests of requests over TCP to a backend server."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import pytest
 import trio
 from result import Err, Ok, Result
 
-from carobwalk.dispatch import DispatchPool
+from carobwalk.dispatch import (
+    ConnectionLimitError,
+    DispatchPool,
+    H11Upstream,
+    SendGate,
+    Tenure,
+    UpstreamRequest,
+)
 from carobwalk.model import (
     BodyError,
     Completion,
     Failure,
     FailureKind,
+    FenceToken,
     Outcome,
+    TrioClock,
 )
 from carobwalk.ownership import NoLease
 from tests.dispatch.fakes import (
@@ -32,7 +41,7 @@
     answer_ok,
 )
 
-Case = Callable[[], Awaitable[None]]
+TENURE = Tenure(FenceToken(1, 1), FenceToken(1, 1))
 
 
 @asynccontextmanager
@@ -145,6 +154,22 @@
         trio.run(case)
 
 
+class TestConnections:
+    def test_never_exceed_the_limit(self) -> None:
+        """One connection more than the server takes is an error."""
+
+        async def case() -> None:
+            upstream = H11Upstream(endpoint_of('full'), 0, TrioClock())
+            gate = SendGate(lambda: Ok(TENURE), idempotent=True, name='r')
+            call = call_of()
+            request = UpstreamRequest(call.head, call.body, None, gate, 1)
+            with pytest.raises(ConnectionLimitError):
+                await upstream.exchange(request, ListSink())
+            assert gate.sends == 0
+
+        trio.run(case)
+
+
 async def _answer_and_close(
     request: Received,
     stream: trio.SocketStream,
