--- a/src/carobwalk/dispatch/_dispatcher_table.py
+++ b/src/carobwalk/dispatch/_dispatcher_table.py
@@ -40,7 +40,7 @@
         self._make_upstream = make_upstream
         self._quarantine = quarantine
         self._presence = presence
-        self._complete_since = context.wall_clock()
+        self._complete_since: float | None = None
         self._dispatchers_by_server: OrderedDict[ServerId, Dispatcher]
         self._dispatchers_by_server = OrderedDict()
         self._nursery: trio.Nursery | None = None
@@ -54,9 +54,10 @@
             if dispatcher.is_suspected
         )
 
-    def keep_runs_in(self, nursery: trio.Nursery) -> None:
+    def keep_runs_in(self, nursery: trio.Nursery | None) -> None:
         """Let actions run on in a nursery when their callers leave."""
         self._nursery = nursery
+        self._begin()
         for dispatcher in self._dispatchers_by_server.values():
             dispatcher.keep_runs_in(nursery)
 
@@ -74,6 +75,7 @@
         Returns:
             The dispatcher; ``None`` where all of too many are busy.
         """
+        self._begin()
         name = ServerId(server.name)
         dispatcher = self._dispatchers_by_server.get(name)
         if dispatcher is None:
@@ -100,6 +102,12 @@
         for server in tuple(self._dispatchers_by_server):
             await self.drop(server)
 
+    def _begin(self) -> float:
+        """Return since when no action of this process was forgotten."""
+        if self._complete_since is None:
+            self._complete_since = self._context.wall_clock()
+        return self._complete_since
+
     def _make(self, server: Endpoint, profile: Profile) -> Dispatcher:
         clock = self._context.clock
         dispatcher = Dispatcher(
@@ -110,7 +118,7 @@
             ProcessState(
                 self._quarantine,
                 self._presence,
-                self._complete_since,
+                self._begin(),
             ),
         )
         if self._nursery is not None:
--- a/src/carobwalk/dispatch/_slots.py
+++ b/src/carobwalk/dispatch/_slots.py
@@ -90,14 +90,14 @@
         """
         now = self._clock.now()
         self._policies_by_ticket.pop(ticket).finish(ticket, now)
-        held = now - (ticket.started_at or now)
+        held = ticket.held(now)
         if end is SendEnd.OVERDUE:
             is_slow = held > _SLOW_FACTOR * self._durations.mean(ticket.rank)
             end = SendEnd.LOST if is_slow else SendEnd.UNUSED
         if end is SendEnd.ANSWERED:
             self._durations.note(ticket.rank, held)
         self._health.note(end)
-        self._limit.ended(end, now)
+        self._limit.ended(end, self.running, now)
         self._start_waiting()
 
     async def _wait(self, ticket: Ticket) -> None:
