Decide only on news, and count the control traffic

Ruled out: the encoding of pushes, whose bytes did not change. Change: a report or answer that tells nothing new does not start a decision; a successor that stays is kept without ranking all servers.

--- a/src/carobwalk/ownership/_entry_pushes.py
+++ b/src/carobwalk/ownership/_entry_pushes.py
@@ -129,10 +129,12 @@
         if answer.epoch > self._state.epoch:
             self._state.signals.deposed.set()
             return
+        earlier = (link.leases, link.leaving)
         link.revision = answer.revision
         link.echo = answer.clock
         link.answered_at = self._state.now()
         link.applied = push.sequence
         link.leases = frozenset(answer.leases)
         link.leaving = answer.leaving
-        self._state.rouse()
+        if earlier != (link.leases, link.leaving):
+            self._state.rouse()
--- a/src/carobwalk/ownership/_server_heartbeats.py
+++ b/src/carobwalk/ownership/_server_heartbeats.py
@@ -91,12 +91,15 @@
             self._state.signals.deposed.set()
             return
         now = self._state.now()
+        earlier = (link.holder, link.tokens, link.leaving)
         link.note(report, self._state.epoch, now)
         fences = isinstance(order, FenceOrder)
         if fences and report.refusal is not Refusal.EPOCH:
             link.fence = report
             link.fenced_at = now
-        self._state.rouse()
+        # A report that tells nothing new waits for the next decision.
+        if fences or earlier != (link.holder, link.tokens, link.leaving):
+            self._state.rouse()
 
     def _order(self, link: ServerLink) -> ServerOrder:
         state = self._state
--- a/src/carobwalk/ownership/_succession_choice.py
+++ b/src/carobwalk/ownership/_succession_choice.py
@@ -66,6 +66,8 @@
         recorded = () if shard.record is None else shard.record.holders()
         kept = [old for old in recorded if old.server != first.server]
         staying = [old for old in kept if self._may_stay(old)]
+        if staying and self._is_away(staying[0], first):
+            return staying[0]
         others = [
             other
             for other in self.candidates(shard.shard_id)
--- a/standins/fake_process.py
+++ b/standins/fake_process.py
@@ -3,6 +3,7 @@
 from functools import partial
 from typing import Protocol
 
+import msgspec
 import trio
 from result import Err, Ok, Result
 
@@ -73,6 +74,8 @@
             fleet.network,
             endpoint.name,
         )
+        self.sent_messages = 0
+        self.sent_bytes = 0
         self._fleet = fleet
         self._start()
 
@@ -125,6 +128,8 @@
         timeout: float,
     ) -> Result[bytes, PeerFailure]:
         """Send a payload to another process and wait for the answer."""
+        self.sent_messages += 1
+        self.sent_bytes += len(payload)
         target = self._fleet.processes[peer.name]
         if peer.name == self.name:
             handler = self.topics.by_topic[topic]
@@ -151,6 +156,8 @@
         timeout: float,
     ) -> Result[GrantReport, GrantFailure]:
         """Send an order to a backend server and wait for the report."""
+        self.sent_messages += 1
+        self.sent_bytes += len(msgspec.json.encode(order))
         target = self._fleet.servers[server.name]
         report = await self._fleet.network.exchange(
             self.name,
