Serve urgent ranks first among those below their share

Change: the most urgent of the ranks below their share goes first, unless one went 0.25 s without it; idle ranks save up 0.1 s at most.

--- a/src/carobwalk/dispatch/_guaranteed_shares.py
+++ b/src/carobwalk/dispatch/_guaranteed_shares.py
@@ -11,6 +11,7 @@
 from carobwalk.profiles import Profile
 
 _WINDOW_SECONDS = 0.5
+_STARVED_SECONDS = 0.25
 _LEAST_USAGE = 0.01
 
 
@@ -18,6 +19,9 @@
 class GuaranteedShares(RankQueues):
     """Serves ranks below their share first, and the rest by urgency.
 
+    Of several below their share the most urgent is first, unless one went
+    without its share for long.
+
     Beyond its share, a rank of long requests leaves as many slots free as
     the more urgent ranks used lately, up to half of them: a slot that a long
     request holds comes back too late for a short one.
@@ -54,18 +58,27 @@
 
     def _next(self, now: float) -> Rank | None:
         ranks = self.backlogged
+        for idle in set(Rank).difference(ranks):
+            self._accounts_by_rank[idle].rest(now)
+        owed = self._owed(ranks, now)
+        if owed is not None:
+            return owed
+        for rank in ranks:
+            if self._may_exceed_share(rank, now):
+                return rank
+        return None
+
+    def _owed(self, ranks: tuple[Rank, ...], now: float) -> Rank | None:
+        """Return the most urgent rank below its share, or a starved one."""
         owed_by_rank = {
             rank: self._accounts_by_rank[rank].owed_seconds(now)
             for rank in ranks
         }
-        # The first of equals is the most urgent one.
         most_owed = max(ranks, key=owed_by_rank.__getitem__, default=None)
-        if most_owed is not None and owed_by_rank[most_owed] > 0:
+        if most_owed is None or owed_by_rank[most_owed] > _STARVED_SECONDS:
             return most_owed
-        for rank in ranks:
-            if self._may_exceed_share(rank, now):
-                return rank
-        return None
+        owed = (rank for rank in ranks if owed_by_rank[rank] > 0)
+        return next(owed, None)
 
     def _may_exceed_share(self, rank: Rank, now: float) -> bool:
         running = self._accounts_by_rank[rank].running
--- a/src/carobwalk/dispatch/_share_account.py
+++ b/src/carobwalk/dispatch/_share_account.py
@@ -3,6 +3,7 @@
 import math
 
 _USAGE_SECONDS = 2
+_IDLE_SECONDS = 0.1
 
 
 class ShareAccount:
@@ -41,6 +42,12 @@
             return 0
         return max(self._balance / self._entitled, 0)
 
+    def rest(self, now: float) -> None:
+        """Note that no request of the rank waits: little is saved up."""
+        self._update(now)
+        most = self._entitled * _IDLE_SECONDS
+        self._balance = min(self._balance, most)
+
     def start(self, now: float) -> None:
         """Note that a request of the rank got a slot."""
         self._update(now)
