--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 export PYTHONPATH := src:.
 
-.PHONY: test lint types unit demo bench soak report binary clean
+.PHONY: test lint types unit demo bench soak
 
 $(VENV)/.installed: requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -16,13 +16,21 @@
 lint: $(VENV)/.installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 src standins benchmarks demo tests
+	$(BIN)/flake8 src standins benchmarks demo tests packaging
 
 types: $(VENV)/.installed
 	$(BIN)/mypy
 
 unit: $(VENV)/.installed
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 6
 
 bench: $(VENV)/.installed
 	$(BIN)/python -m benchmarks $(NAME) --seed $(SEED)
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m demo
+
+soak: $(VENV)/.installed
+	$(BIN)/python -m tests.ownership.soak --seeds $(or $(SEEDS),0:2000)
+
+include packaging/binary.mk
--- a/src/carobwalk/dispatch/__init__.py
+++ b/src/carobwalk/dispatch/__init__.py
@@ -1,6 +1,6 @@
 """Sending of requests to backend servers, by rank and at most once."""
 
-from carobwalk.dispatch._context import DispatchContext
+from carobwalk.dispatch._context import DispatchContext, Spread
 from carobwalk.dispatch._dispatch_pool import DispatchPool
 from carobwalk.dispatch._dispatcher import Dispatcher
 from carobwalk.dispatch._dispatcher_table import MakeUpstream
@@ -76,6 +76,7 @@
     'ServerChooser',
     'SlotLimitError',
     'SlotsLimit',
+    'Spread',
     'Strict',
     'Suspect',
     'SuspectId',
--- a/src/carobwalk/dispatch/_passages.py
+++ b/src/carobwalk/dispatch/_passages.py
@@ -57,16 +57,18 @@
             sink=sink,
             profile=profile,
             clock=self._context.clock,
-            gate=self._gate(head),
+            gate=self._gate(call),
             arrived_at=now,
             expires_at=now + min(head.deadline, allowed),
         )
 
-    def _gate(self, head: RequestHead) -> SendGate:
+    def _gate(self, call: Call) -> SendGate:
+        head = call.head
         return SendGate(
             functools.partial(self._tenure, head),
             idempotent=head.idempotent,
             name=head.request_id,
+            progress=call.progress,
         )
 
     def _tenure(self, head: RequestHead) -> Result[Tenure, NoLease]:
--- a/src/carobwalk/dispatch/_send_gate.py
+++ b/src/carobwalk/dispatch/_send_gate.py
@@ -6,7 +6,7 @@
 
 from carobwalk.dispatch._errors import DoubleSendError, FalseNotRunError
 from carobwalk.dispatch._tenures import Tenure
-from carobwalk.model import FenceToken, Outcome
+from carobwalk.model import CallProgress, FenceToken, Outcome
 from carobwalk.ownership import NoLease
 
 ReadTenure = Callable[[], Result[Tenure, NoLease]]
@@ -16,9 +16,11 @@
     """Counts the sends of one request and reads the leases for each.
 
     Args:
-        read_tenure: Reads the dispatcher's lease and the owner's grant.
+        read_tenure: Reads the dispatcher's lease and the owner's grant
+            without counting a send.
         idempotent: Whether the request may be sent more than once.
         name: Identity of the request, for errors.
+        progress: Told whether a byte may have reached the server.
     """
 
     def __init__(
@@ -27,10 +29,12 @@
         *,
         idempotent: bool,
         name: str,
+        progress: CallProgress | None = None,
     ) -> None:
-        self._read_tenure = read_tenure
+        self.read_tenure = read_tenure
         self._idempotent = idempotent
         self._name = name
+        self._progress = progress or CallProgress()
         self._expected: Tenure | None = None
         self._doubted = False
         self._sends = 0
@@ -56,6 +60,7 @@
     def doubt(self) -> None:
         """Note that an earlier request for the same action may have run."""
         self._doubted = True
+        self._note()
 
     def trust(self, tenure: Tenure) -> None:
         """Note that no earlier request ran, if the tenure goes on.
@@ -65,10 +70,7 @@
         """
         self._doubted = False
         self._expected = tenure
-
-    def tenure(self) -> Result[Tenure, NoLease]:
-        """Return the current tenure without counting a send."""
-        return self._read_tenure()
+        self._note()
 
     def open(self) -> Result[FenceToken, NoLease]:
         """Return the fence token, and count the request as sent.
@@ -78,17 +80,19 @@
         """
         if not self.may_send:
             raise DoubleSendError(self._name)
-        tenure = self._read_tenure()
+        tenure = self.read_tenure()
         if isinstance(tenure, Err):
             return tenure
         if self._expected not in {None, tenure.ok_value}:
             return Err(NoLease('the lease or grant changed meanwhile'))
         self._sends += 1
+        self._note()
         return Ok(tenure.ok_value.grant)
 
     def retract(self) -> None:
         """Take back the last send: no byte of it was written."""
         self._sends -= 1
+        self._note()
 
     def disown(self) -> None:
         """Note that the server said it did not run the last send.
@@ -99,3 +103,7 @@
         self._disowned += 1
         if self._disowned > self._sends:
             raise FalseNotRunError(self._name)
+        self._note()
+
+    def _note(self) -> None:
+        self._progress.note(is_sent=self.outcome is Outcome.UNKNOWN)
