--- a/benchmarks/poison.py
+++ b/benchmarks/poison.py
@@ -30,13 +30,13 @@
 
 def figures(seed: int, *, is_naive: bool) -> dict[str, int]:
     """Return what the poison took along."""
-    fleet = Fleet(SERVERS, is_naive=is_naive)
-    clock = MockClock(autojump_threshold=0)
-    return trio.run(_play, seed, fleet, clock=clock)
+    play = partial(_play, seed, is_naive=is_naive)
+    return trio.run(play, clock=MockClock(autojump_threshold=0))
 
 
-async def _play(seed: int, fleet: Fleet) -> dict[str, int]:
+async def _play(seed: int, *, is_naive: bool) -> dict[str, int]:
     random = Random(seed)
+    fleet = Fleet(SERVERS, is_naive=is_naive)
     innocent = Repeats()
     poison = Repeats()
     async with trio.open_nursery() as world:
