Close the administration until the process knows the operators

Cause: a process that had just started held an empty configuration, so that the bootstrap token counted as if there were no operators yet. Change: until it has joined, the process answers not-ready.

--- a/src/carobwalk/admin/_api.py
+++ b/src/carobwalk/admin/_api.py
@@ -7,7 +7,12 @@
 from carobwalk.admin._answers import ok_response
 from carobwalk.admin._error_view import DescribedFailure, error_response
 from carobwalk.admin._exchange import Exchange
-from carobwalk.admin._failures import Forbidden, MethodNotAllowed, UnknownPath
+from carobwalk.admin._failures import (
+    Forbidden,
+    MethodNotAllowed,
+    NotReady,
+    UnknownPath,
+)
 from carobwalk.admin._openapi import openapi_document
 from carobwalk.admin._parts import AdministrationParts
 from carobwalk.admin._route import Route, ServedRoute, served_routes
@@ -35,6 +40,9 @@
         if isinstance(found, Err):
             return error_response(found.err_value)
         served, path = found.ok_value
+        if not self._parts.follower.has_joined:
+            # Neither tokens nor their absence are known.
+            return error_response(NotReady())
         known = await self._parts.authenticator.authenticate(request.headers)
         if isinstance(known, Err):
             return error_response(known.err_value)
--- a/src/carobwalk/admin/_error_view.py
+++ b/src/carobwalk/admin/_error_view.py
@@ -25,6 +25,7 @@
         calls.NotQuarantined: (404, _REFUSED),
         calls.RevisionRequired: (428, _REFUSED),
         calls.TooManyAttempts: (429, _REFUSED),
+        calls.NotReady: (503, _REFUSED),
         profiles.NotFound: (404, _REFUSED),
         profiles.ChangeNotKept: (404, _REFUSED),
         profiles.AlreadyExists: (409, _CONFLICT),
--- a/src/carobwalk/admin/_failures.py
+++ b/src/carobwalk/admin/_failures.py
@@ -124,3 +124,18 @@
     def way_out(self) -> str:
         """What the operator can do."""
         return 'list the quarantine; the entry may have expired'
+
+
+@dataclass(frozen=True, slots=True)
+class NotReady:
+    """The process has just started and does not know what is in force."""
+
+    @property
+    def detail(self) -> str:
+        """What happened."""
+        return 'this process does not know yet what is in force'
+
+    @property
+    def way_out(self) -> str:
+        """What the operator can do."""
+        return 'nothing was changed; ask another entry, or repeat in seconds'
--- a/src/carobwalk/profiles/spread/_follower.py
+++ b/src/carobwalk/profiles/spread/_follower.py
@@ -48,6 +48,11 @@
             nursery.start_soon(self._watch.sweep)
             nursery.start_soon(self._neighbours.run)
 
+    @property
+    def has_joined(self) -> bool:
+        """Whether this process knows what is in force, if anything is."""
+        return self._held.joined
+
     def current(self) -> Catalogue:
         """Return the catalogue in force; its revision never falls."""
         return self._held.catalogue
--- a/tests/admin/_office.py
+++ b/tests/admin/_office.py
@@ -18,6 +18,7 @@
     QuarantinedRequest,
     openapi_document,
 )
+from carobwalk.events import Event
 from carobwalk.http import HttpRequest, HttpResponse
 from carobwalk.model import Key, OperatorName, ServiceName
 from carobwalk.profiles import ConfigurationHistory
@@ -32,6 +33,8 @@
 ).hash(SECRET)
 _DOCUMENT = openapi_document()
 
+Note = Callable[[Process, Event], None]
+
 
 class Quarantine:
     """One quarantined request."""
@@ -144,11 +147,19 @@
     return None
 
 
+def _ignore(process: Process, event: Event) -> None:
+    """Drop an event."""
+
+
 @asynccontextmanager
-async def open_office() -> AsyncIterator[Office]:
-    """Run three processes and the administration of one."""
+async def open_office(note: Note = _ignore) -> AsyncIterator[Office]:
+    """Run three processes and the administration of one.
+
+    Args:
+        note: Receives the events of all processes.
+    """
     async with trio.open_nursery() as nursery:
-        fleet = Fleet(3, 1, nursery, lambda process, event: None)
+        fleet = Fleet(3, 1, nursery, note)
         fleet.watchers = frozenset(('entry-000',))
         for endpoint in fleet.endpoints:
             fleet.start(endpoint)
--- a/tests/admin/test_api.py
+++ b/tests/admin/test_api.py
@@ -416,6 +416,30 @@
 
         run_office(virtual_clock, test)
 
+    def test_process_that_knows_no_tokens(
+        self,
+        virtual_clock: MockClock,
+    ) -> None:
+        """The first token is no way in while the operators are not known."""
+
+        async def test(office: Office) -> None:
+            await _token(office, 'ana', 'read', 'edit', 'assign')
+            fleet = office.fleet
+            for process in tuple(fleet.processes.values()):
+                fleet.stop(process)
+            fleet.store_faults = StoreFaults(down=True)
+            started = Office(fleet, fleet.start(fleet.endpoints[1]))
+            refused = await started.call('GET', '/v1/profiles')
+            assert refused.status == 503
+            assert body_of(refused)['kind'] == 'not-ready'
+            fleet.store_faults = StoreFaults()
+            fleet.apply_store_faults()
+            await trio.sleep(3)
+            refused = await started.call('GET', '/v1/profiles')
+            assert refused.status == 401
+
+        run_office(virtual_clock, test)
+
     def test_flood_of_tokens(self, virtual_clock: MockClock) -> None:
         """Checks that would pile up are refused at once."""
 
--- a/tests/cli/test_profiles_page.py
+++ b/tests/cli/test_profiles_page.py
@@ -7,31 +7,18 @@
 from pathlib import Path
 from types import MappingProxyType
 
-import click
+import pytest
 import trio
 from click.testing import CliRunner
 
-from carobwalk.cli._admin_quarantine import quarantine_group
-from carobwalk.cli._admin_token import token_group
-from carobwalk.cli._explain import explain_command
-from carobwalk.cli._profile import profile_group
-from carobwalk.cli._service import service_group
-from carobwalk.cli._status import status_command
+from benchmarks._config_fleet import Process
+from carobwalk.cli import main as command_line
+from carobwalk.events import Event, HybridClock, LineEventLog
 from carobwalk.http import serve_http
 from standins.memory_store import StoreFaults
 from tests.admin._office import BOOTSTRAP, Office, open_office
 
 _PAGE = Path(__file__).parents[2] / 'docs' / 'operators' / 'profiles.md'
-_ROOT = click.Group(
-    commands=[
-        explain_command,
-        profile_group,
-        quarantine_group,
-        service_group,
-        status_command,
-        token_group,
-    ],
-)
 _FAULTS_BY_NAME: Mapping[str, StoreFaults] = MappingProxyType(
     {
         'down': StoreFaults(down=True),
@@ -89,7 +76,7 @@
         self.count += 1
         outcome = await trio.to_thread.run_sync(
             lambda: self._runner.invoke(
-                _ROOT,
+                command_line,
                 arguments,
                 env=self._variables,
             ),
@@ -114,15 +101,47 @@
         yield command, f'{shown}\n' if shown else ''
 
 
+class _Logs:
+    """Logs of the processes in the working directory."""
+
+    def __init__(self) -> None:
+        self._logs_by_name: dict[str, LineEventLog] = {}
+
+    def note(self, process: Process, event: Event) -> None:
+        """Write an event to the log of its process."""
+        name = process.own.name
+        if name not in self._logs_by_name:
+            self._logs_by_name[name] = LineEventLog.open(
+                name,
+                HybridClock(),
+                f'{name}.log',
+            )
+        self._logs_by_name[name].emit(event)
+
+    def close(self) -> None:
+        """Close all logs."""
+        for log in self._logs_by_name.values():
+            log.close()
+
+
 class TestPage:
     """The page as a new operator would follow it."""
 
-    def test_all_commands(self) -> None:
+    def test_all_commands(
+        self,
+        tmp_path: Path,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
         """Each command prints what the page shows."""
+        monkeypatch.chdir(tmp_path)
+        logs = _Logs()
         faults: list[str] = []
 
         async def main() -> None:
-            async with open_office() as office, trio.open_nursery() as nursery:
+            async with (
+                open_office(logs.note) as office,
+                trio.open_nursery() as nursery,
+            ):
                 listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
                 port = listeners[0].socket.getsockname()[1]
                 nursery.start_soon(serve_http, office.api, listeners)
@@ -132,6 +151,7 @@
                 nursery.cancel_scope.cancel()
 
         trio.run(main)
+        logs.close()
         assert not faults, '\n'.join(faults)
 
 
