--- a/src/carobwalk/cli/_admin_answer.py
+++ b/src/carobwalk/cli/_admin_answer.py
@@ -30,7 +30,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AdminSession:
+class AdminClient:
     """Makes the calls of one command and ends it at a failure.
 
     Args:
--- a/src/carobwalk/cli/_admin_session.py
+++ b/src/carobwalk/cli/_admin_client.py
@@ -7,7 +7,7 @@
 
 import click
 
-from carobwalk.cli._admin_answer import AdminSession
+from carobwalk.cli._admin_answer import AdminClient
 from carobwalk.cli._admin_connection import AdminConnection
 from carobwalk.cli._output import output_option
 from carobwalk.model import Address
@@ -50,13 +50,13 @@
 )
 
 
-def session_options(function: Callable[..., Any]) -> Callable[..., Any]:
-    """Add the options of every call, passed on as ``session``."""
+def client_options(function: Callable[..., Any]) -> Callable[..., Any]:
+    """Add the options of every call, passed on as ``client``."""
 
     @functools.wraps(function)
     def wrapper(*args: Any, **named: Any) -> Any:
         connection = AdminConnection(named.pop('address'), named.pop('token'))
-        session = AdminSession(connection, named.pop('output'))
-        return function(*args, session=session, **named)
+        client = AdminClient(connection, named.pop('output'))
+        return function(*args, client=client, **named)
 
     return _ADDRESS_OPTION(_TOKEN_OPTION(output_option(wrapper)))
--- a/src/carobwalk/cli/_admin_history.py
+++ b/src/carobwalk/cli/_admin_history.py
@@ -2,14 +2,14 @@
 
 from typing import Any, TypeAlias
 
-from carobwalk.cli._admin_answer import AdminSession
+from carobwalk.cli._admin_answer import AdminClient
 from carobwalk.cli._admin_connection import AdminCall
 
 Json: TypeAlias = dict[str, Any]
 
 
 def changes_of(
-    session: AdminSession,
+    client: AdminClient,
     subject: str,
     limit: int,
     since: int = 0,
@@ -17,7 +17,7 @@
     """Return the latest changes of a subject, newest first.
 
     Args:
-        session: Makes the calls.
+        client: Makes the calls.
         subject: Kind and name.
         limit: Most changes to return.
         since: Revision that all returned ones are above.
@@ -25,7 +25,7 @@
     found: list[Json] = []
     query = {'subject': subject}
     while len(found) < limit:
-        page = session.fetch(
+        page = client.fetch(
             AdminCall(method='GET', path='/v1/history', query=query),
         )
         found.extend(
--- a/src/carobwalk/cli/_admin_profile_reads.py
+++ b/src/carobwalk/cli/_admin_profile_reads.py
@@ -4,14 +4,14 @@
 
 import click
 
-from carobwalk.cli._admin_answer import AdminSession
+from carobwalk.cli._admin_answer import AdminClient
+from carobwalk.cli._admin_client import client_options
 from carobwalk.cli._admin_connection import AdminCall
 from carobwalk.cli._admin_history import (
     changes_of,
     compare_resolved,
     net_changes,
 )
-from carobwalk.cli._admin_session import session_options
 from carobwalk.cli._admin_text import (
     change_lines,
     field_lines,
@@ -25,15 +25,15 @@
 _PAGE = 20
 
 
-def fetch_profile(session: AdminSession, name: str) -> dict[str, Any]:
+def fetch_profile(client: AdminClient, name: str) -> dict[str, Any]:
     """Return a profile as the administration shows it."""
     path = f'{PROFILES_PATH}/{name}'
-    return session.fetch(AdminCall(method='GET', path=path))
+    return client.fetch(AdminCall(method='GET', path=path))
 
 
-def fetch_profiles(session: AdminSession) -> dict[str, Any]:
+def fetch_profiles(client: AdminClient) -> dict[str, Any]:
     """Return the list of profiles."""
-    return session.fetch(AdminCall(method='GET', path=PROFILES_PATH))
+    return client.fetch(AdminCall(method='GET', path=PROFILES_PATH))
 
 
 @register
@@ -43,10 +43,10 @@
 
 
 @profile_group.command('list')
-@session_options
-def list_profiles(session: AdminSession) -> None:
+@client_options
+def list_profiles(client: AdminClient) -> None:
     """List all profiles."""
-    answer = fetch_profiles(session)
+    answer = fetch_profiles(client)
     rows = [
         (
             profile['name'],
@@ -57,15 +57,15 @@
         for profile in answer['profiles']
     ]
     header = ('NAME', 'REVISION', 'PARENT', 'SERVICES')
-    session.echo(answer, *table_lines([header, *rows]))
+    client.echo(answer, *table_lines([header, *rows]))
 
 
 @profile_group.command('show')
 @click.argument('name')
-@session_options
-def show_profile(session: AdminSession, name: str) -> None:
+@client_options
+def show_profile(client: AdminClient, name: str) -> None:
     """Show the profile NAME with inherited values."""
-    answer = fetch_profile(session, name)
+    answer = fetch_profile(client, name)
     rows = [
         (field, 'yes' if field in answer['fields'] else '-', value_text(value))
         for field, value in sorted(answer['resolved'].items())
@@ -73,7 +73,7 @@
     services = ', '.join(answer['services']) or '-'
     parent = answer['fields'].get('parent', '-')
     revision = answer['revision']
-    session.echo(
+    client.echo(
         answer,
         f'profile {name} at revision {revision}',
         f'parent {parent}, services {services}',
@@ -84,12 +84,12 @@
 @profile_group.command('history')
 @click.argument('name')
 @click.option('--limit', default=_PAGE, show_default=True, help='Most changes.')
-@session_options
-def show_history(session: AdminSession, name: str, limit: int) -> None:
+@client_options
+def show_history(client: AdminClient, name: str, limit: int) -> None:
     """Show who changed the profile NAME, when, why and how."""
-    changes = changes_of(session, f'profile/{name}', limit)
+    changes = changes_of(client, f'profile/{name}', limit)
     lines = [line for change in changes for line in change_lines(change)]
-    session.echo({'changes': changes}, *lines)
+    client.echo({'changes': changes}, *lines)
 
 
 @profile_group.command('diff')
@@ -101,21 +101,21 @@
     default=0,
     help='Revision to compare with; from the start if left out.',
 )
-@session_options
+@client_options
 def show_difference(
-    session: AdminSession,
+    client: AdminClient,
     name: str,
     other: str | None,
     since: int,
 ) -> None:
     """Show how NAME changed since a revision, or differs from OTHER."""
     if other is None:
-        changes = changes_of(session, f'profile/{name}', _MANY, since)
+        changes = changes_of(client, f'profile/{name}', _MANY, since)
         fields = net_changes(changes)
     else:
         fields = compare_resolved(
-            fetch_profile(session, name),
-            fetch_profile(session, other),
+            fetch_profile(client, name),
+            fetch_profile(client, other),
         )
     lines = list(field_lines(fields)) or ['no difference']
-    session.echo({'fields': fields}, *lines)
+    client.echo({'fields': fields}, *lines)
--- a/src/carobwalk/cli/_admin_quarantine.py
+++ b/src/carobwalk/cli/_admin_quarantine.py
@@ -2,9 +2,9 @@
 
 import click
 
-from carobwalk.cli._admin_answer import AdminSession
+from carobwalk.cli._admin_answer import AdminClient
+from carobwalk.cli._admin_client import client_options
 from carobwalk.cli._admin_connection import AdminCall
-from carobwalk.cli._admin_session import session_options
 from carobwalk.cli._admin_text import table_lines
 from carobwalk.cli._commands import register
 
@@ -18,10 +18,10 @@
 
 
 @quarantine_group.command('list')
-@session_options
-def list_quarantine(session: AdminSession) -> None:
+@client_options
+def list_quarantine(client: AdminClient) -> None:
     """List the requests that are in quarantine."""
-    answer = session.fetch(AdminCall(method='GET', path=_PATH))
+    answer = client.fetch(AdminCall(method='GET', path=_PATH))
     rows = [
         (
             request['identity'],
@@ -32,14 +32,14 @@
         for request in answer['requests']
     ]
     header = ('REQUEST', 'SERVICE', 'SERVERS', 'EXPIRES IN')
-    session.echo(answer, *table_lines([header, *rows]))
+    client.echo(answer, *table_lines([header, *rows]))
 
 
 @quarantine_group.command('clear')
 @click.argument('identity')
-@session_options
-def clear_quarantine(session: AdminSession, identity: str) -> None:
+@client_options
+def clear_quarantine(client: AdminClient, identity: str) -> None:
     """Let the request IDENTITY through again, on every entry."""
     call = AdminCall(method='DELETE', path=f'{_PATH}/{identity}')
-    answer = session.fetch(call)
-    session.echo(answer, f'cleared {identity}')
+    answer = client.fetch(call)
+    client.echo(answer, f'cleared {identity}')
--- a/src/carobwalk/cli/_admin_token.py
+++ b/src/carobwalk/cli/_admin_token.py
@@ -3,9 +3,9 @@
 import click
 
 from carobwalk.admin import Token, hash_secret, issue_token
-from carobwalk.cli._admin_answer import AdminSession
+from carobwalk.cli._admin_answer import AdminClient
+from carobwalk.cli._admin_client import client_options
 from carobwalk.cli._admin_profile_reads import fetch_profiles
-from carobwalk.cli._admin_session import session_options
 from carobwalk.cli._admin_write import (
     WriteOptions,
     send_write,
@@ -49,31 +49,31 @@
     help='Right that the token carries; may be repeated.',
 )
 @write_options
-@session_options
+@client_options
 def create_token(
-    session: AdminSession,
+    client: AdminClient,
     write: WriteOptions,
     operator: str,
     roles: tuple[str, ...],
 ) -> None:
     """Issue a token to OPERATOR; it is shown once, and ends an earlier one."""
-    base = write.base_or(fetch_profiles(session)['revision'])
-    answer = session.fetch(
+    base = write.base_or(fetch_profiles(client)['revision'])
+    answer = client.fetch(
         write.call('POST', _PATH, base, operator=operator, roles=roles),
     )
-    session.echo(answer, answer.get('token', 'dry run: no token was made'))
+    client.echo(answer, answer.get('token', 'dry run: no token was made'))
 
 
 @token_group.command('delete')
 @click.argument('operator')
 @write_options
-@session_options
+@client_options
 def delete_token(
-    session: AdminSession,
+    client: AdminClient,
     write: WriteOptions,
     operator: str,
 ) -> None:
     """End the token of OPERATOR."""
-    base = write.base_or(fetch_profiles(session)['revision'])
+    base = write.base_or(fetch_profiles(client)['revision'])
     path = f'{_PATH}/{operator}'
-    send_write(session, write.call('DELETE', path, base))
+    send_write(client, write.call('DELETE', path, base))
--- a/src/carobwalk/cli/_admin_write.py
+++ b/src/carobwalk/cli/_admin_write.py
@@ -8,7 +8,7 @@
 
 import click
 
-from carobwalk.cli._admin_answer import AdminSession
+from carobwalk.cli._admin_answer import AdminClient
 from carobwalk.cli._admin_connection import AdminCall
 from carobwalk.cli._admin_text import write_lines
 
@@ -116,7 +116,7 @@
     return command
 
 
-def send_write(session: AdminSession, call: AdminCall) -> None:
+def send_write(client: AdminClient, call: AdminCall) -> None:
     """Make a write and print its result."""
-    answer = session.fetch(call)
-    session.echo(answer, *write_lines(answer))
+    answer = client.fetch(call)
+    client.echo(answer, *write_lines(answer))
--- a/src/carobwalk/cli/_profile.py
+++ b/src/carobwalk/cli/_profile.py
@@ -2,7 +2,8 @@
 
 import click
 
-from carobwalk.cli._admin_answer import AdminSession
+from carobwalk.cli._admin_answer import AdminClient
+from carobwalk.cli._admin_client import client_options
 from carobwalk.cli._admin_fields import FieldChoices, fields_options
 from carobwalk.cli._admin_profile_reads import (
     PROFILES_PATH,
@@ -10,7 +11,6 @@
     fetch_profiles,
     profile_group,
 )
-from carobwalk.cli._admin_session import session_options
 from carobwalk.cli._admin_write import (
     WriteOptions,
     reason_options,
@@ -23,37 +23,37 @@
 @click.argument('name')
 @fields_options
 @write_options
-@session_options
+@client_options
 def create_profile(
-    session: AdminSession,
+    client: AdminClient,
     write: WriteOptions,
     name: str,
     fields: FieldChoices,
 ) -> None:
     """Create the profile NAME."""
-    base = write.base_or(fetch_profiles(session)['revision'])
+    base = write.base_or(fetch_profiles(client)['revision'])
     wanted = fields.apply({})
     call = write.call('POST', PROFILES_PATH, base, name=name, fields=wanted)
-    send_write(session, call)
+    send_write(client, call)
 
 
 @profile_group.command('edit')
 @click.argument('name')
 @fields_options
 @write_options
-@session_options
+@client_options
 def edit_profile(
-    session: AdminSession,
+    client: AdminClient,
     write: WriteOptions,
     name: str,
     fields: FieldChoices,
 ) -> None:
     """Change fields of the profile NAME and leave the others."""
-    present = fetch_profile(session, name)
+    present = fetch_profile(client, name)
     wanted = fields.apply(present['fields'])
     base = write.base_or(present['revision'])
     path = f'{PROFILES_PATH}/{name}'
-    send_write(session, write.call('PUT', path, base, fields=wanted))
+    send_write(client, write.call('PUT', path, base, fields=wanted))
 
 
 @profile_group.command('revert')
@@ -65,28 +65,28 @@
     help='Revision of the change to take back.',
 )
 @reason_options
-@session_options
+@client_options
 def revert_profile(
-    session: AdminSession,
+    client: AdminClient,
     write: WriteOptions,
     name: str,
     change: int,
 ) -> None:
     """Take back one change of the profile NAME."""
     path = f'{PROFILES_PATH}/{name}/revert'
-    send_write(session, write.call('POST', path, None, revision=change))
+    send_write(client, write.call('POST', path, None, revision=change))
 
 
 @profile_group.command('delete')
 @click.argument('name')
 @write_options
-@session_options
+@client_options
 def delete_profile(
-    session: AdminSession,
+    client: AdminClient,
     write: WriteOptions,
     name: str,
 ) -> None:
     """Delete the profile NAME, which nothing may use."""
-    base = write.base_or(fetch_profile(session, name)['revision'])
+    base = write.base_or(fetch_profile(client, name)['revision'])
     path = f'{PROFILES_PATH}/{name}'
-    send_write(session, write.call('DELETE', path, base))
+    send_write(client, write.call('DELETE', path, base))
--- a/src/carobwalk/cli/_service.py
+++ b/src/carobwalk/cli/_service.py
@@ -4,9 +4,9 @@
 
 import click
 
-from carobwalk.cli._admin_answer import AdminSession
+from carobwalk.cli._admin_answer import AdminClient
+from carobwalk.cli._admin_client import client_options
 from carobwalk.cli._admin_connection import AdminCall
-from carobwalk.cli._admin_session import session_options
 from carobwalk.cli._admin_text import table_lines
 from carobwalk.cli._admin_write import (
     WriteOptions,
@@ -19,8 +19,8 @@
 _HEADER = ('NAME', 'PROFILE', 'REVISION')
 
 
-def _fetch_all(session: AdminSession) -> dict[str, Any]:
-    return session.fetch(AdminCall(method='GET', path=_PATH))
+def _fetch_all(client: AdminClient) -> dict[str, Any]:
+    return client.fetch(AdminCall(method='GET', path=_PATH))
 
 
 def _row(service: dict[str, Any]) -> tuple[object, ...]:
@@ -34,36 +34,36 @@
 
 
 @service_group.command('list')
-@session_options
-def list_services(session: AdminSession) -> None:
+@client_options
+def list_services(client: AdminClient) -> None:
     """List all services and their profiles."""
-    answer = _fetch_all(session)
+    answer = _fetch_all(client)
     rows = map(_row, answer['services'])
-    session.echo(answer, *table_lines([_HEADER, *rows]))
+    client.echo(answer, *table_lines([_HEADER, *rows]))
 
 
 @service_group.command('show')
 @click.argument('name')
-@session_options
-def show_service(session: AdminSession, name: str) -> None:
+@client_options
+def show_service(client: AdminClient, name: str) -> None:
     """Show the service NAME."""
     call = AdminCall(method='GET', path=f'{_PATH}/{name}')
-    answer = session.fetch(call)
-    session.echo(answer, *table_lines([_HEADER, _row(answer)]))
+    answer = client.fetch(call)
+    client.echo(answer, *table_lines([_HEADER, _row(answer)]))
 
 
 @service_group.command('assign')
 @click.argument('name')
 @click.argument('profile')
 @write_options
-@session_options
+@client_options
 def assign_service(
-    session: AdminSession,
+    client: AdminClient,
     write: WriteOptions,
     name: str,
     profile: str,
 ) -> None:
     """Let the service NAME, known or new, run under PROFILE."""
-    base = write.base_or(_fetch_all(session)['revision'])
+    base = write.base_or(_fetch_all(client)['revision'])
     call = write.call('PUT', f'{_PATH}/{name}', base, profile=profile)
-    send_write(session, call)
+    send_write(client, call)
--- a/src/carobwalk/cli/_status.py
+++ b/src/carobwalk/cli/_status.py
@@ -5,9 +5,9 @@
 
 import click
 
-from carobwalk.cli._admin_answer import AdminSession
+from carobwalk.cli._admin_answer import AdminClient
+from carobwalk.cli._admin_client import client_options
 from carobwalk.cli._admin_connection import AdminCall
-from carobwalk.cli._admin_session import session_options
 from carobwalk.cli._admin_text import value_text
 from carobwalk.cli._commands import register
 from carobwalk.cli._exit_codes import ExitCode
@@ -28,9 +28,9 @@
     default=0,
     help='Longest wait in seconds until it is in force everywhere.',
 )
-@session_options
+@client_options
 def status_command(
-    session: AdminSession,
+    client: AdminClient,
     revision: int | None,
     wait: float,
 ) -> None:
@@ -39,11 +39,11 @@
     Exit code 4 means that some process still lags or does not answer.
     """
     deadline = time.monotonic() + wait
-    answer = _fetch(session, revision)
+    answer = _fetch(client, revision)
     while answer['lagging'] and time.monotonic() < deadline:
         time.sleep(_PAUSE_SECONDS)
-        answer = _fetch(session, revision)
-    session.echo(
+        answer = _fetch(client, revision)
+    client.echo(
         answer,
         'revision {revision} in force at {in_force} of {processes}'.format_map(
             answer,
@@ -54,10 +54,10 @@
         raise click.exceptions.Exit(ExitCode.UNREACHABLE)
 
 
-def _fetch(session: AdminSession, revision: int | None) -> dict[str, Any]:
+def _fetch(client: AdminClient, revision: int | None) -> dict[str, Any]:
     query = {} if revision is None else {'revision': str(revision)}
     call = AdminCall(method='GET', path='/v1/status', query=query)
-    return session.fetch(call)
+    return client.fetch(call)
 
 
 def _lag_line(process: dict[str, Any]) -> str:
