--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,6 +1,7 @@
 """Entry point of ``python -m demo``."""
 
 import os
+import signal
 import sys
 import time
 from pathlib import Path
@@ -14,6 +15,8 @@
 
 def main() -> int:
     """Run the demo in a new directory; ``STAY=1`` keeps it up."""
+    # The processes are ended when the demo itself is asked to end, too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     directory = _DIRECTORY / time.strftime('%Y%m%d-%H%M%S')
     directory.mkdir(parents=True)
     return trio.run(run_demo, directory.absolute(), bool(os.getenv('STAY')))
--- a/demo/steps/_store_down.py
+++ b/demo/steps/_store_down.py
@@ -5,16 +5,22 @@
 from demo._errors import StepFailedError
 from demo._registry import step
 from demo._scene import Scene
+from standins.fleet import EntryProcess
 
 _KEY = 'store-down'
 _SERVICE = 'tien-do'
 _SERVED_SECONDS = 15
-_AUTONOMY_SECONDS = 3
+_REQUESTS = 30
+_PAUSE_SECONDS = 0.1
 
 
 @step('the store is down; requests go on, and an owner is lost meanwhile')
 async def take_store_down(scene: Scene) -> str:
-    """Kill an owner while the store refuses all calls."""
+    """Kill an owner some time after the store began to refuse all calls.
+
+    An owner that is lost in the same instant as the store is outside the
+    promise: its keys wait for the store or the host list.
+    """
     fleet = scene.dong_phuong
     platform = fleet.platform
     entry = scene.live_entry(fleet)
@@ -24,7 +30,7 @@
     try:
         # The outage comes first: the coordinator and both holders of a shard
         # must have agreed to do without the store.
-        await trio.sleep(_AUTONOMY_SECONDS)
+        await _ask_on(scene, entry)
         await scene.processes.kill(owner)
         seen, gap = await scene.wait_served(
             entry,
@@ -37,4 +43,15 @@
         await fleet.servers.start_server(owner)
     if seen.server == owner:
         raise StepFailedError(f'{owner} answered although it was killed')
-    return f'{owner} lost, served by {seen.server} after {gap:.2f} s'
+    return (
+        f'{_REQUESTS} requests complete in the outage; '
+        f'{owner} lost, served by {seen.server} after {gap:.2f} s'
+    )
+
+
+async def _ask_on(scene: Scene, entry: EntryProcess) -> None:
+    for _ in range(_REQUESTS):
+        seen = await scene.ask(entry, _SERVICE, _KEY)
+        if seen.told != 'complete':
+            raise StepFailedError(f'refused in the outage: {seen}')
+        await trio.sleep(_PAUSE_SECONDS)
