Leave no process of the demo behind when it is interrupted

SIGTERM ended the demo without its clean-up, and a second signal during it left five entries running.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -47,10 +47,19 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Stop all processes."""
+        """Stop all processes; an interrupt meanwhile kills them."""
+        try:
+            await self._stop_all()
+        finally:
+            for process in self._processes_by_name.values():
+                process.kill()
+                process.wait()
+
+    async def _stop_all(self) -> None:
         with trio.CancelScope(shield=True):
-            for name in reversed(tuple(self._processes_by_name)):
-                await self.stop(name)
+            async with trio.open_nursery() as nursery:
+                for name in self._processes_by_name:
+                    nursery.start_soon(self.stop, name)
 
     async def start(
         self,
--- a/tests/standins/test_processes.py
+++ b/tests/standins/test_processes.py
@@ -45,3 +45,21 @@
                     await processes.start('a', ('standins', 'none'), address)
 
         trio.run(body)
+
+    def test_interrupt(self, tmp_path: Path) -> None:
+        """An interrupt leaves no process behind, not even a frozen one."""
+        address = find_free_addresses(1)[0]
+        arguments = ('standins', 'store', '--listen', str(address))
+        processes = Processes(tmp_path)
+
+        async def body() -> None:
+            async with processes:
+                await processes.start('store', arguments, address)
+                # A frozen process does not end by itself.
+                processes.send('store', signal.SIGSTOP)
+                signal.raise_signal(signal.SIGINT)
+                await trio.sleep_forever()
+
+        with pytest.raises(KeyboardInterrupt):
+            trio.run(body)
+        assert not processes.is_running('store')
