--- a/standins/processes.py
+++ b/standins/processes.py
@@ -49,18 +49,12 @@
     ) -> None:
         """Stop all processes; an interrupt meanwhile kills them."""
         try:
-            await self._stop_all()
+            await _stop_all(self, tuple(self._processes_by_name))
         finally:
             for process in self._processes_by_name.values():
                 process.kill()
                 process.wait()
 
-    async def _stop_all(self) -> None:
-        with trio.CancelScope(shield=True):
-            async with trio.open_nursery() as nursery:
-                for name in self._processes_by_name:
-                    nursery.start_soon(self.stop, name)
-
     async def start(
         self,
         name: str,
@@ -136,6 +130,13 @@
         return process.wait()
 
 
+async def _stop_all(processes: Processes, names: tuple[str, ...]) -> None:
+    with trio.CancelScope(shield=True):
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                nursery.start_soon(processes.stop, name)
+
+
 async def _listens(address: Address) -> bool:
     try:
         stream = await trio.open_tcp_stream(address.host, address.port)
