--- a/standins/processes.py
+++ b/standins/processes.py
@@ -47,10 +47,13 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Stop all processes."""
-        with trio.CancelScope(shield=True):
-            for name in reversed(tuple(self._processes_by_name)):
-                await self.stop(name)
+        """Stop all processes; an interrupt meanwhile kills them."""
+        try:
+            await _stop_all(self, tuple(self._processes_by_name))
+        finally:
+            for process in self._processes_by_name.values():
+                process.kill()
+                process.wait()
 
     async def start(
         self,
@@ -127,6 +130,13 @@
         return process.wait()
 
 
+async def _stop_all(processes: Processes, names: tuple[str, ...]) -> None:
+    with trio.CancelScope(shield=True):
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                nursery.start_soon(processes.stop, name)
+
+
 async def _listens(address: Address) -> bool:
     try:
         stream = await trio.open_tcp_stream(address.host, address.port)
