--- a/packaging/changelog.py
+++ b/packaging/changelog.py
@@ -8,6 +8,7 @@
 _TITLE: Final = '# Changelog'
 _NEXT: Final = '\n## '
 _BULLET: Final = '- '
+_BREAK: Final = '\n  '
 
 
 def entries(fragments: Path) -> list[str]:
@@ -20,7 +21,8 @@
     for path in sorted(fragments.glob('*.md')):
         text = path.read_text().strip()
         is_list = text.startswith(_BULLET)
-        found.append(text if is_list else f'{_BULLET}{text}')
+        whole = text if is_list else f'{_BULLET}{text}'
+        found.append(whole.replace('\n', _BREAK).replace(f'{_BREAK}-', '\n-'))
     return found
 
 
