--- a/benchmarks/_report_page.py
+++ b/benchmarks/_report_page.py
@@ -64,7 +64,15 @@
 
 
 def _summary(runs: Iterable[BenchmarkRun]) -> list[str]:
-    head = ('benchmark', 'target', 'command', 'date, UTC', 'seconds', 'load')
+    head = (
+        'benchmark',
+        'target',
+        'command',
+        'date, UTC',
+        'commit',
+        'seconds',
+        'load',
+    )
     return _table(
         head,
         (
@@ -73,6 +81,7 @@
                 run.verdict,
                 f'`{run.command}`',
                 run.date,
+                run.revision,
                 shown(run.seconds),
                 shown(run.load),
             )
--- a/benchmarks/_report_run.py
+++ b/benchmarks/_report_run.py
@@ -12,6 +12,7 @@
 
 ROOT: Final = Path(__file__).parent.parent
 _DIGITS: Final = 1
+_GIT_LIMIT_SECONDS: Final = 10
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -26,6 +27,7 @@
         load: Mean number of runnable tasks of the machine at the start.
         exit_code: Exit code; ``None`` if the time limit ended the run.
         figures: The JSON object of the last line; empty if there was none.
+        revision: Commit of the tree, with a mark if files differed from it.
     """
 
     name: str
@@ -35,6 +37,7 @@
     load: float
     exit_code: int | None
     figures: dict[str, Any]
+    revision: str = ''
 
     @property
     def command(self) -> str:
@@ -87,6 +90,7 @@
         limit_seconds: Longest duration; then the process is killed.
     """
     command = (sys.executable, '-m', 'benchmarks', name, '--seed', str(seed))
+    revision = _revision()
     date = datetime.now(UTC).strftime('%Y-%m-%d %H:%M')
     load = os.getloadavg()[0]
     began = time.monotonic()
@@ -99,9 +103,16 @@
         load=round(load, _DIGITS),
         exit_code=exit_code,
         figures=last_object(output),
+        revision=revision,
     )
 
 
+def _revision() -> str:
+    command = ('git', 'describe', '--always', '--dirty')
+    exit_code, output = _execute(command, _GIT_LIMIT_SECONDS)
+    return output.strip() if exit_code == 0 else ''
+
+
 def _execute(
     command: tuple[str, ...],
     limit_seconds: float,
@@ -115,6 +126,6 @@
             timeout=limit_seconds,
             check=False,
         )
-    except subprocess.TimeoutExpired:
+    except (subprocess.TimeoutExpired, FileNotFoundError):
         return None, ''
     return ended.returncode, ended.stdout
