--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,4 @@
 	$(BIN)/python -m tests.ownership.soak --seeds $(or $(SEEDS),0:2000)
 
 include packaging/binary.mk
+include packaging/report.mk
