Record a start below the revision that only the lost process knew

Cause: the writer's process adopts its change, is lost before it passes the change on, and the store goes down: on its restart nobody reachable knows the change. Ruled out: refusing to start without the store, because processes that start in an outage have to serve.

--- a/tests/profiles/test_spread.py
+++ b/tests/profiles/test_spread.py
@@ -176,6 +176,29 @@
 
         _run(virtual_clock, test)
 
+    def test_restart_of_the_only_process_that_knew(
+        self,
+        virtual_clock: MockClock,
+    ) -> None:
+        """A restarted process applies nothing below what it had."""
+
+        async def test(fleet: Fleet) -> None:
+            fleet.watchers = frozenset()
+            await _write(fleet.processes['entry-000'], 1, 0)
+            await trio.sleep(11 + _LIMIT_SECONDS)
+            process = fleet.processes['entry-003']
+            write = propose(PROFILE, 'a', {'slots': 2}, 1)
+            accepted = (await process.repository.write(write)).unwrap()
+            process.follower.adopt(accepted.configuration)
+            assert process.follower.current().revision == 2
+            fleet.store_faults = _DOWN
+            fleet.stop(process)
+            started = fleet.start(process.own)
+            await trio.sleep(_LIMIT_SECONDS)
+            assert started.follower.current().revision != 1
+
+        _run(virtual_clock, test)
+
     def test_partition(self, virtual_clock: MockClock) -> None:
         """A region that was cut off catches up once it is back."""
 
