--- a/benchmarks/_report_plot.py
+++ b/benchmarks/_report_plot.py
@@ -2,26 +2,27 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from pathlib import Path
 from types import MappingProxyType
 from typing import Any, Final
 
 import matplotlib as mpl
+from matplotlib import pyplot as plt
+from matplotlib.patches import Patch
 
 from benchmarks._report_rows import BASELINE, FIGURE, PRODUCT, Row
 
-mpl.use('svg')
+plt.switch_backend('svg')
 mpl.rcParams['svg.hashsalt'] = 'carobwalk'
 mpl.rcParams['font.size'] = 8
 
-from matplotlib import pyplot as plt  # noqa: E402 the backend is chosen first
-from matplotlib.patches import Patch  # noqa: E402 as above
 
 MOST_PANELS: Final = 12
 _MOST_BARS: Final = 40
 _ACROSS: Final = 3
-_WIDTH: Final = 4.0
+_WIDTH_OF_BARS: Final = 3.0
+_WIDTH_OF_LETTER: Final = 0.07
 _HEIGHT_OF_BAR: Final = 0.16
 _HEIGHT_OF_FRAME: Final = 0.9
 _THICKNESS: Final = 0.8
@@ -57,6 +58,19 @@
     return {name: panels[name][:_MOST_BARS] for name in ordered[:MOST_PANELS]}
 
 
+def labels_of(rows: Sequence[Row]) -> list[str]:
+    """Return the cases of a panel, without the words that all share.
+
+    Args:
+        rows: Rows of the panel.
+    """
+    shared = set(rows[0].path).intersection(*(row.path for row in rows))
+    return [
+        ' / '.join(name for name in row.path if name not in shared)
+        for row in rows
+    ]
+
+
 def draw(title: str, panels: Panels, path: Path) -> None:
     """Write the plot of a benchmark as SVG.
 
@@ -68,11 +82,15 @@
     across = min(_ACROSS, len(panels))
     down = math.ceil(len(panels) / across)
     most = max(len(rows) for rows in panels.values())
+    longest = max(
+        len(label) for rows in panels.values() for label in labels_of(rows)
+    )
+    width = _WIDTH_OF_BARS + longest * _WIDTH_OF_LETTER
     height = _HEIGHT_OF_FRAME + most * len(_COLOURS) * _HEIGHT_OF_BAR
     figure, axes = plt.subplots(
         down,
         across,
-        figsize=(across * _WIDTH, down * height),
+        figsize=(across * width, down * height + _HEIGHT_OF_FRAME),
         squeeze=False,
         layout='constrained',
     )
@@ -123,7 +141,7 @@
     middle = (len(columns) - 1) * thickness / 2
     axis.set_yticks(
         [place + middle for place in range(len(rows))],
-        [row.case for row in rows],
+        labels_of(rows),
     )
     axis.invert_yaxis()
     axis.set_title(quantity)
--- a/tests/benchmarks/test_report.py
+++ b/tests/benchmarks/test_report.py
@@ -11,7 +11,7 @@
 
 from benchmarks._report import load_runs, save_run, write_page
 from benchmarks._report_page import page, shown
-from benchmarks._report_plot import draw, is_number, panels_of
+from benchmarks._report_plot import draw, is_number, labels_of, panels_of
 from benchmarks._report_rows import Row, rows_of
 from benchmarks._report_run import (
     ROOT,
@@ -159,6 +159,14 @@
         ]
         assert list(panels_of(rows)) == ['lost', 'many']
 
+    def test_labels(self) -> None:
+        """Words that all cases of a panel share are left out."""
+        rows = [
+            Row(('loads', '1', 'p99'), {'figure': 1}),
+            Row(('loads', '2', 'p99'), {'figure': 2}),
+        ]
+        assert labels_of(rows) == ['1', '2']
+
     @pytest.mark.parametrize(
         'figure',
         [True, None, 'text', float('nan'), float('inf')],
