--- a/src/carobwalk/dispatch/_share_account.py
+++ b/src/carobwalk/dispatch/_share_account.py
@@ -3,6 +3,7 @@
 import math
 
 _USAGE_SECONDS = 2
+_IDLE_SECONDS = 0.1
 
 
 class ShareAccount:
@@ -31,10 +32,21 @@
         self._update(now)
         return self._usage
 
-    def is_owed(self, now: float) -> bool:
-        """Return whether the rank used less than its guaranteed share."""
+    def owed_seconds(self, now: float) -> float:
+        """Return for how long the rank went without its guaranteed share.
+
+        It is 0 while the rank runs as many requests as it has slots.
+        """
+        self._update(now)
+        if self._running >= self._entitled:
+            return 0
+        return max(self._balance / self._entitled, 0)
+
+    def rest(self, now: float) -> None:
+        """Note that no request of the rank waits: little is saved up."""
         self._update(now)
-        return self._balance > 0 and self._running < self._entitled
+        most = self._entitled * _IDLE_SECONDS
+        self._balance = min(self._balance, most)
 
     def start(self, now: float) -> None:
         """Note that a request of the rank got a slot."""
