--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -14,6 +14,8 @@
 _LINK = re.compile(r'\]\(([^)\s]+)\)')
 _MAKE = re.compile(r'\bmake ([a-z][a-z-]*)')
 _RULE = re.compile(r'^([a-z][a-z-]*):', re.MULTILINE)
+_INCLUDE = re.compile(r'^include (\S+)$', re.MULTILINE)
+_CELL_END = re.compile(r'(?<!\\)\|')
 _TERM = re.compile(r'^\| [^|]+ \| `([^`]+)` \|', re.MULTILINE)
 _HEADING = re.compile(r'^#+ (.+)$', re.MULTILINE)
 
@@ -51,18 +53,31 @@
         assert not list(filter(None, faults))
 
 
+class TestTables:
+    """Tables of the pages."""
+
+    @pytest.mark.parametrize('page', PAGES, ids=lambda page: page.name)
+    def test_rows_have_one_width(self, page: Path) -> None:
+        """All rows of a table have as many cells as its head."""
+        faults: list[str] = []
+        cells = 0
+        for line in page.read_text().splitlines():
+            found = len(_CELL_END.findall(line)) if line[:1] == '|' else 0
+            if found and cells and found != cells:
+                faults.append(line)
+            cells = found
+        assert not faults
+
+
 class TestReadme:
     """Commands of the README."""
 
     def test_make_targets_exist(self) -> None:
         """Each Make target that the README names is a rule."""
-        makefiles = (
-            ROOT / 'Makefile',
-            *(ROOT / 'packaging').glob('*.mk'),
-        )
-        rules: set[str] = set()
-        for makefile in makefiles:
-            rules.update(_RULE.findall(makefile.read_text()))
+        makefile = (ROOT / 'Makefile').read_text()
+        rules = set(_RULE.findall(makefile))
+        for name in _INCLUDE.findall(makefile):
+            rules.update(_RULE.findall((ROOT / name).read_text()))
         named = set(_MAKE.findall((ROOT / 'README.md').read_text()))
         assert {'demo', 'test', 'bench', 'report'} <= named
         assert not named - rules
