Write a request's end at its dispatcher at level debug

Cause: an event line a request costs about 30 us of the 700 us of a relayed one (profile); the entry writes its own event of all that is not complete.

--- a/src/carobwalk/dispatch/_events.py
+++ b/src/carobwalk/dispatch/_events.py
@@ -1,6 +1,7 @@
 """Events of dispatch."""
 
 from dataclasses import dataclass
+from typing import ClassVar
 
 from carobwalk.events import Event
 
@@ -9,6 +10,8 @@
 class RequestEnded(Event):
     """A request left its dispatcher.
 
+    The entry writes its own event of a request that is not complete.
+
     Args:
         request: Identity of the request.
         service: Service called.
@@ -20,6 +23,8 @@
         seconds: Time from arrival at the dispatcher.
     """
 
+    level: ClassVar[str] = 'debug'
+
     request: str
     service: str
     server: str
