End the running benchmark when the report is ended

Cause: a report that got SIGTERM left its benchmark running (seen with ranks, which was ended after 200 s).

--- a/benchmarks/_report.py
+++ b/benchmarks/_report.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import signal
 import sys
 from pathlib import Path
 from typing import Final
@@ -78,6 +79,8 @@
 )
 def main(only: tuple[str, ...], seed: int, limit: int, folder: Path) -> None:
     """Run the benchmarks and write the page of measurements."""
+    # An interrupt, unlike SIGTERM, ends the running benchmark as well.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     names = only or tuple(benchmark_names(ROOT / 'benchmarks'))
     verdicts: list[str] = []
     for name in names:
