--- a/benchmarks/_report_page.py
+++ b/benchmarks/_report_page.py
@@ -14,9 +14,10 @@
     '# Measurements',
     '',
     'Written by `make report` from the runs kept in `docs/measurements/`;'
-    ' `make report NAME=relay` repeats one of them. With the same seed a'
-    ' benchmark makes the same decisions; figures in wall-clock time depend'
-    ' on the machine and its load. Baseline and product are of the same run.',
+    ' `make report NAME=relay` repeats one of them. A seed fixes the'
+    ' inputs and faults of a benchmark; where tasks that are ready at the same'
+    ' instant run in any order, figures can differ a little from run to run.'
+    ' Figures in wall-clock time depend on the machine and its load. Baseline and product are of the same run.',
     '',
 )
 
