Join the head of an answer with its first part; send empty bodies without a task

Cause: three writes and a second task for a lookup without a body (profile: 3 sends of about 26 us, 2 tasks and 10 cancel scopes a request). Change: the caller's sink keeps the head for the first part; an upstream request without a body is sent in one task. An answer that broke off before its first byte left is told as a failure, not as a cut connection.

--- a/src/carobwalk/dispatch/_h11_exchange.py
+++ b/src/carobwalk/dispatch/_h11_exchange.py
@@ -54,6 +54,8 @@
         lost = await self._send_head(head)
         if lost is not None:
             return Err(lost)
+        if self._request.head.body_length == 0:
+            return await self._run_empty()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._pump_body, nursery.cancel_scope)
             ending = await self._read_answer()
@@ -62,6 +64,14 @@
             return Err(self._body_failure)
         return ending.map(self._with_sent_bytes)
 
+    async def _run_empty(self) -> Result[Completion, UpstreamFailure]:
+        """Run a request without a body, which needs no second task."""
+        try:
+            await self._connection.send(h11.EndOfMessage())
+        except _LOST:
+            return Err(Unanswered('connection lost after the head'))
+        return await self._read_answer()
+
     async def _send_head(
         self,
         head: h11.Request,
--- a/src/carobwalk/entry/_caller_sink.py
+++ b/src/carobwalk/entry/_caller_sink.py
@@ -20,7 +20,8 @@
     """Writes an answer to the caller's connection.
 
     The end of the answer is written by ``finish`` only, so that an answer
-    that was cut off is never complete to the caller.
+    that was cut off is never complete to the caller. The head leaves together
+    with the first part of the body, or with the end.
 
     Args:
         connection: The caller's connection.
@@ -28,7 +29,13 @@
         stall_seconds: Longest wait for the caller to take a part.
     """
 
-    __slots__ = ('_connection', '_request_id', '_stall_seconds', 'is_started')
+    __slots__ = (
+        '_connection',
+        '_head',
+        '_request_id',
+        '_stall_seconds',
+        'is_started',
+    )
 
     def __init__(
         self,
@@ -37,23 +44,19 @@
         stall_seconds: float,
     ) -> None:
         self.is_started = False
+        self._head: h11.Response | None = None
         self._connection = connection
         self._request_id = request_id
         self._stall_seconds = stall_seconds
 
     async def start(self, status: int, headers: Headers) -> None:
-        """Write the status and the header fields.
-
-        Raises:
-            CallerGoneError: If the caller went away.
-        """
-        self.is_started = True
+        """Take the status and the header fields; they leave with the body."""
         fields = [
             *_headers.pass_reply_headers(headers),
             (_headers.OUTCOME, Outcome.COMPLETE.encode()),
             (_headers.REQUEST_ID, self._request_id.encode()),
         ]
-        await self._send(h11.Response(status_code=status, headers=fields))
+        self._head = h11.Response(status_code=status, headers=fields)
 
     async def write(self, chunk: bytes) -> None:
         """Write a part of the body.
@@ -72,8 +75,11 @@
         await self._send(h11.EndOfMessage())
 
     async def _send(self, event: h11.Event) -> None:
+        events = (event,) if self._head is None else (self._head, event)
+        self._head = None
+        self.is_started = True
         try:
             with trio.fail_after(self._stall_seconds):
-                await self._connection.send(event)
+                await self._connection.send(*events)
         except _GONE as error:
             raise CallerGoneError('the caller takes no answer') from error
--- a/src/carobwalk/http/_h11_stream.py
+++ b/src/carobwalk/http/_h11_stream.py
@@ -52,7 +52,9 @@
             trio.BrokenResourceError: If the connection is lost.
         """
         parts = [self.protocol.send(event) or b'' for event in events]
-        await self.stream.send_all(b''.join(parts))
+        joined = b''.join(parts)
+        if joined:
+            await self.stream.send_all(joined)
 
     async def read_body(self, limit: int) -> bytes | None:
         """Return the rest of a message's body, ``None`` above the limit.
