--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,6 +6,8 @@
 
 import click
 
+from benchmarks._scheduling import make_scheduling_repeatable
+
 _FOLDER = Path(__file__).parent
 
 
@@ -23,6 +25,7 @@
 @click.option('--seed', default=1, show_default=True)
 def main(name: str, seed: int) -> None:
     """Run one benchmark; its last line is one JSON object."""
+    make_scheduling_repeatable(seed)
     module = importlib.import_module(f'benchmarks.{name}')
     sys.exit(module.main(seed))
 
--- a/benchmarks/_config_fleet.py
+++ b/benchmarks/_config_fleet.py
@@ -1,6 +1,5 @@
 """Processes that follow the configuration, with an in-memory wire."""
 
-import importlib
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -285,13 +284,3 @@
 def any_process(fleet: Fleet, generator: random.Random) -> Process:
     """Return one process."""
     return fleet.processes[generator.choice(sorted(fleet.processes))]
-
-
-def make_scheduling_repeatable(seed: int) -> None:
-    """Let trio choose the order of tasks by a seed.
-
-    The same seed then gives the same run, also in another process.
-    """
-    scheduler = vars(importlib.import_module('trio._core._run'))
-    scheduler['_ALLOW_DETERMINISTIC_SCHEDULING'] = True
-    scheduler['_r'].seed(seed)
--- a/benchmarks/_config_trial.py
+++ b/benchmarks/_config_trial.py
@@ -7,8 +7,9 @@
 
 from benchmarks._config_faults import Breaker
 from benchmarks._config_findings import LIMIT_SECONDS, Findings, Replay, Witness
-from benchmarks._config_fleet import Fleet, make_scheduling_repeatable
+from benchmarks._config_fleet import Fleet
 from benchmarks._config_operators import Operators
+from benchmarks._scheduling import make_scheduling_repeatable
 from carobwalk.profiles import Change, ConfigurationHistory
 from standins.memory_store import MemoryStoreClient
 
--- a/src/carobwalk/app/_build_administration.py
+++ b/src/carobwalk/app/_build_administration.py
@@ -12,12 +12,15 @@
 )
 from carobwalk.app._administration_handler import AdministrationHandler
 from carobwalk.app._core import Core
+from carobwalk.dispatch import limit_policies, queue_policies
 from carobwalk.metrics import ScrapeHandler
 from carobwalk.ownership import Placements
 from carobwalk.profiles import (
     ConfigurationFollower,
     ConfigurationHistory,
     ConfigurationRepository,
+    Policies,
+    WriteSettings,
 )
 
 
@@ -39,6 +42,15 @@
         core.store,
         time.time,
         random.Random(),
+        WriteSettings(
+            known_revision=follower.known_revision,
+            policies=Policies(
+                {
+                    'dispatch_policy': frozenset(queue_policies.names),
+                    'limit_policy': frozenset(limit_policies.names),
+                },
+            ),
+        ),
     )
     api = AdministrationApi(
         AdministrationParts(
--- a/src/carobwalk/app/_build_entry.py
+++ b/src/carobwalk/app/_build_entry.py
@@ -5,9 +5,9 @@
 from carobwalk.app._core import Core
 from carobwalk.app._placed_forwarder import PlacedForwarder
 from carobwalk.app._request_log import RequestLog
-from carobwalk.dispatch import DispatchPool
+from carobwalk.dispatch import ServerChooser
 from carobwalk.entry import Classifier, EntryLimits, EntryServer, Router
-from carobwalk.model import ProcessId
+from carobwalk.model import Forwarder, ProcessId
 from carobwalk.ownership import Placements
 from carobwalk.profiles import Catalogue
 from carobwalk.settings import Limits
@@ -16,7 +16,8 @@
 def build_entry(
     core: Core,
     placements: Placements,
-    pool: DispatchPool,
+    local: Forwarder,
+    chooser: ServerChooser,
     catalogue: Callable[[], Catalogue],
 ) -> EntryServer:
     """Return the listener for callers.
@@ -24,7 +25,8 @@
     Args:
         core: Parts of the process.
         placements: The shard map.
-        pool: Dispatchers of this process.
+        local: Dispatchers of this process.
+        chooser: Picks backend servers for unkeyed work.
         catalogue: Returns the configuration in force.
     """
     own_id = ProcessId(core.own.name)
@@ -32,8 +34,8 @@
         Classifier(own_id, catalogue),
         Router(
             placements,
-            PlacedForwarder(own_id, pool, core.hub),
-            pool.chooser,
+            PlacedForwarder(own_id, local, core.hub),
+            chooser,
         ),
         RequestLog(core.events, core.metrics),
         _limits(core.settings.limits),
--- a/src/carobwalk/app/_process.py
+++ b/src/carobwalk/app/_process.py
@@ -11,6 +11,7 @@
 from carobwalk.app._build_follower import build_follower
 from carobwalk.app._build_ownership import build_ownership
 from carobwalk.app._core import build_core
+from carobwalk.app._guarded_forwarder import GuardedForwarder
 from carobwalk.app._listeners import open_listeners
 from carobwalk.app._quarantine_desk import ProcessQuarantineDesk
 from carobwalk.app._quarantine_spread import QuarantineSpread
@@ -52,10 +53,12 @@
             self._catalogue,
             self._spread.tell,
         )
+        self._guarded = GuardedForwarder(self._pool, self._core.events)
         self._entry = build_entry(
             self._core,
             self._role.placements,
-            self._pool,
+            self._guarded,
+            self._pool.chooser,
             self._catalogue,
         )
         self._administration = build_administration(
@@ -81,7 +84,7 @@
         core = self._core
         listeners = await open_listeners(core.settings.listen)
         async with trio.open_nursery() as nursery:
-            await nursery.start(core.hub.run, listeners.peers, self._pool)
+            await nursery.start(core.hub.run, listeners.peers, self._guarded)
             await nursery.start(self._pool.run)
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self._role.run)
--- a/src/carobwalk/entry/_caller_sink.py
+++ b/src/carobwalk/entry/_caller_sink.py
@@ -78,8 +78,11 @@
         events = (event,) if self._head is None else (self._head, event)
         self._head = None
         self.is_started = True
+        encoded = self._connection.encode(*events)
+        if not encoded:
+            return
         try:
             with trio.fail_after(self._stall_seconds):
-                await self._connection.send(*events)
+                await self._connection.stream.send_all(encoded)
         except _GONE as error:
             raise CallerGoneError('the caller takes no answer') from error
--- a/src/carobwalk/entry/_failure_reply.py
+++ b/src/carobwalk/entry/_failure_reply.py
@@ -29,6 +29,7 @@
         FailureKind.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
         FailureKind.STOPPING: HTTPStatus.SERVICE_UNAVAILABLE,
         FailureKind.CALLER_GONE: HTTPStatus.BAD_REQUEST,
+        FailureKind.INTERNAL: HTTPStatus.INTERNAL_SERVER_ERROR,
     },
 )
 
--- a/src/carobwalk/http/_h11_stream.py
+++ b/src/carobwalk/http/_h11_stream.py
@@ -45,16 +45,20 @@
             chunk = await self.stream.receive_some(_RECEIVE_BYTES)
             self.protocol.receive_data(bytes(chunk))
 
+    def encode(self, *events: h11.Event) -> bytes:
+        """Return the bytes of events; they must be sent in this order."""
+        parts = [self.protocol.send(event) or b'' for event in events]
+        return b''.join(parts)
+
     async def send(self, *events: h11.Event) -> None:
         """Write events in one piece.
 
         Raises:
             trio.BrokenResourceError: If the connection is lost.
         """
-        parts = [self.protocol.send(event) or b'' for event in events]
-        joined = b''.join(parts)
-        if joined:
-            await self.stream.send_all(joined)
+        encoded = self.encode(*events)
+        if encoded:
+            await self.stream.send_all(encoded)
 
     async def read_body(self, limit: int) -> bytes | None:
         """Return the rest of a message's body, ``None`` above the limit.
--- a/src/carobwalk/model/_failure.py
+++ b/src/carobwalk/model/_failure.py
@@ -27,6 +27,7 @@
     TOO_LARGE = 'too-large'
     STOPPING = 'stopping'
     CALLER_GONE = 'caller-gone'
+    INTERNAL = 'internal-error'
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/app/test_guarded_forwarder.py
@@ -0,0 +1,79 @@
+"""Tests of the containment of faults."""
+
+import pytest
+import trio
+from result import Err, Result
+
+from carobwalk.app._guarded_forwarder import GuardedForwarder, RequestCrashed
+from carobwalk.dispatch import DoubleSendError
+from carobwalk.events import Event
+from carobwalk.model import (
+    Call,
+    CallerGoneError,
+    Completion,
+    Failure,
+    FailureKind,
+    Outcome,
+    Placement,
+    ReplySink,
+)
+from tests.dispatch.fakes import ListSink, call_of, endpoint_of, placement_of
+
+
+class _Faulty:
+    """Raises an exception, before or after the first byte was sent."""
+
+    def __init__(self, error: Exception, *, is_sent: bool) -> None:
+        self._error = error
+        self._is_sent = is_sent
+
+    async def forward(
+        self,
+        call: Call,
+        placement: Placement,
+        sink: ReplySink,
+    ) -> Result[Completion, Failure]:
+        call.progress.note(is_sent=self._is_sent)
+        raise self._error
+
+
+class _Log:
+    """Keeps events."""
+
+    def __init__(self) -> None:
+        self.events: list[Event] = []
+
+    def emit(self, event: Event) -> None:
+        self.events.append(event)
+
+
+async def _forward(
+    faulty: _Faulty,
+    log: _Log,
+) -> Result[Completion, Failure]:
+    guarded = GuardedForwarder(faulty, log)
+    placement = placement_of(endpoint_of('s'))
+    return await guarded.forward(call_of(b''), placement, ListSink())
+
+
+class TestGuardedForwarder:
+    @pytest.mark.parametrize('is_sent', [True, False])
+    def test_broken_invariant(self, *, is_sent: bool) -> None:
+        """A broken invariant is logged and ends one request only."""
+        log = _Log()
+        faulty = _Faulty(DoubleSendError('r'), is_sent=is_sent)
+        ended = trio.run(_forward, faulty, log)
+        assert isinstance(ended, Err)
+        assert ended.err_value.kind is FailureKind.INTERNAL
+        wanted = Outcome.UNKNOWN if is_sent else Outcome.NOT_RUN
+        assert ended.err_value.outcome is wanted
+        assert isinstance(log.events[0], RequestCrashed)
+        assert log.events[0].error == 'DoubleSendError'
+
+    def test_caller_gone(self) -> None:
+        """The loss of the caller is no fault of the program."""
+        log = _Log()
+        faulty = _Faulty(CallerGoneError('gone'), is_sent=True)
+        with pytest.raises(CallerGoneError):
+            trio.run(_forward, faulty, log)
+        assert not log.events
