Log faults of handlers, and contain them to one question or request

Cause: an exception in a topic's handler went to loguru without the log's binding and was dropped; one of the process's own questions passed it to the asker; the administration answered 500 without a trace; a cancel that came right behind its request found no scope; the log stayed open where an address was taken. Change: TopicCrashed and HandlerCrashed events, a scope from the first frame on, the log closed in every case.

--- a/src/carobwalk/app/_core.py
+++ b/src/carobwalk/app/_core.py
@@ -50,23 +50,13 @@
     Raises:
         OSError: If the log can not be opened.
     """
-    place = settings.process
-    own = Endpoint(
-        place.id,
-        settings.listen.peers,
-        place.region,
-        place.data_centre,
-    )
+    own = _own_endpoint(settings)
     stamps = HybridClock()
-    log = LineEventLog.open(
-        place.id,
-        stamps,
-        settings.log.path,
-        settings.log.level,
-    )
+    log = _open_log(settings, stamps)
     clock = SuspendAwareClock()
-    metrics = Metrics(place.id)
-    topics = TopicRegistry()
+    metrics = Metrics(own.name)
+    events = CountingEventLog(log, metrics, clock)
+    topics = TopicRegistry(events)
     hub = PeerHub(own, stamps, topics)
     watch_peer_bytes(metrics, hub.traffic)
     clients = connect_platform(settings.platform)
@@ -75,7 +65,7 @@
         own=own,
         clock=clock,
         log=log,
-        events=CountingEventLog(log, metrics, clock),
+        events=events,
         metrics=metrics,
         topics=topics,
         hub=hub,
@@ -83,3 +73,18 @@
         store=MeteredStore(clients.store, metrics),
         host_list=clients.host_list,
     )
+
+
+def _own_endpoint(settings: Settings) -> Endpoint:
+    place = settings.process
+    return Endpoint(
+        place.id,
+        settings.listen.peers,
+        place.region,
+        place.data_centre,
+    )
+
+
+def _open_log(settings: Settings, stamps: HybridClock) -> LineEventLog:
+    log = settings.log
+    return LineEventLog.open(settings.process.id, stamps, log.path, log.level)
--- a/src/carobwalk/app/_process.py
+++ b/src/carobwalk/app/_process.py
@@ -81,6 +81,12 @@
         Raises:
             OSError: If an address can not be listened on.
         """
+        try:
+            return await self._run()
+        finally:
+            self._core.log.close()
+
+    async def _run(self) -> bool:
         core = self._core
         listeners = await open_listeners(core.settings.listen)
         async with trio.open_nursery() as nursery:
@@ -94,10 +100,10 @@
                 serve_http,
                 self._administration,
                 listeners.administration,
+                core.events,
             )
             is_graceful = await self._wait_and_stop()
             nursery.cancel_scope.cancel()
-        core.log.close()
         return is_graceful
 
     async def _wait_and_stop(self) -> bool:
--- a/src/carobwalk/http/_server.py
+++ b/src/carobwalk/http/_server.py
@@ -9,16 +9,14 @@
 import h11
 import trio
 
+from carobwalk.events import EventLog, NullEventLog
+from carobwalk.http._guarded_handler import GuardedHandler
 from carobwalk.http._h11_stream import H11Stream
 from carobwalk.http._handler import HttpHandler
 from carobwalk.http._messages import HttpRequest, HttpResponse
 
 _BODY_LIMIT_BYTES: Final = 2_097_152
 _IDLE_SECONDS: Final = 120
-_INTERNAL_ERROR: Final = HttpResponse(
-    status=HTTPStatus.INTERNAL_SERVER_ERROR,
-    body=b'internal error\n',
-)
 _TOO_LARGE: Final = HttpResponse(
     status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     body=b'body too large\n',
@@ -28,15 +26,18 @@
 async def serve_http(
     handler: HttpHandler,
     listeners: list[trio.SocketListener],
+    events: EventLog | None = None,
 ) -> None:
     """Answer small requests on all connections until cancelled.
 
     Args:
         handler: Answers each request; its exceptions become status 500.
         listeners: Open listeners.
+        events: Log of the handler's exceptions.
     """
+    guarded = GuardedHandler(handler, events or NullEventLog())
     await trio.serve_listeners(
-        partial(serve_http_stream, handler),
+        partial(serve_http_stream, guarded),
         listeners,
     )
 
@@ -83,14 +84,7 @@
     body = await connection.read_body(_BODY_LIMIT_BYTES)
     if body is None:
         return _TOO_LARGE
-    return await _guard(handler, parse_request(event, body))
-
-
-async def _guard(handler: HttpHandler, request: HttpRequest) -> HttpResponse:
-    try:
-        return await handler(request)
-    except Exception:
-        return _INTERNAL_ERROR
+    return await handler(parse_request(event, body))
 
 
 def parse_request(event: h11.Request, body: bytes) -> HttpRequest:
--- a/src/carobwalk/peer/_accepted.py
+++ b/src/carobwalk/peer/_accepted.py
@@ -1,10 +1,11 @@
 """The side of a peer connection that accepted."""
 
 import trio
-from loguru import logger
+from result import Ok
 
 from carobwalk.model import (
     Call,
+    CallProgress,
     Failure,
     FailureKind,
     Forwarder,
@@ -82,8 +83,16 @@
                 nursery.start_soon(self._answer, frame.exchange, frame.body)
             case OpenRequest():
                 exchange = Exchange(frame.exchange, self._link)
+                running = RunningRequest(CallProgress())
+                # Frames that follow at once must find the exchange.
                 self._exchanges_by_number[exchange.number] = exchange
-                nursery.start_soon(self._serve, exchange, frame.body)
+                self._scopes_by_number[exchange.number] = running.scope
+                nursery.start_soon(
+                    self._serve,
+                    exchange,
+                    frame.body,
+                    running,
+                )
             case Cancel():
                 self._cancel(frame.exchange)
             case _:
@@ -101,29 +110,31 @@
             exchange.deliver(body)
 
     async def _answer(self, number: int, ask: Ask) -> None:
-        handler = self._topics.find(ask.topic)
-        if handler is None:
-            await self._link.send_if_open(
-                number, AskFailed(f'no topic {ask.topic}')
-            )
-            return
-        try:
-            answer: Body = Answer(await handler(self._peer, ask.payload))
-        except Exception as error:
-            logger.opt(exception=error).error('topic={} failed', ask.topic)
-            answer = AskFailed(type(error).__name__)
-        await self._link.send_if_open(number, answer)
+        answered = await self._topics.answer(
+            ask.topic,
+            self._peer,
+            ask.payload,
+        )
+        body: Body = (
+            Answer(answered.ok_value)
+            if isinstance(answered, Ok)
+            else AskFailed(answered.err_value.detail)
+        )
+        await self._link.send_if_open(number, body)
 
-    async def _serve(self, exchange: Exchange, opened: OpenRequest) -> None:
+    async def _serve(
+        self,
+        exchange: Exchange,
+        opened: OpenRequest,
+        running: RunningRequest,
+    ) -> None:
         head = opened.head
         body = ExchangeBody(exchange, is_empty=head.body_length == 0)
-        call = Call(head, body)
-        running = RunningRequest(call.progress)
+        call = Call(head, body, running.progress)
         if not self._ledger.admit(head.request_id, running):
-            self._exchanges_by_number.pop(exchange.number)
+            self._forget(exchange.number)
             await self._link.send_if_open(exchange.number, _given_up())
             return
-        self._scopes_by_number[exchange.number] = running.scope
         try:
             with running.scope:
                 await self._run(exchange, call, opened)
--- a/src/carobwalk/peer/_hub.py
+++ b/src/carobwalk/peer/_hub.py
@@ -26,6 +26,7 @@
 from carobwalk.peer._peers import PeerFailure
 from carobwalk.peer._stamp_source import StampSource
 from carobwalk.peer._topic import Topic
+from carobwalk.peer._topic_failure import TopicFailure
 from carobwalk.peer._topic_registry import TopicRegistry
 from carobwalk.peer._traffic import Traffic
 
@@ -140,11 +141,10 @@
         payload: bytes,
         timeout: float,
     ) -> Result[bytes, PeerFailure]:
-        handler = self._topics.find(topic)
-        if handler is None:
-            return Err(PeerFailure(delivered=False, detail=f'no topic {topic}'))
+        sender = ProcessId(self._own.name)
         with trio.move_on_after(timeout):
-            return Ok(await handler(ProcessId(self._own.name), payload))
+            answered = await self._topics.answer(topic, sender, payload)
+            return answered.map_err(_self_failed)
         detail = f'no answer within {timeout} s'
         return Err(PeerFailure(delivered=True, detail=detail))
 
@@ -164,6 +164,10 @@
             await accepted.run()
 
 
+def _self_failed(failure: TopicFailure) -> PeerFailure:
+    return PeerFailure(delivered=True, detail=failure.detail)
+
+
 def _not_delivered(peer: Endpoint) -> PeerFailure:
     return PeerFailure(
         delivered=False,
