Let the sequences of pushes and orders rise over the whole epoch

Cause: a host that was off the platform's list for the absence time and came back got a new link, whose sequence began at 1 within the same epoch. Ruled out: two coordinators in one epoch; all pushes in the trace are of one. Change: one counter for all pushes and one for all orders of a coordinator.

--- a/src/carobwalk/ownership/_entry_link.py
+++ b/src/carobwalk/ownership/_entry_link.py
@@ -17,7 +17,7 @@
         revision: Revision of the map that it holds in this epoch.
         echo: Reading of the entry's clock in its last answer.
         answered_at: When that answer came.
-        sequence: Pushes sent in this epoch.
+        sequence: Sequence of the last push, rising over all entries.
         applied: Sequence of the last push that was answered.
         lapse_at: When all its leases are over.
         leases: Servers that it dispatched to in its last answer.
--- a/src/carobwalk/ownership/_entry_pushes.py
+++ b/src/carobwalk/ownership/_entry_pushes.py
@@ -1,5 +1,6 @@
 """Pushes of a coordinator to the entries."""
 
+import itertools
 from typing import Final
 
 import trio
@@ -39,6 +40,9 @@
         self._plan = plan
         self._log = log
         self._context = state.context
+        # An entry that went off the host list and came back gets a new link;
+        # its sequence must not begin anew, or late pushes would look fresh.
+        self._sequences = itertools.count(1)
 
     async def run(self) -> None:
         """Follow the host list and start a task for each new entry."""
@@ -98,7 +102,7 @@
         if leases:
             until = link.answered_at + times.lapse(times.lease_ttl)
             link.lapse_at = max(link.lapse_at, until)
-        link.sequence += 1
+        link.sequence = next(self._sequences)
         delta = self._log.since(link.revision)
         divisions = tuple(self._state.divisions.values())
         return MapPush(
--- a/src/carobwalk/ownership/_map_push.py
+++ b/src/carobwalk/ownership/_map_push.py
@@ -15,7 +15,7 @@
         group: Group of shards.
         epoch: Epoch of the coordinator.
         revision: Revision of the map within the epoch.
-        sequence: Count of pushes to the receiver within the epoch.
+        sequence: Rises with each push of the coordinator.
         base: Revision that the rows are changes to; 0 for a whole map.
         coordinator: The process that sends this.
         dispatchers: Processes that the servers' rows name.
--- a/src/carobwalk/ownership/_server_heartbeats.py
+++ b/src/carobwalk/ownership/_server_heartbeats.py
@@ -1,5 +1,7 @@
 """Orders of a coordinator to the backend servers of its region."""
 
+import itertools
+
 import trio
 from result import Err
 
@@ -27,6 +29,9 @@
     def __init__(self, state: GroupState) -> None:
         self._state = state
         self._context = state.context
+        # A server that went off the host list and came back gets a new link;
+        # it refuses orders whose sequence is not above the last one.
+        self._sequences = itertools.count(1)
 
     async def run(self) -> None:
         """Follow the host list and start a task for each new server."""
@@ -112,7 +117,7 @@
             until = link.reported_at + self._context.times.lapse(ttl)
             until += state.context.hold_of(link.service)
             link.extend(holder.incarnation, until)
-        link.sequence += 1
+        link.sequence = next(self._sequences)
         if not state.contact.autonomous:
             link.autonomous = False
         return GrantOrder(
--- a/src/carobwalk/ownership/_server_link.py
+++ b/src/carobwalk/ownership/_server_link.py
@@ -20,7 +20,7 @@
         incarnation: Incarnation in its last report.
         echo: Reading of the server's clock in its last report.
         reported_at: When that report came.
-        sequence: Orders sent in this epoch.
+        sequence: Sequence of the last order, rising over all servers.
         applied: Sequence in the last report.
         tokens: Tokens that it held in its last report.
         fence: Report on the fence of this epoch.
--- a/src/carobwalk/ownership/_server_messages.py
+++ b/src/carobwalk/ownership/_server_messages.py
@@ -53,7 +53,7 @@
     Args:
         group: Group of shards that the order is about.
         epoch: Epoch of the coordinator.
-        sequence: Count of orders to this server within the epoch.
+        sequence: Rises with each order of the coordinator.
         incarnation: Incarnation of the server that is meant.
         echo: Reading of the server's clock in its last report, in seconds.
         ttl: Time to live in seconds, counted from ``echo``.
@@ -95,7 +95,7 @@
     Args:
         group: Group of shards that the order is about.
         epoch: Epoch of the coordinator.
-        sequence: Count of orders to this server within the epoch.
+        sequence: Rises with each order of the coordinator.
         incarnation: Incarnation of the server that is meant.
         shards: Shards that it shall drain and drop.
     """
