Count a host's absence from the time of the record, and beyond the list's lag

Ruled out: epochs, fencing and tokens, all in order in the trace; an unbounded lag can not be met by any rule on the list. Change: the absence counts from when the coordinator read or wrote the record at the earliest, and is 6 s, above the lag of 5 s; also where the store is missing. What it costs: cases that wait for the host list wait 4 s longer.

--- a/src/carobwalk/ownership/_group_state.py
+++ b/src/carobwalk/ownership/_group_state.py
@@ -42,7 +42,7 @@
             for shard_id, succession in record.successions.items()
         }
         self.divisions: dict[str, Division] = {}
-        self.contact = StoreContact()
+        self.contact = StoreContact(recorded_at=context.clock.now())
         self.signals = Signals()
         self._sequence = 0
         self.owned = OwnedShards(context.rules)
--- a/src/carobwalk/ownership/_holder_choice.py
+++ b/src/carobwalk/ownership/_holder_choice.py
@@ -48,9 +48,11 @@
         return all(self._is_bound(holder) for holder in holders)
 
     def _is_bound(self, holder: Holder) -> bool:
-        link = self._state.links.get(holder.server)
+        state = self._state
+        link = state.links.get(holder.server)
         if link is None or not link.autonomous:
-            return self._state.hosts.is_gone(holder.server)
+            recorded_at = state.contact.recorded_at
+            return state.hosts.is_gone(holder.server, recorded_at)
         guarded = self._state.context.rules.incarnation
         return link.holder == holder or not guarded
 
--- a/src/carobwalk/ownership/_host_view.py
+++ b/src/carobwalk/ownership/_host_view.py
@@ -1,5 +1,7 @@
 """The host list as this process last read it."""
 
+from math import inf
+
 import trio
 from result import Ok
 
@@ -41,17 +43,25 @@
         self._read_at = now
         self._last_seen |= dict.fromkeys(hosts, now)
 
-    def is_gone(self, name: str) -> bool:
+    def is_gone(self, name: str, since: float = -inf) -> bool:
         """Return whether a host was off the list for the absence time.
 
         The time runs from the reading that last listed the host to the last
         reading, so that an unreadable list makes nobody gone. A host that
         this process never saw counts from its first reading.
+
+        Args:
+            name: Name of the host.
+            since: Reading of this process's clock before which the list may
+                have told of an earlier absence of the host. The absence time
+                exceeds the list's lag, so that a list which has not shown
+                the host since then is newer than that.
         """
         if self._read_at is None or name in self.by_name:
             return False
         last = self._last_seen.setdefault(name, self._read_at)
-        return self._read_at - last >= self._context.times.absence
+        absent_for = self._read_at - max(last, since)
+        return absent_for >= self._context.times.absence
 
     def entries(self) -> tuple[Endpoint, ...]:
         """Return the listed processes of the system, by name."""
--- a/src/carobwalk/ownership/_recorder.py
+++ b/src/carobwalk/ownership/_recorder.py
@@ -102,6 +102,7 @@
 
     def _confirm(self, wishes: Successions, revision: int) -> None:
         self._state.contact.revision = revision
+        self._state.contact.recorded_at = self._state.now()
         changed = 0
         for shard_id, wish in wishes.items():
             shard = self._state.shards[shard_id]
--- a/src/carobwalk/ownership/_signals.py
+++ b/src/carobwalk/ownership/_signals.py
@@ -28,8 +28,11 @@
             store does not answer in time.
         revision: Revision of the group's record as last known.
         verified_at: Start of the last reading that confirmed the epoch.
+        recorded_at: When the record was last read or written, so that no
+            holder was named after that.
     """
 
     autonomous: bool = False
     verified_at: float = -inf
     revision: int = 0
+    recorded_at: float = -inf
--- a/src/carobwalk/ownership/_takeover.py
+++ b/src/carobwalk/ownership/_takeover.py
@@ -80,7 +80,8 @@
         link = self._state.links.get(holder.server)
         if link is not None and link.fence is not None:
             return True
-        return self._state.hosts.is_gone(holder.server)
+        recorded_at = self._state.contact.recorded_at
+        return self._state.hosts.is_gone(holder.server, recorded_at)
 
     def _claims(
         self,
--- a/src/carobwalk/ownership/_times.py
+++ b/src/carobwalk/ownership/_times.py
@@ -22,7 +22,8 @@
         silence_check: Interval of checks for silence.
         stagger: Further silence for each candidate behind the first.
         witness_timeout: Longest wait for what others heard.
-        absence: Time off the host list after which a host counts as gone.
+        absence: Time off the host list after which a host counts as gone; it
+            must exceed the time by which the list can lag.
         settle: Time for which the host list must stay unchanged before a
             service is divided.
         host_list_interval: Interval of readings of the host list.
@@ -49,7 +50,7 @@
     silence_check: float = 0.025
     stagger: float = 0.15
     witness_timeout: float = 0.05
-    absence: float = 2.0
+    absence: float = 6.0
     settle: float = 1.0
     host_list_interval: float = 0.5
     store_timeout: float = 2.0
