Take out a count that nothing reads

Cause: EntryServer.connection_count had no reader, in the program or in tests. Ruled out: a metric of open connections, which does not exist yet. Change: the property is gone; behaviour is the same.

--- a/src/carobwalk/entry/_server.py
+++ b/src/carobwalk/entry/_server.py
@@ -43,11 +43,6 @@
             is_stopping=self._tell_stopping,
         )
 
-    @property
-    def connection_count(self) -> int:
-        """Connections that are open now."""
-        return len(self._connections)
-
     async def run(self, listeners: list[trio.SocketListener]) -> None:
         """Serve callers until ``drain`` was called and the last one left.
 
