--- a/benchmarks/_naive_router.py
+++ b/benchmarks/_naive_router.py
@@ -6,7 +6,7 @@
 import trio
 import xxhash
 
-from carobwalk.platform import HostList
+from carobwalk.store import HostList
 
 READ_INTERVAL_SECONDS: Final = 0.5
 
--- /dev/null
+++ b/src/carobwalk/app/_build_keyspace.py
@@ -0,0 +1,115 @@
+"""Ownership of numbered keys at a process on the users' platform."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+
+from carobwalk.app._gateway_core import GatewayCore
+from carobwalk.gateway import LoadTable
+from carobwalk.keyspace import (
+    LOAD_TOPIC,
+    CoordinatorParts,
+    CoordinatorRole,
+    KeyOwnerTable,
+    KeyReader,
+    KeyTimes,
+    LoadCollector,
+    LoadReporter,
+    OrderParts,
+    RoleParts,
+    ServerLives,
+    ServerWatch,
+)
+from carobwalk.model import ServiceName
+from carobwalk.platform import PlatformOrders
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Keyspace:
+    """Ownership of numbered keys.
+
+    Args:
+        reader: What the records say.
+        owners: Looks up owners.
+        role: Coordinates when it is this process's turn.
+        reporter: Reports to the coordinator.
+    """
+
+    reader: KeyReader
+    owners: KeyOwnerTable
+    role: CoordinatorRole
+    reporter: LoadReporter
+
+
+def build_keyspace(
+    core: GatewayCore,
+    reader: KeyReader,
+    loads: LoadTable,
+    is_current: Callable[[], bool],
+    take_process_count: Callable[[int], None],
+) -> Keyspace:
+    """Return the parts that own and find keys.
+
+    Args:
+        core: Parts of the process.
+        reader: What the records say.
+        loads: Loads of the backend servers.
+        is_current: Returns whether the records are followed.
+        take_process_count: Takes the number of processes.
+    """
+    times = _times(core)
+    collector = LoadCollector(core.clock)
+    core.topics.register(LOAD_TOPIC, collector.answer)
+    owners = KeyOwnerTable(reader, core.directory)
+    orders = OrderParts(
+        channel=PlatformOrders(core.orders, times),
+        lives=ServerLives(core.directory),
+        watch=ServerWatch(times, core.clock, collector.speeds.last_heard),
+        times=times,
+        events=core.events,
+    )
+    role = CoordinatorRole(
+        RoleParts(
+            own=core.own,
+            store=core.store,
+            reader=reader,
+            is_current=is_current,
+            keyed_services=lambda: _keyed_services(core),
+            coordination=CoordinatorParts(
+                orders=orders,
+                collector=collector,
+                clock=core.clock,
+                events=core.events,
+            ),
+        ),
+    )
+    return Keyspace(
+        reader=reader,
+        owners=owners,
+        role=role,
+        reporter=LoadReporter(
+            core.hub,
+            reader,
+            owners,
+            loads,
+            take_process_count,
+        ),
+    )
+
+
+def _times(core: GatewayCore) -> KeyTimes:
+    usual = KeyTimes()
+    settings = core.settings
+    return replace(
+        usual,
+        lease=max(usual.lease, settings.store.shortest_lease_seconds),
+        longest_hold=settings.bounds.longest_hold_seconds,
+        hold=min(usual.hold, settings.bounds.longest_hold_seconds),
+    )
+
+
+def _keyed_services(core: GatewayCore) -> Iterable[ServiceName]:
+    table = core.routes.table
+    if table is None or not core.directory.is_loaded:
+        return ()
+    services = table.configuration.services_by_name.values()
+    return tuple(service.name for service in services if service.is_keyed)
--- a/src/carobwalk/app/_clients.py
+++ b/src/carobwalk/app/_clients.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 
 from carobwalk.http import HttpClient
-from carobwalk.platform import HttpHostList, HttpStore
 from carobwalk.settings import Platform
+from carobwalk.store import HttpHostList, HttpStore
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobwalk/app/_core.py
+++ b/src/carobwalk/app/_core.py
@@ -9,8 +9,8 @@
 from carobwalk.metrics import CountingEventLog, MeteredStore, Metrics
 from carobwalk.model import Clock, Endpoint, SuspendAwareClock
 from carobwalk.peer import PeerHub, TopicRegistry
-from carobwalk.platform import HostList, Store
 from carobwalk.settings import Settings
+from carobwalk.store import HostList, Store
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/carobwalk/app/_gateway_process.py
@@ -0,0 +1,227 @@
+"""Composition root of a process on the users' platform."""
+
+import signal
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Final
+
+import trio
+from result import Err
+
+from carobwalk.app._build_gateway import build_gateway, repeat_rules
+from carobwalk.app._build_keyspace import build_keyspace
+from carobwalk.app._gateway_core import GatewayCore, build_gateway_core
+from carobwalk.app._gateway_events import (
+    ProcessStarted,
+    ReadinessChanged,
+    SettingsReloaded,
+)
+from carobwalk.app._no_forwarder import NoForwarder
+from carobwalk.app._readiness_handler import ReadinessHandler
+from carobwalk.app._stop import ProcessStopped, ProcessStopping
+from carobwalk.gateway import LoadTable, RepeatBudgets
+from carobwalk.http import serve_http
+from carobwalk.keyspace import PREFIX, KeyReader
+from carobwalk.metrics import ScrapeHandler
+from carobwalk.model import Address
+from carobwalk.platform import (
+    CONFIGURATION_PREFIX,
+    READINESS_PATH,
+    REGISTRY_PREFIX,
+    ConfigurationReader,
+    RegistryReader,
+)
+from carobwalk.settings import GatewaySettings, load_gateway_settings
+from carobwalk.store import RecordFollower, RecordReader
+
+_STOP_SIGNALS: Final = frozenset((signal.SIGTERM, signal.SIGINT))
+_RELOAD_SIGNAL: Final = signal.SIGHUP
+_UPKEEP_SECONDS: Final = 0.25
+# The balancer sends new callers here until it has missed two answers.
+_BALANCER_SECONDS: Final = 2.6
+# Time at the end of a stop that is kept free of waits.
+_STOP_MARGIN_SECONDS: Final = 0.6
+_READY_POLL_SECONDS: Final = 0.02
+
+
+class GatewayProcess:
+    """One process on the users' platform.
+
+    Args:
+        settings: Validated settings.
+        path: File that the settings were read from.
+    """
+
+    def __init__(self, settings: GatewaySettings, path: Path) -> None:
+        self._path = path
+        self._core = build_gateway_core(settings)
+        self._is_stopping = False
+        self._was_ready = False
+        core = self._core
+        self._loads = LoadTable(core.directory)
+        self._budgets = RepeatBudgets(repeat_rules(settings.bounds))
+        reader = KeyReader(core.events)
+        self._records = self._follow(PREFIX, reader)
+        self._registry = self._follow(
+            REGISTRY_PREFIX,
+            RegistryReader(core.directory, core.events),
+        )
+        self._configuration = self._follow(
+            CONFIGURATION_PREFIX,
+            ConfigurationReader(core.routes),
+        )
+        self._keyspace = build_keyspace(
+            core,
+            reader,
+            self._loads,
+            lambda: self._records.is_current,
+            self._take_process_count,
+        )
+        self._gateway = build_gateway(
+            core,
+            self._keyspace.owners,
+            self._loads,
+            self._budgets,
+            lambda: self._is_stopping,
+        )
+
+    async def run(self) -> bool:
+        """Serve until SIGTERM or SIGINT.
+
+        Returns:
+            Whether every request in flight finished.
+
+        Raises:
+            OSError: If an address can not be listened on.
+        """
+        core = self._core
+        with trio.open_signal_receiver(
+            *_STOP_SIGNALS,
+            _RELOAD_SIGNAL,
+        ) as received:
+            try:
+                return await self._run(received)
+            finally:
+                core.log.close()
+                core.output.flush()
+
+    async def _run(self, received: AsyncIterator[int]) -> bool:
+        core = self._core
+        listen = core.settings.listen
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(core.output.run)
+            core.events.emit(ProcessStarted(str(listen.callers)))
+            await nursery.start(
+                core.hub.run,
+                await _open(listen.peers),
+                NoForwarder(),
+            )
+            await self._start_small_servers(nursery)
+            for follower in (
+                self._configuration,
+                self._registry,
+                self._records,
+            ):
+                nursery.start_soon(follower.run)
+            nursery.start_soon(self._keyspace.role.run)
+            nursery.start_soon(self._keyspace.reporter.run)
+            nursery.start_soon(self._keep_up)
+            nursery.start_soon(
+                self._gateway.server.run,
+                await _open(listen.callers),
+            )
+            is_graceful = await self._wait_and_stop(received)
+            nursery.cancel_scope.cancel()
+        return is_graceful
+
+    async def _start_small_servers(self, nursery: trio.Nursery) -> None:
+        core = self._core
+        handlers_by_address = {
+            core.settings.listen.readiness: ReadinessHandler(
+                READINESS_PATH,
+                self._is_ready,
+            ),
+            core.settings.listen.metrics: ScrapeHandler(core.metrics),
+        }
+        for address, handler in handlers_by_address.items():
+            nursery.start_soon(
+                serve_http,
+                handler,
+                await _open(address),
+                core.events,
+            )
+
+    async def _wait_and_stop(self, received: AsyncIterator[int]) -> bool:
+        while True:
+            number = signal.Signals(await anext(received))
+            if number in _STOP_SIGNALS:
+                self._core.events.emit(ProcessStopping(number.name))
+                return await self._stop()
+            self._reload()
+
+    async def _stop(self) -> bool:
+        """Leave the balancer, hand the role over, finish what is in flight."""
+        self._is_stopping = True
+        self._is_ready()
+        seconds = self._core.settings.bounds.stop_seconds
+        end = trio.current_time() + seconds - _STOP_MARGIN_SECONDS
+        balancer_end = trio.current_time() + _BALANCER_SECONDS
+        with trio.move_on_at(balancer_end):
+            await self._keyspace.role.leave()
+        await trio.sleep_until(balancer_end)
+        left = max(end - trio.current_time(), 0)
+        is_graceful = await self._gateway.server.close(left)
+        self._core.events.emit(ProcessStopped(is_graceful=is_graceful))
+        return is_graceful
+
+    def _reload(self) -> None:
+        """Read the settings again and follow the bounds in them."""
+        loaded = load_gateway_settings(self._path)
+        if isinstance(loaded, Err):
+            detail = str(loaded.err_value)
+            self._core.events.emit(SettingsReloaded(is_valid=False, detail=detail))
+            return
+        bounds = loaded.ok_value.bounds
+        self._budgets.follow(repeat_rules(bounds))
+        self._core.events.emit(SettingsReloaded(is_valid=True, detail=str(bounds)))
+
+    async def _keep_up(self) -> None:
+        """Drop what has grown old."""
+        while True:
+            await trio.sleep(_UPKEEP_SECONDS)
+            self._core.directory.expire()
+            self._loads.forget_gone()
+            await self._gateway.pool.close_old()
+
+    def _is_ready(self) -> bool:
+        is_ready = (
+            not self._is_stopping
+            and self._core.routes.table is not None
+            and self._core.directory.is_loaded
+        )
+        if is_ready != self._was_ready:
+            self._was_ready = is_ready
+            self._core.events.emit(ReadinessChanged(is_ready=is_ready))
+        return is_ready
+
+    def _take_process_count(self, count: int) -> None:
+        self._loads.process_count = count
+        self._budgets.process_count = count
+
+    def _follow(self, prefix: str, reader: RecordReader) -> RecordFollower:
+        core = self._core
+        return RecordFollower(
+            core.store,
+            prefix,
+            reader,
+            core.clock,
+            core.events,
+        )
+
+
+async def _open(address: Address) -> list[trio.SocketListener]:
+    return await trio.open_tcp_listeners(
+        address.port,
+        host=address.host,
+        backlog=1024,
+    )
--- a/src/carobwalk/cli/_main.py
+++ b/src/carobwalk/cli/_main.py
@@ -6,7 +6,7 @@
 import click
 
 from carobwalk.cli._commands import registered_commands
-from carobwalk.cli._library_lookup import avoid_child_processes
+from carobwalk._library_lookup import avoid_child_processes
 
 # Modules that register commands when they are imported.
 _MODULES: Final = (
--- /dev/null
+++ b/src/carobwalk/directory/__init__.py
@@ -0,0 +1,17 @@
+"""Backend servers that registered themselves."""
+
+from carobwalk.directory._backend_server import BackendServer
+from carobwalk.directory._events import (
+    ServerChanged,
+    ServerEntryDropped,
+    ServerForgotten,
+)
+from carobwalk.directory._server_directory import ServerDirectory
+
+__all__ = (
+    'BackendServer',
+    'ServerChanged',
+    'ServerDirectory',
+    'ServerEntryDropped',
+    'ServerForgotten',
+)
--- a/src/carobwalk/events/__init__.py
+++ b/src/carobwalk/events/__init__.py
@@ -1,5 +1,6 @@
 """Structured events and their causal order."""
 
+from carobwalk.events._bounded_output import BoundedOutput
 from carobwalk.events._event import Event
 from carobwalk.events._event_log import EventLog, NullEventLog
 from carobwalk.events._hybrid_clock import ClockDrift, HybridClock
@@ -7,8 +8,13 @@
 from carobwalk.events._line_event_log import LineEventLog
 from carobwalk.events._lines import LineError, format_line, parse_line
 from carobwalk.events._logged_event import LoggedEvent
+from carobwalk.events._rationed_event_log import (
+    LinesLeftOut,
+    RationedEventLog,
+)
 
 __all__ = (
+    'BoundedOutput',
     'ClockDrift',
     'Event',
     'EventLog',
@@ -16,8 +22,10 @@
     'HybridStamp',
     'LineError',
     'LineEventLog',
+    'LinesLeftOut',
     'LoggedEvent',
     'NullEventLog',
+    'RationedEventLog',
     'format_line',
     'parse_line',
     'parse_stamp',
--- a/src/carobwalk/events/_line_event_log.py
+++ b/src/carobwalk/events/_line_event_log.py
@@ -1,6 +1,7 @@
 """Event log that writes one line for each event."""
 
 import sys
+from collections.abc import Callable
 from dataclasses import fields
 from functools import cache
 from typing import Any, Final, Self
@@ -47,7 +48,7 @@
         cls,
         process: str,
         clock: HybridClock,
-        path: str | None = None,
+        path: str | Callable[[str], None] | None = None,
         level: str = 'info',
     ) -> Self:
         """Open a log.
@@ -55,7 +56,8 @@
         Args:
             process: Id of the process.
             clock: Clock that stamps the events.
-            path: File that lines are appended to; standard error if ``None``.
+            path: File that lines are appended to, or what takes each line;
+                standard error if ``None``.
             level: Least level that is written.
 
         Raises:
--- /dev/null
+++ b/src/carobwalk/gateway/_forwarder.py
@@ -0,0 +1,259 @@
+"""Forwarding of whole requests to backend servers."""
+
+from dataclasses import dataclass
+from typing import Final
+
+import h11
+import trio
+
+from carobwalk.directory import BackendServer
+from carobwalk.events import EventLog
+from carobwalk.gateway import _refusals as refusals
+from carobwalk.gateway._attempt_log import AttemptFailed
+from carobwalk.gateway._caller_request import CallerRequest
+from carobwalk.gateway._connection_pool import ConnectionPool
+from carobwalk.gateway._header_names import HeaderNames
+from carobwalk.gateway._keyed_chooser import KeyedChooser
+from carobwalk.gateway._load_table import LoadTable
+from carobwalk.gateway._outcomes import (
+    Answered,
+    AttemptOutcome,
+    Lost,
+    NotRun,
+    NotSent,
+)
+from carobwalk.gateway._repeat_budgets import RepeatBudgets
+from carobwalk.gateway._reply import Reply
+from carobwalk.gateway._target import NoTarget, Target
+from carobwalk.gateway._unkeyed_chooser import UnkeyedChooser
+from carobwalk.model import ServerId, ServiceName
+
+# A request with less time left than this is not sent any more.
+_LEAST_SECONDS: Final = 0.02
+_MILLISECONDS: Final = 1000
+# An idle connection may be closed by the server just as it is used, which
+# leaves the outcome of a request open.
+_LONGEST_IDLE_AT_MOST_ONCE_SECONDS: Final = 2.0
+_LONGEST_IDLE_SECONDS: Final = 6.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ForwarderParts:
+    """What forwarding needs.
+
+    Args:
+        names: Names of header fields.
+        loads: Loads of the servers.
+        pool: Connections to the servers.
+        unkeyed: Chooses among all servers of a service.
+        keyed: Chooses the owner of a key.
+        budgets: Bounds on repeats.
+        events: Log of events.
+    """
+
+    names: HeaderNames
+    loads: LoadTable
+    pool: ConnectionPool
+    unkeyed: UnkeyedChooser
+    keyed: KeyedChooser
+    budgets: RepeatBudgets
+    events: EventLog
+
+
+class Progress:
+    """How far a request has come.
+
+    Args:
+        service: Service that runs it.
+        is_keyed: Whether the owner of its key runs it.
+    """
+
+    def __init__(self, service: ServiceName, *, is_keyed: bool) -> None:
+        self.service = service
+        self.is_keyed = is_keyed
+        self.may_have_run = False
+        self.sends = 0
+        self.last_server = ServerId('')
+        self.sent_to: set[ServerId] = set()
+        self.avoided: set[ServerId] = set()
+
+
+class Forwarder:
+    """Sends requests, and repeats them where that is allowed.
+
+    Args:
+        parts: What forwarding needs.
+    """
+
+    def __init__(self, parts: ForwarderParts) -> None:
+        self._parts = parts
+
+    async def run(self, request: CallerRequest, progress: Progress) -> Reply:
+        """Return the answer to a request.
+
+        Args:
+            request: The request.
+            progress: Takes note of how far it comes.
+        """
+        self._parts.budgets.count_request(progress.service)
+        with trio.move_on_at(request.deadline):
+            return await self._run(request, progress)
+        if progress.may_have_run:
+            return refusals.timed_out()
+        return refusals.not_run('no time left', 0)
+
+    async def _run(self, request: CallerRequest, progress: Progress) -> Reply:
+        while True:
+            target = await self._choose(request, progress)
+            if isinstance(target, NoTarget):
+                return refusals.not_run(target.detail, target.retry_after)
+            if request.deadline - trio.current_time() < _LEAST_SECONDS:
+                self._parts.loads.finish(target.server)
+                return refusals.not_run('no time left', 0)
+            outcome = await self._attempt(request, target.server, progress)
+            if isinstance(outcome, Answered):
+                return outcome.reply
+            self._log(request, target.server, outcome, progress)
+            if not self._may_repeat(request, outcome, progress):
+                return _final_reply(outcome, progress)
+
+    async def _choose(
+        self,
+        request: CallerRequest,
+        progress: Progress,
+    ) -> Target | NoTarget:
+        if progress.is_keyed and request.key is not None:
+            return await self._parts.keyed.choose(
+                progress.service,
+                request,
+                request.key,
+            )
+        return await self._parts.unkeyed.choose(
+            progress.service,
+            request,
+            frozenset(progress.avoided),
+        )
+
+    async def _attempt(
+        self,
+        request: CallerRequest,
+        server: BackendServer,
+        progress: Progress,
+    ) -> AttemptOutcome:
+        """Send a request to a server whose load counts it already."""
+        began = trio.current_time()
+        loads = self._parts.loads
+        progress.last_server = server.id
+        is_ended = False
+        try:
+            outcome = await self._send(request, server, progress)
+            is_ended = True
+        finally:
+            loads.finish(server)
+            now = trio.current_time()
+            if not is_ended:
+                loads.of(server).record_slow(now, now - began)
+        match outcome:
+            case Answered():
+                loads.record_answer(server, now, now - began)
+            case NotSent() | Lost():
+                loads.of(server).record_unreachable(now)
+        return outcome
+
+    async def _send(
+        self,
+        request: CallerRequest,
+        server: BackendServer,
+        progress: Progress,
+    ) -> AttemptOutcome:
+        longest_idle = (
+            _LONGEST_IDLE_SECONDS
+            if request.route.is_idempotent
+            else _LONGEST_IDLE_AT_MOST_ONCE_SECONDS
+        )
+        pool = self._parts.pool
+        taken = await pool.take(server, longest_idle=longest_idle)
+        if isinstance(taken, NotSent):
+            return taken
+        might_have_run = progress.may_have_run
+        progress.sent_to.add(server.id)
+        progress.avoided.add(server.id)
+        progress.sends += 1
+        progress.may_have_run = True
+        is_ended = False
+        try:
+            outcome = await taken.exchange(request, self._head(request, server))
+            is_ended = True
+        finally:
+            if not is_ended:
+                await taken.aclose()
+        if isinstance(outcome, NotRun):
+            progress.may_have_run = might_have_run
+        await pool.give_back(server, taken)
+        return outcome
+
+    def _head(
+        self,
+        request: CallerRequest,
+        server: BackendServer,
+    ) -> h11.Request:
+        left = request.deadline - trio.current_time()
+        names = self._parts.names
+        headers = [
+            *request.headers,
+            (names.time_left, str(int(left * _MILLISECONDS)).encode()),
+            (names.expected_server, server.id.encode()),
+        ]
+        if request.body or request.method not in {b'GET', b'HEAD'}:
+            length = str(len(request.body)).encode()
+            headers.append((b'content-length', length))
+        return h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=headers,
+        )
+
+    def _may_repeat(
+        self,
+        request: CallerRequest,
+        outcome: NotSent | NotRun | Lost,
+        progress: Progress,
+    ) -> bool:
+        if isinstance(outcome, NotSent):
+            progress.avoided.add(progress.last_server)
+            return True
+        if isinstance(outcome, Lost) and not request.route.is_idempotent:
+            return False
+        if progress.sends > request.route.max_attempts:
+            return False
+        is_last = len(progress.sent_to) >= request.route.max_attempts
+        if is_last and not progress.is_keyed:
+            return False
+        return self._parts.budgets.spend(progress.service)
+
+    def _log(
+        self,
+        request: CallerRequest,
+        server: BackendServer,
+        outcome: NotSent | NotRun | Lost,
+        progress: Progress,
+    ) -> None:
+        self._parts.events.emit(
+            AttemptFailed(
+                request=request.id.decode('latin-1'),
+                server=server.id,
+                service=progress.service,
+                outcome=type(outcome).__name__,
+                detail=outcome.detail,
+                sends=progress.sends,
+            ),
+        )
+
+
+def _final_reply(
+    outcome: NotSent | NotRun | Lost,
+    progress: Progress,
+) -> Reply:
+    if progress.may_have_run:
+        return refusals.outcome_unknown(outcome.detail)
+    return refusals.not_run(outcome.detail, 0.1)
--- /dev/null
+++ b/src/carobwalk/gateway/_key_owners.py
@@ -0,0 +1,33 @@
+"""Contract of the map from keys to backend servers."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from carobwalk.directory import BackendServer
+from carobwalk.model import ServiceName
+
+
+@dataclass(frozen=True, slots=True)
+class KeyOwner:
+    """Owner of a key.
+
+    Args:
+        server: Backend server that owns the key.
+        is_granted: Whether it is known to hold its grant.
+    """
+
+    server: BackendServer
+    is_granted: bool
+
+
+class KeyOwners(Protocol):
+    """Map from keys to the backend servers that own them."""
+
+    def find(self, service: ServiceName, key: int) -> KeyOwner | None:
+        """Return the owner of a key, ``None`` while it has none."""
+
+    def count(self, service: ServiceName, key: int) -> None:
+        """Count a request for a key."""
+
+    async def wait_for_change(self, service: ServiceName) -> None:
+        """Wait until owners of a service's keys have changed."""
--- /dev/null
+++ b/src/carobwalk/gateway/_load_table.py
@@ -0,0 +1,96 @@
+"""Loads of all backend servers, as this process knows them."""
+
+from collections import defaultdict
+from typing import Final
+
+from carobwalk.directory import BackendServer, ServerDirectory
+from carobwalk.gateway._server_load import ServerLoad
+from carobwalk.gateway._waiting_line import WaitingLine
+from carobwalk.model import ServerId, ServiceName
+
+_FIRST_LATENCY_SECONDS: Final = 0.1
+_WEIGHT_OF_NEW: Final = 0.02
+# Requests of this process that may queue at a server beyond its slots.
+_QUEUED: Final = 2
+# Requests that a backend server with 4 slots holds, running or queued.
+_HELD_PER_SLOT: Final = 5
+
+Life = tuple[ServerId, int]
+# Answers and the sum of their latencies in seconds, by service and life.
+Statistics = dict[ServiceName, dict[Life, tuple[int, float]]]
+
+
+class LoadTable:
+    """Loads by life of a backend server.
+
+    Args:
+        directory: Registered backend servers.
+    """
+
+    def __init__(self, directory: ServerDirectory) -> None:
+        self._directory = directory
+        self._loads_by_life: dict[Life, ServerLoad] = {}
+        self._latencies_by_service: dict[ServiceName, float] = {}
+        self._lines_by_service: dict[ServiceName, WaitingLine] = defaultdict(
+            WaitingLine,
+        )
+        self._statistics: Statistics = {}
+        self.process_count = 12
+
+    def of(self, server: BackendServer) -> ServerLoad:
+        """Return the load of a server."""
+        load = self._loads_by_life.get(server.life)
+        if load is None:
+            load = ServerLoad(server.slots + _QUEUED)
+            self._loads_by_life[server.life] = load
+        return load
+
+    def of_keyed(self, server: BackendServer) -> ServerLoad:
+        """Return the load of a server that all processes send to alike."""
+        load = self.of(server)
+        held = server.slots * _HELD_PER_SLOT
+        load.limit = max(held // max(self.process_count, 1) + 1, 2)
+        return load
+
+    def line_of(self, service: ServiceName) -> WaitingLine:
+        """Return the requests that wait for any server of a service."""
+        return self._lines_by_service[service]
+
+    def usual_latency(self, service: ServiceName) -> float:
+        """Return the latency of a service's answers in seconds."""
+        return self._latencies_by_service.get(service, _FIRST_LATENCY_SECONDS)
+
+    def record_answer(
+        self,
+        server: BackendServer,
+        now: float,
+        seconds: float,
+    ) -> None:
+        """Take in the latency of an answer."""
+        self.of(server).record_answer(now, seconds)
+        usual = self.usual_latency(server.service)
+        self._latencies_by_service[server.service] = (
+            usual + (seconds - usual) * _WEIGHT_OF_NEW
+        )
+
+        answers_by_life = self._statistics.setdefault(server.service, {})
+        count, total = answers_by_life.get(server.life, (0, 0.0))
+        answers_by_life[server.life] = (count + 1, total + seconds)
+
+    def take_statistics(self) -> Statistics:
+        """Return what was answered since the last call."""
+        statistics = self._statistics
+        self._statistics = {}
+        return statistics
+
+    def finish(self, server: BackendServer) -> None:
+        """Count the end of a request at a server."""
+        self.of(server).finish()
+        self._lines_by_service[server.service].wake()
+
+    def forget_gone(self) -> None:
+        """Drop the loads of servers that are not registered any more."""
+        lives = {server.life for server in self._directory}
+        for life, load in tuple(self._loads_by_life.items()):
+            if life not in lives and not load.in_flight:
+                self._loads_by_life.pop(life)
--- /dev/null
+++ b/src/carobwalk/gateway/_refusals.py
@@ -0,0 +1,48 @@
+"""Answers that the gateway gives itself."""
+
+from http import HTTPStatus
+from typing import Final
+
+from carobwalk.gateway._reply import Reply
+
+_SHORTEST_PAUSE_SECONDS: Final = 0.05
+_LONGEST_PAUSE_SECONDS: Final = 2.0
+
+
+def not_run(detail: str, retry_after: float) -> Reply:
+    """Return the answer to a request that has not run and never will.
+
+    Args:
+        detail: Cause in plain English.
+        retry_after: Seconds after which a repeat may be served.
+    """
+    pause = min(
+        max(retry_after, _SHORTEST_PAUSE_SECONDS),
+        _LONGEST_PAUSE_SECONDS,
+    )
+    return Reply(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        ((b'retry-after', f'{pause:.2f}'.encode()),),
+        f'not run: {detail}\n'.encode(),
+    )
+
+
+def outcome_unknown(detail: str) -> Reply:
+    """Return the answer to a request that may have run."""
+    return Reply(
+        HTTPStatus.BAD_GATEWAY,
+        body=f'outcome unknown: {detail}\n'.encode(),
+    )
+
+
+def timed_out() -> Reply:
+    """Return the answer to a request that may still be running."""
+    return Reply(
+        HTTPStatus.GATEWAY_TIMEOUT,
+        body=b'no answer in time, outcome unknown\n',
+    )
+
+
+def rejected(status: HTTPStatus, detail: str) -> Reply:
+    """Return the answer to a request that is not acceptable."""
+    return Reply(status, body=f'{detail}\n'.encode())
--- /dev/null
+++ b/src/carobwalk/gateway/_request_meter.py
@@ -0,0 +1,36 @@
+"""Contract of the counts and times of requests."""
+
+from typing import Protocol
+
+
+class RequestMeter(Protocol):
+    """Counts and times requests; never waits."""
+
+    def record(
+        self,
+        service: str,
+        rank: int,
+        status: int,
+        seconds: float,
+    ) -> None:
+        """Count a request that ended.
+
+        Args:
+            service: Service of its route.
+            rank: Urgency, 0 being the most urgent.
+            status: HTTP status of the answer, 0 if the caller left.
+            seconds: Time from its head to its end.
+        """
+
+
+class NullRequestMeter:
+    """Meter that keeps nothing."""
+
+    def record(
+        self,
+        service: str,
+        rank: int,
+        status: int,
+        seconds: float,
+    ) -> None:
+        """Drop the figures."""
--- /dev/null
+++ b/src/carobwalk/gateway/_request_reader.py
@@ -0,0 +1,127 @@
+"""Reading of whole requests."""
+
+from http import HTTPStatus
+from typing import Final
+
+import h11
+import trio
+
+from carobwalk.gateway._caller_request import CallerRequest
+from carobwalk.gateway._gateway_service import GatewayService
+from carobwalk.gateway._message import (
+    find_header,
+    find_number,
+    other_headers,
+)
+from carobwalk.gateway._request_error import RequestError
+from carobwalk.http import H11Stream
+from carobwalk.routing import Route
+
+_SECONDS_PER_MILLISECOND: Final = 0.001
+_MOST_KEY: Final = 65_535
+_CONTINUE: Final = h11.InformationalResponse(status_code=100, headers=[])
+
+
+class RequestReader:
+    """Reads the requests of one connection.
+
+    Args:
+        http: HTTP side of the connection.
+        service: What all connections share.
+    """
+
+    def __init__(self, http: H11Stream, service: GatewayService) -> None:
+        self._http = http
+        self._service = service
+
+    async def read_head(self) -> h11.Request | None:
+        """Return the head of a request, ``None`` if the caller left.
+
+        Raises:
+            RequestError: If the caller broke the protocol.
+        """
+        try:
+            event = await self._http.receive()
+        except h11.RemoteProtocolError as error:
+            raise RequestError(
+                HTTPStatus(error.error_status_hint),
+                str(error),
+            ) from error
+        if not isinstance(event, h11.Request):
+            return None
+        has_length = find_header(event.headers, b'content-length') is not None
+        coding = find_header(event.headers, b'transfer-encoding')
+        if has_length and coding is not None:
+            raise RequestError(
+                HTTPStatus.BAD_REQUEST,
+                'a length and a transfer coding',
+            )
+        return event
+
+    async def read_request(self, head: h11.Request) -> CallerRequest:
+        """Return the whole request.
+
+        Raises:
+            RequestError: If it can't be accepted.
+        """
+        arrived = trio.current_time()
+        route = self._find_route(head)
+        seconds = self._seconds_left(head, route)
+        with trio.move_on_after(seconds) as scope:
+            body = await self._read_body()
+        if scope.cancelled_caught:
+            raise RequestError(HTTPStatus.REQUEST_TIMEOUT, 'body too slow')
+        names = self._service.names
+        request_id = find_header(head.headers, names.request_id) or b''
+        key = find_number(head.headers, names.key)
+        return CallerRequest(
+            id=request_id,
+            method=head.method,
+            target=head.target,
+            headers=other_headers(
+                head.headers,
+                frozenset((names.time_left, names.expected_server, b'expect')),
+            ),
+            body=body,
+            route=route,
+            key=key if key is None or key <= _MOST_KEY else None,
+            arrived=arrived,
+            deadline=arrived + seconds,
+        )
+
+    def _find_route(self, head: h11.Request) -> Route:
+        table = self._service.routes()
+        if table is None:
+            raise RequestError(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'no configuration yet',
+            )
+        host = find_header(head.headers, b'host') or b''
+        route = table.find(
+            host.decode('latin-1'),
+            head.target.decode('latin-1'),
+        )
+        if route is None:
+            raise RequestError(HTTPStatus.NOT_FOUND, 'no such route')
+        return route
+
+    def _seconds_left(self, head: h11.Request, route: Route) -> float:
+        milliseconds = find_number(head.headers, self._service.names.time_left)
+        if milliseconds is None:
+            return route.timeout
+        return min(milliseconds * _SECONDS_PER_MILLISECOND, route.timeout)
+
+    async def _read_body(self) -> bytes:
+        if self._http.protocol.they_are_waiting_for_100_continue:
+            await self._http.send(_CONTINUE)
+        limit = self._service.limits().body_bytes
+        try:
+            body = await self._http.read_body(limit)
+        except h11.RemoteProtocolError as error:
+            raise RequestError(HTTPStatus.BAD_REQUEST, str(error)) from error
+        if body is None:
+            raise RequestError(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                f'body longer than {limit} bytes',
+            )
+        return body
--- /dev/null
+++ b/src/carobwalk/gateway/_request_run.py
@@ -0,0 +1,83 @@
+"""One request from its reading to its answer."""
+
+import trio
+
+from carobwalk.gateway._attempt_log import CallerLeft, RequestAnswered
+from carobwalk.gateway._caller_request import CallerRequest
+from carobwalk.gateway._forwarder import Progress
+from carobwalk.gateway._gateway_service import GatewayService
+from carobwalk.gateway._reply import Reply
+
+
+class RequestRun:
+    """Runs one request and logs its end.
+
+    Args:
+        service: What all connections share.
+        request: The request.
+    """
+
+    def __init__(
+        self,
+        service: GatewayService,
+        request: CallerRequest,
+    ) -> None:
+        self._service = service
+        self._request = request
+        table = service.routes()
+        self._version = table.configuration.version if table else 0
+        name = service.split.choose(request.route)
+        services = table.configuration.services_by_name if table else {}
+        routed = services.get(name)
+        self._progress = Progress(
+            name,
+            is_keyed=routed is not None and routed.is_keyed,
+        )
+
+    async def run(self) -> Reply:
+        """Return the answer of a backend server or a refusal."""
+        request = self._request
+        if self._progress.is_keyed and request.key is not None:
+            self._service.count_key(self._progress.service, request.key)
+        return await self._service.forwarder.run(request, self._progress)
+
+    def log(self, reply: Reply | None) -> None:
+        """Log and count the end of the request.
+
+        Args:
+            reply: The answer, ``None`` if the caller left before it.
+        """
+        request = self._request
+        progress = self._progress
+        seconds = trio.current_time() - request.arrived
+        self._service.meter.record(
+            progress.service,
+            request.route.rank,
+            reply.status if reply else 0,
+            seconds,
+        )
+        request_id = request.id.decode('latin-1')
+        if reply is None:
+            self._service.events.emit(
+                CallerLeft(
+                    request_id,
+                    progress.last_server,
+                    progress.sends,
+                    round(seconds, 4),
+                ),
+            )
+            return
+        self._service.events.emit(
+            RequestAnswered(
+                request=request_id,
+                route=request.route.name,
+                version=self._version,
+                service=progress.service,
+                server=progress.last_server,
+                key=request.key,
+                status=reply.status,
+                sends=progress.sends,
+                seconds=round(seconds, 4),
+                time_left=round(request.deadline - trio.current_time(), 4),
+            ),
+        )
--- a/src/carobwalk/http/__init__.py
+++ b/src/carobwalk/http/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 by h11 for small messages: administration, platform, metrics."""
 
 from carobwalk.http._client import HttpClient
+from carobwalk.http._connect import connect_probed, reset_on_close
 from carobwalk.http._failures import (
     ConnectFailed,
     HttpFailure,
@@ -22,6 +23,8 @@
     'HttpResponse',
     'HttpSender',
     'NoAnswer',
+    'connect_probed',
+    'reset_on_close',
     'serve_http',
     'serve_http_stream',
 )
--- a/src/carobwalk/http/_client.py
+++ b/src/carobwalk/http/_client.py
@@ -1,6 +1,7 @@
 """Client of small HTTP exchanges."""
 
 from collections import defaultdict
+from collections.abc import Awaitable, Callable
 from typing import Final
 from urllib.parse import quote, urlencode
 
@@ -22,10 +23,16 @@
 
     Args:
         idle_limit: Idle connections kept for each address.
+        connect: Opens a connection.
     """
 
-    def __init__(self, idle_limit: int = 8) -> None:
+    def __init__(
+        self,
+        idle_limit: int = 8,
+        connect: Callable[[Address], Awaitable[trio.SocketStream]] | None = None,
+    ) -> None:
         self._idle_limit = idle_limit
+        self._connect = connect or _connect
         self._idle_by_address: dict[Address, list[H11Stream]] = defaultdict(
             list,
         )
@@ -47,11 +54,14 @@
             The response, ``ConnectFailed`` if no byte was sent, or
             ``NoAnswer``.
         """
+        opened: Result[H11Stream, HttpFailure] | None = None
         with trio.move_on_after(timeout):
             opened = await self._open(address)
             if isinstance(opened, Err):
                 return opened
             return await self._exchange(address, opened.ok_value, request)
+        if opened is None:
+            return Err(ConnectFailed(f'{address}: not open in {timeout} s'))
         return Err(NoAnswer(f'no answer from {address} within {timeout} s'))
 
     async def _open(
@@ -65,7 +75,9 @@
                 return Ok(connection)
             await trio.aclose_forcefully(connection.stream)
         try:
-            stream = await trio.open_tcp_stream(address.host, address.port)
+            stream = await self._connect(address)
+        except ConnectionRefusedError as error:
+            return Err(ConnectFailed(f'{address}: {error}', is_refused=True))
         except OSError as error:
             return Err(ConnectFailed(f'{address}: {error}'))
         return Ok(H11Stream(stream, h11.CLIENT))
@@ -98,6 +110,10 @@
         return True
 
 
+async def _connect(address: Address) -> trio.SocketStream:
+    return await trio.open_tcp_stream(address.host, address.port)
+
+
 def _is_open(connection: H11Stream) -> bool:
     """Return whether an idle connection has not been closed meanwhile."""
     stream = connection.stream
--- a/src/carobwalk/http/_failures.py
+++ b/src/carobwalk/http/_failures.py
@@ -8,6 +8,7 @@
     """No byte of the request was sent."""
 
     detail: str
+    is_refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/carobwalk/keyspace/__init__.py
@@ -0,0 +1,46 @@
+"""Ownership of numbered keys: who owns which, and since when."""
+
+from carobwalk.keyspace._codec import PREFIX
+from carobwalk.keyspace._coordinator_role import CoordinatorRole, RoleParts
+from carobwalk.keyspace._key_owner_table import KeyOwnerTable
+from carobwalk.keyspace._key_reader import KeyReader
+from carobwalk.keyspace._load_collector import LoadCollector
+from carobwalk.keyspace._load_report import LOAD_TOPIC
+from carobwalk.keyspace._load_reporter import LoadReporter
+from carobwalk.keyspace._order_desk import OrderParts
+from carobwalk.keyspace._orders import (
+    Grant,
+    OrderChannel,
+    OrderFailure,
+    OrderRefused,
+    OrderUnanswered,
+    OrderUnsent,
+    Release,
+)
+from carobwalk.keyspace._server_lives import ServerLives
+from carobwalk.keyspace._server_watch import ServerWatch
+from carobwalk.keyspace._service_coordinator import CoordinatorParts
+from carobwalk.keyspace._times import KeyTimes
+
+__all__ = (
+    'LOAD_TOPIC',
+    'PREFIX',
+    'CoordinatorParts',
+    'CoordinatorRole',
+    'Grant',
+    'KeyOwnerTable',
+    'KeyReader',
+    'KeyTimes',
+    'LoadCollector',
+    'LoadReporter',
+    'OrderChannel',
+    'OrderFailure',
+    'OrderParts',
+    'OrderRefused',
+    'OrderUnanswered',
+    'OrderUnsent',
+    'Release',
+    'RoleParts',
+    'ServerLives',
+    'ServerWatch',
+)
--- /dev/null
+++ b/src/carobwalk/keyspace/_load_collector.py
@@ -0,0 +1,105 @@
+"""Load of all processes, as the coordinator knows it."""
+
+from collections import defaultdict
+from dataclasses import dataclass
+from typing import Final
+
+import msgspec
+
+from carobwalk.keyspace._key_load import KeyLoad
+from carobwalk.keyspace._key_range import ServerLife
+from carobwalk.keyspace._load_report import (
+    LoadReceipt,
+    LoadReport,
+    ServiceLoad,
+)
+from carobwalk.keyspace._server_speed import ServerSpeeds
+from carobwalk.model import Clock, ProcessId, ServerId, ServiceName
+
+_REPORTER_SECONDS: Final = 3.0
+_WINDOW_SECONDS: Final = 0.5
+
+
+@dataclass(slots=True)
+class _Answers:
+    count: int = 0
+    seconds: float = 0
+
+
+class LoadCollector:
+    """Takes the reports of all processes.
+
+    Args:
+        clock: Clock of the windows.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._reported_by_process: dict[ProcessId, float] = {}
+        self._loads_by_service: dict[ServiceName, KeyLoad] = {}
+        self._answers_by_life: dict[ServerLife, _Answers] = defaultdict(
+            _Answers,
+        )
+        self._window_started = clock.now()
+        self.speeds = ServerSpeeds()
+        self.is_coordinator = False
+
+    async def answer(self, sender: ProcessId, payload: bytes) -> bytes:
+        """Take a report and answer it; a ``TopicHandler``."""
+        now = self._clock.now()
+        self._reported_by_process[sender] = now
+        report = msgspec.msgpack.decode(payload, type=LoadReport)
+        for load in report.services:
+            self._take(load, now)
+        return msgspec.msgpack.encode(
+            LoadReceipt(self.is_coordinator, self.process_count()),
+        )
+
+    def process_count(self) -> int:
+        """Return the number of processes that reported lately."""
+        limit = self._clock.now() - _REPORTER_SECONDS
+        self._reported_by_process = {
+            process: reported
+            for process, reported in self._reported_by_process.items()
+            if reported > limit
+        }
+        return max(len(self._reported_by_process), 1)
+
+    def load_of(self, service: ServiceName) -> KeyLoad:
+        """Return how often the keys of a service are asked for."""
+        load = self._loads_by_service.get(service)
+        if load is None:
+            load = KeyLoad(self._clock.now())
+            self._loads_by_service[service] = load
+        return load
+
+    def refresh(self, slots: int) -> None:
+        """Work out service times when a window is over.
+
+        Args:
+            slots: Requests that a backend server runs at once.
+        """
+        now = self._clock.now()
+        length = now - self._window_started
+        if length < _WINDOW_SECONDS:
+            return
+        for life, answers in self._answers_by_life.items():
+            self.speeds.record(
+                life,
+                answers.count,
+                answers.seconds / max(answers.count, 1),
+                answers.seconds / length,
+                slots,
+            )
+        self._answers_by_life.clear()
+        self._window_started = now
+
+    def _take(self, load: ServiceLoad, now: float) -> None:
+        self.load_of(ServiceName(load.service)).add(load.counts, now)
+        for row in load.servers:
+            life = ServerLife(ServerId(row.server), row.born)
+            answers = self._answers_by_life[life]
+            answers.count += row.answers
+            answers.seconds += row.seconds
+            if row.answers:
+                self.speeds.heard(life, now)
--- /dev/null
+++ b/src/carobwalk/keyspace/_load_report.py
@@ -0,0 +1,57 @@
+"""Messages on the load of keys and backend servers."""
+
+from typing import Final
+
+import msgspec
+
+from carobwalk.peer import Topic
+
+LOAD_TOPIC: Final = Topic('keyspace.load')
+
+
+class ServerAnswers(msgspec.Struct, array_like=True):
+    """Answers of one backend server to one process.
+
+    Args:
+        server: Identity of the server.
+        born: Start of its life, in milliseconds since 1970.
+        answers: Number of answers.
+        seconds: Sum of their latencies.
+    """
+
+    server: str
+    born: int
+    answers: int
+    seconds: float
+
+
+class ServiceLoad(msgspec.Struct, array_like=True):
+    """Load of a service as one process saw it since its last report.
+
+    Args:
+        service: Name of the service.
+        counts: Keys with their numbers of requests.
+        servers: Answers of its backend servers.
+    """
+
+    service: str
+    counts: tuple[tuple[int, int], ...]
+    servers: tuple[ServerAnswers, ...]
+
+
+class LoadReport(msgspec.Struct, array_like=True):
+    """What a process tells the coordinator."""
+
+    services: tuple[ServiceLoad, ...]
+
+
+class LoadReceipt(msgspec.Struct, array_like=True):
+    """What the coordinator answers.
+
+    Args:
+        is_coordinator: Whether the process coordinates.
+        processes: Number of processes that report.
+    """
+
+    is_coordinator: bool
+    processes: int
--- /dev/null
+++ b/src/carobwalk/keyspace/_load_reporter.py
@@ -0,0 +1,90 @@
+"""Reports of a process to the coordinator."""
+
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+import trio
+from result import Err
+
+from carobwalk.gateway import LoadTable
+from carobwalk.keyspace._key_owner_table import KeyOwnerTable
+from carobwalk.keyspace._key_reader import KeyReader
+from carobwalk.keyspace._load_report import (
+    LOAD_TOPIC,
+    LoadReceipt,
+    LoadReport,
+    ServerAnswers,
+    ServiceLoad,
+)
+from carobwalk.peer import Peers
+
+_PAUSE_SECONDS: Final = 0.25
+_TIMEOUT_SECONDS: Final = 0.5
+
+
+class LoadReporter:
+    """Tells the coordinator which keys are asked for, and how fast it went.
+
+    Args:
+        peers: Sends the reports.
+        reader: Knows the coordinator.
+        owners: Counts requests by key.
+        loads: Counts answers by server.
+        take_process_count: Takes the number of processes.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        reader: KeyReader,
+        owners: KeyOwnerTable,
+        loads: LoadTable,
+        take_process_count: Callable[[int], None],
+    ) -> None:
+        self._peers = peers
+        self._reader = reader
+        self._owners = owners
+        self._loads = loads
+        self._take_process_count = take_process_count
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        while True:
+            await trio.sleep(_PAUSE_SECONDS)
+            report = self._take_report()
+            coordinator = self._reader.coordinator
+            if coordinator is None:
+                continue
+            answered = await self._peers.ask(
+                coordinator,
+                LOAD_TOPIC,
+                msgspec.msgpack.encode(report),
+                _TIMEOUT_SECONDS,
+            )
+            if isinstance(answered, Err):
+                continue  # The next report follows soon; the hub logs losses.
+            receipt = msgspec.msgpack.decode(
+                answered.ok_value,
+                type=LoadReceipt,
+            )
+            if receipt.is_coordinator:
+                self._take_process_count(receipt.processes)
+
+    def _take_report(self) -> LoadReport:
+        statistics = self._loads.take_statistics()
+        return LoadReport(
+            tuple(
+                ServiceLoad(
+                    service,
+                    tuple(counts.items()),
+                    tuple(
+                        ServerAnswers(server, born, answers, seconds)
+                        for (server, born), (answers, seconds) in (
+                            statistics.get(service, {}).items()
+                        )
+                    ),
+                )
+                for service, counts in self._owners.take_counts().items()
+            ),
+        )
--- /dev/null
+++ b/src/carobwalk/keyspace/_map_writer.py
@@ -0,0 +1,105 @@
+"""Writing of a service's map by its coordinator."""
+
+import trio
+from result import Err, Ok, Result
+
+from carobwalk.events import EventLog
+from carobwalk.keyspace._codec import decode_map, encode_map, map_name
+from carobwalk.keyspace._events import KeyRecordDamaged, MapNotWritten
+from carobwalk.keyspace._key_map import KeyMap
+from carobwalk.model import ServiceName
+from carobwalk.store import (
+    Conflict,
+    StoreFailure,
+    TransactionalStore,
+    Unanswered,
+    Versioned,
+)
+
+_PAUSE_SECONDS = 0.1
+
+
+class MapWriter:
+    """Writes a map under the condition that nobody else wrote it.
+
+    Args:
+        store: The key-value service.
+        service: Service whose keys the map divides.
+        events: Log of events.
+    """
+
+    def __init__(
+        self,
+        store: TransactionalStore,
+        service: ServiceName,
+        events: EventLog,
+    ) -> None:
+        self._store = store
+        self._service = service
+        self._events = events
+
+    async def read(self) -> Result[Versioned | None, StoreFailure]:
+        """Return the record as it stands."""
+        name = map_name(self._service)
+        listed = await self._store.list_records(name)
+        if isinstance(listed, Err):
+            return listed
+        found = [row for row in listed.ok_value.records if row.name == name]
+        return Ok(found[0] if found else None)
+
+    def decode(self, record: Versioned | None) -> KeyMap:
+        """Return the map of a record, an empty one if there is none."""
+        if record is None:
+            return KeyMap(())
+        decoded = decode_map(record.content, record.revision)
+        if isinstance(decoded, Ok):
+            return decoded.ok_value
+        detail = decoded.err_value.detail
+        self._events.emit(KeyRecordDamaged(record.name, detail))
+        return KeyMap((), record.revision)
+
+    async def write(
+        self,
+        key_map: KeyMap,
+        *,
+        is_settled: bool = False,
+    ) -> KeyMap | None:
+        """Write a map over the revision that it is based on.
+
+        Args:
+            key_map: The map; its revision is the one it replaces.
+            is_settled: Whether the coordinator resigns with it.
+
+        Returns:
+            The map as it stands in the store, which is another one after a
+            conflict; ``None`` if that is not known.
+        """
+        content = encode_map(key_map, is_settled=is_settled)
+        written = await self._store.write(
+            map_name(self._service),
+            content,
+            key_map.revision,
+        )
+        if isinstance(written, Ok):
+            record = Versioned('', content, written.ok_value)
+            return self.decode(record)
+        failure = written.err_value
+        self._events.emit(
+            MapNotWritten(
+                self._service,
+                type(failure).__name__,
+                str(getattr(failure, 'detail', '')),
+            ),
+        )
+        if isinstance(failure, Conflict | Unanswered):
+            return await self._read_again()
+        await trio.sleep(_PAUSE_SECONDS)
+        return None
+
+    async def _read_again(self) -> KeyMap | None:
+        """Return the map in the store after a write of unknown outcome."""
+        read = await self.read()
+        if isinstance(read, Ok):
+            return self.decode(read.ok_value)
+        await trio.sleep(_PAUSE_SECONDS)
+        return None
--- a/src/carobwalk/metrics/_metered_store.py
+++ b/src/carobwalk/metrics/_metered_store.py
@@ -5,7 +5,7 @@
 from result import Ok, Result
 
 from carobwalk.metrics._metrics import Metrics
-from carobwalk.platform import (
+from carobwalk.store import (
     Conflict,
     LeaseId,
     LeaseLost,
--- a/src/carobwalk/metrics/_metrics.py
+++ b/src/carobwalk/metrics/_metrics.py
@@ -98,6 +98,17 @@
         labels = {'service': service, 'rank': rank, 'outcome': outcome}
         self._latencies.record(seconds, labels)
 
+    def record(
+        self,
+        service: str,
+        rank: int,
+        status: int,
+        seconds: float,
+    ) -> None:
+        """Count a request that ended; see ``RequestMeter``."""
+        labels = {'service': service, 'rank': rank, 'status': status}
+        self._latencies.record(seconds, labels)
+
     def record_retry(self, service: ServiceName) -> None:
         """Count a request that was sent to a backend server again."""
         self._tallies[RETRIES].add(1, service)
--- a/src/carobwalk/ownership/_context.py
+++ b/src/carobwalk/ownership/_context.py
@@ -10,8 +10,8 @@
 from carobwalk.ownership._safety_rules import ALL_RULES, SafetyRules
 from carobwalk.ownership._times import OwnershipTimes
 from carobwalk.peer import Peers, Topics
-from carobwalk.platform import HostList, Store
 from carobwalk.profiles import Catalogue
+from carobwalk.store import HostList, Store
 
 SHARDS_PER_SERVER: Final = 16
 _SEPARATOR: Final = '/'
--- a/src/carobwalk/ownership/_coordinator_lease.py
+++ b/src/carobwalk/ownership/_coordinator_lease.py
@@ -7,7 +7,7 @@
 
 from carobwalk.ownership._group_state import GroupState
 from carobwalk.ownership._store_names import coordinator_lease
-from carobwalk.platform import Conflict, LeaseId
+from carobwalk.store import Conflict, LeaseId
 
 _RENEWALS_PER_TTL: Final = 3
 
--- a/src/carobwalk/ownership/_divisions.py
+++ b/src/carobwalk/ownership/_divisions.py
@@ -8,7 +8,7 @@
 from carobwalk.ownership._division import Division
 from carobwalk.ownership._host_view import HostView
 from carobwalk.ownership._store_names import DIVISIONS, division_record
-from carobwalk.platform import Conflict, Versioned
+from carobwalk.store import Conflict, Versioned
 
 
 class Divisions:
--- a/src/carobwalk/ownership/_election.py
+++ b/src/carobwalk/ownership/_election.py
@@ -14,7 +14,7 @@
     encode_group,
 )
 from carobwalk.ownership._store_names import group_record
-from carobwalk.platform import Conflict, StoreFailure, Unanswered, Versioned
+from carobwalk.store import Conflict, StoreFailure, Unanswered, Versioned
 
 
 class Election:
--- a/src/carobwalk/ownership/_host_view.py
+++ b/src/carobwalk/ownership/_host_view.py
@@ -7,7 +7,7 @@
 
 from carobwalk.model import Endpoint, RegionName, ServiceName
 from carobwalk.ownership._context import OwnershipContext, group_of
-from carobwalk.platform import Host
+from carobwalk.store import Host
 
 
 class HostView:
--- a/src/carobwalk/ownership/_record_calls.py
+++ b/src/carobwalk/ownership/_record_calls.py
@@ -6,7 +6,7 @@
 from carobwalk.ownership._context import OwnershipContext
 from carobwalk.ownership._group_record import GroupRecord, encode_group
 from carobwalk.ownership._store_names import group_record
-from carobwalk.platform import StoreFailure, Unanswered, Versioned
+from carobwalk.store import StoreFailure, Unanswered, Versioned
 
 
 class RecordCalls:
--- a/src/carobwalk/ownership/_recorder.py
+++ b/src/carobwalk/ownership/_recorder.py
@@ -21,7 +21,7 @@
 from carobwalk.ownership._server_messages import ShardId
 from carobwalk.ownership._succession import Succession
 from carobwalk.ownership._succession_choice import SuccessionChoice
-from carobwalk.platform import Conflict, StoreFailure, Unanswered, Versioned
+from carobwalk.store import Conflict, StoreFailure, Unanswered, Versioned
 
 Successions = Mapping[ShardId, Succession]
 
--- a/src/carobwalk/ownership/_server_heartbeats.py
+++ b/src/carobwalk/ownership/_server_heartbeats.py
@@ -16,7 +16,7 @@
     Refusal,
     ServerOrder,
 )
-from carobwalk.platform import Host
+from carobwalk.store import Host
 
 
 class ServerHeartbeats:
--- a/src/carobwalk/ownership/_verification.py
+++ b/src/carobwalk/ownership/_verification.py
@@ -8,7 +8,7 @@
 from carobwalk.ownership._group_record import decode_group
 from carobwalk.ownership._group_state import GroupState
 from carobwalk.ownership._record_calls import RecordCalls
-from carobwalk.platform import Versioned
+from carobwalk.store import Versioned
 
 WATCH_SECONDS: Final = 30.0
 
--- a/src/carobwalk/platform/__init__.py
+++ b/src/carobwalk/platform/__init__.py
@@ -1,34 +1,32 @@
-"""Contracts of the platform's services and adapters to them."""
+"""Adapter to the users' platform: its names, messages and formats."""
 
-from carobwalk.platform._host_list import Host, HostList, HostListError
-from carobwalk.platform._http_host_list import HOSTS_PATH, HttpHostList
-from carobwalk.platform._http_store import HttpStore
-from carobwalk.platform._store import (
-    ClientId,
-    Conflict,
-    LeaseId,
-    LeaseLost,
-    Store,
-    StoreFailure,
-    Unanswered,
-    Unavailable,
-    Versioned,
+from carobwalk.platform._configuration import (
+    CONFIGURATION_PREFIX,
+    ConfigurationError,
+    decode_configuration,
 )
+from carobwalk.platform._configuration_reader import ConfigurationReader
+from carobwalk.platform._headers import PLATFORM_HEADERS, READINESS_PATH
+from carobwalk.platform._orders import PlatformOrders
+from carobwalk.platform._registry import (
+    REGISTRY_PREFIX,
+    EntryError,
+    decode_entry,
+)
+from carobwalk.platform._registry_reader import RegistryReader
+from carobwalk.platform._store_client import PlatformStore
 
 __all__ = (
-    'HOSTS_PATH',
-    'ClientId',
-    'Conflict',
-    'Host',
-    'HostList',
-    'HostListError',
-    'HttpHostList',
-    'HttpStore',
-    'LeaseId',
-    'LeaseLost',
-    'Store',
-    'StoreFailure',
-    'Unanswered',
-    'Unavailable',
-    'Versioned',
+    'CONFIGURATION_PREFIX',
+    'PLATFORM_HEADERS',
+    'READINESS_PATH',
+    'REGISTRY_PREFIX',
+    'ConfigurationError',
+    'ConfigurationReader',
+    'EntryError',
+    'PlatformOrders',
+    'PlatformStore',
+    'RegistryReader',
+    'decode_configuration',
+    'decode_entry',
 )
--- /dev/null
+++ b/src/carobwalk/platform/_headers.py
@@ -0,0 +1,16 @@
+"""Names of the platform's header fields."""
+
+from typing import Final
+
+from carobwalk.gateway import HeaderNames
+
+PLATFORM_HEADERS: Final = HeaderNames(
+    request_id=b'attempt-id',
+    time_left=b'deadline-ms',
+    signature=b'response-signature',
+    expected_server=b'target-instance',
+    not_run=b'not-executed',
+    server=b'instance-id',
+    key=b'shard-key',
+)
+READINESS_PATH: Final = '/readiness'
--- /dev/null
+++ b/src/carobwalk/platform/_orders.py
@@ -0,0 +1,118 @@
+"""Orders to backend servers about the keys that they hold."""
+
+from http import HTTPStatus
+from typing import Final
+
+import msgspec
+from result import Err, Ok, Result
+
+from carobwalk.directory import BackendServer
+from carobwalk.http import (
+    ConnectFailed,
+    HttpRequest,
+    HttpResponse,
+    HttpSender,
+)
+from carobwalk.keyspace import (
+    Grant,
+    KeyTimes,
+    OrderFailure,
+    OrderRefused,
+    OrderUnanswered,
+    OrderUnsent,
+    Release,
+)
+
+_EXPECTED_SERVER: Final = 'target-instance'
+_HANDOVER: Final = 'handover'
+
+
+class PlatformOrders:
+    """Sends orders; an ``OrderChannel``.
+
+    Args:
+        sender: Sends the calls; it resets a connection that it gives up, so
+            that an order held up on the way is lost.
+        times: Longest waits.
+    """
+
+    def __init__(self, sender: HttpSender, times: KeyTimes) -> None:
+        self._sender = sender
+        self._times = times
+
+    async def grant(
+        self,
+        server: BackendServer,
+        order: Grant,
+    ) -> Result[None, OrderFailure]:
+        """Send a grant and wait for its answer."""
+        body: dict[str, float | int | str] = {
+            'from': order.first,
+            'to': order.last,
+            'fence': order.fence,
+            'hold_s': order.hold,
+        }
+        if order.handover:
+            body['handover'] = order.handover
+        answered = await self._call(
+            server,
+            '/grant',
+            body,
+            self._times.order_timeout,
+        )
+        return answered.map(lambda _: None)
+
+    async def release(
+        self,
+        server: BackendServer,
+        order: Release,
+    ) -> Result[str, OrderFailure]:
+        """Send a release; the answer comes when work on the keys ended."""
+        answered = await self._call(
+            server,
+            '/release',
+            {'from': order.first, 'to': order.last, 'fence': order.fence},
+            self._times.release_timeout,
+        )
+        return answered.map(
+            lambda response: response.headers.get(_HANDOVER, ''),
+        )
+
+    async def _call(
+        self,
+        server: BackendServer,
+        path: str,
+        body: dict[str, float | int | str],
+        timeout: float,
+    ) -> Result[HttpResponse, OrderFailure]:
+        sent = await self._sender.send(
+            server.address,
+            HttpRequest(
+                method='POST',
+                path=path,
+                headers={
+                    'content-type': 'application/json',
+                    _EXPECTED_SERVER: server.id,
+                },
+                body=msgspec.json.encode(body),
+            ),
+            timeout,
+        )
+        if isinstance(sent, Err):
+            return Err(_failure(sent.err_value))
+        response = sent.ok_value
+        match response.status:
+            case HTTPStatus.OK:
+                return Ok(response)
+            case HTTPStatus.CONFLICT | HTTPStatus.BAD_REQUEST:
+                return Err(OrderRefused(f'status {response.status}'))
+            case HTTPStatus.MISDIRECTED_REQUEST:
+                detail = 'another server has the address'
+                return Err(OrderUnsent(detail, is_refused=True))
+        return Err(OrderUnanswered(f'status {response.status}'))
+
+
+def _failure(failure: object) -> OrderFailure:
+    if isinstance(failure, ConnectFailed):
+        return OrderUnsent(failure.detail, is_refused=failure.is_refused)
+    return OrderUnanswered(str(getattr(failure, 'detail', failure)))
--- /dev/null
+++ b/src/carobwalk/platform/_store_client.py
@@ -0,0 +1,279 @@
+"""Client of the platform's metadata store."""
+
+import base64
+import binascii
+from http import HTTPStatus
+from typing import Any, Final, TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+
+from carobwalk.http import ConnectFailed, HttpRequest, HttpResponse, HttpSender
+from carobwalk.model import Address
+from carobwalk.platform import _store_messages as messages
+from carobwalk.store import (
+    Changes,
+    Compacted,
+    Conflict,
+    LeaseId,
+    LeaseLost,
+    Listing,
+    Removed,
+    StoreFailure,
+    Unanswered,
+    Unavailable,
+    Versioned,
+)
+
+DEFAULT_TIMEOUT_SECONDS: Final = 1.5
+# How much longer than its own wait a watch may take to be answered.
+_WATCH_MARGIN_SECONDS: Final = 5.0
+_MILLISECONDS: Final = 1000
+_NOT_DONE: Final = frozenset(
+    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS),
+)
+
+_ReplyT = TypeVar('_ReplyT')
+
+
+class PlatformStore:
+    """The platform's store as a ``TransactionalStore``.
+
+    Args:
+        sender: Sends the calls.
+        address: Where the store listens.
+        timeout: Longest wait for an answer in seconds.
+    """
+
+    def __init__(
+        self,
+        sender: HttpSender,
+        address: Address,
+        timeout: float = DEFAULT_TIMEOUT_SECONDS,
+    ) -> None:
+        self._sender = sender
+        self._address = address
+        self._timeout = timeout
+
+    async def list_records(
+        self,
+        prefix: str,
+    ) -> Result[Listing, StoreFailure]:
+        """Return all records of a prefix, page by page."""
+        records: list[Versioned] = []
+        query = {'prefix': prefix}
+        first_revision = 0
+        while True:
+            page = await self._get('/kv-range', query, messages.Page)
+            if isinstance(page, Err):
+                return page
+            found = page.ok_value
+            # Pages are no snapshot: a watch from the first one misses nothing.
+            first_revision = first_revision or found.as_of
+            records.extend(_versioned(row) for row in found.items)
+            if not found.has_more or not found.items:
+                return Ok(Listing(tuple(records), first_revision))
+            query = {'prefix': prefix, 'after': found.items[-1].key}
+
+    async def watch_records(
+        self,
+        prefix: str,
+        after_revision: int,
+        timeout: float,
+    ) -> Result[Changes, StoreFailure | Compacted]:
+        """Wait for changes after a revision."""
+        query = {
+            'prefix': prefix,
+            'after': str(after_revision),
+            'wait_ms': str(int(timeout * _MILLISECONDS)),
+        }
+        answered = await self._send(
+            HttpRequest(method='GET', path='/kv-watch', query=query),
+            timeout + _WATCH_MARGIN_SECONDS,
+        )
+        if isinstance(answered, Err):
+            return answered
+        if answered.ok_value.status == HTTPStatus.GONE:
+            return Err(Compacted())
+        return _decode(answered.ok_value, messages.Watched).map(_changes)
+
+    async def write(
+        self,
+        name: str,
+        content: bytes,
+        expected_revision: int,
+        lease: LeaseId | None = None,
+    ) -> Result[int, StoreFailure]:
+        """Write a record if its revision is the expected one."""
+        written = messages.Write(
+            key=name,
+            value=base64.b64encode(content).decode('ascii'),
+            lease=int(lease or 0),
+        )
+        return await self._commit(
+            messages.Transaction(
+                precondition=(messages.Expected(name, expected_revision),),
+                set_keys=(written,),
+            ),
+            lease,
+        )
+
+    async def remove(
+        self,
+        name: str,
+        expected_revision: int,
+    ) -> Result[int, StoreFailure]:
+        """Remove a record if its revision is the expected one."""
+        return await self._commit(
+            messages.Transaction(
+                precondition=(messages.Expected(name, expected_revision),),
+                remove=(name,),
+            ),
+            None,
+        )
+
+    async def open_lease(self, ttl: float) -> Result[LeaseId, StoreFailure]:
+        """Open a lease of ``ttl`` seconds."""
+        opened = await self._post(
+            '/kv-lease',
+            messages.LeaseWish(ttl),
+            messages.Lease,
+        )
+        return opened.map(lambda lease: LeaseId(str(lease.lease)))
+
+    async def keep_alive(self, lease: LeaseId) -> Result[None, StoreFailure]:
+        """Renew a lease."""
+        return await self._on_lease('POST', f'/kv-keep/{lease}', lease)
+
+    async def end_lease(self, lease: LeaseId) -> Result[None, StoreFailure]:
+        """End a lease."""
+        return await self._on_lease('DELETE', f'/kv-lease-end/{lease}', lease)
+
+    async def _on_lease(
+        self,
+        method: str,
+        path: str,
+        lease: LeaseId,
+    ) -> Result[None, StoreFailure]:
+        request = HttpRequest(method=method, path=path)
+        answered = await self._send(request, self._timeout)
+        if isinstance(answered, Err):
+            return answered
+        status = answered.ok_value.status
+        if status == HTTPStatus.NOT_FOUND:
+            return Err(LeaseLost(lease))
+        if status >= HTTPStatus.MULTIPLE_CHOICES:
+            return Err(_unexpected(answered.ok_value))
+        return Ok(None)
+
+    async def _commit(
+        self,
+        transaction: messages.Transaction,
+        lease: LeaseId | None,
+    ) -> Result[int, StoreFailure]:
+        answered = await self._send(
+            _json_request('/kv-txn', transaction),
+            self._timeout,
+        )
+        if isinstance(answered, Err):
+            return answered
+        response = answered.ok_value
+        if response.status == HTTPStatus.PRECONDITION_FAILED:
+            return Err(_conflict(response))
+        if response.status == HTTPStatus.NOT_FOUND and lease:
+            return Err(LeaseLost(lease))
+        return _decode(response, messages.Committed).map(
+            lambda committed: committed.revision,
+        )
+
+    async def _get(
+        self,
+        path: str,
+        query: dict[str, str],
+        reply_type: type[_ReplyT],
+    ) -> Result[_ReplyT, StoreFailure]:
+        request = HttpRequest(method='GET', path=path, query=query)
+        answered = await self._send(request, self._timeout)
+        return answered.and_then(
+            lambda response: _decode(response, reply_type),
+        )
+
+    async def _post(
+        self,
+        path: str,
+        message: msgspec.Struct,
+        reply_type: type[_ReplyT],
+    ) -> Result[_ReplyT, StoreFailure]:
+        request = _json_request(path, message)
+        answered = await self._send(request, self._timeout)
+        return answered.and_then(
+            lambda response: _decode(response, reply_type),
+        )
+
+    async def _send(
+        self,
+        request: HttpRequest,
+        timeout: float,
+    ) -> Result[HttpResponse, StoreFailure]:
+        sent = await self._sender.send(self._address, request, timeout)
+        if isinstance(sent, Ok):
+            return sent
+        failure = sent.err_value
+        if isinstance(failure, ConnectFailed):
+            return Err(Unavailable(failure.detail))
+        return Err(Unanswered(failure.detail))
+
+
+def _json_request(path: str, message: msgspec.Struct) -> HttpRequest:
+    return HttpRequest(
+        method='POST',
+        path=path,
+        headers={'content-type': 'application/json'},
+        body=msgspec.json.encode(message),
+    )
+
+
+def _decode(
+    response: HttpResponse,
+    reply_type: type[_ReplyT],
+) -> Result[_ReplyT, Any]:
+    if response.status != HTTPStatus.OK:
+        return Err(_unexpected(response))
+    try:
+        return Ok(msgspec.json.decode(response.body, type=reply_type))
+    except msgspec.MsgspecError as error:
+        return Err(Unanswered(f'reply that cannot be decoded: {error}'))
+
+
+def _unexpected(response: HttpResponse) -> StoreFailure:
+    detail = f'the store answered {response.status}'
+    if response.status in _NOT_DONE:
+        return Unavailable(detail)
+    return Unanswered(detail)
+
+
+def _conflict(response: HttpResponse) -> StoreFailure:
+    try:
+        found = msgspec.json.decode(response.body, type=messages.Current)
+    except msgspec.MsgspecError as error:
+        return Unanswered(f'conflict that cannot be decoded: {error}')
+    rows = [row for row in found.items if row.value is not None]
+    return Conflict(_versioned(rows[0]) if rows else None)
+
+
+def _versioned(row: messages.Row) -> Versioned:
+    try:
+        content = base64.b64decode(row.value or '', validate=True)
+    except binascii.Error:
+        content = b''  # The reader of the record tells what it can't read.
+    return Versioned(row.key, content, row.revision)
+
+
+def _changes(watched: messages.Watched) -> Changes:
+    return Changes(
+        tuple(
+            Removed(row.key, row.revision) if row.deleted else _versioned(row)
+            for row in watched.events
+        ),
+        watched.as_of,
+    )
--- a/src/carobwalk/profiles/spread/_follower_parts.py
+++ b/src/carobwalk/profiles/spread/_follower_parts.py
@@ -7,8 +7,8 @@
 from carobwalk.events import EventLog
 from carobwalk.model import Clock, Endpoint
 from carobwalk.peer import Peers, Topics
-from carobwalk.platform import Store
 from carobwalk.profiles.spread._follower_settings import FollowerSettings
+from carobwalk.store import Store
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/carobwalk/profiles/spread/_store_watch.py
+++ b/src/carobwalk/profiles/spread/_store_watch.py
@@ -4,7 +4,6 @@
 from result import Err, Result
 
 from carobwalk.model import CarobwalkError
-from carobwalk.platform import StoreFailure, Unanswered, Versioned
 from carobwalk.profiles.spread._events import (
     ConfigurationDamaged,
     ConfigurationStoreBehind,
@@ -18,6 +17,7 @@
     HeldHead,
     decode_head,
 )
+from carobwalk.store import StoreFailure, Unanswered, Versioned
 
 _SOURCE = 'store'
 
--- a/src/carobwalk/profiles/writing/_head_store.py
+++ b/src/carobwalk/profiles/writing/_head_store.py
@@ -5,11 +5,11 @@
 from result import Err, Ok, Result
 
 from carobwalk.model import CarobwalkError
-from carobwalk.platform import Store, StoreFailure, Unavailable, Versioned
 from carobwalk.profiles._codec import decode, encode
 from carobwalk.profiles._failures import ConfigurationTooLarge
 from carobwalk.profiles.writing._head_record import HeadRecord
 from carobwalk.profiles.writing._history_pages import PAGE_LENGTH, HistoryPages
+from carobwalk.store import Store, StoreFailure, Unavailable, Versioned
 
 HEAD_NAME = 'configuration/head'
 # A quarter of the platform's limit, so that peers can pass it on in a frame.
--- a/src/carobwalk/profiles/writing/_history.py
+++ b/src/carobwalk/profiles/writing/_history.py
@@ -3,7 +3,6 @@
 import trio
 from result import Err, Ok, Result
 
-from carobwalk.platform import Store
 from carobwalk.profiles._change import Change
 from carobwalk.profiles._store_failures import (
     ChangeNotKept,
@@ -13,6 +12,7 @@
 from carobwalk.profiles.writing._head_record import HeadRecord
 from carobwalk.profiles.writing._head_store import HeadStore
 from carobwalk.profiles.writing._history_pages import page_of
+from carobwalk.store import Store
 
 
 class ConfigurationHistory:
--- a/src/carobwalk/profiles/writing/_history_pages.py
+++ b/src/carobwalk/profiles/writing/_history_pages.py
@@ -4,11 +4,11 @@
 
 from result import Err, Ok, Result
 
-from carobwalk.platform import Conflict, Store, StoreFailure, Versioned
 from carobwalk.profiles._change import Change
 from carobwalk.profiles._codec import decode, encode
 from carobwalk.profiles._invariants import require
 from carobwalk.profiles.writing._head_record import HeadRecord
+from carobwalk.store import Conflict, Store, StoreFailure, Versioned
 
 PAGE_LENGTH = 128
 # Three weeks of 3,000 changes a day; the oldest page is overwritten.
--- a/src/carobwalk/profiles/writing/_repository.py
+++ b/src/carobwalk/profiles/writing/_repository.py
@@ -7,7 +7,6 @@
 import trio
 from result import Err, Ok, Result
 
-from carobwalk.platform import Store
 from carobwalk.profiles._effects import compare_services
 from carobwalk.profiles._failures import ConfigurationTooLarge
 from carobwalk.profiles._policies import Policies
@@ -25,6 +24,7 @@
 from carobwalk.profiles.writing._proposal import Proposal
 from carobwalk.profiles.writing._write_attempt import WriteAttempt
 from carobwalk.profiles.writing._write_check import check_step
+from carobwalk.store import Store
 
 _PAUSE_SECONDS = 0.1
 
--- a/src/carobwalk/profiles/writing/_write_attempt.py
+++ b/src/carobwalk/profiles/writing/_write_attempt.py
@@ -1,6 +1,6 @@
 """What is known of the attempts of one write."""
 
-from carobwalk.platform import StoreFailure, Unanswered
+from carobwalk.store import StoreFailure, Unanswered
 
 
 class WriteAttempt:
--- /dev/null
+++ b/src/carobwalk/routing/_configuration.py
@@ -0,0 +1,42 @@
+"""One version of the routing configuration."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from carobwalk.model import ServiceName
+from carobwalk.routing._route import Route
+from carobwalk.routing._routed_service import RoutedService
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerLimits:
+    """Bounds on what a caller may send.
+
+    Args:
+        header_bytes: Longest request line and header fields together.
+        body_bytes: Longest body.
+        header_seconds: Longest time to send a request's head.
+        idle_seconds: Longest time between two requests of a connection.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 67_108_864
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RoutingConfiguration:
+    """One version of the routing configuration.
+
+    Args:
+        version: Number of the version; a higher one replaces a lower one.
+        routes: All routes.
+        services_by_name: All services.
+        limits: Bounds on what callers may send.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services_by_name: Mapping[ServiceName, RoutedService]
+    limits: CallerLimits
--- /dev/null
+++ b/src/carobwalk/routing/_route.py
@@ -0,0 +1,48 @@
+"""Rule for the requests of a host under a path prefix."""
+
+from dataclasses import dataclass
+from enum import StrEnum, unique
+
+from carobwalk.routing._destination import Destination
+
+
+@unique
+class RepeatRule(StrEnum):
+    """What may be repeated."""
+
+    IDEMPOTENT = 'idempotent'
+    AT_MOST_ONCE = 'at-most-once'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """Rule for the requests of a host under a path prefix.
+
+    Args:
+        name: Name in the configuration.
+        host: Host of the request, in lower case and without a port.
+        prefix: Start of the path, with a slash at both ends.
+        repeat_rule: What may be repeated.
+        is_bulk: Whether bodies are large.
+        rank: Urgency, 0 being the most urgent.
+        destinations: Services that share the requests.
+        timeout: Longest time to an answer in seconds.
+        target_latency: Time in seconds within which answers are wanted.
+        max_attempts: Most backend servers that one request is sent to.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    repeat_rule: RepeatRule
+    is_bulk: bool
+    rank: int
+    destinations: tuple[Destination, ...]
+    timeout: float
+    target_latency: float
+    max_attempts: int
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.repeat_rule is RepeatRule.IDEMPOTENT
--- a/src/carobwalk/settings/__init__.py
+++ b/src/carobwalk/settings/__init__.py
@@ -1,14 +1,26 @@
 """Settings of a process: a file of JSON with comments, validated."""
 
+from carobwalk.settings._address import parse_address
 from carobwalk.settings._administration import Administration
 from carobwalk.settings._errors import (
     SettingsError,
     SettingsErrorKind,
     SettingsErrors,
 )
+from carobwalk.settings._gateway import (
+    Bounds,
+    GatewayListen,
+    GatewaySettings,
+    HostLimits,
+    StoreAccess,
+)
 from carobwalk.settings._limits import Limits
 from carobwalk.settings._listen import Listen
-from carobwalk.settings._load import load_settings, parse_settings
+from carobwalk.settings._load import (
+    load_gateway_settings,
+    load_settings,
+    parse_settings,
+)
 from carobwalk.settings._log import Log, LogLevel
 from carobwalk.settings._ownership import Ownership
 from carobwalk.settings._platform import Platform
@@ -17,7 +29,12 @@
 
 __all__ = (
     'Administration',
+    'Bounds',
+    'GatewayListen',
+    'GatewaySettings',
+    'HostLimits',
     'Limits',
+    'StoreAccess',
     'Listen',
     'Log',
     'LogLevel',
@@ -28,6 +45,8 @@
     'SettingsError',
     'SettingsErrorKind',
     'SettingsErrors',
+    'load_gateway_settings',
     'load_settings',
+    'parse_address',
     'parse_settings',
 )
--- a/src/carobwalk/settings/_load.py
+++ b/src/carobwalk/settings/_load.py
@@ -1,7 +1,7 @@
 """Reading of a settings file."""
 
 from pathlib import Path
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import json5
 from result import Err, Ok, Result
@@ -12,11 +12,14 @@
     SettingsErrorKind,
     SettingsErrors,
 )
+from carobwalk.settings._gateway import GatewaySettings
 from carobwalk.settings._section import Section
 from carobwalk.settings._settings import Settings
 
 MAX_FILE_BYTES: Final = 65_536
 
+_SettingsT = TypeVar('_SettingsT')
+
 _MAX_DEPTH: Final = 32
 _OPENING: Final = frozenset('[{')
 _CLOSING: Final = frozenset(']}')
@@ -26,6 +29,22 @@
 def load_settings(path: Path | str) -> Result[Settings, SettingsErrors]:
     """Read and validate a settings file.
 
+    Args:
+        path: File of JSON with comments, in UTF-8.
+
+    Returns:
+        The settings, or all errors of the file.
+    """
+    return _read(str(path)).and_then(
+        lambda content: parse_settings(content, str(path)),
+    )
+
+
+def load_gateway_settings(
+    path: Path | str,
+) -> Result[GatewaySettings, SettingsErrors]:
+    """Read and validate the settings of a process on the users' platform.
+
     Args:
         path: File of JSON with comments, in UTF-8.
 
@@ -33,12 +52,8 @@
         The settings, or all errors of the file.
     """
     file = str(path)
-    try:
-        with Path(path).open('rb') as stream:
-            content = stream.read(MAX_FILE_BYTES + 1)
-    except (OSError, ValueError) as error:
-        return _fail(file, SettingsErrorKind.UNREADABLE, str(error), 'a file')
-    return parse_settings(content, file)
+    raw = _read(file).and_then(lambda content: _parse(content, file))
+    return raw.and_then(lambda found: _convert(found, file, GatewaySettings))
 
 
 def parse_settings(
@@ -54,6 +69,23 @@
     Returns:
         The settings, or all errors of the file.
     """
+    converted = _parse(content, file).and_then(
+        lambda raw: _convert(raw, file, Settings),
+    )
+    return converted.and_then(
+        lambda settings: _check_contradictions(settings, file),
+    )
+
+
+def _read(file: str) -> Result[bytes, SettingsErrors]:
+    try:
+        with Path(file).open('rb') as stream:
+            return Ok(stream.read(MAX_FILE_BYTES + 1))
+    except (OSError, ValueError) as error:
+        return _fail(file, SettingsErrorKind.UNREADABLE, str(error), 'a file')
+
+
+def _parse(content: bytes, file: str) -> Result[Any, SettingsErrors]:
     unreadable = SettingsErrorKind.UNREADABLE
     if len(content) > MAX_FILE_BYTES:
         allowed = f'at most {MAX_FILE_BYTES} bytes'
@@ -65,16 +97,15 @@
     return _parse_text(text, file)
 
 
-def _parse_text(text: str, file: str) -> Result[Settings, SettingsErrors]:
+def _parse_text(text: str, file: str) -> Result[Any, SettingsErrors]:
     syntax = SettingsErrorKind.SYNTAX
     if _depth_of(text) > _MAX_DEPTH:
         allowed = f'at most {_MAX_DEPTH} levels of brackets'
         return _fail(file, syntax, 'deeper nesting', allowed)
     try:
-        raw = json5.loads(text, allow_duplicate_keys=False)
+        return Ok(json5.loads(text, allow_duplicate_keys=False))
     except (ValueError, RecursionError) as error:
         return _fail(file, syntax, str(error), _SYNTAX_FORM)
-    return _convert(raw, file)
 
 
 def _depth_of(text: str) -> int:
@@ -90,12 +121,23 @@
     return deepest
 
 
-def _convert(raw: Any, file: str) -> Result[Settings, SettingsErrors]:
+def _convert(
+    raw: Any,
+    file: str,
+    target: type[_SettingsT],
+) -> Result[_SettingsT, SettingsErrors]:
     errors: list[SettingsError] = []
-    settings = Section(file, '', errors).convert(raw, Settings)
+    settings = Section(file, '', errors).convert(raw, target)
     if settings is None:
         return Err(SettingsErrors(tuple(errors)))
-    errors.extend(
+    return Ok(settings)
+
+
+def _check_contradictions(
+    settings: Settings,
+    file: str,
+) -> Result[Settings, SettingsErrors]:
+    errors = [
         SettingsError(
             file=file,
             path=contradiction.path,
@@ -104,10 +146,8 @@
             allowed=contradiction.allowed,
         )
         for contradiction in find_contradictions(settings)
-    )
-    if errors:
-        return Err(SettingsErrors(tuple(errors)))
-    return Ok(settings)
+    ]
+    return Err(SettingsErrors(tuple(errors))) if errors else Ok(settings)
 
 
 def _fail(
@@ -115,7 +155,7 @@
     kind: SettingsErrorKind,
     found: str,
     allowed: str,
-) -> Result[Settings, SettingsErrors]:
+) -> Err[SettingsErrors]:
     printable = found.encode('utf-8', 'backslashreplace').decode('utf-8')
     line = ' '.join(printable.split())
     error = SettingsError(file, '', kind, line, allowed)
--- /dev/null
+++ b/src/carobwalk/store/__init__.py
@@ -0,0 +1,56 @@
+"""Contracts of the key-value service and host list, with adapters."""
+
+from carobwalk.store._follower import (
+    RecordFollower,
+    RecordReader,
+    StoreContactLost,
+    StoreContactRegained,
+)
+from carobwalk.store._host_list import Host, HostList, HostListError
+from carobwalk.store._http_host_list import HOSTS_PATH, HttpHostList
+from carobwalk.store._http_store import HttpStore
+from carobwalk.store._store import (
+    ClientId,
+    Conflict,
+    LeaseId,
+    LeaseLost,
+    Store,
+    StoreFailure,
+    Unanswered,
+    Unavailable,
+    Versioned,
+)
+from carobwalk.store._transactional import (
+    Changes,
+    Compacted,
+    Listing,
+    Removed,
+    TransactionalStore,
+)
+
+__all__ = (
+    'HOSTS_PATH',
+    'Changes',
+    'ClientId',
+    'Compacted',
+    'Conflict',
+    'Host',
+    'HostList',
+    'HostListError',
+    'HttpHostList',
+    'HttpStore',
+    'LeaseId',
+    'LeaseLost',
+    'Listing',
+    'RecordFollower',
+    'RecordReader',
+    'Removed',
+    'Store',
+    'StoreContactLost',
+    'StoreContactRegained',
+    'StoreFailure',
+    'TransactionalStore',
+    'Unanswered',
+    'Unavailable',
+    'Versioned',
+)
--- a/src/carobwalk/platform/_http_host_list.py
+++ b/src/carobwalk/store/_http_host_list.py
@@ -7,7 +7,7 @@
 
 from carobwalk.http import HttpRequest, HttpResponse, HttpSender
 from carobwalk.model import Address
-from carobwalk.platform._host_list import Host, HostListError
+from carobwalk.store._host_list import Host, HostListError
 
 DEFAULT_TIMEOUT_SECONDS = 5.0
 HOSTS_PATH = '/v1/hosts'
--- a/src/carobwalk/platform/_http_store.py
+++ b/src/carobwalk/store/_http_store.py
@@ -8,8 +8,8 @@
 
 from carobwalk.http import ConnectFailed, HttpRequest, HttpResponse, HttpSender
 from carobwalk.model import Address
-from carobwalk.platform import wire
-from carobwalk.platform._store import (
+from carobwalk.store import wire
+from carobwalk.store._store import (
     Conflict,
     LeaseId,
     LeaseLost,
--- a/src/carobwalk/platform/wire.py
+++ b/src/carobwalk/store/wire.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
-from carobwalk.platform._store import LeaseId
+from carobwalk.store._store import LeaseId
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/_commands.py
+++ b/standins/_commands.py
@@ -8,7 +8,7 @@
 
 from carobwalk.http import HttpHandler, serve_http
 from carobwalk.model import SuspendAwareClock
-from carobwalk.platform import Host
+from carobwalk.store import Host
 from standins._combine import combine
 from standins._load_command import load_command
 from standins.backend import BackendSettings, make_state, serve_backend
--- a/standins/_faulty_link.py
+++ b/standins/_faulty_link.py
@@ -6,7 +6,7 @@
 import trio
 from result import Err, Result
 
-from carobwalk.platform import StoreFailure, Unanswered, Unavailable
+from carobwalk.store import StoreFailure, Unanswered, Unavailable
 from standins._store_faults import StoreFaults
 
 _Answer = TypeVar('_Answer')
--- a/standins/_lease_table.py
+++ b/standins/_lease_table.py
@@ -6,7 +6,7 @@
 import trio
 from result import Err, Ok, Result
 
-from carobwalk.platform import LeaseId, LeaseLost
+from carobwalk.store import LeaseId, LeaseLost
 
 
 @dataclass(slots=True)
--- a/standins/_memory_store_client.py
+++ b/standins/_memory_store_client.py
@@ -7,7 +7,7 @@
 import trio
 from result import Err, Ok, Result
 
-from carobwalk.platform import (
+from carobwalk.store import (
     LeaseId,
     StoreFailure,
     Unanswered,
--- a/standins/_store_state.py
+++ b/standins/_store_state.py
@@ -2,7 +2,7 @@
 
 from result import Err, Ok, Result
 
-from carobwalk.platform import (
+from carobwalk.store import (
     Conflict,
     LeaseId,
     LeaseLost,
--- a/standins/fake_fleet.py
+++ b/standins/fake_fleet.py
@@ -13,8 +13,8 @@
     RegionName,
     ServiceName,
 )
-from carobwalk.platform import Host
 from carobwalk.profiles import Catalogue, Profile, Service
+from carobwalk.store import Host
 from standins.fake_clock import FakeClock
 from standins.fake_fleet_shape import FleetShape
 from standins.fake_network import FakeNetwork
--- a/standins/fake_store_link.py
+++ b/standins/fake_store_link.py
@@ -2,7 +2,7 @@
 
 from result import Result
 
-from carobwalk.platform import LeaseId, StoreFailure, Versioned
+from carobwalk.store import LeaseId, StoreFailure, Versioned
 from standins.fake_network import FakeNetwork
 from standins.memory_store import MemoryStoreClient
 
--- a/standins/fleet/_configure.py
+++ b/standins/fleet/_configure.py
@@ -9,7 +9,6 @@
 
 from carobwalk.admin import hash_secret
 from carobwalk.model import CarobwalkError, OperatorName
-from carobwalk.platform import Store
 from carobwalk.profiles import (
     Action,
     ConfigurationRepository,
@@ -18,6 +17,7 @@
     Subject,
     SubjectKind,
 )
+from carobwalk.store import Store
 from standins.fleet._deployment import Deployment
 
 _AUTHOR = OperatorName('setup')
--- a/standins/fleet/_entry_process.py
+++ b/standins/fleet/_entry_process.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 from carobwalk.model import Address, DataCentreName, Endpoint, RegionName
-from carobwalk.platform import Host
+from carobwalk.store import Host
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/standins/fleet/_platform_processes.py
+++ b/standins/fleet/_platform_processes.py
@@ -4,7 +4,7 @@
 
 from carobwalk.http import HttpClient, HttpRequest
 from carobwalk.model import Address
-from carobwalk.platform import Host, HttpStore
+from carobwalk.store import Host, HttpStore
 from standins.processes import Processes, find_free_addresses
 
 _CONTROL_SECONDS = 5
--- a/standins/fleet/_server_processes.py
+++ b/standins/fleet/_server_processes.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 
 from carobwalk.model import Address, Endpoint
-from carobwalk.platform import Host
+from carobwalk.store import Host
 from standins.backend import RunRecord, read_run_log
 from standins.fleet._deployment import Deployment
 from standins.fleet._fleet_service import FleetService
--- a/standins/host_list_handler.py
+++ b/standins/host_list_handler.py
@@ -7,7 +7,7 @@
 from result import Err
 
 from carobwalk.http import HttpRequest, HttpResponse
-from carobwalk.platform import HOSTS_PATH, Host
+from carobwalk.store import HOSTS_PATH, Host
 from standins.memory_host_list import MemoryHostList
 
 _JSON = MappingProxyType({'content-type': 'application/json'})
--- a/standins/memory_host_list.py
+++ b/standins/memory_host_list.py
@@ -5,7 +5,7 @@
 import trio
 from result import Err, Ok, Result
 
-from carobwalk.platform import Host, HostListError
+from carobwalk.store import Host, HostListError
 
 
 class MemoryHostList:
--- a/standins/store_handler.py
+++ b/standins/store_handler.py
@@ -11,7 +11,7 @@
 from result import Err, Result
 
 from carobwalk.http import HttpRequest, HttpResponse
-from carobwalk.platform import (
+from carobwalk.store import (
     Conflict,
     LeaseLost,
     StoreFailure,
--- a/tests/cli/test_no_children.py
+++ b/tests/cli/test_no_children.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from carobwalk.cli._library_lookup import find_soname
+from carobwalk._library_lookup import find_soname
 
 # Reports each attempt to start a process, then runs the command line.
 PROGRAM = """
--- a/tests/metrics/test_counting.py
+++ b/tests/metrics/test_counting.py
@@ -20,7 +20,7 @@
     ShardReleased,
     ShardTakenOver,
 )
-from carobwalk.platform import (
+from carobwalk.store import (
     Conflict,
     LeaseId,
     LeaseLost,
--- a/tests/ownership/chaos.py
+++ b/tests/ownership/chaos.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from carobwalk.platform import Host
+from carobwalk.store import Host
 from standins.fake_fleet import SERVICE, FakeFleet
 from standins.memory_store import StoreFaults
 
--- a/tests/ownership/test_host_view.py
+++ b/tests/ownership/test_host_view.py
@@ -14,7 +14,7 @@
 )
 from carobwalk.ownership import OwnershipContext, OwnershipTimes
 from carobwalk.ownership._host_view import HostView
-from carobwalk.platform import Host, HostListError
+from carobwalk.store import Host, HostListError
 
 _ABSENCE = OwnershipTimes().absence
 _PLACE = Endpoint(
--- a/tests/ownership/test_sequences.py
+++ b/tests/ownership/test_sequences.py
@@ -6,7 +6,7 @@
 from trio.testing import MockClock
 
 from carobwalk.ownership._map_push import MapAnswer, MapPush
-from carobwalk.platform import Host
+from carobwalk.store import Host
 from standins.fake_fleet import FakeFleet
 from standins.fake_fleet_shape import FleetShape
 
--- a/tests/profiles/test_over_connections.py
+++ b/tests/profiles/test_over_connections.py
@@ -22,12 +22,12 @@
     TrioClock,
 )
 from carobwalk.peer import PeerHub, TopicRegistry
-from carobwalk.platform import Store
 from carobwalk.profiles import (
     ConfigurationFollower,
     ConfigurationRepository,
     FollowerParts,
 )
+from carobwalk.store import Store
 from standins.memory_store import MemoryStore, StoreFaults
 from tests.profiles._proposals import PROFILE, propose
 
--- a/tests/profiles/test_write_attempt.py
+++ b/tests/profiles/test_write_attempt.py
@@ -1,7 +1,7 @@
 """What is known of the attempts of one write."""
 
-from carobwalk.platform import Conflict, Unanswered, Unavailable
 from carobwalk.profiles.writing._write_attempt import WriteAttempt
+from carobwalk.store import Conflict, Unanswered, Unavailable
 
 _LOST = Unanswered('no reply')
 
--- a/tests/standins/test_memory_host_list.py
+++ b/tests/standins/test_memory_host_list.py
@@ -10,7 +10,7 @@
     Endpoint,
     RegionName,
 )
-from carobwalk.platform import Host
+from carobwalk.store import Host
 from standins.memory_host_list import MemoryHostList
 
 HOST = Host(
--- a/tests/standins/test_memory_store.py
+++ b/tests/standins/test_memory_store.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 from trio.testing import MockClock
 
-from carobwalk.platform import (
+from carobwalk.store import (
     Conflict,
     LeaseLost,
     Store,
--- a/tests/standins/test_processes.py
+++ b/tests/standins/test_processes.py
@@ -7,7 +7,7 @@
 import trio
 
 from carobwalk.http import HttpClient
-from carobwalk.platform import HttpStore, Unanswered, Unavailable
+from carobwalk.store import HttpStore, Unanswered, Unavailable
 from standins.processes import ProcessError, Processes, find_free_addresses
 
 
--- a/tests/platform/test_http_host_list.py
+++ b/tests/store/test_http_host_list.py
@@ -14,7 +14,7 @@
     RegionName,
     ServiceName,
 )
-from carobwalk.platform import Host, HttpHostList
+from carobwalk.store import Host, HttpHostList
 from standins.host_list_handler import HostListHandler
 from standins.memory_host_list import MemoryHostList
 
--- a/tests/platform/test_http_store.py
+++ b/tests/store/test_http_store.py
@@ -18,7 +18,7 @@
     serve_http,
 )
 from carobwalk.model import Address
-from carobwalk.platform import (
+from carobwalk.store import (
     Conflict,
     HttpStore,
     LeaseId,
