--- a/src/carobwalk/app/_build_gateway.py
+++ b/src/carobwalk/app/_build_gateway.py
@@ -18,6 +18,7 @@
     RepeatRules,
     UnkeyedChooser,
 )
+from carobwalk.metrics import GatewayMeter
 from carobwalk.platform import PLATFORM_HEADERS
 from carobwalk.settings import Bounds
 
@@ -82,11 +83,10 @@
     )
     service = GatewayService(
         names=PLATFORM_HEADERS,
-        routes=lambda: core.routes.table,
-        split=core.split,
+        routes=core.routes,
         forwarder=forwarder,
         count_key=owners.count,
-        meter=core.metrics,
+        meter=GatewayMeter(core.metrics.latencies),
         events=core.events,
         is_stopping=is_stopping,
     )
--- a/src/carobwalk/app/_build_keyspace.py
+++ b/src/carobwalk/app/_build_keyspace.py
@@ -7,6 +7,7 @@
 from carobwalk.gateway import LoadTable
 from carobwalk.keyspace import (
     LOAD_TOPIC,
+    MAP_TOPIC,
     CoordinatorParts,
     CoordinatorRole,
     KeyOwnerTable,
@@ -14,6 +15,8 @@
     KeyTimes,
     LoadCollector,
     LoadReporter,
+    MapFeed,
+    MapFollower,
     OrderParts,
     RoleParts,
     ServerLives,
@@ -32,12 +35,14 @@
         owners: Looks up owners.
         role: Coordinates when it is this process's turn.
         reporter: Reports to the coordinator.
+        follower: Learns of maps.
     """
 
     reader: KeyReader
     owners: KeyOwnerTable
     role: CoordinatorRole
     reporter: LoadReporter
+    follower: MapFollower
 
 
 def build_keyspace(
@@ -59,6 +64,8 @@
     times = _times(core)
     collector = LoadCollector(core.clock)
     core.topics.register(LOAD_TOPIC, collector.answer)
+    feed = MapFeed()
+    core.topics.register(MAP_TOPIC, feed.answer)
     owners = KeyOwnerTable(reader, core.directory)
     orders = OrderParts(
         channel=PlatformOrders(core.orders, times),
@@ -77,6 +84,7 @@
             coordination=CoordinatorParts(
                 orders=orders,
                 collector=collector,
+                feed=feed,
                 clock=core.clock,
                 events=core.events,
             ),
@@ -93,6 +101,7 @@
             loads,
             take_process_count,
         ),
+        follower=MapFollower(core.hub, core.store, reader),
     )
 
 
--- a/src/carobwalk/app/_gateway_core.py
+++ b/src/carobwalk/app/_gateway_core.py
@@ -17,7 +17,7 @@
 from carobwalk.model import Address, Clock, Endpoint, SuspendAwareClock
 from carobwalk.peer import PeerHub, TopicRegistry
 from carobwalk.platform import PlatformStore
-from carobwalk.routing import RoutesInForce, SplitChoice
+from carobwalk.routing import RoutesInForce
 from carobwalk.settings import GatewaySettings
 
 
@@ -38,7 +38,6 @@
         store: The key-value service.
         orders: Sender of orders to backend servers.
         directory: Registered backend servers.
-        split: Divides requests among the services of a route.
         routes: The configuration in force.
     """
 
@@ -54,36 +53,20 @@
     store: PlatformStore
     orders: HttpClient
     directory: ServerDirectory
-    split: SplitChoice
     routes: RoutesInForce
 
 
 def build_gateway_core(settings: GatewaySettings) -> GatewayCore:
     """Return the parts that the settings describe."""
-    place = settings.process
-    own = Endpoint(
-        place.id,
-        settings.listen.peers,
-        place.region,
-        place.data_centre,
-    )
+    own = _own_endpoint(settings)
     stamps = HybridClock()
     output = BoundedOutput()
-    log = LineEventLog.open(
-        place.id,
-        stamps,
-        output.write,
-        settings.log.level,
-    )
+    log = LineEventLog.open(own.name, stamps, output.write, settings.log.level)
     clock = SuspendAwareClock()
     metrics = Metrics(own.name)
-    events = CountingEventLog(
-        RationedEventLog(log, clock.now),
-        metrics,
-        clock,
-    )
+    rationed = RationedEventLog(log, clock.now)
+    events = CountingEventLog(rationed, metrics, clock)
     topics = TopicRegistry(events)
-    split = SplitChoice()
     return GatewayCore(
         settings=settings,
         own=own,
@@ -100,8 +83,17 @@
         ),
         orders=HttpClient(idle_limit=1, connect=_connect_for_orders),
         directory=ServerDirectory(clock, events),
-        split=split,
-        routes=RoutesInForce(split, events),
+        routes=RoutesInForce(events),
+    )
+
+
+def _own_endpoint(settings: GatewaySettings) -> Endpoint:
+    place = settings.process
+    return Endpoint(
+        place.id,
+        settings.listen.peers,
+        place.region,
+        place.data_centre,
     )
 
 
--- a/src/carobwalk/app/_gateway_process.py
+++ b/src/carobwalk/app/_gateway_process.py
@@ -10,29 +10,24 @@
 
 from carobwalk.app._build_gateway import build_gateway, repeat_rules
 from carobwalk.app._build_keyspace import build_keyspace
-from carobwalk.app._gateway_core import GatewayCore, build_gateway_core
+from carobwalk.app._gateway_core import build_gateway_core
 from carobwalk.app._gateway_events import (
     ProcessStarted,
     ReadinessChanged,
     SettingsReloaded,
 )
+from carobwalk.app._gateway_records import follow_records
+from carobwalk.app._listeners import open_listener
 from carobwalk.app._no_forwarder import NoForwarder
 from carobwalk.app._readiness_handler import ReadinessHandler
 from carobwalk.app._stop import ProcessStopped, ProcessStopping
 from carobwalk.gateway import LoadTable, RepeatBudgets
-from carobwalk.http import serve_http
-from carobwalk.keyspace import PREFIX, KeyReader
+from carobwalk.http import HttpHandler, serve_http
+from carobwalk.keyspace import KeyReader
 from carobwalk.metrics import ScrapeHandler
 from carobwalk.model import Address
-from carobwalk.platform import (
-    CONFIGURATION_PREFIX,
-    READINESS_PATH,
-    REGISTRY_PREFIX,
-    ConfigurationReader,
-    RegistryReader,
-)
+from carobwalk.platform import READINESS_PATH
 from carobwalk.settings import GatewaySettings, load_gateway_settings
-from carobwalk.store import RecordFollower, RecordReader
 
 _STOP_SIGNALS: Final = frozenset((signal.SIGTERM, signal.SIGINT))
 _RELOAD_SIGNAL: Final = signal.SIGHUP
@@ -41,7 +36,6 @@
 _BALANCER_SECONDS: Final = 2.6
 # Time at the end of a stop that is kept free of waits.
 _STOP_MARGIN_SECONDS: Final = 0.6
-_READY_POLL_SECONDS: Final = 0.02
 
 
 class GatewayProcess:
@@ -61,20 +55,12 @@
         self._loads = LoadTable(core.directory)
         self._budgets = RepeatBudgets(repeat_rules(settings.bounds))
         reader = KeyReader(core.events)
-        self._records = self._follow(PREFIX, reader)
-        self._registry = self._follow(
-            REGISTRY_PREFIX,
-            RegistryReader(core.directory, core.events),
-        )
-        self._configuration = self._follow(
-            CONFIGURATION_PREFIX,
-            ConfigurationReader(core.routes),
-        )
+        self._records = follow_records(core, reader)
         self._keyspace = build_keyspace(
             core,
             reader,
             self._loads,
-            lambda: self._records.is_current,
+            lambda: self._records.coordinator.is_current,
             self._take_process_count,
         )
         self._gateway = build_gateway(
@@ -113,22 +99,18 @@
             core.events.emit(ProcessStarted(str(listen.callers)))
             await nursery.start(
                 core.hub.run,
-                await _open(listen.peers),
+                await open_listener(listen.peers),
                 NoForwarder(),
             )
             await self._start_small_servers(nursery)
-            for follower in (
-                self._configuration,
-                self._registry,
-                self._records,
-            ):
-                nursery.start_soon(follower.run)
+            self._records.start(nursery)
             nursery.start_soon(self._keyspace.role.run)
             nursery.start_soon(self._keyspace.reporter.run)
+            nursery.start_soon(self._keyspace.follower.run)
             nursery.start_soon(self._keep_up)
             nursery.start_soon(
                 self._gateway.server.run,
-                await _open(listen.callers),
+                await open_listener(listen.callers),
             )
             is_graceful = await self._wait_and_stop(received)
             nursery.cancel_scope.cancel()
@@ -136,7 +118,7 @@
 
     async def _start_small_servers(self, nursery: trio.Nursery) -> None:
         core = self._core
-        handlers_by_address = {
+        handlers_by_address: dict[Address, HttpHandler] = {
             core.settings.listen.readiness: ReadinessHandler(
                 READINESS_PATH,
                 self._is_ready,
@@ -147,7 +129,7 @@
             nursery.start_soon(
                 serve_http,
                 handler,
-                await _open(address),
+                await open_listener(address),
                 core.events,
             )
 
@@ -179,11 +161,15 @@
         loaded = load_gateway_settings(self._path)
         if isinstance(loaded, Err):
             detail = str(loaded.err_value)
-            self._core.events.emit(SettingsReloaded(is_valid=False, detail=detail))
+            self._core.events.emit(
+                SettingsReloaded(is_valid=False, detail=detail)
+            )
             return
         bounds = loaded.ok_value.bounds
         self._budgets.follow(repeat_rules(bounds))
-        self._core.events.emit(SettingsReloaded(is_valid=True, detail=str(bounds)))
+        self._core.events.emit(
+            SettingsReloaded(is_valid=True, detail=str(bounds))
+        )
 
     async def _keep_up(self) -> None:
         """Drop what has grown old."""
@@ -207,21 +193,3 @@
     def _take_process_count(self, count: int) -> None:
         self._loads.process_count = count
         self._budgets.process_count = count
-
-    def _follow(self, prefix: str, reader: RecordReader) -> RecordFollower:
-        core = self._core
-        return RecordFollower(
-            core.store,
-            prefix,
-            reader,
-            core.clock,
-            core.events,
-        )
-
-
-async def _open(address: Address) -> list[trio.SocketListener]:
-    return await trio.open_tcp_listeners(
-        address.port,
-        host=address.host,
-        backlog=1024,
-    )
--- a/src/carobwalk/app/_listeners.py
+++ b/src/carobwalk/app/_listeners.py
@@ -1,12 +1,15 @@
 """Sockets that a process listens on."""
 
 from dataclasses import dataclass
+from typing import Final
 
 import trio
 
 from carobwalk.model import Address
 from carobwalk.settings import Listen
 
+_BACKLOG: Final = 1024
+
 
 @dataclass(frozen=True, slots=True)
 class Listeners:
@@ -24,11 +27,20 @@
         OSError: If an address is taken or not of this host.
     """
     return Listeners(
-        callers=await _open(listen.callers),
-        peers=await _open(listen.peers),
-        administration=await _open(listen.administration),
+        callers=await open_listener(listen.callers),
+        peers=await open_listener(listen.peers),
+        administration=await open_listener(listen.administration),
     )
 
 
-async def _open(address: Address) -> list[trio.SocketListener]:
-    return await trio.open_tcp_listeners(address.port, host=address.host)
+async def open_listener(address: Address) -> list[trio.SocketListener]:
+    """Open the listener of an address.
+
+    Raises:
+        OSError: If the address is taken or not of this host.
+    """
+    return await trio.open_tcp_listeners(
+        address.port,
+        host=address.host,
+        backlog=_BACKLOG,
+    )
--- a/src/carobwalk/cli/_main.py
+++ b/src/carobwalk/cli/_main.py
@@ -5,8 +5,8 @@
 
 import click
 
-from carobwalk.cli._commands import registered_commands
 from carobwalk._library_lookup import avoid_child_processes
+from carobwalk.cli._commands import registered_commands
 
 # Modules that register commands when they are imported.
 _MODULES: Final = (
--- a/src/carobwalk/directory/_server_directory.py
+++ b/src/carobwalk/directory/_server_directory.py
@@ -1,6 +1,6 @@
 """The backend servers that are registered now."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import replace
 from typing import Final
 
@@ -40,6 +40,10 @@
         """Return a registered server."""
         return self._by_id.get(server)
 
+    def all_servers(self) -> tuple[BackendServer, ...]:
+        """Return all servers, leaving ones included."""
+        return tuple(self._by_id.values())
+
     def of_service(self, service: ServiceName) -> list[BackendServer]:
         """Return the servers of a service, leaving ones included."""
         return [
@@ -48,10 +52,6 @@
             if server.service == service
         ]
 
-    def __iter__(self) -> Iterator[BackendServer]:
-        """Iterate over all registered servers."""
-        return iter(tuple(self._by_id.values()))
-
     def takes_keys(self, server: BackendServer) -> bool:
         """Return whether a server may still be sent work for its keys."""
         since = self._leaving_since_by_id.get(server.id)
@@ -64,7 +64,11 @@
         if self._by_id.get(server.id) == server:
             return
         self._by_id[server.id] = server
-        self._note_leaving(server)
+        if server.is_leaving:
+            now = self._clock.now()
+            self._leaving_since_by_id.setdefault(server.id, now)
+        else:
+            self._leaving_since_by_id.pop(server.id, None)
         self._events.emit(
             ServerChanged(
                 server=server.id,
@@ -86,10 +90,9 @@
         if gone is None:
             return
         self._events.emit(ServerForgotten(server, cause))
-        leaving = replace(gone, is_leaving=True)
-        self._by_id[server] = leaving
+        self._by_id[server] = replace(gone, is_leaving=True)
         self._gone_ids.add(server)
-        self._note_leaving(leaving)
+        self._leaving_since_by_id.setdefault(server, self._clock.now())
         self._notify()
 
     def load(
@@ -131,13 +134,6 @@
                 self._leaving_since_by_id.pop(gone, None)
                 self._notify()
 
-    def _note_leaving(self, server: BackendServer) -> None:
-        if server.is_leaving:
-            now = self._clock.now()
-            self._leaving_since_by_id.setdefault(server.id, now)
-        else:
-            self._leaving_since_by_id.pop(server.id, None)
-
     def _notify(self) -> None:
         self.changed.set()
         self.changed = trio.Event()
--- a/src/carobwalk/events/_rationed_event_log.py
+++ b/src/carobwalk/events/_rationed_event_log.py
@@ -50,9 +50,7 @@
         if self._now() >= self._window_end:
             self._start_window()
         kind = type(event)
-        allowed = (
-            _ROUTINE_LINES if event.level == _ROUTINE else _FAILURE_LINES
-        )
+        allowed = _ROUTINE_LINES if event.level == _ROUTINE else _FAILURE_LINES
         if self._counts_by_kind[kind] >= allowed:
             self._left_out_by_kind[kind] += 1
             return
--- a/src/carobwalk/gateway/_caller_connection.py
+++ b/src/carobwalk/gateway/_caller_connection.py
@@ -89,13 +89,13 @@
 
     async def _read(self) -> CallerRequest | None:
         seconds = self._service.limits().header_seconds
-        with trio.move_on_after(seconds) as scope:
+        head_read = trio.CancelScope(deadline=trio.current_time() + seconds)
+        head = None
+        with head_read:
             head = await self._reader.read_head()
-        if scope.cancelled_caught:
+        if head_read.cancelled_caught:
             raise RequestError(HTTPStatus.REQUEST_TIMEOUT, 'head too slow')
-        if head is None:
-            return None
-        return await self._reader.read_request(head)
+        return await self._reader.read_request(head) if head else None
 
     async def _answer(self, request: CallerRequest) -> Reply | None:
         """Return the answer, ``None`` if the caller left before it."""
@@ -136,6 +136,11 @@
                 h11.EndOfMessage(),
             )
 
+    async def _drain(self) -> None:
+        chunk = await self._stream.receive_some(_RECEIVE_BYTES)
+        while chunk:
+            chunk = await self._stream.receive_some(_RECEIVE_BYTES)
+
     async def _refuse(self, error: RequestError) -> None:
         """Answer a request that can't be read, and take in what follows.
 
@@ -155,5 +160,4 @@
             )
             await self._stream.send_eof()
         with trio.move_on_after(_LINGER_SECONDS):
-            while await self._stream.receive_some(_RECEIVE_BYTES):
-                continue
+            await self._drain()
--- a/src/carobwalk/gateway/_connection_pool.py
+++ b/src/carobwalk/gateway/_connection_pool.py
@@ -76,22 +76,21 @@
 
     async def close_old(self) -> None:
         """Close connections that idle too long or whose server is gone."""
-        lives = {server.life for server in self._directory}
+        lives = {server.life for server in self._directory.all_servers()}
         for life, idle in tuple(self._idle_by_life.items()):
-            usable = [
-                connection
-                for connection in idle
-                if life in lives
-                and _is_usable(connection, _LONGEST_IDLE_SECONDS)
-            ]
-            old = [
-                connection for connection in idle if connection not in usable
-            ]
-            idle[:] = usable
-            if not usable:
+            kept: list[UpstreamConnection] = []
+            old: list[UpstreamConnection] = []
+            for connection in idle:
+                is_kept = life in lives and _is_usable(
+                    connection,
+                    _LONGEST_IDLE_SECONDS,
+                )
+                (kept if is_kept else old).append(connection)
+            self._idle_by_life[life] = kept
+            if not kept:
                 self._idle_by_life.pop(life)
-            for connection in old:
-                await connection.aclose()
+            for closing in old:
+                await closing.aclose()
 
     async def _open(
         self,
--- a/src/carobwalk/gateway/_forwarder.py
+++ b/src/carobwalk/gateway/_forwarder.py
@@ -144,21 +144,30 @@
         began = trio.current_time()
         loads = self._parts.loads
         progress.last_server = server.id
-        is_ended = False
+        outcome: AttemptOutcome | None = None
         try:
             outcome = await self._send(request, server, progress)
-            is_ended = True
         finally:
             loads.finish(server)
-            now = trio.current_time()
-            if not is_ended:
-                loads.of(server).record_slow(now, now - began)
+            self._record(server, outcome, began)
+        return outcome
+
+    def _record(
+        self,
+        server: BackendServer,
+        outcome: AttemptOutcome | None,
+        began: float,
+    ) -> None:
+        """Take in how an attempt ended, ``None`` if it was given up."""
+        loads = self._parts.loads
+        now = trio.current_time()
         match outcome:
+            case None:
+                loads.of(server).record_slow(now, now - began)
             case Answered():
                 loads.record_answer(server, now, now - began)
             case NotSent() | Lost():
                 loads.of(server).record_unreachable(now)
-        return outcome
 
     async def _send(
         self,
--- a/src/carobwalk/gateway/_gateway_service.py
+++ b/src/carobwalk/gateway/_gateway_service.py
@@ -7,7 +7,8 @@
 from carobwalk.gateway._forwarder import Forwarder
 from carobwalk.gateway._header_names import HeaderNames
 from carobwalk.gateway._request_meter import RequestMeter
-from carobwalk.routing import CallerLimits, RouteTable, SplitChoice
+from carobwalk.model import ServiceName
+from carobwalk.routing import CallerLimits, RoutesInForce
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -16,8 +17,7 @@
 
     Args:
         names: Names of header fields.
-        routes: Returns the routes in force, ``None`` before there are any.
-        split: Divides requests among the services of a route.
+        routes: The routes in force.
         forwarder: Sends requests to backend servers.
         count_key: Counts a request for a key of a service.
         meter: Counts and times requests.
@@ -26,15 +26,14 @@
     """
 
     names: HeaderNames
-    routes: Callable[[], RouteTable | None]
-    split: SplitChoice
+    routes: RoutesInForce
     forwarder: Forwarder
-    count_key: Callable[[str, int], None]
+    count_key: Callable[[ServiceName, int], None]
     meter: RequestMeter
     events: EventLog
     is_stopping: Callable[[], bool]
 
     def limits(self) -> CallerLimits:
         """Return the bounds on what callers may send."""
-        table = self.routes()
+        table = self.routes.table
         return CallerLimits() if table is None else table.configuration.limits
--- a/src/carobwalk/gateway/_load_table.py
+++ b/src/carobwalk/gateway/_load_table.py
@@ -14,10 +14,13 @@
 _QUEUED: Final = 2
 # Requests that a backend server with 4 slots holds, running or queued.
 _HELD_PER_SLOT: Final = 5
+_LEAST_LIMIT: Final = 2
 
 Life = tuple[ServerId, int]
-# Answers and the sum of their latencies in seconds, by service and life.
-Statistics = dict[ServiceName, dict[Life, tuple[int, float]]]
+# Number of answers and the sum of their latencies in seconds.
+Answers = tuple[int, float]
+# Answers by service and life.
+Statistics = dict[ServiceName, dict[Life, Answers]]
 
 
 class LoadTable:
@@ -49,7 +52,8 @@
         """Return the load of a server that all processes send to alike."""
         load = self.of(server)
         held = server.slots * _HELD_PER_SLOT
-        load.limit = max(held // max(self.process_count, 1) + 1, 2)
+        share = held // max(self.process_count, 1)
+        load.limit = max(share + 1, _LEAST_LIMIT)
         return load
 
     def line_of(self, service: ServiceName) -> WaitingLine:
@@ -74,7 +78,7 @@
         )
 
         answers_by_life = self._statistics.setdefault(server.service, {})
-        count, total = answers_by_life.get(server.life, (0, 0.0))
+        count, total = answers_by_life.get(server.life, (0, 0))
         answers_by_life[server.life] = (count + 1, total + seconds)
 
     def take_statistics(self) -> Statistics:
@@ -90,7 +94,7 @@
 
     def forget_gone(self) -> None:
         """Drop the loads of servers that are not registered any more."""
-        lives = {server.life for server in self._directory}
+        lives = {server.life for server in self._directory.all_servers()}
         for life, load in tuple(self._loads_by_life.items()):
             if life not in lives and not load.in_flight:
                 self._loads_by_life.pop(life)
--- a/src/carobwalk/gateway/_message.py
+++ b/src/carobwalk/gateway/_message.py
@@ -18,6 +18,7 @@
         b'upgrade',
     ),
 )
+_MOST_DIGITS: Final = 12
 _TIMEOUT: Final = re.compile(rb'timeout\s*=\s*([0-9]{1,6})')
 
 
@@ -38,7 +39,7 @@
 ) -> int | None:
     """Return a field that holds a whole number from 0."""
     text = find_header(headers, name)
-    if text is None or not text.isdigit() or len(text) > 12:
+    if text is None or not text.isdigit() or len(text) > _MOST_DIGITS:
         return None
     return int(text)
 
--- a/src/carobwalk/gateway/_request_reader.py
+++ b/src/carobwalk/gateway/_request_reader.py
@@ -67,9 +67,10 @@
         arrived = trio.current_time()
         route = self._find_route(head)
         seconds = self._seconds_left(head, route)
-        with trio.move_on_after(seconds) as scope:
+        body = None
+        with trio.move_on_after(seconds):
             body = await self._read_body()
-        if scope.cancelled_caught:
+        if body is None:
             raise RequestError(HTTPStatus.REQUEST_TIMEOUT, 'body too slow')
         names = self._service.names
         request_id = find_header(head.headers, names.request_id) or b''
@@ -90,7 +91,7 @@
         )
 
     def _find_route(self, head: h11.Request) -> Route:
-        table = self._service.routes()
+        table = self._service.routes.table
         if table is None:
             raise RequestError(
                 HTTPStatus.SERVICE_UNAVAILABLE,
--- a/src/carobwalk/gateway/_request_run.py
+++ b/src/carobwalk/gateway/_request_run.py
@@ -24,9 +24,9 @@
     ) -> None:
         self._service = service
         self._request = request
-        table = service.routes()
+        table = service.routes.table
         self._version = table.configuration.version if table else 0
-        name = service.split.choose(request.route)
+        name = service.routes.split.choose(request.route)
         services = table.configuration.services_by_name if table else {}
         routed = services.get(name)
         self._progress = Progress(
--- a/src/carobwalk/gateway/_server_load.py
+++ b/src/carobwalk/gateway/_server_load.py
@@ -77,7 +77,7 @@
         if self._latency is None:
             self._latency = seconds
         else:
-            trust = math.exp(-max(now - self._latency_at, 0) / _FORGET_SECONDS)
-            weight = max(_WEIGHT_OF_NEW, 1 - trust)
+            age = max(now - self._latency_at, 0)
+            weight = max(_WEIGHT_OF_NEW, 1 - math.exp(-age / _FORGET_SECONDS))
             self._latency += (seconds - self._latency) * weight
         self._latency_at = now
--- a/src/carobwalk/gateway/_unkeyed_chooser.py
+++ b/src/carobwalk/gateway/_unkeyed_chooser.py
@@ -15,6 +15,7 @@
 _JITTER: Final = 0.1
 # Part of the time left that a request may wait for room.
 _WAIT_SHARE: Final = 0.35
+_NONE_READY_SECONDS: Final = 0.3
 _LOAD_WEIGHT: Final = 1.0
 
 
@@ -59,12 +60,14 @@
                 self._loads.of(server).start()
                 return Target(server)
             if not self._has_hope(service, tried):
-                return NoTarget('no backend server is ready', 0.3)
-            with trio.move_on_at(give_up) as scope:
+                return NoTarget(
+                    'no backend server is ready', _NONE_READY_SECONDS
+                )
+            with trio.move_on_at(give_up):
                 await line.wait(request.route.rank)
-            if scope.cancelled_caught:
-                usual = self._loads.usual_latency(service)
-                return NoTarget('all backend servers are full', usual)
+                continue
+            usual = self._loads.usual_latency(service)
+            return NoTarget('all backend servers are full', usual)
 
     def _find(
         self,
--- a/src/carobwalk/gateway/_upstream_connection.py
+++ b/src/carobwalk/gateway/_upstream_connection.py
@@ -1,32 +1,20 @@
 """One HTTP/1.1 connection to a backend server."""
 
-from http import HTTPStatus
 from typing import Final
 
 import h11
 import trio
 
+from carobwalk.gateway._answer_judge import judge_answer
 from carobwalk.gateway._caller_request import CallerRequest
 from carobwalk.gateway._header_names import HeaderNames
-from carobwalk.gateway._message import (
-    CONNECTION_HEADERS,
-    announced_idle_seconds,
-    find_header,
-)
-from carobwalk.gateway._outcomes import Answered, AttemptOutcome, Lost, NotRun
-from carobwalk.gateway._reply import Reply
+from carobwalk.gateway._message import announced_idle_seconds, find_header
+from carobwalk.gateway._outcomes import AttemptOutcome, Lost
 from carobwalk.http import H11Stream
 
 _DUMMY: Final = h11.Request(method='GET', target='/', headers=[('host', 'x')])
 _MOST_ANSWER_BYTES: Final = 16_777_216
 _MOST_STRAY_ANSWERS: Final = 4
-_PROMISES: Final = frozenset(
-    (
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        HTTPStatus.TOO_MANY_REQUESTS,
-        HTTPStatus.REQUEST_TIMEOUT,
-    ),
-)
 _BROKEN: Final = (
     h11.RemoteProtocolError,
     h11.LocalProtocolError,
@@ -130,7 +118,8 @@
             answered_id = find_header(response.headers, self._names.request_id)
             if answered_id is None or answered_id == request.id:
                 self._is_sound = answered_id is not None
-                return self._judge(response, body)
+                self.idle_limit = announced_idle_seconds(response.headers)
+                return judge_answer(response, body, self._names)
             self._skip_answer()
         return Lost('answers to other requests only')
 
@@ -149,23 +138,3 @@
         if rest:
             protocol.receive_data(rest)
         self._http.protocol = protocol
-
-    def _judge(self, response: h11.Response, body: bytes) -> AttemptOutcome:
-        self.idle_limit = announced_idle_seconds(response.headers)
-        status = response.status_code
-        names = self._names
-        is_signed = find_header(response.headers, names.signature) is not None
-        if find_header(response.headers, names.not_run) is not None:
-            return NotRun(status)
-        if status == HTTPStatus.MISDIRECTED_REQUEST:
-            return NotRun(status)
-        if not is_signed and status < HTTPStatus.MULTIPLE_CHOICES:
-            return Lost('an answer without a signature')
-        if not is_signed and status in _PROMISES:
-            return Lost(f'unsigned status {status}')
-        headers = tuple(
-            (name, text)
-            for name, text in response.headers.raw_items()
-            if name.lower() not in CONNECTION_HEADERS
-        )
-        return Answered(Reply(status, headers, body))
--- a/src/carobwalk/http/_client.py
+++ b/src/carobwalk/http/_client.py
@@ -29,7 +29,8 @@
     def __init__(
         self,
         idle_limit: int = 8,
-        connect: Callable[[Address], Awaitable[trio.SocketStream]] | None = None,
+        connect: Callable[[Address], Awaitable[trio.SocketStream]]
+        | None = None,
     ) -> None:
         self._idle_limit = idle_limit
         self._connect = connect or _connect
--- a/src/carobwalk/http/_connect.py
+++ b/src/carobwalk/http/_connect.py
@@ -24,7 +24,8 @@
     Raises:
         OSError: If the connection can't be opened.
     """
-    connection = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
+    connection = trio.socket.socket(family, socket.SOCK_STREAM)
     try:
         _probe(connection)
         await connection.connect((address.host, address.port))
--- a/src/carobwalk/keyspace/__init__.py
+++ b/src/carobwalk/keyspace/__init__.py
@@ -1,12 +1,16 @@
 """Ownership of numbered keys: who owns which, and since when."""
 
-from carobwalk.keyspace._codec import PREFIX
+from carobwalk.keyspace._codec import COORDINATOR_NAME
+from carobwalk.keyspace._coordinator_parts import CoordinatorParts
 from carobwalk.keyspace._coordinator_role import CoordinatorRole, RoleParts
 from carobwalk.keyspace._key_owner_table import KeyOwnerTable
 from carobwalk.keyspace._key_reader import KeyReader
 from carobwalk.keyspace._load_collector import LoadCollector
 from carobwalk.keyspace._load_report import LOAD_TOPIC
 from carobwalk.keyspace._load_reporter import LoadReporter
+from carobwalk.keyspace._map_feed import MapFeed
+from carobwalk.keyspace._map_follower import MapFollower
+from carobwalk.keyspace._map_messages import MAP_TOPIC
 from carobwalk.keyspace._order_desk import OrderParts
 from carobwalk.keyspace._orders import (
     Grant,
@@ -19,12 +23,12 @@
 )
 from carobwalk.keyspace._server_lives import ServerLives
 from carobwalk.keyspace._server_watch import ServerWatch
-from carobwalk.keyspace._service_coordinator import CoordinatorParts
 from carobwalk.keyspace._times import KeyTimes
 
 __all__ = (
+    'COORDINATOR_NAME',
     'LOAD_TOPIC',
-    'PREFIX',
+    'MAP_TOPIC',
     'CoordinatorParts',
     'CoordinatorRole',
     'Grant',
@@ -33,6 +37,8 @@
     'KeyTimes',
     'LoadCollector',
     'LoadReporter',
+    'MapFeed',
+    'MapFollower',
     'OrderChannel',
     'OrderFailure',
     'OrderParts',
--- a/src/carobwalk/keyspace/_coordinator_role.py
+++ b/src/carobwalk/keyspace/_coordinator_role.py
@@ -7,29 +7,22 @@
 import trio
 from result import Err
 
-from carobwalk.keyspace._codec import (
-    COORDINATOR_NAME,
-    encode_coordinator,
-    is_settled,
-)
-from carobwalk.keyspace._events import TermEnded, TermInDoubt, TermStarted
-from carobwalk.keyspace._grant_ledger import GrantLedger, Inherited
-from carobwalk.keyspace._key_map import KeyMap
+from carobwalk.keyspace._codec import COORDINATOR_NAME, encode_coordinator
+from carobwalk.keyspace._coordinator_parts import CoordinatorParts
+from carobwalk.keyspace._grant_ledger import GrantLedger
 from carobwalk.keyspace._key_reader import KeyReader
+from carobwalk.keyspace._lease_keeper import keep_lease
+from carobwalk.keyspace._map_claim import claim_map
 from carobwalk.keyspace._map_writer import MapWriter
 from carobwalk.keyspace._order_desk import OrderDesk
-from carobwalk.keyspace._service_coordinator import (
-    CoordinatorParts,
-    ServiceCoordinator,
-)
+from carobwalk.keyspace._service_coordinator import ServiceCoordinator
 from carobwalk.keyspace._term import Term
+from carobwalk.keyspace._term_events import TermStarted
 from carobwalk.model import Endpoint, ServiceName
-from carobwalk.store import LeaseId, LeaseLost, TransactionalStore
+from carobwalk.store import LeaseId, TransactionalStore
 
 _JITTER_SECONDS = 0.08
 _PAUSE_SECONDS = 0.2
-_RETRY_SECONDS = 0.15
-_SETTLED_SLACK_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -130,48 +123,31 @@
 
     async def _serve_term(self, term: Term) -> None:
         self._term = term
-        self._parts.coordination.collector.is_coordinator = True
+        self._tell_coordinating(is_coordinator=True)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._keep_lease, term)
+            nursery.start_soon(
+                keep_lease, term, self._parts.store, self._parts.coordination
+            )
             await self._coordinate(term)
             nursery.cancel_scope.cancel()
-        self._parts.coordination.collector.is_coordinator = False
+        self._tell_coordinating(is_coordinator=False)
         self._coordinators_by_service.clear()
         self._term = None
 
-    async def _keep_lease(self, term: Term) -> None:
-        """Renew the lease until it is lost."""
+    def _tell_coordinating(self, *, is_coordinator: bool) -> None:
         coordination = self._parts.coordination
-        times = coordination.orders.times
-        pause = times.keep_alive
-        while not term.is_over:
-            await trio.sleep(pause)
-            pause = times.keep_alive
-            sent = coordination.clock.now()
-            failure: object = 'no answer in time'
-            # A renewal that is answered late is worth less than the next one.
-            with trio.move_on_after(times.doubt):
-                kept = await self._parts.store.keep_alive(term.lease)
-                if not isinstance(kept, Err):
-                    term.renew(sent)
-                    continue
-                failure = kept.err_value
-            if isinstance(failure, LeaseLost):
-                term.end()
-                self._log_end(term, 'lease lost')
-                return
-            coordination.events.emit(
-                TermInDoubt(term.lease, round(term.left, 3), repr(failure)),
-            )
-            pause = _RETRY_SECONDS
+        coordination.collector.is_coordinator = is_coordinator
+        coordination.feed.is_coordinator = is_coordinator
+        if not is_coordinator:
+            coordination.feed.clear()
 
     async def _coordinate(self, term: Term) -> None:
         """Coordinate each service until the term is over."""
         async with trio.open_nursery() as nursery:
             while not term.is_over:
-                for service in tuple(self._parts.keyed_services()):
-                    if service not in self._coordinators_by_service:
-                        await self._claim(service, term, nursery)
+                services = frozenset(self._parts.keyed_services())
+                for service in services - set(self._coordinators_by_service):
+                    await self._claim(service, term, nursery)
                 await trio.sleep(_PAUSE_SECONDS)
             nursery.cancel_scope.cancel()
 
@@ -181,49 +157,26 @@
         term: Term,
         nursery: trio.Nursery,
     ) -> None:
-        """Claim a service's map, which shuts earlier coordinators out."""
+        """Claim a service's map, and coordinate it from then on."""
         coordination = self._parts.coordination
         writer = MapWriter(self._parts.store, service, coordination.events)
-        read = await writer.read()
-        if isinstance(read, Err):
+        claim = await claim_map(writer, coordination.orders.times)
+        if claim is None:
             return
-        record = read.ok_value
-        key_map = writer.decode(record)
-        settled = record is not None and is_settled(record.content)
-        if key_map.ranges:
-            claimed = await writer.write(key_map)
-            if claimed is None or claimed.ranges != key_map.ranges:
-                return
-            key_map = claimed
-        inherited = self._inherited(key_map, is_settled=settled)
-        coordination.events.emit(
-            TermStarted(term.lease, round(inherited.unanswered, 3)),
-        )
+        unanswered = claim.inherited.unanswered
+        coordination.events.emit(TermStarted(term.lease, round(unanswered, 3)))
         ledger = GrantLedger(
             coordination.orders.times,
             coordination.clock,
-            inherited,
+            claim.inherited,
         )
+        desk = OrderDesk(coordination.orders, term, ledger)
         coordinator = ServiceCoordinator(
             service,
             coordination,
             term,
-            OrderDesk(coordination.orders, term, ledger),
+            desk,
             writer,
         )
         self._coordinators_by_service[service] = coordinator
-        nursery.start_soon(coordinator.run, key_map)
-
-    def _inherited(self, key_map: KeyMap, *, is_settled: bool) -> Inherited:
-        times = self._parts.coordination.orders.times
-        if not key_map.ranges and not key_map.revision:
-            return Inherited(holds=0, unanswered=0)
-        if is_settled:
-            return Inherited(
-                holds=times.inherited,
-                unanswered=_SETTLED_SLACK_SECONDS,
-            )
-        return Inherited(holds=times.inherited, unanswered=times.inherited)
-
-    def _log_end(self, term: Term, cause: str) -> None:
-        self._parts.coordination.events.emit(TermEnded(term.lease, cause))
+        nursery.start_soon(coordinator.run, claim.key_map)
--- a/src/carobwalk/keyspace/_events.py
+++ b/src/carobwalk/keyspace/_events.py
@@ -1,9 +1,10 @@
 """Events of the ownership of numbered keys."""
 
 from dataclasses import dataclass
-from typing import ClassVar
+from typing import ClassVar, Self
 
 from carobwalk.events import Event
+from carobwalk.keyspace._move import Move
 
 
 @dataclass(frozen=True, slots=True)
@@ -13,12 +14,14 @@
     Args:
         service: The service.
         revision: Revision of its record.
+        number: Number of the update since that revision.
         ranges: Number of ranges.
         ungranted: Ranges whose owner is not known to hold its grant.
     """
 
     service: str
     revision: int
+    number: int
     ranges: int
     ungranted: int
 
@@ -51,49 +54,6 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class TermStarted(Event):
-    """This process coordinates from now on.
-
-    Args:
-        lease: Lease that holds the role.
-        inherited: Seconds for which grants of earlier coordinators may hold.
-    """
-
-    lease: str
-    inherited: float
-
-
-@dataclass(frozen=True, slots=True)
-class TermEnded(Event):
-    """This process coordinates no more.
-
-    Args:
-        lease: Lease that held the role.
-        cause: Why it ended.
-    """
-
-    lease: str
-    cause: str
-
-
-@dataclass(frozen=True, slots=True)
-class TermInDoubt(Event):
-    """The lease of the role could not be renewed for a while.
-
-    Args:
-        lease: Lease that holds the role.
-        left: Seconds until it may have lapsed.
-        detail: What went wrong.
-    """
-
-    level: ClassVar[str] = 'warning'
-
-    lease: str
-    left: float
-    detail: str
-
-
 @dataclass(frozen=True, slots=True)
 class KeysAssigned(Event):
     """A range of keys gets another owner.
@@ -114,6 +74,18 @@
     fence: int
     cause: str
 
+    @classmethod
+    def of(cls, service: str, move: Move, fence: int) -> Self:
+        """Return the event of a move."""
+        return cls(
+            service,
+            move.first,
+            move.last,
+            move.owner.server,
+            fence,
+            move.cause,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class KeysGranted(Event):
--- a/src/carobwalk/keyspace/_grant_ledger.py
+++ b/src/carobwalk/keyspace/_grant_ledger.py
@@ -67,9 +67,7 @@
     def unanswered(self, life: ServerLife, hold: float) -> None:
         """Take in that a grant just got no answer."""
         times = self._times
-        end = (
-            self._clock.now() + times.arrival_slack + times.latest_end(hold)
-        )
+        end = self._clock.now() + times.arrival_slack + times.latest_end(hold)
         known = self._unanswered_by_life.get(life, -math.inf)
         self._unanswered_by_life[life] = max(known, end)
 
--- a/src/carobwalk/keyspace/_key_load.py
+++ b/src/carobwalk/keyspace/_key_load.py
@@ -46,7 +46,7 @@
         self._decay(now)
         self._keys = sorted(self._counts_by_key)
         counts = [self._counts_by_key[key] for key in self._keys]
-        self._sums = list(accumulate(counts, initial=0.0))
+        self._sums = list(accumulate(counts, initial=0))
 
     @property
     def total(self) -> float:
@@ -57,8 +57,9 @@
         if not self._sums[-1]:
             return 1.0
         age = max(self._updated - self._started, _WINDOW_SECONDS / 2)
-        weight = _WINDOW_SECONDS * (1 - math.exp(-age / _WINDOW_SECONDS))
-        return self._sums[-1] / weight
+        seen = 1 - math.exp(-age / _WINDOW_SECONDS)
+        seconds = _WINDOW_SECONDS * seen
+        return self._sums[-1] / seconds
 
     def rate(self, first: int, last: int) -> float:
         """Return the requests a second for a range of keys."""
@@ -67,8 +68,10 @@
             return even
         low = bisect_left(self._keys, first)
         high = bisect_left(self._keys, last + 1)
-        share = (self._sums[high] - self._sums[low]) / self._sums[-1]
-        return self.total * (share + (even - share) * _EVEN_SHARE)
+        counted = self._sums[high] - self._sums[low]
+        share = counted / self._sums[-1]
+        share += (even - share) * _EVEN_SHARE
+        return self.total * share
 
     def split_point(self, first: int, last: int, wanted: float) -> int:
         """Return the last key of a part that begins a range.
@@ -90,13 +93,16 @@
                 low = middle
             else:
                 high = middle - 1
-        if low < last:
-            below = wanted - self.rate(first, low) if low >= first else wanted
-            above = self.rate(first, low + 1) - wanted
-            if above < below:
-                return low + 1
+        if low < last and self._is_next_closer(first, low, wanted):
+            return low + 1
         return low
 
+    def _is_next_closer(self, first: int, end: int, wanted: float) -> bool:
+        """Return whether one more key comes closer to a wanted rate."""
+        rate = self.rate(first, end) if end >= first else 0
+        above = self.rate(first, end + 1) - wanted
+        return above < wanted - rate
+
     def _decay(self, now: float) -> None:
         factor = math.exp(-max(now - self._updated, 0) / _WINDOW_SECONDS)
         self._updated = now
--- a/src/carobwalk/keyspace/_key_map.py
+++ b/src/carobwalk/keyspace/_key_map.py
@@ -3,6 +3,8 @@
 from bisect import bisect_right
 from collections.abc import Iterable, Iterator
 from dataclasses import replace
+from itertools import chain
+from operator import attrgetter
 
 from carobwalk.keyspace._key_range import MOST_KEY, KeyRange
 
@@ -52,12 +54,10 @@
             changed: New ranges, which may cut existing ones.
         """
         ranges = list(self.ranges)
-        for part in changed:
-            ranges = [
-                piece for old in ranges for piece in cut_out(old, part)
-            ]
-            ranges.append(part)
-        ranges.sort(key=lambda part: part.first)
+        for laid in changed:
+            cut = (cut_out(old, laid) for old in ranges)
+            ranges = [laid, *chain.from_iterable(cut)]
+        ranges.sort(key=attrgetter('first'))
         return KeyMap(join_alike(ranges), self.revision)
 
 
--- a/src/carobwalk/keyspace/_key_reader.py
+++ b/src/carobwalk/keyspace/_key_reader.py
@@ -16,12 +16,15 @@
     KeyRecordDamaged,
 )
 from carobwalk.keyspace._key_map import KeyMap
+from carobwalk.keyspace._map_messages import MapUpdate, MapVersion
 from carobwalk.model import Endpoint, ServiceName
 from carobwalk.store import Listing, Removed, Versioned
 
 
 class KeyReader:
-    """Maps and coordinator as they were last read; a ``RecordReader``.
+    """Maps and coordinator as they were last heard of.
+
+    It is a ``RecordReader`` of the coordinator's record.
 
     Args:
         events: Log of events.
@@ -30,6 +33,7 @@
     def __init__(self, events: EventLog) -> None:
         self._events = events
         self._maps_by_service: dict[ServiceName, KeyMap] = {}
+        self._versions_by_service: dict[ServiceName, MapVersion] = {}
         self.coordinator: Endpoint | None = None
         self.changed = trio.Event()
 
@@ -37,56 +41,73 @@
         """Return the map of a service's keys."""
         return self._maps_by_service.get(service)
 
+    def versions(self) -> dict[str, MapVersion]:
+        """Return the versions of the maps by service."""
+        return {
+            str(service): version
+            for service, version in self._versions_by_service.items()
+        }
+
     def load(self, listing: Listing, *, after_outage: bool) -> None:
-        """Take all records."""
+        """Take the record of the coordinator, if there is one."""
         if all(row.name != COORDINATOR_NAME for row in listing.records):
             self._set_coordinator(None, listing.revision)
         for row in listing.records:
-            self._take(row)
-        self._notify()
+            self.apply(row)
 
     def apply(self, change: Versioned | Removed) -> None:
-        """Take one change."""
+        """Take one change of the coordinator's record."""
+        if change.name != COORDINATOR_NAME:
+            return
         if isinstance(change, Versioned):
-            self._take(change)
-        elif change.name == COORDINATOR_NAME:
+            self._take_coordinator(change)
+        else:
             self._set_coordinator(None, change.revision)
         self._notify()
 
-    def _take(self, row: Versioned) -> None:
-        if row.name == COORDINATOR_NAME:
-            self._take_coordinator(row)
-        elif row.name.startswith(MAP_PREFIX):
-            self._take_map(row)
-
-    def _take_coordinator(self, row: Versioned) -> None:
-        decoded = decode_coordinator(row.content)
-        if isinstance(decoded, Err):
-            detail = decoded.err_value.detail
-            self._events.emit(KeyRecordDamaged(row.name, detail))
-            return
-        self._set_coordinator(decoded.ok_value, row.revision)
+    def take_maps(self, listing: Listing) -> None:
+        """Take maps that were read from the store."""
+        for row in listing.records:
+            self.take_update(
+                MapUpdate(
+                    row.name.removeprefix(MAP_PREFIX),
+                    MapVersion(row.revision),
+                    row.content,
+                ),
+            )
 
-    def _take_map(self, row: Versioned) -> None:
-        service = ServiceName(row.name.removeprefix(MAP_PREFIX))
-        known = self._maps_by_service.get(service)
-        if known is not None and known.revision >= row.revision:
+    def take_update(self, update: MapUpdate) -> None:
+        """Take a map if it is newer than the one known."""
+        service = ServiceName(update.service)
+        known = self._versions_by_service.get(service, MapVersion(0))
+        if update.version <= known:
             return
-        decoded = decode_map(row.content, row.revision)
+        decoded = decode_map(update.content, update.version.revision)
         if isinstance(decoded, Err):
             detail = decoded.err_value.detail
-            self._events.emit(KeyRecordDamaged(row.name, detail))
+            self._events.emit(KeyRecordDamaged(service, detail))
             return
         key_map = decoded.ok_value
         self._maps_by_service[service] = key_map
+        self._versions_by_service[service] = update.version
         self._events.emit(
             KeyMapChanged(
-                service,
-                row.revision,
-                len(key_map),
-                sum(1 for part in key_map if not part.is_granted),
+                service=service,
+                revision=update.version.revision,
+                number=update.version.number,
+                ranges=len(key_map),
+                ungranted=sum(1 for part in key_map if not part.is_granted),
             ),
         )
+        self._notify()
+
+    def _take_coordinator(self, row: Versioned) -> None:
+        decoded = decode_coordinator(row.content)
+        if isinstance(decoded, Err):
+            detail = decoded.err_value.detail
+            self._events.emit(KeyRecordDamaged(row.name, detail))
+            return
+        self._set_coordinator(decoded.ok_value, row.revision)
 
     def _set_coordinator(
         self,
--- /dev/null
+++ b/src/carobwalk/keyspace/_map_follower.py
@@ -0,0 +1,80 @@
+"""Following of the coordinator's maps."""
+
+from typing import Final
+
+import msgspec
+import trio
+from result import Err, Ok
+
+from carobwalk.keyspace._codec import MAP_PREFIX
+from carobwalk.keyspace._key_reader import KeyReader
+from carobwalk.keyspace._map_messages import (
+    MAP_TOPIC,
+    MapAnswer,
+    MapQuestion,
+)
+from carobwalk.model import Endpoint
+from carobwalk.peer import Peers
+from carobwalk.store import TransactionalStore
+
+_ANSWER_SECONDS: Final = 1.5
+_PAUSE_SECONDS: Final = 0.05
+_STORE_PAUSE_SECONDS: Final = 1.0
+
+
+class MapFollower:
+    """Learns of maps from the coordinator, else from the store.
+
+    Args:
+        peers: Sends the questions.
+        store: The key-value service.
+        reader: Takes the maps.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        store: TransactionalStore,
+        reader: KeyReader,
+    ) -> None:
+        self._peers = peers
+        self._store = store
+        self._reader = reader
+        self._read_at = float('-inf')
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            coordinator = self._reader.coordinator
+            if coordinator is None:
+                with trio.move_on_after(_STORE_PAUSE_SECONDS):
+                    await self._reader.changed.wait()
+            elif not await self._ask(coordinator):
+                await self._read_store()
+                await trio.sleep(_PAUSE_SECONDS)
+
+    async def _ask(self, coordinator: Endpoint) -> bool:
+        """Ask once; return whether the coordinator answered as such."""
+        question = MapQuestion(self._reader.versions())
+        answered = await self._peers.ask(
+            coordinator,
+            MAP_TOPIC,
+            msgspec.msgpack.encode(question),
+            _ANSWER_SECONDS,
+        )
+        if isinstance(answered, Err):
+            return False
+        answer = msgspec.msgpack.decode(answered.ok_value, type=MapAnswer)
+        for update in answer.updates:
+            self._reader.take_update(update)
+        return answer.is_coordinator
+
+    async def _read_store(self) -> None:
+        """Read the maps from the store, not too often."""
+        now = trio.current_time()
+        if now - self._read_at < _STORE_PAUSE_SECONDS:
+            return
+        self._read_at = now
+        listed = await self._store.list_records(MAP_PREFIX)
+        if isinstance(listed, Ok):
+            self._reader.take_maps(listed.ok_value)
--- /dev/null
+++ b/src/carobwalk/keyspace/_map_messages.py
@@ -0,0 +1,58 @@
+"""Messages by which processes learn of maps from the coordinator."""
+
+from typing import Final
+
+import msgspec
+
+from carobwalk.peer import Topic
+
+MAP_TOPIC: Final = Topic('keyspace.map')
+
+
+class MapVersion(msgspec.Struct, array_like=True, frozen=True, order=True):
+    """Version of a map.
+
+    Args:
+        revision: Revision of its record in the store.
+        number: Number of the update since then: confirmed grants are told to
+            processes before they are written.
+    """
+
+    revision: int
+    number: int = 0
+
+
+class MapQuestion(msgspec.Struct, array_like=True):
+    """Asks for maps that are newer than those known.
+
+    Args:
+        known: Versions by service.
+    """
+
+    known: dict[str, MapVersion]
+
+
+class MapUpdate(msgspec.Struct, array_like=True):
+    """A map.
+
+    Args:
+        service: Service whose keys it divides.
+        version: Its version.
+        content: The map as a record.
+    """
+
+    service: str
+    version: MapVersion
+    content: bytes
+
+
+class MapAnswer(msgspec.Struct, array_like=True):
+    """Newer maps, if there are any.
+
+    Args:
+        is_coordinator: Whether the process coordinates.
+        updates: The maps.
+    """
+
+    is_coordinator: bool
+    updates: tuple[MapUpdate, ...]
--- a/src/carobwalk/keyspace/_server_lives.py
+++ b/src/carobwalk/keyspace/_server_lives.py
@@ -19,7 +19,7 @@
 
     def refresh(self) -> None:
         """Take in the directory as it stands."""
-        for server in self._directory:
+        for server in self._directory.all_servers():
             life = life_of(server)
             self._servers_by_life[life] = server
             latest = self._latest_by_id.get(server.id, 0)
--- a/src/carobwalk/keyspace/_service_coordinator.py
+++ b/src/carobwalk/keyspace/_service_coordinator.py
@@ -1,42 +1,30 @@
 """Coordination of one service's keys during one term."""
 
-from collections.abc import Iterable
-from dataclasses import dataclass, replace
+import math
+from dataclasses import replace
+from typing import Final
 
 import trio
-from result import Ok
 
-from carobwalk.events import EventLog
 from carobwalk.keyspace._activation import Activation
-from carobwalk.keyspace._events import KeysAssigned, KeysGranted, OwnerLost
+from carobwalk.keyspace._coordinator_parts import CoordinatorParts
+from carobwalk.keyspace._events import KeysAssigned, KeysGranted
 from carobwalk.keyspace._key_map import KeyMap
-from carobwalk.keyspace._key_range import KeyRange, ServerLife
-from carobwalk.keyspace._load_collector import LoadCollector
+from carobwalk.keyspace._key_range import KeyRange
 from carobwalk.keyspace._map_writer import MapWriter
-from carobwalk.keyspace._order_desk import OrderDesk, OrderParts
-from carobwalk.keyspace._planner import Move, Planner, PlannerView
-from carobwalk.keyspace._server_lives import life_of
+from carobwalk.keyspace._move import BALANCING, Move
+from carobwalk.keyspace._order_desk import OrderDesk
+from carobwalk.keyspace._owned_map import OwnedMap
+from carobwalk.keyspace._planner import Planner
+from carobwalk.keyspace._renewals import Renewals
 from carobwalk.keyspace._term import Term
-from carobwalk.model import Clock, ServiceName
+from carobwalk.keyspace._view_builder import ViewBuilder
+from carobwalk.model import ServiceName
 
-_GATHER_SECONDS = 0.02
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CoordinatorParts:
-    """What coordination needs.
-
-    Args:
-        orders: What orders need.
-        collector: Load of all processes.
-        clock: Clock that runs on while the host is suspended.
-        events: Log of events.
-    """
-
-    orders: OrderParts
-    collector: LoadCollector
-    clock: Clock
-    events: EventLog
+# How long a grant may stay unwritten: a next coordinator would take the range
+# for one that is still on its way.
+_CONFIRM_SECONDS: Final = 0.5
+_BALANCE_SECONDS: Final = 0.3
 
 
 class ServiceCoordinator:
@@ -65,14 +53,13 @@
         self._term = term
         self._desk = desk
         self._writer = writer
-        self._map = KeyMap(())
-        self._granted: list[KeyRange] = []
+        self._owned = OwnedMap(KeyMap(()))
+        self._views = ViewBuilder(service, parts, desk.ledger)
         self._refused: list[KeyRange] = []
         self._activating: set[KeyRange] = set()
-        self._renewing: set[ServerLife] = set()
-        self._lost: set[ServerLife] = set()
         self._wake = trio.Event()
-        self._stopping = False
+        self._is_stopping = False
+        self._balance_at = -math.inf
 
     async def run(self, key_map: KeyMap) -> None:
         """Coordinate until the term is over.
@@ -80,139 +67,79 @@
         Args:
             key_map: The map as this process claimed it in the store.
         """
-        self._map = key_map
+        self._owned.replace(key_map)
+        if key_map.ranges:
+            self._publish()
+        renewals = Renewals(self._owned, self._desk, self._parts.orders)
         async with trio.open_nursery() as nursery:
-            while not self._term.is_over and not self._stopping:
-                self._start_tasks(nursery)
+            while not self._term.is_over and not self._is_stopping:
+                renewals.start(nursery)
+                self._start_activations(nursery)
                 if self._term.is_valid:
                     await self._step()
-                await self._pause()
+                with trio.move_on_after(self._parts.orders.times.tick):
+                    await self._wake.wait()
+                self._wake = trio.Event()
             nursery.cancel_scope.cancel()
 
     async def resign(self) -> None:
         """Stop, and leave the map to the next coordinator."""
-        self._stopping = True
+        self._is_stopping = True
         self._wake.set()
-        changed = self._confirmed()
-        if self._term.is_valid and self._map.ranges:
+        if self._term.is_valid and self._owned.written.ranges:
             await self._writer.write(
-                self._map.assign(changed),
+                self._owned.current(),
                 is_settled=self._desk.ledger.is_settled,
             )
 
-    async def _pause(self) -> None:
-        with trio.move_on_after(self._parts.orders.times.tick) as scope:
-            await self._wake.wait()
-        self._wake = trio.Event()
-        if not scope.cancelled_caught:
-            # More ranges may be granted in the same moment.
-            await trio.sleep(_GATHER_SECONDS)
-
     async def _step(self) -> None:
-        """Take in what was granted, and assign what needs an owner."""
+        """Write down what was granted, and assign what needs an owner."""
         self._parts.orders.lives.refresh()
-        confirmed = self._confirmed()
-        based = self._map.assign(confirmed)
+        based = self._owned.current()
         moves = self._plan(based)
-        if not moves and not confirmed:
+        if not moves and not self._refused and not self._must_confirm():
             return
-        changed = [self._assign(based, move) for move in moves]
-        changed.extend(self._assign_again(part) for part in self._refused)
+        changed = [self._owned.assignment(move) for move in moves]
+        # A fence that was refused is replaced by a higher one.
+        changed.extend(replace(part, fence=0) for part in self._refused)
         written = await self._writer.write(based.assign(changed))
         if written is None:
             return
         self._refused.clear()
-        self._map = written
-        for part, move in zip(changed, moves, strict=False):
-            self._log_assigned(part, move)
-
-    def _confirmed(self) -> list[KeyRange]:
-        """Return granted ranges that the map does not show as such yet."""
-        confirmed = [
-            replace(part, is_granted=True, previous=())
-            for part in self._granted
-            if self._stands(part)
-        ]
-        self._granted = [part for part in self._granted if self._stands(part)]
-        return confirmed
-
-    def _stands(self, part: KeyRange) -> bool:
-        """Return whether the map still holds a range as it was assigned."""
-        found = self._map.find(part.first)
-        return found == part
-
-    def _plan(self, key_map: KeyMap) -> tuple[Move, ...]:
-        collector = self._parts.collector
-        load = collector.load_of(self._service)
-        load.refresh(self._parts.clock.now())
-        servers = self._parts.orders.lives.registered(self._service)
-        if servers:
-            collector.refresh(servers[0].slots)
-        usable = {}
-        leaving = set()
-        for server in servers:
-            life = life_of(server)
-            if server.is_leaving:
-                leaving.add(life)
-            elif self._is_usable(life):
-                usable[life] = server.slots / collector.speeds.seconds(life)
-        now = self._parts.clock.now()
-        ledger = self._desk.ledger
-        return Planner(
-            PlannerView(
-                key_map=key_map,
-                usable=usable,
-                movable=frozenset(
-                    life
-                    for life in usable
-                    if ledger.free_after_release(life) <= now
-                ),
-                leaving=frozenset(leaving),
-                load=load,
-            ),
-        ).plan()
-
-    def _is_usable(self, life: ServerLife) -> bool:
-        watch = self._parts.orders.watch
-        if watch.is_usable(life):
-            self._lost.discard(life)
-            return True
-        if life not in self._lost:
-            self._lost.add(life)
-            end = self._desk.ledger.holds_until(life)
-            left = max(end - self._parts.clock.now(), 0)
-            cause = 'refused' if watch.is_dead(life) else 'silent'
+        self._owned.replace(written)
+        self._publish()
+        for move in moves:
             self._parts.events.emit(
-                OwnerLost(life.server, life.born, cause, round(left, 3)),
+                KeysAssigned.of(self._service, move, written.revision),
             )
-        return False
 
-    def _assign(self, key_map: KeyMap, move: Move) -> KeyRange:
-        holders: set[ServerLife] = set()
-        for old in key_map:
-            if old.last < move.first or old.first > move.last:
-                continue
-            holders.add(old.owner)
-            holders.update(old.previous)
-        return KeyRange(
-            first=move.first,
-            last=move.last,
-            owner=move.owner,
-            previous=tuple(sorted(holders - {move.owner})),
+    def _plan(self, key_map: KeyMap) -> tuple[Move, ...]:
+        now = self._parts.clock.now()
+        view = self._views.build(
+            key_map,
+            may_balance=now >= self._balance_at,
         )
-
-    def _assign_again(self, part: KeyRange) -> KeyRange:
-        """Return a range with a new fence in place of one that was refused."""
-        return replace(part, fence=0, is_granted=False)
-
-    def _start_tasks(self, nursery: trio.Nursery) -> None:
-        for part in self._map:
+        is_settled = self._views.are_servers_settled(view)
+        if not key_map.ranges and not is_settled:
+            return ()
+        moves = Planner(view).plan()
+        if any(move.cause in BALANCING for move in moves):
+            self._balance_at = now + _BALANCE_SECONDS
+        return moves
+
+    def _must_confirm(self) -> bool:
+        """Return whether a grant was not written for too long."""
+        age = self._parts.clock.now() - self._owned.oldest_unwritten()
+        return age >= _CONFIRM_SECONDS
+
+    def _publish(self) -> None:
+        self._parts.feed.publish(self._service, self._owned.current())
+
+    def _start_activations(self, nursery: trio.Nursery) -> None:
+        for part in self._owned.written:
             if not part.is_granted and part not in self._activating:
                 self._activating.add(part)
                 nursery.start_soon(self._activate, part)
-            if part.owner not in self._renewing:
-                self._renewing.add(part.owner)
-                nursery.start_soon(self._renew, part.owner)
 
     async def _activate(self, part: KeyRange) -> None:
         began = self._parts.clock.now()
@@ -221,12 +148,13 @@
             self._desk,
             self._parts.orders,
             self._parts.clock,
-            lambda: self._stands(part),
+            lambda: self._owned.stands(part),
         )
         is_granted = await activation.run()
         self._activating.discard(part)
         if is_granted:
-            self._granted.append(part)
+            self._owned.confirm(part, self._parts.clock.now())
+            self._publish()
             self._parts.events.emit(
                 KeysGranted(
                     service=self._service,
@@ -238,49 +166,6 @@
                     seconds=round(self._parts.clock.now() - began, 3),
                 ),
             )
-        elif activation.is_refused and self._stands(part):
+        elif activation.is_refused and self._owned.stands(part):
             self._refused.append(part)
         self._wake.set()
-
-    async def _renew(self, life: ServerLife) -> None:
-        """Renew the grants of a life for as long as it owns keys."""
-        times = self._parts.orders.times
-        while any(part.owner == life for part in self._map):
-            is_answered = True
-            if self._parts.orders.watch.is_usable(life):
-                is_answered = await self._renew_once(life)
-            await trio.sleep(times.renewal if is_answered else times.retry)
-        self._renewing.discard(life)
-
-    async def _renew_once(self, life: ServerLife) -> bool:
-        is_answered = True
-        for part in self._held(life):
-            renewed = await self._desk.grant(
-                part,
-                '',
-                lambda part=part: part in set(self._held(life)),
-            )
-            is_answered = is_answered and isinstance(renewed, Ok)
-        return is_answered
-
-    def _held(self, life: ServerLife) -> Iterable[KeyRange]:
-        """Return the ranges that a life was granted."""
-        granted = set(self._granted)
-        return [
-            part
-            for part in self._map
-            if part.owner == life and (part.is_granted or part in granted)
-        ]
-
-    def _log_assigned(self, part: KeyRange, move: Move) -> None:
-        self._parts.events.emit(
-            KeysAssigned(
-                service=self._service,
-                first=part.first,
-                last=part.last,
-                server=part.owner.server,
-                fence=part.fence or self._map.revision,
-                cause=move.cause,
-            ),
-        )
-
--- a/src/carobwalk/metrics/__init__.py
+++ b/src/carobwalk/metrics/__init__.py
@@ -1,6 +1,7 @@
 """Metrics by OpenTelemetry, scraped as Prometheus' text."""
 
 from carobwalk.metrics._counting_event_log import CountingEventLog
+from carobwalk.metrics._gateway_meter import GatewayMeter
 from carobwalk.metrics._metered_store import MeteredStore
 from carobwalk.metrics._metrics import Metrics
 from carobwalk.metrics._process_usage import cpu_seconds, resident_bytes
@@ -11,6 +12,7 @@
 __all__ = (
     'SCRAPE_PATH',
     'CountingEventLog',
+    'GatewayMeter',
     'MeteredStore',
     'Metrics',
     'Reading',
--- a/src/carobwalk/metrics/_metrics.py
+++ b/src/carobwalk/metrics/_metrics.py
@@ -71,7 +71,7 @@
             shutdown_on_exit=False,
         )
         self._meter = provider.get_meter(_PREFIX)
-        self._latencies = self._meter.create_histogram(
+        self.latencies = self._meter.create_histogram(
             'request.duration',
             unit=SECONDS,
             description='Time from the head of a request to its end.',
@@ -96,18 +96,7 @@
             seconds: Time from the head of the request to its end.
         """
         labels = {'service': service, 'rank': rank, 'outcome': outcome}
-        self._latencies.record(seconds, labels)
-
-    def record(
-        self,
-        service: str,
-        rank: int,
-        status: int,
-        seconds: float,
-    ) -> None:
-        """Count a request that ended; see ``RequestMeter``."""
-        labels = {'service': service, 'rank': rank, 'status': status}
-        self._latencies.record(seconds, labels)
+        self.latencies.record(seconds, labels)
 
     def record_retry(self, service: ServiceName) -> None:
         """Count a request that was sent to a backend server again."""
--- a/src/carobwalk/peer/_dialler.py
+++ b/src/carobwalk/peer/_dialler.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from carobwalk.http import connect_probed
 from carobwalk.model import Endpoint, ProcessId
 from carobwalk.peer._dialled import DialledConnection
 from carobwalk.peer._link import Link
@@ -54,10 +55,9 @@
     async def _dial(self, peer: Endpoint) -> DialledConnection | None:
         if self._nursery is None:
             return None
-        address = peer.address
         try:
             with trio.fail_after(_DIAL_SECONDS):
-                stream = await trio.open_tcp_stream(address.host, address.port)
+                stream = await connect_probed(peer.address)
         except (OSError, trio.TooSlowError):
             return None
         link = Link(stream, self._clock)
--- a/src/carobwalk/platform/_configuration.py
+++ b/src/carobwalk/platform/_configuration.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from carobwalk.model import ServiceName
+from carobwalk.platform import _configuration_messages as messages
 from carobwalk.routing import (
     CallerLimits,
     Destination,
@@ -21,66 +22,6 @@
 _IDEMPOTENT: Final = 'idempotent'
 _KINDS: Final = frozenset(('idempotent', 'non_idempotent', 'upload'))
 _BULK: Final = 'upload'
-_DEFAULT_CONNECTIONS: Final = 128
-
-
-class _Part(msgspec.Struct):
-    service: str
-    weight: float = 1.0
-
-
-class _Action(msgspec.Struct):
-    timeout_s: float
-    max_attempts: int = 1
-    service: str | None = None
-    traffic_split: tuple[_Part, ...] = ()
-
-
-class _Match(msgspec.Struct):
-    prefix: str
-
-
-class _Rule(msgspec.Struct):
-    kind: str
-    match: _Match
-    action: _Action
-    name: str = ''
-    target_latency_s: float | None = None
-    priority: int = 0
-
-
-class _Listener(msgspec.Struct):
-    host: str
-    rule_set: tuple[_Rule, ...] = ()
-
-
-class _Cluster(msgspec.Struct):
-    name: str
-    max_conns: int = _DEFAULT_CONNECTIONS
-    # True: each key is held by one backend.
-    sharded: bool = False
-
-
-class _Limits(msgspec.Struct):
-    max_header_bytes: int = CallerLimits.__dataclass_fields__[
-        'header_bytes'
-    ].default
-    max_body_bytes: int = CallerLimits.__dataclass_fields__[
-        'body_bytes'
-    ].default
-    header_timeout_s: float = CallerLimits.__dataclass_fields__[
-        'header_seconds'
-    ].default
-    idle_timeout_s: float = CallerLimits.__dataclass_fields__[
-        'idle_seconds'
-    ].default
-
-
-class _Configuration(msgspec.Struct):
-    version: str
-    listeners: tuple[_Listener, ...]
-    clusters: tuple[_Cluster, ...]
-    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 class ConfigurationError(msgspec.Struct, frozen=True):
@@ -98,14 +39,14 @@
 ) -> Result[RoutingConfiguration, ConfigurationError]:
     """Return the configuration that the operator wrote."""
     try:
-        raw = msgspec.json.decode(content, type=_Configuration)
+        raw = msgspec.json.decode(content, type=messages.Configuration)
         return _convert(raw)
     except (msgspec.MsgspecError, ValueError) as error:
         return Err(ConfigurationError(str(error)))
 
 
 def _convert(
-    raw: _Configuration,
+    raw: messages.Configuration,
 ) -> Result[RoutingConfiguration, ConfigurationError]:
     services_by_name = {
         ServiceName(cluster.name): RoutedService(
@@ -140,11 +81,11 @@
     return int(text[len(_VERSION_MARK) :])
 
 
-def _route(host: str, rule: _Rule) -> Route:
+def _route(host: str, rule: messages.Rule) -> Route:
     if rule.kind not in _KINDS:
         raise ValueError(f'unknown kind: {rule.kind!r}')
     action = rule.action
-    parts = action.traffic_split or (_Part(action.service or ''),)
+    parts = action.traffic_split or (messages.Part(action.service or ''),)
     is_idempotent = rule.kind == _IDEMPOTENT
     return Route(
         name=rule.name,
@@ -179,7 +120,7 @@
     return ''
 
 
-def _limits(raw: _Limits) -> CallerLimits:
+def _limits(raw: messages.Limits) -> CallerLimits:
     return CallerLimits(
         header_bytes=raw.max_header_bytes,
         body_bytes=raw.max_body_bytes,
--- a/src/carobwalk/platform/_store_client.py
+++ b/src/carobwalk/platform/_store_client.py
@@ -3,14 +3,20 @@
 import base64
 import binascii
 from http import HTTPStatus
-from typing import Any, Final, TypeVar
+from typing import Final
 
 import msgspec
 from result import Err, Ok, Result
 
-from carobwalk.http import ConnectFailed, HttpRequest, HttpResponse, HttpSender
+from carobwalk.http import HttpRequest, HttpResponse, HttpSender
 from carobwalk.model import Address
 from carobwalk.platform import _store_messages as messages
+from carobwalk.platform._store_calls import (
+    StoreCalls,
+    decode,
+    json_request,
+    unexpected,
+)
 from carobwalk.store import (
     Changes,
     Compacted,
@@ -21,7 +27,6 @@
     Removed,
     StoreFailure,
     Unanswered,
-    Unavailable,
     Versioned,
 )
 
@@ -29,11 +34,6 @@
 # How much longer than its own wait a watch may take to be answered.
 _WATCH_MARGIN_SECONDS: Final = 5.0
 _MILLISECONDS: Final = 1000
-_NOT_DONE: Final = frozenset(
-    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS),
-)
-
-_ReplyT = TypeVar('_ReplyT')
 
 
 class PlatformStore:
@@ -51,9 +51,7 @@
         address: Address,
         timeout: float = DEFAULT_TIMEOUT_SECONDS,
     ) -> None:
-        self._sender = sender
-        self._address = address
-        self._timeout = timeout
+        self._calls = StoreCalls(sender, address, timeout)
 
     async def list_records(
         self,
@@ -64,7 +62,7 @@
         query = {'prefix': prefix}
         first_revision = 0
         while True:
-            page = await self._get('/kv-range', query, messages.Page)
+            page = await self._calls.get('/kv-range', query, messages.Page)
             if isinstance(page, Err):
                 return page
             found = page.ok_value
@@ -87,7 +85,7 @@
             'after': str(after_revision),
             'wait_ms': str(int(timeout * _MILLISECONDS)),
         }
-        answered = await self._send(
+        answered = await self._calls.send(
             HttpRequest(method='GET', path='/kv-watch', query=query),
             timeout + _WATCH_MARGIN_SECONDS,
         )
@@ -95,7 +93,7 @@
             return answered
         if answered.ok_value.status == HTTPStatus.GONE:
             return Err(Compacted())
-        return _decode(answered.ok_value, messages.Watched).map(_changes)
+        return decode(answered.ok_value, messages.Watched).map(_changes)
 
     async def write(
         self,
@@ -134,7 +132,7 @@
 
     async def open_lease(self, ttl: float) -> Result[LeaseId, StoreFailure]:
         """Open a lease of ``ttl`` seconds."""
-        opened = await self._post(
+        opened = await self._calls.post(
             '/kv-lease',
             messages.LeaseWish(ttl),
             messages.Lease,
@@ -156,14 +154,14 @@
         lease: LeaseId,
     ) -> Result[None, StoreFailure]:
         request = HttpRequest(method=method, path=path)
-        answered = await self._send(request, self._timeout)
+        answered = await self._calls.send(request)
         if isinstance(answered, Err):
             return answered
         status = answered.ok_value.status
         if status == HTTPStatus.NOT_FOUND:
             return Err(LeaseLost(lease))
         if status >= HTTPStatus.MULTIPLE_CHOICES:
-            return Err(_unexpected(answered.ok_value))
+            return Err(unexpected(answered.ok_value))
         return Ok(None)
 
     async def _commit(
@@ -171,9 +169,8 @@
         transaction: messages.Transaction,
         lease: LeaseId | None,
     ) -> Result[int, StoreFailure]:
-        answered = await self._send(
-            _json_request('/kv-txn', transaction),
-            self._timeout,
+        answered = await self._calls.send(
+            json_request('/kv-txn', transaction),
         )
         if isinstance(answered, Err):
             return answered
@@ -182,75 +179,10 @@
             return Err(_conflict(response))
         if response.status == HTTPStatus.NOT_FOUND and lease:
             return Err(LeaseLost(lease))
-        return _decode(response, messages.Committed).map(
+        return decode(response, messages.Committed).map(
             lambda committed: committed.revision,
         )
 
-    async def _get(
-        self,
-        path: str,
-        query: dict[str, str],
-        reply_type: type[_ReplyT],
-    ) -> Result[_ReplyT, StoreFailure]:
-        request = HttpRequest(method='GET', path=path, query=query)
-        answered = await self._send(request, self._timeout)
-        return answered.and_then(
-            lambda response: _decode(response, reply_type),
-        )
-
-    async def _post(
-        self,
-        path: str,
-        message: msgspec.Struct,
-        reply_type: type[_ReplyT],
-    ) -> Result[_ReplyT, StoreFailure]:
-        request = _json_request(path, message)
-        answered = await self._send(request, self._timeout)
-        return answered.and_then(
-            lambda response: _decode(response, reply_type),
-        )
-
-    async def _send(
-        self,
-        request: HttpRequest,
-        timeout: float,
-    ) -> Result[HttpResponse, StoreFailure]:
-        sent = await self._sender.send(self._address, request, timeout)
-        if isinstance(sent, Ok):
-            return sent
-        failure = sent.err_value
-        if isinstance(failure, ConnectFailed):
-            return Err(Unavailable(failure.detail))
-        return Err(Unanswered(failure.detail))
-
-
-def _json_request(path: str, message: msgspec.Struct) -> HttpRequest:
-    return HttpRequest(
-        method='POST',
-        path=path,
-        headers={'content-type': 'application/json'},
-        body=msgspec.json.encode(message),
-    )
-
-
-def _decode(
-    response: HttpResponse,
-    reply_type: type[_ReplyT],
-) -> Result[_ReplyT, Any]:
-    if response.status != HTTPStatus.OK:
-        return Err(_unexpected(response))
-    try:
-        return Ok(msgspec.json.decode(response.body, type=reply_type))
-    except msgspec.MsgspecError as error:
-        return Err(Unanswered(f'reply that cannot be decoded: {error}'))
-
-
-def _unexpected(response: HttpResponse) -> StoreFailure:
-    detail = f'the store answered {response.status}'
-    if response.status in _NOT_DONE:
-        return Unavailable(detail)
-    return Unanswered(detail)
-
 
 def _conflict(response: HttpResponse) -> StoreFailure:
     try:
--- a/src/carobwalk/routing/_routes_in_force.py
+++ b/src/carobwalk/routing/_routes_in_force.py
@@ -45,14 +45,12 @@
     """The configuration that a process follows; its version never falls.
 
     Args:
-        split: Divides requests among services, and starts anew with each
-            configuration.
         events: Log of events.
     """
 
-    def __init__(self, split: SplitChoice, events: EventLog) -> None:
-        self._split = split
+    def __init__(self, events: EventLog) -> None:
         self._events = events
+        self.split = SplitChoice()
         self.table: RouteTable | None = None
 
     @property
@@ -71,7 +69,7 @@
         if configuration.version <= replaced:
             return
         self.table = RouteTable(configuration)
-        self._split.forget()
+        self.split = SplitChoice()
         self._events.emit(
             RoutesReplaced(
                 configuration.version,
--- a/src/carobwalk/routing/_split_choice.py
+++ b/src/carobwalk/routing/_split_choice.py
@@ -1,5 +1,8 @@
 """Choice among the services that share a route."""
 
+from collections import defaultdict
+from functools import partial
+
 from carobwalk.model import ServiceName
 from carobwalk.routing._route import Route
 
@@ -15,27 +18,17 @@
         self._credits_by_service_by_route: dict[
             Route,
             dict[ServiceName, float],
-        ] = {}
+        ] = defaultdict(partial(defaultdict, float))
 
     def choose(self, route: Route) -> ServiceName:
         """Return the service for the next request of a route."""
         first = route.destinations[0]
         if len(route.destinations) == 1:
             return first.service
-        credits_by_service = self._credits_by_service_by_route.get(route)
-        if credits_by_service is None:
-            credits_by_service = dict.fromkeys(
-                (share.service for share in route.destinations),
-                0.0,
-            )
-            self._credits_by_service_by_route[route] = credits_by_service
+        credits_by_service = self._credits_by_service_by_route[route]
         total = sum(share.weight for share in route.destinations)
         for share in route.destinations:
             credits_by_service[share.service] += share.weight / total
         chosen = max(credits_by_service, key=credits_by_service.__getitem__)
         credits_by_service[chosen] -= 1
         return chosen
-
-    def forget(self) -> None:
-        """Drop what is known of earlier requests."""
-        self._credits_by_service_by_route.clear()
--- a/src/carobwalk/settings/_gateway.py
+++ b/src/carobwalk/settings/_gateway.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Annotated
+from typing import Annotated, Final
 
 import msgspec
 
@@ -11,8 +11,11 @@
 from carobwalk.settings._names import DataCentreField, RegionField
 from carobwalk.settings._process import Process
 
-_Count = Annotated[int, msgspec.Meta(ge=1, le=10_000_000)]
-_Seconds = Annotated[float, msgspec.Meta(ge=0, le=3600)]
+_MOST_COUNT: Final = 10_000_000
+_MOST_SECONDS: Final = 3600
+
+_Count = Annotated[int, msgspec.Meta(ge=1, le=_MOST_COUNT)]
+_Seconds = Annotated[float, msgspec.Meta(ge=0, le=_MOST_SECONDS)]
 _Share = Annotated[float, msgspec.Meta(ge=0, le=10)]
 
 
--- a/src/carobwalk/store/_follower.py
+++ b/src/carobwalk/store/_follower.py
@@ -22,6 +22,7 @@
 _FIRST_PAUSE_SECONDS: Final = 0.1
 _LONGEST_PAUSE_SECONDS: Final = 0.5
 _PAUSE_GROWTH: Final = 1.5
+_JITTER: Final = (0.5, 1.5)
 # Failures shorter than this are no outage: no entry has lapsed meanwhile.
 _OUTAGE_SECONDS: Final = 1.0
 
@@ -116,7 +117,7 @@
                 continue
             self._lose(failure)
             # Jitter keeps the processes from calling in step after an outage.
-            await trio.sleep(pause * random.uniform(0.5, 1.5))
+            await trio.sleep(pause * random.uniform(*_JITTER))
             pause = min(pause * _PAUSE_GROWTH, _LONGEST_PAUSE_SECONDS)
 
     async def _step(
