--- a/src/carobwalk/keyspace/_key_load.py
+++ b/src/carobwalk/keyspace/_key_load.py
@@ -104,7 +104,8 @@
         return above < wanted - rate
 
     def _decay(self, now: float) -> None:
-        factor = math.exp(-max(now - self._updated, 0) / _WINDOW_SECONDS)
+        age = max(now - self._updated, 0)
+        factor = math.exp(-age / _WINDOW_SECONDS)
         self._updated = now
         self._counts_by_key = {
             key: count * factor
--- a/src/carobwalk/keyspace/_owned_map.py
+++ b/src/carobwalk/keyspace/_owned_map.py
@@ -33,6 +33,14 @@
         """Take in that the owner of a range took its grant."""
         self._granted_at_by_range[part] = now
 
+    def ungranted(self) -> list[KeyRange]:
+        """Return the ranges whose owner did not take its grant yet."""
+        return [
+            part
+            for part in self.written
+            if not (part.is_granted or part in self._granted_at_by_range)
+        ]
+
     def stands(self, part: KeyRange) -> bool:
         """Return whether the store still has a range as it was assigned."""
         return self.written.find(part.first) == part
--- a/src/carobwalk/keyspace/_service_coordinator.py
+++ b/src/carobwalk/keyspace/_service_coordinator.py
@@ -136,8 +136,8 @@
         self._parts.feed.publish(self._service, self._owned.current())
 
     def _start_activations(self, nursery: trio.Nursery) -> None:
-        for part in self._owned.written:
-            if not part.is_granted and part not in self._activating:
+        for part in self._owned.ungranted():
+            if part not in self._activating:
                 self._activating.add(part)
                 nursery.start_soon(self._activate, part)
 
