Contain faults of one connection; say why the gateway answered itself

The pool reads its list anew after each wait, a closed connection is not usable, and a fault ends one connection with a line in the log.

--- a/src/carobwalk/app/_gateway_process.py
+++ b/src/carobwalk/app/_gateway_process.py
@@ -19,14 +19,10 @@
 from carobwalk.app._gateway_records import follow_records
 from carobwalk.app._listeners import open_listener
 from carobwalk.app._no_forwarder import NoForwarder
-from carobwalk.app._readiness_handler import ReadinessHandler
+from carobwalk.app._small_servers import serve_small_requests
 from carobwalk.app._stop import ProcessStopped, ProcessStopping
 from carobwalk.gateway import LoadTable, RepeatBudgets
-from carobwalk.http import HttpHandler, serve_http
 from carobwalk.keyspace import KeyReader
-from carobwalk.metrics import ScrapeHandler
-from carobwalk.model import Address
-from carobwalk.platform import READINESS_PATH
 from carobwalk.settings import GatewaySettings, load_gateway_settings
 
 _STOP_SIGNALS: Final = frozenset((signal.SIGTERM, signal.SIGINT))
@@ -102,7 +98,7 @@
                 await open_listener(listen.peers),
                 NoForwarder(),
             )
-            await self._start_small_servers(nursery)
+            await serve_small_requests(core, self._is_ready, nursery)
             self._records.start(nursery)
             nursery.start_soon(self._keyspace.role.run)
             nursery.start_soon(self._keyspace.reporter.run)
@@ -116,23 +112,6 @@
             nursery.cancel_scope.cancel()
         return is_graceful
 
-    async def _start_small_servers(self, nursery: trio.Nursery) -> None:
-        core = self._core
-        handlers_by_address: dict[Address, HttpHandler] = {
-            core.settings.listen.readiness: ReadinessHandler(
-                READINESS_PATH,
-                self._is_ready,
-            ),
-            core.settings.listen.metrics: ScrapeHandler(core.metrics),
-        }
-        for address, handler in handlers_by_address.items():
-            nursery.start_soon(
-                serve_http,
-                handler,
-                await open_listener(address),
-                core.events,
-            )
-
     async def _wait_and_stop(self, received: AsyncIterator[int]) -> bool:
         while True:
             number = signal.Signals(await anext(received))
--- /dev/null
+++ b/src/carobwalk/app/_small_servers.py
@@ -0,0 +1,42 @@
+"""Servers of readiness and metrics."""
+
+from collections.abc import Callable
+
+import trio
+
+from carobwalk.app._gateway_core import GatewayCore
+from carobwalk.app._listeners import open_listener
+from carobwalk.app._readiness_handler import ReadinessHandler
+from carobwalk.http import HttpHandler, serve_http
+from carobwalk.metrics import ScrapeHandler
+from carobwalk.model import Address
+from carobwalk.platform import READINESS_PATH
+
+
+async def serve_small_requests(
+    core: GatewayCore,
+    is_ready: Callable[[], bool],
+    nursery: trio.Nursery,
+) -> None:
+    """Answer the balancer and scrapes until the nursery is cancelled.
+
+    Args:
+        core: Parts of the process.
+        is_ready: Returns whether the process takes callers.
+        nursery: Runs the servers.
+
+    Raises:
+        OSError: If an address can not be listened on.
+    """
+    listen = core.settings.listen
+    handlers_by_address: dict[Address, HttpHandler] = {
+        listen.readiness: ReadinessHandler(READINESS_PATH, is_ready),
+        listen.metrics: ScrapeHandler(core.metrics),
+    }
+    for address, handler in handlers_by_address.items():
+        nursery.start_soon(
+            serve_http,
+            handler,
+            await open_listener(address),
+            core.events,
+        )
--- a/src/carobwalk/gateway/_attempt_log.py
+++ b/src/carobwalk/gateway/_attempt_log.py
@@ -44,6 +44,8 @@
         sends: How often it was sent.
         seconds: Time from its head to its answer.
         time_left: Time in seconds that the caller would still have waited.
+        cause: Why the gateway answered itself, ``None`` for an answer of a
+            backend server.
     """
 
     request: str
@@ -56,6 +58,7 @@
     sends: int
     seconds: float
     time_left: float
+    cause: str | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,3 +76,18 @@
     server: str
     sends: int
     seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionCrashed(Event):
+    """A fault of the program ended a caller's connection.
+
+    Args:
+        kind: Type of the exception.
+        detail: Its text.
+    """
+
+    level: ClassVar[str] = 'error'
+
+    kind: str
+    detail: str
--- a/src/carobwalk/gateway/_connection_pool.py
+++ b/src/carobwalk/gateway/_connection_pool.py
@@ -53,9 +53,9 @@
             longest_idle: Idle time in seconds after which a connection is
                 not used.
         """
-        idle = self._idle_by_life[server.life]
-        while idle:
-            connection = idle.pop()
+        # The list may be replaced during each wait.
+        while self._idle_by_life[server.life]:
+            connection = self._idle_by_life[server.life].pop()
             if _is_usable(connection, longest_idle):
                 return connection
             await connection.aclose()
--- a/src/carobwalk/gateway/_gateway_server.py
+++ b/src/carobwalk/gateway/_gateway_server.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from carobwalk.gateway._attempt_log import ConnectionCrashed
 from carobwalk.gateway._caller_connection import CallerConnection
 from carobwalk.gateway._gateway_service import GatewayService
 
@@ -65,5 +66,10 @@
             await connection.run()
         except trio.TooSlowError:
             return  # The caller doesn't take its answer.
+        except Exception as error:
+            # A fault of the program ends one connection, not the process.
+            self._service.events.emit(
+                ConnectionCrashed(type(error).__name__, str(error)),
+            )
         finally:
             self._connections.discard(connection)
--- a/src/carobwalk/gateway/_refusals.py
+++ b/src/carobwalk/gateway/_refusals.py
@@ -24,6 +24,7 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
         ((b'retry-after', f'{pause:.2f}'.encode()),),
         f'not run: {detail}\n'.encode(),
+        detail,
     )
 
 
@@ -32,6 +33,7 @@
     return Reply(
         HTTPStatus.BAD_GATEWAY,
         body=f'outcome unknown: {detail}\n'.encode(),
+        cause=detail,
     )
 
 
@@ -40,9 +42,10 @@
     return Reply(
         HTTPStatus.GATEWAY_TIMEOUT,
         body=b'no answer in time, outcome unknown\n',
+        cause='no answer in time',
     )
 
 
 def rejected(status: HTTPStatus, detail: str) -> Reply:
     """Return the answer to a request that is not acceptable."""
-    return Reply(status, body=f'{detail}\n'.encode())
+    return Reply(status, body=f'{detail}\n'.encode(), cause=detail)
--- a/src/carobwalk/gateway/_repeat_budget.py
+++ b/src/carobwalk/gateway/_repeat_budget.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 # Part of the allowance that is used: processes count at different moments.
-_USED_SHARE: Final = 0.7
+_USED_SHARE: Final = 0.85
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/carobwalk/gateway/_reply.py
+++ b/src/carobwalk/gateway/_reply.py
@@ -13,8 +13,11 @@
         status: HTTP status.
         headers: Header fields but those of one connection and the length.
         body: The whole body.
+        cause: Why the gateway answered itself, empty for an answer of a
+            backend server.
     """
 
     status: int
     headers: HeaderList = ()
     body: bytes = b''
+    cause: str = ''
--- a/src/carobwalk/gateway/_request_run.py
+++ b/src/carobwalk/gateway/_request_run.py
@@ -79,5 +79,6 @@
                 sends=progress.sends,
                 seconds=round(seconds, 4),
                 time_left=round(request.deadline - trio.current_time(), 4),
+                cause=reply.cause or None,
             ),
         )
--- a/src/carobwalk/gateway/_upstream_connection.py
+++ b/src/carobwalk/gateway/_upstream_connection.py
@@ -46,7 +46,8 @@
     @property
     def is_quiet(self) -> bool:
         """Whether the server has neither closed it nor written to it."""
-        return not self.stream.socket.is_readable()
+        is_open = self.stream.socket.fileno() >= 0
+        return is_open and not self.stream.socket.is_readable()
 
     @property
     def is_reusable(self) -> bool:
