Renew all grants when the lease comes into doubt; tests of ownership without network

Cause: tests/keyspace/test_coordination.py, an outage of the store of 8 s: the longest grants are sent between 0.8 s and 1.4 s after the last renewal of the lease, and the renewals of grants are 0.7 s apart, so some owners kept a grant of 2.5 s and lost their keys. Now doubt wakes all renewals at once, and a slow renewal of the lease does not hold up the next one.

--- a/src/carobwalk/keyspace/_lease_keeper.py
+++ b/src/carobwalk/keyspace/_lease_keeper.py
@@ -1,7 +1,5 @@
 """Renewal of the lease that holds the coordinator's role."""
 
-from typing import Final
-
 import trio
 from result import Err, Ok, Result
 
@@ -15,8 +13,6 @@
     Unanswered,
 )
 
-_RETRY_SECONDS: Final = 0.15
-
 
 async def keep_lease(
     term: Term,
@@ -30,32 +26,45 @@
         store: The key-value service.
         parts: What coordination needs.
     """
-    times = parts.orders.times
-    pause = times.keep_alive
-    while not term.is_over:
-        await trio.sleep(pause)
-        sent = parts.clock.now()
-        kept = await _renew(term, store, times.doubt)
-        pause = times.keep_alive
+    keeper = _LeaseKeeper(term, store, parts)
+    async with trio.open_nursery() as nursery:
+        while not term.is_over:
+            await trio.sleep(parts.orders.times.keep_alive)
+            # A slow answer must not hold up the next renewal.
+            nursery.start_soon(keeper.renew)
+
+
+class _LeaseKeeper:
+    def __init__(
+        self,
+        term: Term,
+        store: TransactionalStore,
+        parts: CoordinatorParts,
+    ) -> None:
+        self._term = term
+        self._store = store
+        self._parts = parts
+
+    async def renew(self) -> None:
+        """Renew the lease once."""
+        sent = self._parts.clock.now()
+        kept = await self._call()
         if isinstance(kept, Ok):
-            term.renew(sent)
-        elif isinstance(kept.err_value, LeaseLost):
-            term.end()
-            parts.events.emit(TermEnded(term.lease, 'lease lost'))
-        else:
-            pause = _RETRY_SECONDS
-            detail = repr(kept.err_value)
-            parts.events.emit(
-                TermInDoubt(term.lease, round(term.left, 3), detail),
-            )
-
-
-async def _renew(
-    term: Term,
-    store: TransactionalStore,
-    timeout: float,
-) -> Result[None, StoreFailure]:
-    # A renewal that is answered late is worth less than the next one.
-    with trio.move_on_after(timeout):
-        return await store.keep_alive(term.lease)
-    return Err(Unanswered(f'no answer within {timeout} s'))
+            self._term.renew(sent)
+        elif not isinstance(kept.err_value, LeaseLost):
+            self._log_doubt(kept.err_value)
+        elif not self._term.is_over:
+            self._term.end()
+            self._parts.events.emit(TermEnded(self._term.lease, 'lease lost'))
+
+    async def _call(self) -> Result[None, StoreFailure]:
+        timeout = self._parts.orders.times.lease
+        with trio.move_on_after(timeout):
+            return await self._store.keep_alive(self._term.lease)
+        return Err(Unanswered(f'no answer within {timeout} s'))
+
+    def _log_doubt(self, failure: StoreFailure) -> None:
+        left = round(self._term.left, 3)
+        self._parts.events.emit(
+            TermInDoubt(self._term.lease, left, repr(failure)),
+        )
--- a/src/carobwalk/keyspace/_service_coordinator.py
+++ b/src/carobwalk/keyspace/_service_coordinator.py
@@ -70,8 +70,14 @@
         self._owned.replace(key_map)
         if key_map.ranges:
             self._publish()
-        renewals = Renewals(self._owned, self._desk, self._parts.orders)
+        renewals = Renewals(
+            self._owned,
+            self._desk,
+            self._parts.orders,
+            self._term,
+        )
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(renewals.watch_doubt)
             while not self._term.is_over and not self._is_stopping:
                 renewals.start(nursery)
                 self._start_activations(nursery)
--- /dev/null
+++ b/tests/keyspace/scene.py
@@ -0,0 +1,209 @@
+"""Processes that coordinate keys over stand-ins, without a network."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+import trio
+from result import Err, Result
+
+from carobwalk.directory import BackendServer, ServerDirectory
+from carobwalk.events import Event, NullEventLog
+from carobwalk.keyspace import (
+    CoordinatorParts,
+    CoordinatorRole,
+    KeyReader,
+    KeyTimes,
+    LoadCollector,
+    MapFeed,
+    OrderParts,
+    RoleParts,
+    ServerLives,
+    ServerWatch,
+)
+from carobwalk.keyspace._codec import COORDINATOR_NAME
+from carobwalk.model import (
+    Address,
+    DataCentreName,
+    Endpoint,
+    RegionName,
+    ServerId,
+    ServiceName,
+    TrioClock,
+)
+from carobwalk.store import (
+    RecordFollower,
+    StoreFailure,
+    Unavailable,
+)
+from standins.platform import KeyHolder, KvStore, OrderBook
+
+SERVICE = ServiceName('registry')
+WATCHED = (0, 1000, 20_000, 40_000, 65_535)
+
+
+def make_server(number: int, born: int = 1) -> BackendServer:
+    """Return a registered backend server."""
+    return BackendServer(
+        id=ServerId(f's{number}'),
+        born=born,
+        service=SERVICE,
+        address=Address('127.0.0.1', 1000 + number),
+        data_centre=DataCentreName('dc1'),
+        slots=4,
+        is_leaving=False,
+    )
+
+
+class StoreLink:
+    """A process's way to the store, which can be cut."""
+
+    def __init__(self, store: KvStore) -> None:
+        self.is_cut = False
+        self._store = store
+
+    def __getattr__(self, name: str) -> Callable[..., object]:
+        async def call(*arguments: object) -> Result[object, StoreFailure]:
+            if self.is_cut:
+                await trio.sleep(0.05)
+                return Err(Unavailable('cut'))
+            return await getattr(self._store, name)(*arguments)
+
+        return call
+
+
+class RecordingLog:
+    """Log that keeps the events."""
+
+    def __init__(self) -> None:
+        self.events: list[Event] = []
+
+    def emit(self, event: Event) -> None:
+        """Keep an event."""
+        self.events.append(event)
+
+    def named(self, name: str) -> list[Event]:
+        """Return the events of a kind."""
+        return [event for event in self.events if type(event).__name__ == name]
+
+
+@dataclass
+class Router:
+    """One process."""
+
+    link: StoreLink
+    reader: KeyReader
+    role: CoordinatorRole
+    feed: MapFeed
+    collector: LoadCollector
+    log: RecordingLog
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    @property
+    def is_coordinating(self) -> bool:
+        """Whether it coordinates."""
+        return self.feed.is_coordinator
+
+
+class Scene:
+    """A store, backend servers and processes."""
+
+    def __init__(self, servers: int) -> None:
+        self.store = KvStore()
+        self.book = OrderBook(WATCHED)
+        clock = TrioClock()
+        self.clock = clock
+        self.directory = ServerDirectory(clock, NullEventLog())
+        self.directory.is_loaded = True
+        self.routers: list[Router] = []
+        self.nursery: trio.Nursery | None = None
+        for number in range(servers):
+            self.add_server(number)
+
+    def add_server(self, number: int, born: int = 1) -> BackendServer:
+        """Register a backend server that starts with no keys."""
+        server = make_server(number, born)
+        self.book.holders_by_id[server.id] = KeyHolder(born=born)
+        self.directory.put(server, 1)
+        return server
+
+    def leave(self, number: int) -> None:
+        """Let a backend server announce that it leaves."""
+        server = self.directory.get(ServerId(f's{number}'))
+        assert server is not None
+        self.directory.put(replace(server, is_leaving=True), 2)
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Run the stand-ins in a nursery."""
+        self.nursery = nursery
+        self.book.start(nursery)
+
+    def add_router(self, name: str, times: KeyTimes | None = None) -> Router:
+        """Start a process."""
+        assert self.nursery is not None
+        times = times or KeyTimes()
+        link = StoreLink(self.store)
+        log = RecordingLog()
+        reader = KeyReader(log)
+        feed = MapFeed()
+        collector = LoadCollector(self.clock)
+        follower = RecordFollower(
+            link,  # type: ignore[arg-type]
+            COORDINATOR_NAME,
+            reader,
+            self.clock,
+            log,
+        )
+        watch = ServerWatch(times, self.clock, collector.speeds.last_heard)
+        orders = OrderParts(
+            channel=self.book,
+            lives=ServerLives(self.directory),
+            watch=watch,
+            times=times,
+            events=log,
+        )
+        role = CoordinatorRole(
+            RoleParts(
+                own=Endpoint(
+                    name,
+                    Address('127.0.0.1', 1),
+                    RegionName('r'),
+                    DataCentreName('dc1'),
+                ),
+                store=link,  # type: ignore[arg-type]
+                reader=reader,
+                is_current=lambda: follower.is_current,
+                keyed_services=lambda: (SERVICE,),
+                coordination=CoordinatorParts(
+                    orders=orders,
+                    collector=collector,
+                    feed=feed,
+                    clock=self.clock,
+                    events=log,
+                ),
+            ),
+        )
+        router = Router(link, reader, role, feed, collector, log)
+        self.nursery.start_soon(self._run, router, follower)
+        self.routers.append(router)
+        return router
+
+    def kill(self, router: Router) -> None:
+        """End a process as SIGKILL does."""
+        router.scope.cancel()
+
+    def coordinator(self) -> Router:
+        """Return the process that coordinates."""
+        return next(router for router in self.routers if router.is_coordinating)
+
+    async def settle(self, seconds: float = 3) -> None:
+        """Wait until all keys have owners, at most some seconds."""
+        with trio.fail_after(seconds):
+            while None in {self.book.owner(key) for key in WATCHED}:
+                await trio.sleep(0.05)
+
+    async def _run(self, router: Router, follower: RecordFollower) -> None:
+        with router.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(follower.run)
+                nursery.start_soon(router.role.run)
+        router.feed.is_coordinator = False
