--- a/src/carobwalk/gateway/_request_reader.py
+++ b/src/carobwalk/gateway/_request_reader.py
@@ -18,6 +18,8 @@
 from carobwalk.routing import Route
 
 _SECONDS_PER_MILLISECOND: Final = 0.001
+# A colon, a space and a line break.
+_FIELD_EXTRA_BYTES: Final = 4
 _MOST_KEY: Final = 65_535
 _CONTINUE: Final = h11.InformationalResponse(status_code=100, headers=[])
 
@@ -49,6 +51,7 @@
             ) from error
         if not isinstance(event, h11.Request):
             return None
+        self._check_size(event)
         has_length = find_header(event.headers, b'content-length') is not None
         coding = find_header(event.headers, b'transfer-encoding')
         if has_length and coding is not None:
@@ -90,6 +93,19 @@
             deadline=arrived + seconds,
         )
 
+    def _check_size(self, head: h11.Request) -> None:
+        """Refuse a head over the limit that arrived in one piece."""
+        size = sum(
+            len(name) + len(text) + _FIELD_EXTRA_BYTES
+            for name, text in head.headers
+        )
+        size += len(head.target)
+        if size > self._service.limits().header_bytes:
+            raise RequestError(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                'header fields too large',
+            )
+
     def _find_route(self, head: h11.Request) -> Route:
         table = self._service.routes.table
         if table is None:
--- /dev/null
+++ b/standins/platform/_backend.py
@@ -0,0 +1,176 @@
+"""Backend server of the users' platform, with faults."""
+
+from collections import Counter
+from dataclasses import dataclass
+from enum import StrEnum, unique
+
+import h11
+import trio
+
+from carobwalk.http import H11Stream
+
+_ID = b'attempt-id'
+_EXPECTED = b'target-instance'
+_SIGNATURE = (b'response-signature', b'1.2.3')
+_BODY = b'made by the server\n'
+
+
+@unique
+class Fault(StrEnum):
+    """What a backend server does wrong with requests."""
+
+    NONE = 'none'
+    SHED = 'shed'
+    HANG = 'hang'
+    RESET = 'reset'
+    CUT = 'cut'
+    EXTRA = 'extra'
+    UNFRAMED = 'unframed'
+    UNSIGNED = 'unsigned'
+    NOISE = 'noise'
+    FAIL = 'fail'
+
+
+# Faults after which the connection ends.
+_ENDINGS = frozenset((Fault.RESET, Fault.CUT, Fault.NOISE, Fault.UNFRAMED))
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """A request that the server began to run."""
+
+    id: bytes
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+class PlatformBackend:
+    """Runs requests over HTTP/1.1.
+
+    Args:
+        name: Identity.
+        seconds: Time that a request takes.
+    """
+
+    def __init__(self, name: str, seconds: float = 0) -> None:
+        self.name = name
+        self.seconds = seconds
+        self.fault = Fault.NONE
+        self.faults_left = 0
+        self.seen: list[Seen] = []
+        self.dropped: list[bytes] = []
+        self.runs_by_id: Counter[bytes] = Counter()
+        self.connections = 0
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection."""
+        self.connections += 1
+        http = H11Stream(stream, h11.SERVER)
+        try:
+            while await self._serve_next(http):
+                http.protocol.start_next_cycle()
+        except (h11.ProtocolError, trio.BrokenResourceError):
+            return
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_next(self, http: H11Stream) -> bool:
+        head = await http.receive()
+        if not isinstance(head, h11.Request):
+            return False
+        body = await http.read_body(1_000_000) or b''
+        headers = dict(head.headers)
+        request_id = headers.get(_ID, b'')
+        if headers.get(_EXPECTED, b'').decode() != self.name:
+            await self._send(http, 421, request_id, [(b'not-executed', b'1')])
+            return http.is_reusable
+        fault = self._take_fault()
+        if fault is Fault.SHED:
+            await self._send(http, 503, request_id, [(b'not-executed', b'1')])
+            return http.is_reusable
+        seen = Seen(
+            request_id,
+            head.method,
+            head.target,
+            tuple(head.headers),
+            body,
+        )
+        self.seen.append(seen)
+        self.runs_by_id[request_id] += 1
+        if not await self._work(http, request_id):
+            return False
+        return await self._answer(http, request_id, fault)
+
+    async def _work(self, http: H11Stream, request_id: bytes) -> bool:
+        """Work on a request; stop when the other side closes."""
+        if not self.seconds:
+            return True
+        with trio.move_on_after(self.seconds):
+            chunk = await http.stream.receive_some(1)
+            if not chunk:
+                self.dropped.append(request_id)
+                return False
+        return True
+
+    def _take_fault(self) -> Fault:
+        if not self.faults_left:
+            return Fault.NONE
+        self.faults_left -= 1
+        return self.fault
+
+    async def _answer(
+        self,
+        http: H11Stream,
+        request_id: bytes,
+        fault: Fault,
+    ) -> bool:
+        if fault is Fault.HANG:
+            await trio.sleep_forever()
+        if fault in _ENDINGS:
+            await http.stream.send_all(_ending(fault, request_id))
+            return False
+        status = 500 if fault is Fault.FAIL else 200
+        signature = [] if fault is Fault.UNSIGNED else [_SIGNATURE]
+        await self._send(http, status, request_id, signature)
+        if fault is Fault.EXTRA:
+            stray = (
+                b'HTTP/1.1 200 OK\r\nattempt-id: other\r\n%s: %s\r\n'
+                b'content-length: 5\r\n\r\nstray'
+            )
+            await http.stream.send_all(stray % _SIGNATURE)
+        return http.is_reusable
+
+    async def _send(
+        self,
+        http: H11Stream,
+        status: int,
+        request_id: bytes,
+        headers: list[tuple[bytes, bytes]],
+    ) -> None:
+        await http.send(
+            h11.Response(
+                status_code=status,
+                headers=[
+                    (_ID, request_id),
+                    (b'instance-id', self.name.encode()),
+                    (b'content-length', str(len(_BODY)).encode()),
+                    *headers,
+                ],
+            ),
+            h11.Data(data=_BODY),
+            h11.EndOfMessage(),
+        )
+
+
+def _ending(fault: Fault, request_id: bytes) -> bytes:
+    """Return what is sent before the connection ends."""
+    if fault is Fault.CUT:
+        return b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf'
+    if fault is Fault.NOISE:
+        return b'\x00\x01 noise\r\n\r\n'
+    if fault is Fault.UNFRAMED:
+        head = b'HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n\r\n%s'
+        return head % (_ID, request_id, *_SIGNATURE, _BODY)
+    return b''
--- /dev/null
+++ b/tests/gateway/scene.py
@@ -0,0 +1,205 @@
+"""A gateway over loopback connections, with backend servers that fail."""
+
+from dataclasses import dataclass
+
+import h11
+import trio
+
+from carobwalk.directory import BackendServer, ServerDirectory
+from carobwalk.events import NullEventLog
+from carobwalk.gateway import (
+    ConnectionPool,
+    Forwarder,
+    ForwarderParts,
+    GatewayServer,
+    GatewayService,
+    KeyedChooser,
+    KeyOwner,
+    LoadTable,
+    NullRequestMeter,
+    Place,
+    RepeatBudgets,
+    RepeatRules,
+    UnkeyedChooser,
+)
+from carobwalk.http import H11Stream
+from carobwalk.model import (
+    Address,
+    DataCentreName,
+    RegionName,
+    ServerId,
+    ServiceName,
+    TrioClock,
+)
+from carobwalk.platform import PLATFORM_HEADERS, decode_configuration
+from carobwalk.routing import RoutesInForce
+from standins.platform import PlatformBackend
+
+HERE = DataCentreName('dc1')
+CONFIGURATION = b"""{"version":"r7",
+"limits":{"max_header_bytes":4096,"max_body_bytes":100000,
+ "header_timeout_s":1,"idle_timeout_s":5},
+"listeners":[{"host":"a.example","rule_set":[
+ {"name":"reads","kind":"idempotent","target_latency_s":0.25,"priority":0,
+  "match":{"prefix":"/reads/"},
+  "action":{"service":"reads","timeout_s":0.6,"max_attempts":2}},
+ {"name":"writes","kind":"non_idempotent","target_latency_s":0.3,"priority":1,
+  "match":{"prefix":"/writes/"},
+  "action":{"service":"writes","timeout_s":0.6,"max_attempts":2}},
+ {"name":"keyed","kind":"idempotent","target_latency_s":0.25,"priority":0,
+  "match":{"prefix":"/keyed/"},
+  "action":{"service":"keyed","timeout_s":0.6,"max_attempts":2}}]}],
+"clusters":[{"name":"reads"},{"name":"writes"},
+ {"name":"keyed","sharded":true}]}"""
+
+
+@dataclass(frozen=True)
+class Answer:
+    """What a caller got."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+class FixedOwners:
+    """Map in which one server owns all keys."""
+
+    def __init__(self) -> None:
+        self.server: BackendServer | None = None
+        self.counts: list[int] = []
+
+    def find(self, service: ServiceName, key: int) -> KeyOwner | None:
+        """Return the owner."""
+        return KeyOwner(self.server, True) if self.server else None
+
+    def count(self, service: ServiceName, key: int) -> None:
+        """Note a request."""
+        self.counts.append(key)
+
+    async def wait_for_change(self, service: ServiceName) -> None:
+        """Wait a moment."""
+        await trio.sleep(0.05)
+
+
+class GatewayScene:
+    """A gateway on loopback."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.nursery = nursery
+        self.is_stopping = False
+        self.directory = ServerDirectory(TrioClock(), NullEventLog())
+        self.routes = RoutesInForce(NullEventLog())
+        decoded = decode_configuration(CONFIGURATION)
+        self.routes.offer(decoded.ok_value, 1)
+        self.owners = FixedOwners()
+        self.loads = LoadTable(self.directory)
+        self.pool = ConnectionPool(self.directory, PLATFORM_HEADERS)
+        place = Place(HERE, {HERE: RegionName('r1')})
+        self.budgets = RepeatBudgets(
+            RepeatRules(ratio=2, slack=64, window=10),
+        )
+        forwarder = Forwarder(
+            ForwarderParts(
+                names=PLATFORM_HEADERS,
+                loads=self.loads,
+                pool=self.pool,
+                unkeyed=UnkeyedChooser(self.directory, self.loads, place),
+                keyed=KeyedChooser(self.owners, self.loads),
+                budgets=self.budgets,
+                events=NullEventLog(),
+            ),
+        )
+        self.server = GatewayServer(
+            GatewayService(
+                names=PLATFORM_HEADERS,
+                routes=self.routes,
+                forwarder=forwarder,
+                count_key=self.owners.count,
+                meter=NullRequestMeter(),
+                events=NullEventLog(),
+                is_stopping=lambda: self.is_stopping,
+            ),
+            100,
+        )
+        self._port = 0
+
+    async def start(self) -> None:
+        """Start the gateway."""
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        self._port = listeners[0].socket.getsockname()[1]
+        self.nursery.start_soon(self.server.run, listeners)
+
+    async def add_backend(
+        self,
+        service: str,
+        name: str,
+        seconds: float = 0,
+    ) -> PlatformBackend:
+        """Start and register a backend server."""
+        backend = PlatformBackend(name, seconds)
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        port = listeners[0].socket.getsockname()[1]
+        self.nursery.start_soon(trio.serve_listeners, backend.serve, listeners)
+        self.register(service, name, port)
+        return backend
+
+    def register(self, service: str, name: str, port: int) -> BackendServer:
+        """Register a backend server at a port."""
+        server = BackendServer(
+            id=ServerId(name),
+            born=1,
+            service=ServiceName(service),
+            address=Address('127.0.0.1', port),
+            data_centre=HERE,
+            slots=4,
+            is_leaving=False,
+        )
+        self.directory.put(server, 1)
+        return server
+
+    async def open(self) -> H11Stream:
+        """Connect as a caller."""
+        stream = await trio.open_tcp_stream('127.0.0.1', self._port)
+        return H11Stream(stream, h11.CLIENT)
+
+    async def ask(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        request_id: str = 'id1',
+        **headers: str,
+    ) -> Answer:
+        """Send one request on a connection of its own."""
+        http = await self.open()
+        answer = await exchange(http, method, path, body, request_id, **headers)
+        await trio.aclose_forcefully(http.stream)
+        return answer
+
+
+async def exchange(
+    http: H11Stream,
+    method: str,
+    path: str,
+    body: bytes = b'',
+    request_id: str = 'id1',
+    **headers: str,
+) -> Answer:
+    """Send one request on an open connection and read its answer."""
+    sent = {
+        'host': 'a.example',
+        'attempt-id': request_id,
+        'deadline-ms': '500',
+        'content-length': str(len(body)),
+        **{name.replace('_', '-'): text for name, text in headers.items()},
+    }
+    await http.send(
+        h11.Request(method=method, target=path, headers=list(sent.items())),
+        h11.Data(data=body),
+        h11.EndOfMessage(),
+    )
+    event = await http.receive()
+    assert isinstance(event, h11.Response)
+    read = await http.read_body(1_000_000)
+    return Answer(event.status_code, dict(event.headers), read or b'')
--- /dev/null
+++ b/tests/platform/test_store_client.py
@@ -0,0 +1,191 @@
+"""Calls to the users' store over its wire."""
+
+import pytest
+import trio
+from result import Ok
+
+from carobwalk.http import HttpClient, HttpRequest, HttpResponse, serve_http
+from carobwalk.model import Address
+from carobwalk.platform import PlatformStore
+from carobwalk.store import (
+    Compacted,
+    Conflict,
+    LeaseId,
+    LeaseLost,
+    Removed,
+    Unanswered,
+    Unavailable,
+)
+from standins.platform import KvHandler, KvStore
+
+
+class Front:
+    """Store that can answer other than its handler."""
+
+    def __init__(self) -> None:
+        self.store = KvStore()
+        self.answer: HttpResponse | None = None
+        self.delay = 0
+        self._handler = KvHandler(self.store)
+
+    async def __call__(self, request: HttpRequest) -> HttpResponse:
+        """Answer one call."""
+        await trio.sleep(self.delay)
+        return self.answer or await self._handler(request)
+
+
+def play(story) -> None:
+    """Run a story with a store and a client."""
+
+    async def body() -> None:
+        front = Front()
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        port = listeners[0].socket.getsockname()[1]
+        client = PlatformStore(
+            HttpClient(),
+            Address('127.0.0.1', port),
+            timeout=0.5,
+        )
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(serve_http, front, listeners)
+                await story(front, client)
+                nursery.cancel_scope.cancel()
+
+    trio.run(body)
+
+
+class TestCalls:
+    def test_write_and_list(self) -> None:
+        """Records come back by prefix, over several pages."""
+
+        async def story(front: Front, client: PlatformStore) -> None:
+            for number in range(8):
+                written = await client.write(f'a/{number}', b'\x00\xff', 0)
+                assert isinstance(written, Ok)
+            await client.write('b/1', b'', 0)
+            listing = (await client.list_records('a/')).ok_value
+            assert [row.name for row in listing.records] == [
+                f'a/{number}' for number in range(8)
+            ]
+            assert {row.content for row in listing.records} == {b'\x00\xff'}
+            assert listing.revision == front.store.records.revision
+
+        play(story)
+
+    def test_conflict(self) -> None:
+        """A write against another revision shows the record as it is."""
+
+        async def story(front: Front, client: PlatformStore) -> None:
+            revision = (await client.write('a', b'1', 0)).ok_value
+            failure = (await client.write('a', b'2', 0)).err_value
+            assert isinstance(failure, Conflict)
+            assert failure.current.revision == revision
+            absent = (await client.write('c', b'2', 9)).err_value
+            assert absent == Conflict(None)
+            assert isinstance(await client.remove('a', revision), Ok)
+
+        play(story)
+
+    def test_watch(self) -> None:
+        """A watch tells writes and removals, then waits."""
+
+        async def story(front: Front, client: PlatformStore) -> None:
+            start = front.store.records.revision
+            front.store.records.put('a/1', b'x')
+            front.store.records.remove('a/1')
+            changes = (await client.watch_records('a/', start, 5)).ok_value
+            assert changes.changes[0].content == b'x'
+            assert changes.changes[1] == Removed('a/1', changes.revision)
+            after = changes.revision
+            quiet = (await client.watch_records('a/', after, 0.05)).ok_value
+            assert quiet.changes == ()
+
+        play(story)
+
+    def test_compacted(self) -> None:
+        """A history that is gone is told as such."""
+
+        async def story(front: Front, client: PlatformStore) -> None:
+            front.store.records.put('a', b'')
+            front.store.records.compact()
+            watched = await client.watch_records('a', 1, 5)
+            assert watched.err_value == Compacted()
+
+        play(story)
+
+    def test_leases(self) -> None:
+        """A lease holds records until it ends."""
+
+        async def story(front: Front, client: PlatformStore) -> None:
+            lease = (await client.open_lease(0.2)).ok_value
+            await client.write('a', b'', 0, lease)
+            assert isinstance(await client.keep_alive(lease), Ok)
+            assert isinstance(await client.end_lease(lease), Ok)
+            assert (await client.list_records('a')).ok_value.records == ()
+            for lost in (
+                await client.keep_alive(lease),
+                await client.write('a', b'', 0, LeaseId('99')),
+            ):
+                assert isinstance(lost.err_value, LeaseLost)
+
+        play(story)
+
+
+class TestFailures:
+    @pytest.mark.parametrize(
+        ('status', 'expected'),
+        [(503, Unavailable), (429, Unavailable), (500, Unanswered)],
+    )
+    def test_statuses(self, status: int, expected: type) -> None:
+        """Only a status that says so means that nothing was done."""
+
+        async def story(front: Front, client: PlatformStore) -> None:
+            front.answer = HttpResponse(status)
+            for answered in (
+                await client.list_records('a'),
+                await client.watch_records('a', 1, 0.1),
+                await client.write('a', b'', 0),
+                await client.open_lease(1),
+                await client.keep_alive(LeaseId('1')),
+            ):
+                assert isinstance(answered.err_value, expected)
+
+        play(story)
+
+    @pytest.mark.parametrize('body', [b'', b'{"items":3}', b'\xff'])
+    def test_broken_answer(self, body: bytes) -> None:
+        """An answer that can't be read leaves the outcome open."""
+
+        async def story(front: Front, client: PlatformStore) -> None:
+            front.answer = HttpResponse(200, body=body)
+            assert isinstance(
+                (await client.list_records('a')).err_value,
+                Unanswered,
+            )
+            assert isinstance(
+                (await client.write('a', b'', 0)).err_value,
+                Unanswered,
+            )
+
+        play(story)
+
+    def test_late_answer(self) -> None:
+        """A call without an answer in time may have taken effect."""
+
+        async def story(front: Front, client: PlatformStore) -> None:
+            front.delay = 1
+            written = await client.write('a', b'', 0)
+            assert isinstance(written.err_value, Unanswered)
+
+        play(story)
+
+    def test_refused_connection(self) -> None:
+        """A call that reached nobody had no effect."""
+
+        async def body() -> None:
+            client = PlatformStore(HttpClient(), Address('127.0.0.1', 1))
+            written = await client.write('a', b'', 0)
+            assert isinstance(written.err_value, Unavailable)
+
+        trio.run(body)
