Serve a hot key by the fastest server, in time; tell changes of maps only

Other servers were not relieved, since the plan ended at the first server that can't be, and the mean counted what no server can serve. Maps were sent whole to 12 processes. Now: limits of requests in flight follow the latency, waits are as long as leaves time for an answer in time, a single hot key goes to the fastest server, the plan goes on, and updates hold only changed ranges. Ruled out: copies of a hot key (one owner a key), answers shared between requests (an answer belongs to its request).

--- a/src/carobwalk/gateway/_forwarder.py
+++ b/src/carobwalk/gateway/_forwarder.py
@@ -149,11 +149,12 @@
             outcome = await self._send(request, server, progress)
         finally:
             loads.finish(server)
-            self._record(server, outcome, began)
+            self._record(request, server, outcome, began)
         return outcome
 
     def _record(
         self,
+        request: CallerRequest,
         server: BackendServer,
         outcome: AttemptOutcome | None,
         began: float,
@@ -165,7 +166,12 @@
             case None:
                 loads.of(server).record_slow(now, now - began)
             case Answered():
-                loads.record_answer(server, now, now - began)
+                loads.record_answer(
+                    server,
+                    now,
+                    now - began,
+                    request.route.target_latency,
+                )
             case NotSent() | Lost():
                 loads.of(server).record_unreachable(now)
 
--- a/src/carobwalk/gateway/_keyed_chooser.py
+++ b/src/carobwalk/gateway/_keyed_chooser.py
@@ -8,12 +8,12 @@
 from carobwalk.gateway._caller_request import CallerRequest
 from carobwalk.gateway._key_owners import KeyOwners
 from carobwalk.gateway._load_table import LoadTable
+from carobwalk.gateway._room_wait import longest_wait
 from carobwalk.gateway._target import NoTarget, Target
 from carobwalk.model import ServiceName
 
-# Part of the time left that a request may wait for an owner or for room.
+# Part of the time left that a request may wait for an owner.
 _OWNER_WAIT_SHARE: Final = 0.3
-_ROOM_WAIT_SHARE: Final = 0.35
 _MOVE_SECONDS: Final = 0.2
 
 
@@ -73,7 +73,7 @@
         usual = self._loads.usual_latency(server.service)
         latency = load.latency(now, usual)
         wait = len(load.line) * latency / load.limit
-        longest = (request.deadline - now) * _ROOM_WAIT_SHARE
+        longest = longest_wait(request, now, latency)
         if not load.has_room and wait > longest:
             return NoTarget('the owner of the key is full', wait)
         with trio.move_on_after(longest):
--- a/src/carobwalk/gateway/_load_table.py
+++ b/src/carobwalk/gateway/_load_table.py
@@ -52,8 +52,9 @@
         """Return the load of a server that all processes send to alike."""
         load = self.of(server)
         held = server.slots * _HELD_PER_SLOT
-        share = held // max(self.process_count, 1)
-        load.limit = max(share + 1, _LEAST_LIMIT)
+        share = held / max(self.process_count, 1)
+        load.highest_limit = max(share + 1, _LEAST_LIMIT)
+        load.limit = min(load.limit, load.highest_limit)
         return load
 
     def line_of(self, service: ServiceName) -> WaitingLine:
@@ -69,9 +70,19 @@
         server: BackendServer,
         now: float,
         seconds: float,
+        wanted: float,
     ) -> None:
-        """Take in the latency of an answer."""
-        self.of(server).record_answer(now, seconds)
+        """Take in the latency of an answer.
+
+        Args:
+            server: Server that answered.
+            now: Present time.
+            seconds: Latency of the answer.
+            wanted: Latency within which answers are wanted.
+        """
+        load = self.of(server)
+        load.record_answer(now, seconds)
+        load.adapt(seconds, wanted)
         usual = self.usual_latency(server.service)
         self._latencies_by_service[server.service] = (
             usual + (seconds - usual) * _WEIGHT_OF_NEW
--- a/src/carobwalk/gateway/_server_load.py
+++ b/src/carobwalk/gateway/_server_load.py
@@ -9,17 +9,27 @@
 _FORGET_SECONDS: Final = 3.0
 _FIRST_SUSPENSION_SECONDS: Final = 0.25
 _LONGEST_SUSPENSION_SECONDS: Final = 2.0
+# Share of the wanted latency above which the limit falls.
+_SLOW_SHARE: Final = 0.7
+_DECREASE: Final = 0.85
+_INCREASE: Final = 0.1
+_LEAST_LIMIT: Final = 1.0
 
 
 class ServerLoad:
     """Requests in flight from this process, and the latency that they meet.
 
+    The limit follows the latency of answers: it falls by a factor while
+    answers are slower than wanted, and rises step by step while it is reached
+    and they are not (additive increase, multiplicative decrease).
+
     Args:
-        limit: Requests that this process may have in flight there.
+        limit: Requests that this process may have in flight there at first.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: float) -> None:
         self.limit = limit
+        self.highest_limit = limit
         self.in_flight = 0
         self.line = WaitingLine()
         self.suspended_until = -math.inf
@@ -31,7 +41,20 @@
     @property
     def has_room(self) -> bool:
         """Whether another request may be sent."""
-        return self.in_flight < self.limit
+        return self.in_flight + 1 <= self.limit
+
+    def adapt(self, seconds: float, wanted: float) -> None:
+        """Let the limit follow the latency of an answer.
+
+        Args:
+            seconds: Latency of the answer.
+            wanted: Latency within which answers are wanted.
+        """
+        if seconds > wanted * _SLOW_SHARE:
+            self.limit = max(self.limit * _DECREASE, _LEAST_LIMIT)
+        elif self.in_flight + 1 >= self.limit:
+            raised = self.limit + _INCREASE / self.limit
+            self.limit = min(raised, self.highest_limit)
 
     def start(self) -> None:
         """Count a request that is about to be sent."""
--- a/src/carobwalk/keyspace/__init__.py
+++ b/src/carobwalk/keyspace/__init__.py
@@ -1,6 +1,6 @@
 """Ownership of numbered keys: who owns which, and since when."""
 
-from carobwalk.keyspace._codec import COORDINATOR_NAME
+from carobwalk.keyspace._coordinator_codec import COORDINATOR_NAME
 from carobwalk.keyspace._coordinator_parts import CoordinatorParts
 from carobwalk.keyspace._coordinator_role import CoordinatorRole, RoleParts
 from carobwalk.keyspace._key_owner_table import KeyOwnerTable
--- a/src/carobwalk/keyspace/_codec.py
+++ b/src/carobwalk/keyspace/_codec.py
@@ -1,5 +1,6 @@
 """Records of key maps and of the coordinator."""
 
+from collections.abc import Iterable
 from typing import Final
 
 import msgspec
@@ -7,10 +8,9 @@
 
 from carobwalk.keyspace._key_map import KeyMap
 from carobwalk.keyspace._key_range import KeyRange, ServerLife
-from carobwalk.model import Address, Endpoint, ServerId, ServiceName
+from carobwalk.keyspace._record_error import RecordError
+from carobwalk.model import ServerId, ServiceName
 
-PREFIX: Final = 'carobwalk/'
-COORDINATOR_NAME: Final = 'carobwalk/coordinator'
 MAP_PREFIX: Final = 'carobwalk/keys/'
 
 
@@ -31,40 +31,27 @@
     settled: bool = False
 
 
-class _Coordinator(msgspec.Struct):
-    process: str
-    host: str
-    port: int
-    region: str = ''
-    data_centre: str = ''
-
-
-class RecordError(msgspec.Struct, frozen=True):
-    """A record that can't be read.
-
-    Args:
-        detail: What is wrong with it.
-    """
-
-    detail: str
-
-
 def map_name(service: ServiceName) -> str:
     """Return the name of the record of a service's map."""
     return f'{MAP_PREFIX}{service}'
 
 
-def encode_map(key_map: KeyMap, *, is_settled: bool = False) -> bytes:
-    """Return the record of a map.
+def encode_map(
+    key_map: Iterable[KeyRange],
+    *,
+    is_settled: bool = False,
+) -> bytes:
+    """Return the record of a map, or of a part of it.
 
     Args:
-        key_map: The map.
+        key_map: The ranges.
         is_settled: Whether its coordinator resigned: it sends no grant any
             more, and every one that it sent was answered.
     """
+    ranges = tuple(key_map)
     lives = sorted(
-        {part.owner for part in key_map}
-        | {life for part in key_map for life in part.previous},
+        {part.owner for part in ranges}
+        | {life for part in ranges for life in part.previous},
     )
     numbers_by_life = {life: number for number, life in enumerate(lives)}
     return msgspec.json.encode(
@@ -79,7 +66,7 @@
                     part.is_granted,
                     tuple(numbers_by_life[life] for life in part.previous),
                 )
-                for part in key_map
+                for part in ranges
             ),
             settled=is_settled,
         ),
@@ -105,52 +92,45 @@
         revision: Revision of the record, which is the fence of the ranges
             that were new in it.
     """
+    return decode_ranges(content, revision).and_then(
+        lambda ranges: complete_map(ranges, revision),
+    )
+
+
+def complete_map(
+    ranges: Iterable[KeyRange],
+    revision: int,
+) -> Result[KeyMap, RecordError]:
+    """Return the map of ranges, an error if they leave keys out."""
+    key_map = KeyMap(ranges, revision)
+    if key_map.is_complete():
+        return Ok(key_map)
+    return Err(RecordError('the ranges do not cover each key once'))
+
+
+def decode_ranges(
+    content: bytes,
+    revision: int,
+) -> Result[tuple[KeyRange, ...], RecordError]:
+    """Return the ranges of a record; see ``decode_map``."""
     try:
         raw = msgspec.json.decode(content, type=_Map)
         lives = [ServerLife(ServerId(name), born) for name, born in raw.lives]
-        ranges = [
-            KeyRange(
-                first=part.first,
-                last=part.last,
-                owner=lives[part.owner],
-                fence=part.fence or revision,
-                is_granted=part.is_granted,
-                previous=tuple(lives[number] for number in part.previous),
-            )
-            for part in raw.ranges
-        ]
+        return Ok(tuple(_decode(part, lives, revision) for part in raw.ranges))
     except (msgspec.MsgspecError, IndexError) as error:
         return Err(RecordError(str(error)))
-    key_map = KeyMap(ranges, revision)
-    if not key_map.is_complete():
-        return Err(RecordError('the ranges do not cover each key once'))
-    return Ok(key_map)
-
-
-def encode_coordinator(endpoint: Endpoint) -> bytes:
-    """Return the record of a coordinator."""
-    return msgspec.json.encode(
-        _Coordinator(
-            process=endpoint.name,
-            host=endpoint.address.host,
-            port=endpoint.address.port,
-            region=endpoint.region,
-            data_centre=endpoint.data_centre,
-        ),
-    )
 
 
-def decode_coordinator(content: bytes) -> Result[Endpoint, RecordError]:
-    """Return the coordinator of a record."""
-    try:
-        raw = msgspec.json.decode(content, type=_Coordinator)
-    except msgspec.MsgspecError as error:
-        return Err(RecordError(str(error)))
-    return Ok(
-        Endpoint(
-            raw.process,
-            Address(raw.host, raw.port),
-            raw.region,  # type: ignore[arg-type]
-            raw.data_centre,  # type: ignore[arg-type]
-        ),
+def _decode(
+    part: _Range,
+    lives: list[ServerLife],
+    revision: int,
+) -> KeyRange:
+    return KeyRange(
+        first=part.first,
+        last=part.last,
+        owner=lives[part.owner],
+        fence=part.fence or revision,
+        is_granted=part.is_granted,
+        previous=tuple(lives[number] for number in part.previous),
     )
--- a/src/carobwalk/keyspace/_coordinator_role.py
+++ b/src/carobwalk/keyspace/_coordinator_role.py
@@ -7,7 +7,10 @@
 import trio
 from result import Err
 
-from carobwalk.keyspace._codec import COORDINATOR_NAME, encode_coordinator
+from carobwalk.keyspace._coordinator_codec import (
+    COORDINATOR_NAME,
+    encode_coordinator,
+)
 from carobwalk.keyspace._coordinator_parts import CoordinatorParts
 from carobwalk.keyspace._grant_ledger import GrantLedger
 from carobwalk.keyspace._key_reader import KeyReader
--- a/src/carobwalk/keyspace/_key_load.py
+++ b/src/carobwalk/keyspace/_key_load.py
@@ -73,6 +73,13 @@
         share += (even - share) * _EVEN_SHARE
         return self.total * share
 
+    def excess(self, most: float) -> float:
+        """Return the requests a second beyond a rate for each single key."""
+        if not self._sums[-1]:
+            return 0
+        rates = (self.rate(key, key) for key in self._keys)
+        return sum(rate - most for rate in rates if rate > most)
+
     def split_point(self, first: int, last: int, wanted: float) -> int:
         """Return the last key of a part that begins a range.
 
--- a/src/carobwalk/keyspace/_key_reader.py
+++ b/src/carobwalk/keyspace/_key_reader.py
@@ -4,11 +4,9 @@
 from result import Err
 
 from carobwalk.events import EventLog
-from carobwalk.keyspace._codec import (
+from carobwalk.keyspace._coordinator_codec import (
     COORDINATOR_NAME,
-    MAP_PREFIX,
     decode_coordinator,
-    decode_map,
 )
 from carobwalk.keyspace._events import (
     CoordinatorChanged,
@@ -16,6 +14,7 @@
     KeyRecordDamaged,
 )
 from carobwalk.keyspace._key_map import KeyMap
+from carobwalk.keyspace._map_decoding import HeldMap, decode_update
 from carobwalk.keyspace._map_messages import MapUpdate, MapVersion
 from carobwalk.model import Endpoint, ServiceName
 from carobwalk.store import Listing, Removed, Versioned
@@ -57,24 +56,11 @@
 
     def apply(self, change: Versioned | Removed) -> None:
         """Take one change of the coordinator's record."""
-        if change.name != COORDINATOR_NAME:
-            return
-        if isinstance(change, Versioned):
-            self._take_coordinator(change)
-        else:
-            self._set_coordinator(None, change.revision)
-        self._notify()
-
-    def take_maps(self, listing: Listing) -> None:
-        """Take maps that were read from the store."""
-        for row in listing.records:
-            self.take_update(
-                MapUpdate(
-                    row.name.removeprefix(MAP_PREFIX),
-                    MapVersion(row.revision),
-                    row.content,
-                ),
-            )
+        if change.name == COORDINATOR_NAME:
+            if isinstance(change, Versioned):
+                self._take_coordinator(change)
+            else:
+                self._set_coordinator(None, change.revision)
 
     def take_update(self, update: MapUpdate) -> None:
         """Take a map if it is newer than the one known."""
@@ -82,7 +68,9 @@
         known = self._versions_by_service.get(service, MapVersion(0))
         if update.version <= known:
             return
-        decoded = decode_map(update.content, update.version.revision)
+        decoded = decode_update(update, self._held(service))
+        if decoded is None:
+            return
         if isinstance(decoded, Err):
             detail = decoded.err_value.detail
             self._events.emit(KeyRecordDamaged(service, detail))
@@ -99,7 +87,13 @@
                 ungranted=sum(1 for part in key_map if not part.is_granted),
             ),
         )
-        self._notify()
+        self.notify()
+
+    def _held(self, service: ServiceName) -> HeldMap | None:
+        key_map = self._maps_by_service.get(service)
+        if key_map is None:
+            return None
+        return HeldMap(key_map, self._versions_by_service[service])
 
     def _take_coordinator(self, row: Versioned) -> None:
         decoded = decode_coordinator(row.content)
@@ -118,7 +112,9 @@
             self.coordinator = endpoint
             name = endpoint.name if endpoint else ''
             self._events.emit(CoordinatorChanged(name, revision))
+            self.notify()
 
-    def _notify(self) -> None:
+    def notify(self) -> None:
+        """Wake those that wait for a change."""
         self.changed.set()
         self.changed = trio.Event()
--- a/src/carobwalk/keyspace/_map_feed.py
+++ b/src/carobwalk/keyspace/_map_feed.py
@@ -1,5 +1,6 @@
 """Maps of the coordinator, as other processes ask for them."""
 
+from collections import defaultdict, deque
 from typing import Final
 
 import msgspec
@@ -17,13 +18,21 @@
 
 # Longest time until a question is answered without news.
 _HOLD_SECONDS: Final = 1.0
+# Several ranges are often granted in the same moment.
+_GATHER_SECONDS: Final = 0.01
+# Versions that an update may be laid over.
+_KEPT_VERSIONS: Final = 32
+_UNKNOWN: Final = MapVersion(0)
 
 
 class MapFeed:
     """Answers each question as soon as there is a newer map."""
 
     def __init__(self) -> None:
-        self._updates_by_service: dict[ServiceName, MapUpdate] = {}
+        self._maps_by_service: dict[
+            ServiceName,
+            deque[tuple[MapVersion, KeyMap]],
+        ] = defaultdict(lambda: deque(maxlen=_KEPT_VERSIONS))
         self._changed = trio.Event()
         self.is_coordinator = False
 
@@ -34,36 +43,47 @@
             service: Service whose keys it divides.
             key_map: The map with the revision of its record.
         """
-        version = MapVersion(key_map.revision)
-        last = self._updates_by_service.get(service)
-        if last is not None and last.version.revision == version.revision:
-            version = MapVersion(version.revision, last.version.number + 1)
-        self._updates_by_service[service] = MapUpdate(
-            service,
-            version,
-            encode_map(key_map),
-        )
+        maps = self._maps_by_service[service]
+        number = 0
+        if maps and maps[-1][0].revision == key_map.revision:
+            number = maps[-1][0].number + 1
+        maps.append((MapVersion(key_map.revision, number), key_map))
         self._changed.set()
         self._changed = trio.Event()
 
     def clear(self) -> None:
         """Forget all maps at the end of a term."""
-        self._updates_by_service.clear()
+        self._maps_by_service.clear()
 
     async def answer(self, sender: ProcessId, payload: bytes) -> bytes:
         """Answer a question; a ``TopicHandler``."""
         question = msgspec.msgpack.decode(payload, type=MapQuestion)
         with trio.move_on_after(_HOLD_SECONDS):
-            while self.is_coordinator and not self._news(question):
+            while self.is_coordinator and not self._newer(question):
                 await self._changed.wait()
-        return msgspec.msgpack.encode(
-            MapAnswer(self.is_coordinator, self._news(question)),
+                await trio.sleep(_GATHER_SECONDS)
+        updates = tuple(
+            self._update(service, question.known.get(service, _UNKNOWN))
+            for service in self._newer(question)
         )
+        return msgspec.msgpack.encode(MapAnswer(self.is_coordinator, updates))
 
-    def _news(self, question: MapQuestion) -> tuple[MapUpdate, ...]:
-        unknown = MapVersion(0)
-        return tuple(
-            update
-            for update in self._updates_by_service.values()
-            if update.version > question.known.get(update.service, unknown)
-        )
+    def _newer(self, question: MapQuestion) -> list[ServiceName]:
+        """Return the services with a map that the asking process lacks."""
+        newer = []
+        for service, maps in self._maps_by_service.items():
+            known = question.known.get(service, _UNKNOWN)
+            if maps and maps[-1][0] > known:
+                newer.append(service)
+        return newer
+
+    def _update(self, service: ServiceName, known: MapVersion) -> MapUpdate:
+        """Return the newest map, as changes if the known one is kept."""
+        maps = self._maps_by_service[service]
+        version, newest = maps[-1]
+        for kept_version, kept in maps:
+            if kept_version == known:
+                old = frozenset(kept.ranges)
+                changed = (part for part in newest if part not in old)
+                return MapUpdate(service, version, encode_map(changed), known)
+        return MapUpdate(service, version, encode_map(newest))
--- a/src/carobwalk/keyspace/_map_follower.py
+++ b/src/carobwalk/keyspace/_map_follower.py
@@ -4,7 +4,7 @@
 
 import msgspec
 import trio
-from result import Err, Ok
+from result import Err
 
 from carobwalk.keyspace._codec import MAP_PREFIX
 from carobwalk.keyspace._key_reader import KeyReader
@@ -12,6 +12,8 @@
     MAP_TOPIC,
     MapAnswer,
     MapQuestion,
+    MapUpdate,
+    MapVersion,
 )
 from carobwalk.model import Endpoint
 from carobwalk.peer import Peers
@@ -76,5 +78,13 @@
             return
         self._read_at = now
         listed = await self._store.list_records(MAP_PREFIX)
-        if isinstance(listed, Ok):
-            self._reader.take_maps(listed.ok_value)
+        if isinstance(listed, Err):
+            return
+        for row in listed.ok_value.records:
+            self._reader.take_update(
+                MapUpdate(
+                    row.name.removeprefix(MAP_PREFIX),
+                    MapVersion(row.revision),
+                    row.content,
+                ),
+            )
--- a/src/carobwalk/keyspace/_map_messages.py
+++ b/src/carobwalk/keyspace/_map_messages.py
@@ -38,12 +38,15 @@
     Args:
         service: Service whose keys it divides.
         version: Its version.
-        content: The map as a record.
+        content: Its ranges as a record; those that differ from the base, if
+            there is one.
+        base: Version that the ranges are laid over, ``None`` for a whole map.
     """
 
     service: str
     version: MapVersion
     content: bytes
+    base: MapVersion | None = None
 
 
 class MapAnswer(msgspec.Struct, array_like=True):
--- a/src/carobwalk/keyspace/_planned_map.py
+++ b/src/carobwalk/keyspace/_planned_map.py
@@ -29,6 +29,7 @@
         self._capacities = capacities
         self._load = load
         self._rates_by_life: dict[ServerLife, float] = defaultdict(float)
+        self._unservable = load.excess(max(capacities.values(), default=0))
         for part in key_map:
             self._rates_by_life[part.owner] += self.rate(part)
 
@@ -58,9 +59,13 @@
         return self._rates_by_life[life] / self._capacities[life]
 
     def mean_utilisation(self) -> float:
-        """Return the share of the capacity of all servers."""
+        """Return the share of the capacity of all servers that is asked for.
+
+        What single keys are asked for beyond the fastest server's capacity
+        does not count: no move can serve it.
+        """
         rate = sum(self._rates_by_life[life] for life in self._capacities)
-        return rate / sum(self._capacities.values())
+        return (rate - self._unservable) / sum(self._capacities.values())
 
     def least_used(self) -> ServerLife:
         """Return the usable server with the most room."""
--- a/src/carobwalk/keyspace/_planner.py
+++ b/src/carobwalk/keyspace/_planner.py
@@ -19,6 +19,9 @@
 _MOST_MOVES: Final = 12
 _MOST_RANGES_PER_SERVER: Final = 12
 _MOST_PIECES: Final = 4
+# Utilisation by a single key from which on it is worth a faster server.
+_SINGLE_KEY: Final = 0.7
+_FASTER: Final = 1.3
 # Utilisation that a part must have to be worth a move.
 _LEAST_GAIN: Final = 0.03
 
@@ -115,10 +118,13 @@
         """Move load from the most to the least used servers."""
         planned = self._planned
         limit = _MOST_RANGES_PER_SERVER * len(self._view.usable)
+        sources = set(self._view.movable)
         while len(planned.moves) < _MOST_MOVES and len(planned.key_map) < limit:
-            source = planned.most_used(self._view.movable)
-            if source is None or not self._relieve(source):
+            source = planned.most_used(sources)
+            if source is None:
                 return
+            if not self._relieve(source):
+                sources.discard(source)
 
     def _relieve(self, source: ServerLife) -> bool:
         """Take load from a server; return whether that was worth a move."""
@@ -128,11 +134,29 @@
         least = max(mean * _EXCESS, mean + _LEAST_EXCESS, _LEAST_UTILISATION)
         if high < least:
             return False
+        if high > 1 and self._move_to_fastest(source):
+            return True
         target = planned.least_used()
         excess = (high - mean) * self._view.usable[source]
         room = (mean - planned.utilisation(target)) * self._view.usable[target]
         return self._shift(source, target, min(excess, room), MoveCause.LOAD)
 
+    def _move_to_fastest(self, source: ServerLife) -> bool:
+        """Give a key that is too much for its server to the fastest one."""
+        capacities = self._view.usable
+        fastest = max(capacities, key=lambda life: (capacities[life], life))
+        if capacities[fastest] < capacities[source] * _FASTER:
+            return False
+        for part in self._planned.key_map:
+            is_movable = part.owner == source and part.is_granted
+            if not is_movable or len(part) > 1:
+                continue
+            if self._planned.rate(part) > capacities[source] * _SINGLE_KEY:
+                cause = MoveCause.LOAD
+                self._planned.move(part.first, part.last, fastest, cause)
+                return True
+        return False
+
     def _shift(
         self,
         source: ServerLife,
--- a/tests/keyspace/scene.py
+++ b/tests/keyspace/scene.py
@@ -20,7 +20,7 @@
     ServerLives,
     ServerWatch,
 )
-from carobwalk.keyspace._codec import COORDINATOR_NAME
+from carobwalk.keyspace._coordinator_codec import COORDINATOR_NAME
 from carobwalk.model import (
     Address,
     DataCentreName,
--- a/tests/keyspace/test_planner.py
+++ b/tests/keyspace/test_planner.py
@@ -1,6 +1,7 @@
 """Division of keys under load; no network."""
 
 import random
+from collections import Counter
 
 import pytest
 
@@ -12,6 +13,7 @@
 from carobwalk.model import ServerId
 
 _SLOTS = 4
+MOST_USED = 0.9
 
 
 def make_lives(count: int) -> list[ServerLife]:
@@ -198,4 +200,44 @@
             leaving=frozenset(),
             load=KeyLoad(0),
         )
-        assert Planner(view).plan() == ()
+        assert not Planner(view).plan()
+
+
+class TestSingleHotKey:
+    """Pattern: 40 in 100 requests suddenly are for one key."""
+
+    def run(self, seed: int) -> tuple[KeyMap, dict[ServerLife, float]]:
+        """Return the map after balancing, and the capacities."""
+        lives = make_lives(22)
+        capacities = {
+            life: _SLOTS / (0.075 * (0.5, 1, 1, 1.5)[number % 4])
+            for number, life in enumerate(lives)
+        }
+        load = Load(seed)
+        load.run(1.5, 1000, range(1898, 1899), 0.4)
+        after, plans = balance(divide(lives), load, capacities)
+        assert plans < 20
+        return after, capacities
+
+    def test_fastest_server(self) -> None:
+        """The key gets the fastest server, and that one nothing else."""
+        after, capacities = self.run(1)
+        owner = after.find(1898).owner
+        assert capacities[owner] == max(capacities.values())
+        kept = sum(len(part) for part in after if part.owner == owner)
+        assert kept < 1000
+
+    def test_others_are_balanced(self) -> None:
+        """The rest is divided as if that key were not asked for."""
+        after, capacities = self.run(2)
+        owner = after.find(1898).owner
+        even = 600 / (MOST_KEY + 1)
+        rates = Counter()
+        for part in after:
+            rates[part.owner] += len(part) * even
+        used = [
+            rates[life] / capacity
+            for life, capacity in capacities.items()
+            if life != owner
+        ]
+        assert max(used) < MOST_USED
