--- a/src/carobwalk/cli/_main.py
+++ b/src/carobwalk/cli/_main.py
@@ -15,6 +15,7 @@
     'carobwalk.cli._check_settings',
     'carobwalk.cli._completion',
     'carobwalk.cli._explain',
+    'carobwalk.cli._explain_request',
     'carobwalk.cli._profile',
     'carobwalk.cli._serve',
     'carobwalk.cli._service',
--- a/src/carobwalk/cli/_timeline.py
+++ b/src/carobwalk/cli/_timeline.py
@@ -1,19 +1,14 @@
 """The command ``timeline``."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable
 from typing import IO, Any, Final, TypeVar
 
 import click
-from result import Err
 
 from carobwalk.cli._commands import register
-from carobwalk.cli._exit_codes import ExitCode
-from carobwalk.events import LoggedEvent
+from carobwalk.cli._log_reading import read_events
 from carobwalk.events.timeline import (
     EventFilter,
-    LogFile,
-    merge_events,
-    read_log,
     render,
     renderer_names,
 )
@@ -79,7 +74,7 @@
     Several options choose the events for which all of them hold. Lines that
     hold no whole event are reported to standard error and left out.
     """
-    merged = _read_events(logs)
+    merged = read_events(logs)
     chosen = _build_filter(choices).choose(merged)
     to.write(render(output, chosen))
     to.write('\n')
@@ -92,24 +87,3 @@
         texts_by_field={name: frozenset(choices[name]) for name in _FIELDS},
         follow_requests=choices['follow_requests'],
     )
-
-
-def _read_events(logs: Iterable[str]) -> Iterator[LoggedEvent]:
-    """Return the merged events of all logs.
-
-    Raises:
-        click.exceptions.Exit: With ``ExitCode.INPUT`` for an unreadable log.
-    """
-    contents = [_read_or_exit(log) for log in logs]
-    for content in contents:
-        for line in content.damaged:
-            click.echo(f'left out {line}', err=True)
-    return merge_events([log_file.events for log_file in contents])
-
-
-def _read_or_exit(log: str) -> LogFile:
-    outcome = read_log(log)
-    if isinstance(outcome, Err):
-        click.echo(str(outcome.err_value), err=True)
-        raise click.exceptions.Exit(ExitCode.INPUT)
-    return outcome.ok_value
--- a/src/carobwalk/events/timeline/__init__.py
+++ b/src/carobwalk/events/timeline/__init__.py
@@ -11,6 +11,10 @@
 )
 from carobwalk.events.timeline._merge import merge_events
 from carobwalk.events.timeline._renderers import render, renderer_names
+from carobwalk.events.timeline._request_story import (
+    RequestStory,
+    tell_request,
+)
 from carobwalk.events.timeline._svg import render_svg
 from carobwalk.events.timeline._text import render_text
 
@@ -19,6 +23,7 @@
     'EventFilter',
     'LogFile',
     'LogUnreadable',
+    'RequestStory',
     'merge_events',
     'read_log',
     'render',
@@ -27,4 +32,5 @@
     'render_svg',
     'render_text',
     'renderer_names',
+    'tell_request',
 )
--- a/src/carobwalk/events/timeline/_log_file.py
+++ b/src/carobwalk/events/timeline/_log_file.py
@@ -2,12 +2,15 @@
 
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Final
 
 from result import Err, Ok, Result
 
 from carobwalk.events._lines import parse_line
 from carobwalk.events._logged_event import LoggedEvent
 
+_FIRST_FIELD: Final = 'process='
+
 
 @dataclass(frozen=True, slots=True)
 class LogUnreadable:
@@ -69,7 +72,8 @@
     events: list[LoggedEvent] = []
     damaged: list[DamagedLine] = []
     for number, line in enumerate(text.split('\n'), start=1):
-        outcome = parse_line(line)
+        # Collectors of logs put the time and the host before a line.
+        outcome = parse_line(line[max(line.find(_FIRST_FIELD), 0) :])
         if isinstance(outcome, Ok):
             events.append(outcome.ok_value)
         elif line:
--- a/tests/standins/test_processes.py
+++ b/tests/standins/test_processes.py
@@ -60,6 +60,11 @@
                 signal.raise_signal(signal.SIGINT)
                 await trio.sleep_forever()
 
-        with pytest.raises(KeyboardInterrupt):
-            trio.run(body)
+        # A shell without job control starts background jobs with SIGINT ignored.
+        inherited = signal.signal(signal.SIGINT, signal.default_int_handler)
+        try:
+            with pytest.raises(KeyboardInterrupt):
+                trio.run(body)
+        finally:
+            signal.signal(signal.SIGINT, inherited)
         assert not processes.is_running('store')
