--- a/tests/standins/test_processes.py
+++ b/tests/standins/test_processes.py
@@ -60,7 +60,7 @@
                 signal.raise_signal(signal.SIGINT)
                 await trio.sleep_forever()
 
-        # A shell without job control starts background jobs with SIGINT ignored.
+        # Background jobs of a shell may be started with SIGINT ignored.
         inherited = signal.signal(signal.SIGINT, signal.default_int_handler)
         try:
             with pytest.raises(KeyboardInterrupt):
