--- a/src/carobwalk/app/_build_gateway.py
+++ b/src/carobwalk/app/_build_gateway.py
@@ -86,7 +86,7 @@
         routes=core.routes,
         forwarder=forwarder,
         count_key=owners.count,
-        meter=GatewayMeter(core.metrics.latencies),
+        meter=GatewayMeter(core.metrics),
         events=core.events,
         is_stopping=is_stopping,
     )
--- a/src/carobwalk/app/_gateway_core.py
+++ b/src/carobwalk/app/_gateway_core.py
@@ -13,7 +13,7 @@
     RationedEventLog,
 )
 from carobwalk.http import HttpClient, connect_probed, reset_on_close
-from carobwalk.metrics import CountingEventLog, Metrics
+from carobwalk.metrics import CountingEventLog, MeteredSender, Metrics
 from carobwalk.model import Address, Clock, Endpoint, SuspendAwareClock
 from carobwalk.peer import PeerHub, TopicRegistry
 from carobwalk.platform import PlatformStore
@@ -78,7 +78,7 @@
         topics=topics,
         hub=PeerHub(own, stamps, topics),
         store=PlatformStore(
-            HttpClient(connect=connect_probed),
+            MeteredSender(HttpClient(connect=connect_probed), metrics),
             settings.store.address,
         ),
         orders=HttpClient(idle_limit=1, connect=_connect_for_orders),
--- a/src/carobwalk/app/_gateway_process.py
+++ b/src/carobwalk/app/_gateway_process.py
@@ -17,6 +17,7 @@
     SettingsReloaded,
 )
 from carobwalk.app._gateway_records import follow_records
+from carobwalk.app._gateway_watches import watch_gateway
 from carobwalk.app._listeners import open_listener
 from carobwalk.app._no_forwarder import NoForwarder
 from carobwalk.app._small_servers import serve_small_requests
@@ -66,6 +67,7 @@
             self._budgets,
             lambda: self._is_stopping,
         )
+        watch_gateway(core, self._gateway.pool)
 
     async def run(self) -> bool:
         """Serve until SIGTERM or SIGINT.
--- a/src/carobwalk/gateway/_request_meter.py
+++ b/src/carobwalk/gateway/_request_meter.py
@@ -22,6 +22,14 @@
             seconds: Time from its head to its end.
         """
 
+    def record_refusal(self, service: str, cause: str) -> None:
+        """Count a request that has not run.
+
+        Args:
+            service: Service of its route.
+            cause: What its caller was told.
+        """
+
 
 class NullRequestMeter:
     """Meter that keeps nothing."""
@@ -34,3 +42,6 @@
         seconds: float,
     ) -> None:
         """Drop the figures."""
+
+    def record_refusal(self, service: str, cause: str) -> None:
+        """Drop the figures."""
--- a/src/carobwalk/gateway/_request_run.py
+++ b/src/carobwalk/gateway/_request_run.py
@@ -1,5 +1,7 @@
 """One request from its reading to its answer."""
 
+from http import HTTPStatus
+
 import trio
 
 from carobwalk.gateway._attempt_log import CallerLeft, RequestAnswered
@@ -67,6 +69,8 @@
                 ),
             )
             return
+        if reply.status == HTTPStatus.SERVICE_UNAVAILABLE and reply.cause:
+            self._service.meter.record_refusal(progress.service, reply.cause)
         self._service.events.emit(
             RequestAnswered(
                 request=request_id,
--- a/src/carobwalk/metrics/__init__.py
+++ b/src/carobwalk/metrics/__init__.py
@@ -2,6 +2,7 @@
 
 from carobwalk.metrics._counting_event_log import CountingEventLog
 from carobwalk.metrics._gateway_meter import GatewayMeter
+from carobwalk.metrics._metered_sender import MeteredSender
 from carobwalk.metrics._metered_store import MeteredStore
 from carobwalk.metrics._metrics import Metrics
 from carobwalk.metrics._process_usage import cpu_seconds, resident_bytes
@@ -13,6 +14,7 @@
     'SCRAPE_PATH',
     'CountingEventLog',
     'GatewayMeter',
+    'MeteredSender',
     'MeteredStore',
     'Metrics',
     'Reading',
--- a/src/carobwalk/metrics/_instruments.py
+++ b/src/carobwalk/metrics/_instruments.py
@@ -36,6 +36,12 @@
     'Requests that were sent to a backend server again.',
     ('service',),
 )
+REFUSALS: Final = TallySpec(
+    'refusals',
+    '',
+    'Requests that have not run, by the cause that callers are told.',
+    ('service', 'cause'),
+)
 QUARANTINES: Final = TallySpec(
     'quarantines',
     '',
@@ -69,6 +75,7 @@
 
 _SPECS: Final = (
     RETRIES,
+    REFUSALS,
     QUARANTINES,
     STORE_CALLS,
     EVENTS,
--- a/src/carobwalk/metrics/_metrics.py
+++ b/src/carobwalk/metrics/_metrics.py
@@ -77,7 +77,7 @@
             description='Time from the head of a request to its end.',
             explicit_bucket_boundaries_advisory=LATENCY_BOUNDS,
         )
-        self._tallies = create_tallies(self._meter)
+        self.tallies = create_tallies(self._meter)
         observe_process(self._meter)
 
     def record_request(
@@ -100,11 +100,11 @@
 
     def record_retry(self, service: ServiceName) -> None:
         """Count a request that was sent to a backend server again."""
-        self._tallies[RETRIES].add(1, service)
+        self.tallies[RETRIES].add(1, service)
 
     def record_quarantine(self, service: ServiceName) -> None:
         """Count a request that was put into quarantine."""
-        self._tallies[QUARANTINES].add(1, service)
+        self.tallies[QUARANTINES].add(1, service)
 
     def record_store_call(self, operation: str, result: str) -> None:
         """Count a call of the platform's key-value service.
@@ -113,19 +113,19 @@
             operation: Kind of call, such as ``read``, ``write`` or ``watch``.
             result: Kind of answer, such as ``ok`` or ``conflict``.
         """
-        self._tallies[STORE_CALLS].add(1, operation, result)
+        self.tallies[STORE_CALLS].add(1, operation, result)
 
     def record_moved_shards(self, service: ServiceName, count: int) -> None:
         """Count shards that were given to another backend server."""
-        self._tallies[MOVED_SHARDS].add(count, service)
+        self.tallies[MOVED_SHARDS].add(count, service)
 
     def record_unavailable(self, service: ServiceName, seconds: float) -> None:
         """Add shard-seconds during which no server owned a shard."""
-        self._tallies[UNAVAILABLE].add(seconds, service)
+        self.tallies[UNAVAILABLE].add(seconds, service)
 
     def record_event(self, name: str) -> None:
         """Count an event by its name."""
-        self._tallies[EVENTS].add(1, name)
+        self.tallies[EVENTS].add(1, name)
 
     def watch(self, watched: Watched) -> None:
         """Read values that another part keeps at each scrape."""
