--- a/tests/gateway/test_choosers.py
+++ b/tests/gateway/test_choosers.py
@@ -28,9 +28,7 @@
 WANTED_SECONDS = 0.25
 HALF_OF_DEADLINE = 0.5
 HERE = DataCentreName('dc1')
-TWANTED_SECONDS = 0.25
-HALF_OF_DEADLINE = 0.5
-HERE = DataCentreName('dc2')
+THERE = DataCentreName('dc2')
 PLACE = Place(HERE, {HERE: RegionName('r1'), THERE: RegionName('r2')})
 
 
