--- a/src/carobwalk/app/_gateway_process.py
+++ b/src/carobwalk/app/_gateway_process.py
@@ -20,11 +20,12 @@
 from carobwalk.app._gateway_watches import watch_gateway
 from carobwalk.app._listeners import open_listener
 from carobwalk.app._no_forwarder import NoForwarder
+from carobwalk.app._settings_file import SettingsFile
 from carobwalk.app._small_servers import serve_small_requests
 from carobwalk.app._stop import ProcessStopped, ProcessStopping
 from carobwalk.gateway import LoadTable, RepeatBudgets
 from carobwalk.keyspace import KeyReader
-from carobwalk.settings import GatewaySettings, load_gateway_settings
+from carobwalk.settings import GatewaySettings
 
 _STOP_SIGNALS: Final = frozenset((signal.SIGTERM, signal.SIGINT))
 _RELOAD_SIGNAL: Final = signal.SIGHUP
@@ -44,7 +45,7 @@
     """
 
     def __init__(self, settings: GatewaySettings, path: Path) -> None:
-        self._path = path
+        self._settings_file = SettingsFile(path)
         self._core = build_gateway_core(settings)
         self._is_stopping = False
         self._was_ready = False
@@ -139,7 +140,7 @@
 
     def _reload(self) -> None:
         """Read the settings again and follow the bounds in them."""
-        loaded = load_gateway_settings(self._path)
+        loaded = self._settings_file.read()
         if isinstance(loaded, Err):
             detail = str(loaded.err_value)
             self._core.events.emit(
@@ -153,9 +154,11 @@
         )
 
     async def _keep_up(self) -> None:
-        """Drop what has grown old."""
+        """Drop what has grown old, and notice changed settings."""
         while True:
             await trio.sleep(_UPKEEP_SECONDS)
+            if self._settings_file.has_changed():
+                self._reload()
             self._core.directory.expire()
             self._loads.forget_gone()
             await self._gateway.pool.close_old()
--- a/src/carobwalk/gateway/_forwarder.py
+++ b/src/carobwalk/gateway/_forwarder.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass
 from typing import Final
 
-import h11
 import trio
 
 from carobwalk.directory import BackendServer
@@ -26,11 +25,11 @@
 from carobwalk.gateway._reply import Reply
 from carobwalk.gateway._target import NoTarget, Target
 from carobwalk.gateway._unkeyed_chooser import UnkeyedChooser
+from carobwalk.gateway._upstream_head import upstream_head
 from carobwalk.model import ServerId, ServiceName
 
 # A request with less time left than this is not sent any more.
 _LEAST_SECONDS: Final = 0.02
-_MILLISECONDS: Final = 1000
 # An idle connection may be closed by the server just as it is used, which
 # leaves the outcome of a request open.
 _LONGEST_IDLE_AT_MOST_ONCE_SECONDS: Final = 2.0
@@ -146,12 +145,31 @@
         progress.last_server = server.id
         outcome: AttemptOutcome | None = None
         try:
-            outcome = await self._send(request, server, progress)
+            outcome = await self._send_shielded(request, server, progress)
         finally:
             loads.finish(server)
             self._record(request, server, outcome, began)
         return outcome
 
+    async def _send_shielded(
+        self,
+        request: CallerRequest,
+        server: BackendServer,
+        progress: Progress,
+    ) -> AttemptOutcome:
+        """Send a request; let it end if it can't be repeated.
+
+        What a caller that leaves has sent is carried out whole or not at
+        all: a server that is cut off in the middle may have done half of it.
+        """
+        with trio.CancelScope(
+            shield=not request.route.is_idempotent,
+            deadline=request.deadline,
+        ):
+            return await self._send(request, server, progress)
+        # The scope around the whole request has the same deadline.
+        return await trio.sleep_forever()
+
     def _record(
         self,
         request: CallerRequest,
@@ -197,7 +215,9 @@
         progress.may_have_run = True
         is_ended = False
         try:
-            outcome = await taken.exchange(request, self._head(request, server))
+            outcome = await taken.exchange(
+                request, upstream_head(request, server, self._parts.names)
+            )
             is_ended = True
         finally:
             if not is_ended:
@@ -207,27 +227,6 @@
         await pool.give_back(server, taken)
         return outcome
 
-    def _head(
-        self,
-        request: CallerRequest,
-        server: BackendServer,
-    ) -> h11.Request:
-        left = request.deadline - trio.current_time()
-        names = self._parts.names
-        headers = [
-            *request.headers,
-            (names.time_left, str(int(left * _MILLISECONDS)).encode()),
-            (names.expected_server, server.id.encode()),
-        ]
-        if request.body or request.method not in {b'GET', b'HEAD'}:
-            length = str(len(request.body)).encode()
-            headers.append((b'content-length', length))
-        return h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=headers,
-        )
-
     def _may_repeat(
         self,
         request: CallerRequest,
--- a/tests/app/test_gateway_process.py
+++ b/tests/app/test_gateway_process.py
@@ -193,6 +193,20 @@
 
         play(story)
 
+    def test_changed_settings(self, play, capfd) -> None:
+        """A changed settings file is read without a signal."""
+
+        async def story(deployment: Deployment) -> None:
+            text = deployment.path.read_text()
+            deployment.path.write_text(text.replace('slack: 64', 'slack: 7'))
+            while 'repeat_slack=7' not in capfd.readouterr().out:
+                await trio.sleep(0.05)
+            deployment.path.write_text('{')
+            while 'is_valid=false' not in capfd.readouterr().out:
+                await trio.sleep(0.05)
+
+        play(story)
+
     def test_store_away(self, play) -> None:
         """Without the store it goes on with what it knows, and is ready."""
 
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -301,6 +301,20 @@
 
         play(story)
 
+    def test_write_of_leaving_caller(self, play) -> None:
+        """A write goes on to its end when its caller has left."""
+
+        async def story(scene: GatewayScene) -> None:
+            backend = await scene.add_backend('writes', 's1', seconds=0.2)
+            with trio.move_on_after(0.1):
+                await scene.ask('POST', '/writes/a', b'x')
+            while scene.loads.of(scene.directory.get('s1')).in_flight:
+                await trio.sleep(0.05)
+            assert backend.seen[0].id == b'id1'
+            assert backend.dropped == []
+
+        play(story)
+
     def test_stop_finishes_requests(self, play) -> None:
         """A stop waits for requests in flight, and answers them whole."""
 
