--- a/src/carobwalk/directory/_server_directory.py
+++ b/src/carobwalk/directory/_server_directory.py
@@ -113,7 +113,7 @@
             listed.add(server.id)
             self.put(server, revision)
         for missing in self._by_id.keys() - listed - self._gone_ids:
-            if after_outage:
+            if after_outage or missing in self._missing_since_by_id:
                 now = self._clock.now()
                 self._missing_since_by_id.setdefault(missing, now)
             else:
@@ -126,7 +126,6 @@
         for server, since in tuple(self._missing_since_by_id.items()):
             if since <= limit:
                 self.remove(server, 'missing after an outage of the store')
-
         for gone in tuple(self._gone_ids):
             if not self.takes_keys(self._by_id[gone]):
                 self._gone_ids.discard(gone)
--- a/tests/directory/test_server_directory.py
+++ b/tests/directory/test_server_directory.py
@@ -63,6 +63,26 @@
 
         trio.run(body, clock=virtual_clock)
 
+    def test_listed_twice_after_outage(
+        self,
+        directory,
+        virtual_clock: MockClock,
+    ) -> None:
+        """A second listing does not cut the time to return short."""
+
+        async def body() -> None:
+            for number in (1, 2):
+                directory.put(make_server(number), 1)
+            directory.load([(make_server(1), 2)], after_outage=True)
+            await trio.sleep(1)
+            directory.load([(make_server(1), 2)], after_outage=False)
+            assert not directory.get('s2').is_leaving
+            await trio.sleep(1.1)
+            directory.expire()
+            assert directory.get('s2').is_leaving
+
+        trio.run(body, clock=virtual_clock)
+
     def test_missing_without_outage(
         self,
         directory,
