Refuse requests that crash backend servers, on every process

A connection lost and then a refused one is a crash; processes report what ran there, the coordinator counts lives by request, and after three all refuse it for a minute.

--- a/src/carobwalk/app/_build_gateway.py
+++ b/src/carobwalk/app/_build_gateway.py
@@ -12,12 +12,11 @@
     GatewayService,
     KeyedChooser,
     KeyOwners,
-    LoadTable,
     Place,
-    RepeatBudgets,
     RepeatRules,
     UnkeyedChooser,
 )
+from carobwalk.keyspace import LocalLoad
 from carobwalk.metrics import GatewayMeter
 from carobwalk.platform import PLATFORM_HEADERS
 from carobwalk.settings import Bounds
@@ -51,8 +50,7 @@
 def build_gateway(
     core: GatewayCore,
     owners: KeyOwners,
-    loads: LoadTable,
-    budgets: RepeatBudgets,
+    local: LocalLoad,
     is_stopping: Callable[[], bool],
 ) -> Gateway:
     """Return the parts that serve callers.
@@ -60,8 +58,7 @@
     Args:
         core: Parts of the process.
         owners: Map from keys to backend servers.
-        loads: Loads of the backend servers.
-        budgets: Bounds on repeats.
+        local: Loads, bounds on repeats and suspects of this process.
         is_stopping: Returns whether the process is about to stop.
     """
     settings = core.settings
@@ -73,11 +70,12 @@
     forwarder = Forwarder(
         ForwarderParts(
             names=PLATFORM_HEADERS,
-            loads=loads,
+            loads=local.loads,
             pool=pool,
-            unkeyed=UnkeyedChooser(core.directory, loads, place),
-            keyed=KeyedChooser(owners, loads),
-            budgets=budgets,
+            unkeyed=UnkeyedChooser(core.directory, local.loads, place),
+            keyed=KeyedChooser(owners, local.loads),
+            budgets=local.budgets,
+            suspects=local.suspects,
             events=core.events,
         ),
     )
--- a/src/carobwalk/app/_build_keyspace.py
+++ b/src/carobwalk/app/_build_keyspace.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass, replace
 
 from carobwalk.app._gateway_core import GatewayCore
-from carobwalk.gateway import LoadTable
 from carobwalk.keyspace import (
     LOAD_TOPIC,
     MAP_TOPIC,
@@ -15,6 +14,7 @@
     KeyTimes,
     LoadCollector,
     LoadReporter,
+    LocalLoad,
     MapFeed,
     MapFollower,
     OrderParts,
@@ -48,18 +48,16 @@
 def build_keyspace(
     core: GatewayCore,
     reader: KeyReader,
-    loads: LoadTable,
+    local: LocalLoad,
     is_current: Callable[[], bool],
-    take_process_count: Callable[[int], None],
 ) -> Keyspace:
     """Return the parts that own and find keys.
 
     Args:
         core: Parts of the process.
         reader: What the records say.
-        loads: Loads of the backend servers.
+        local: What this process counts, and takes from the coordinator.
         is_current: Returns whether the records are followed.
-        take_process_count: Takes the number of processes.
     """
     times = _times(core)
     collector = LoadCollector(core.clock)
@@ -94,13 +92,7 @@
         reader=reader,
         owners=owners,
         role=role,
-        reporter=LoadReporter(
-            core.hub,
-            reader,
-            owners,
-            loads,
-            take_process_count,
-        ),
+        reporter=LoadReporter(core.hub, reader, owners, local),
         follower=MapFollower(core.hub, core.store, reader),
     )
 
--- a/src/carobwalk/app/_gateway_process.py
+++ b/src/carobwalk/app/_gateway_process.py
@@ -23,8 +23,8 @@
 from carobwalk.app._settings_file import SettingsFile
 from carobwalk.app._small_servers import serve_small_requests
 from carobwalk.app._stop import ProcessStopped, ProcessStopping
-from carobwalk.gateway import LoadTable, RepeatBudgets
-from carobwalk.keyspace import KeyReader
+from carobwalk.gateway import CrashSuspects, LoadTable, RepeatBudgets
+from carobwalk.keyspace import KeyReader, LocalLoad
 from carobwalk.settings import GatewaySettings
 
 _STOP_SIGNALS: Final = frozenset((signal.SIGTERM, signal.SIGINT))
@@ -50,22 +50,24 @@
         self._is_stopping = False
         self._was_ready = False
         core = self._core
-        self._loads = LoadTable(core.directory)
-        self._budgets = RepeatBudgets(repeat_rules(settings.bounds))
+        self._local = LocalLoad(
+            loads=LoadTable(core.directory),
+            budgets=RepeatBudgets(repeat_rules(settings.bounds)),
+            suspects=CrashSuspects(),
+            events=core.events,
+        )
         reader = KeyReader(core.events)
         self._records = follow_records(core, reader)
         self._keyspace = build_keyspace(
             core,
             reader,
-            self._loads,
+            self._local,
             lambda: self._records.coordinator.is_current,
-            self._take_process_count,
         )
         self._gateway = build_gateway(
             core,
             self._keyspace.owners,
-            self._loads,
-            self._budgets,
+            self._local,
             lambda: self._is_stopping,
         )
         watch_gateway(core, self._gateway.pool)
@@ -148,7 +150,7 @@
             )
             return
         bounds = loaded.ok_value.bounds
-        self._budgets.follow(repeat_rules(bounds))
+        self._local.budgets.follow(repeat_rules(bounds))
         self._core.events.emit(
             SettingsReloaded(is_valid=True, detail=str(bounds))
         )
@@ -160,7 +162,7 @@
             if self._settings_file.has_changed():
                 self._reload()
             self._core.directory.expire()
-            self._loads.forget_gone()
+            self._local.loads.forget_gone()
             await self._gateway.pool.close_old()
 
     def _is_ready(self) -> bool:
@@ -173,7 +175,3 @@
             self._was_ready = is_ready
             self._core.events.emit(ReadinessChanged(is_ready=is_ready))
         return is_ready
-
-    def _take_process_count(self, count: int) -> None:
-        self._loads.process_count = count
-        self._budgets.process_count = count
--- a/src/carobwalk/gateway/__init__.py
+++ b/src/carobwalk/gateway/__init__.py
@@ -7,6 +7,7 @@
 )
 from carobwalk.gateway._caller_request import CallerRequest
 from carobwalk.gateway._connection_pool import ConnectionPool
+from carobwalk.gateway._crash_suspects import Crash, CrashSuspects
 from carobwalk.gateway._forwarder import Forwarder, ForwarderParts, Progress
 from carobwalk.gateway._gateway_server import GatewayServer
 from carobwalk.gateway._gateway_service import GatewayService
@@ -29,6 +30,8 @@
     'CallerLeft',
     'CallerRequest',
     'ConnectionPool',
+    'Crash',
+    'CrashSuspects',
     'Forwarder',
     'ForwarderParts',
     'GatewayServer',
--- a/src/carobwalk/gateway/_caller_connection.py
+++ b/src/carobwalk/gateway/_caller_connection.py
@@ -44,7 +44,8 @@
         self._stream = stream
         limits = service.limits()
         self._http = H11Stream(stream, h11.SERVER, limits.header_bytes)
-        self._reader = RequestReader(self._http, service)
+        caller = str(stream.socket.getpeername()[0])
+        self._reader = RequestReader(self._http, service, caller)
 
     async def run(self) -> None:
         """Serve until either side ends the connection."""
--- a/src/carobwalk/gateway/_caller_request.py
+++ b/src/carobwalk/gateway/_caller_request.py
@@ -12,6 +12,7 @@
 
     Args:
         id: Identity of the caller's attempt; empty if it named none.
+        caller: IP number of the caller.
         method: HTTP method.
         target: Path and query as sent.
         headers: Header fields to pass on.
@@ -23,6 +24,7 @@
     """
 
     id: bytes
+    caller: str
     method: bytes
     target: bytes
     headers: HeaderList
--- a/src/carobwalk/gateway/_forwarder.py
+++ b/src/carobwalk/gateway/_forwarder.py
@@ -11,6 +11,7 @@
 from carobwalk.gateway._attempt_log import AttemptFailed
 from carobwalk.gateway._caller_request import CallerRequest
 from carobwalk.gateway._connection_pool import ConnectionPool
+from carobwalk.gateway._crash_suspects import CrashSuspects
 from carobwalk.gateway._header_names import HeaderNames
 from carobwalk.gateway._keyed_chooser import KeyedChooser
 from carobwalk.gateway._load_table import LoadTable
@@ -34,6 +35,8 @@
 # leaves the outcome of a request open.
 _LONGEST_IDLE_AT_MOST_ONCE_SECONDS: Final = 2.0
 _LONGEST_IDLE_SECONDS: Final = 6.0
+_QUARANTINED: Final = 'the request has crashed backend servers'
+_QUARANTINE_SECONDS: Final = 2.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -47,6 +50,7 @@
         unkeyed: Chooses among all servers of a service.
         keyed: Chooses the owner of a key.
         budgets: Bounds on repeats.
+        suspects: Requests that crash servers.
         events: Log of events.
     """
 
@@ -56,6 +60,7 @@
     unkeyed: UnkeyedChooser
     keyed: KeyedChooser
     budgets: RepeatBudgets
+    suspects: CrashSuspects
     events: EventLog
 
 
@@ -95,6 +100,8 @@
             progress: Takes note of how far it comes.
         """
         self._parts.budgets.count_request(progress.service)
+        if self._parts.suspects.is_quarantined(request):
+            return refusals.not_run(_QUARANTINED, _QUARANTINE_SECONDS)
         with trio.move_on_at(request.deadline):
             return await self._run(request, progress)
         if progress.may_have_run:
@@ -190,8 +197,13 @@
                     now - began,
                     request.route.target_latency,
                 )
-            case NotSent() | Lost():
+            case NotSent():
                 loads.of(server).record_unreachable(now)
+                if outcome.is_refused:
+                    self._parts.suspects.record_refused(server.life)
+            case Lost():
+                loads.of(server).record_unreachable(now)
+                self._parts.suspects.record_lost(request, server.life)
 
     async def _send(
         self,
--- a/src/carobwalk/gateway/_gateway_server.py
+++ b/src/carobwalk/gateway/_gateway_server.py
@@ -60,7 +60,10 @@
         if len(self._connections) >= self._most_connections:
             await trio.aclose_forcefully(stream)
             return
-        connection = CallerConnection(stream, self._service)
+        try:
+            connection = CallerConnection(stream, self._service)
+        except OSError:
+            return  # The caller has gone since it was accepted.
         self._connections.add(connection)
         try:
             await connection.run()
--- a/src/carobwalk/gateway/_request_reader.py
+++ b/src/carobwalk/gateway/_request_reader.py
@@ -30,9 +30,16 @@
     Args:
         http: HTTP side of the connection.
         service: What all connections share.
+        caller: IP number of the other side.
     """
 
-    def __init__(self, http: H11Stream, service: GatewayService) -> None:
+    def __init__(
+        self,
+        http: H11Stream,
+        service: GatewayService,
+        caller: str,
+    ) -> None:
+        self._caller = caller
         self._http = http
         self._service = service
 
@@ -80,6 +87,7 @@
         key = find_number(head.headers, names.key)
         return CallerRequest(
             id=request_id,
+            caller=self._caller,
             method=head.method,
             target=head.target,
             headers=other_headers(
--- a/src/carobwalk/keyspace/__init__.py
+++ b/src/carobwalk/keyspace/__init__.py
@@ -8,6 +8,7 @@
 from carobwalk.keyspace._load_collector import LoadCollector
 from carobwalk.keyspace._load_report import LOAD_TOPIC
 from carobwalk.keyspace._load_reporter import LoadReporter
+from carobwalk.keyspace._local_load import LocalLoad, RequestQuarantined
 from carobwalk.keyspace._map_feed import MapFeed
 from carobwalk.keyspace._map_follower import MapFollower
 from carobwalk.keyspace._map_messages import MAP_TOPIC
@@ -37,6 +38,7 @@
     'KeyTimes',
     'LoadCollector',
     'LoadReporter',
+    'LocalLoad',
     'MapFeed',
     'MapFollower',
     'OrderChannel',
@@ -46,6 +48,7 @@
     'OrderUnanswered',
     'OrderUnsent',
     'Release',
+    'RequestQuarantined',
     'RoleParts',
     'ServerLives',
     'ServerWatch',
--- a/src/carobwalk/keyspace/_load_collector.py
+++ b/src/carobwalk/keyspace/_load_collector.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from carobwalk.keyspace._crash_counts import CrashCounts
 from carobwalk.keyspace._key_load import KeyLoad
 from carobwalk.keyspace._key_range import ServerLife
 from carobwalk.keyspace._load_report import (
@@ -41,6 +42,7 @@
             _Answers,
         )
         self._window_started = clock.now()
+        self._crashes = CrashCounts(clock)
         self.speeds = ServerSpeeds()
         self.is_coordinator = False
 
@@ -51,8 +53,15 @@
         report = msgspec.msgpack.decode(payload, type=LoadReport)
         for load in report.services:
             self._take(load, now)
+        for crash in report.crashes:
+            life = ServerLife(ServerId(crash.server), crash.born)
+            self._crashes.add(crash.fingerprint, life)
         return msgspec.msgpack.encode(
-            LoadReceipt(self.is_coordinator, self.process_count()),
+            LoadReceipt(
+                self.is_coordinator,
+                self.process_count(),
+                self._crashes.culprits(),
+            ),
         )
 
     def process_count(self) -> int:
--- a/src/carobwalk/keyspace/_load_report.py
+++ b/src/carobwalk/keyspace/_load_report.py
@@ -39,10 +39,30 @@
     servers: tuple[ServerAnswers, ...]
 
 
+class ServerCrash(msgspec.Struct, array_like=True, frozen=True):
+    """A request that was running when a backend server crashed.
+
+    Args:
+        fingerprint: Fingerprint of the request.
+        server: Identity of the server.
+        born: Start of the life that ended.
+    """
+
+    fingerprint: int
+    server: str
+    born: int
+
+
 class LoadReport(msgspec.Struct, array_like=True):
-    """What a process tells the coordinator."""
+    """What a process tells the coordinator.
+
+    Args:
+        services: Load by service.
+        crashes: What ran on servers that crashed.
+    """
 
     services: tuple[ServiceLoad, ...]
+    crashes: tuple[ServerCrash, ...] = ()
 
 
 class LoadReceipt(msgspec.Struct, array_like=True):
@@ -51,7 +71,9 @@
     Args:
         is_coordinator: Whether the process coordinates.
         processes: Number of processes that report.
+        culprits: Fingerprints of requests that crash servers.
     """
 
     is_coordinator: bool
     processes: int
+    culprits: tuple[int, ...] = ()
--- a/src/carobwalk/keyspace/_load_reporter.py
+++ b/src/carobwalk/keyspace/_load_reporter.py
@@ -1,13 +1,11 @@
 """Reports of a process to the coordinator."""
 
-from collections.abc import Callable
 from typing import Final
 
 import msgspec
 import trio
 from result import Err
 
-from carobwalk.gateway import LoadTable
 from carobwalk.keyspace._key_owner_table import KeyOwnerTable
 from carobwalk.keyspace._key_reader import KeyReader
 from carobwalk.keyspace._load_report import (
@@ -15,8 +13,10 @@
     LoadReceipt,
     LoadReport,
     ServerAnswers,
+    ServerCrash,
     ServiceLoad,
 )
+from carobwalk.keyspace._local_load import LocalLoad
 from carobwalk.peer import Peers
 
 _PAUSE_SECONDS: Final = 0.25
@@ -30,8 +30,7 @@
         peers: Sends the reports.
         reader: Knows the coordinator.
         owners: Counts requests by key.
-        loads: Counts answers by server.
-        take_process_count: Takes the number of processes.
+        local: What this process counts, and takes from the coordinator.
     """
 
     def __init__(
@@ -39,14 +38,12 @@
         peers: Peers,
         reader: KeyReader,
         owners: KeyOwnerTable,
-        loads: LoadTable,
-        take_process_count: Callable[[int], None],
+        local: LocalLoad,
     ) -> None:
         self._peers = peers
         self._reader = reader
         self._owners = owners
-        self._loads = loads
-        self._take_process_count = take_process_count
+        self._local = local
 
     async def run(self) -> None:
         """Report until cancelled."""
@@ -69,10 +66,10 @@
                 type=LoadReceipt,
             )
             if receipt.is_coordinator:
-                self._take_process_count(receipt.processes)
+                self._local.take(receipt)
 
     def _take_report(self) -> LoadReport:
-        statistics = self._loads.take_statistics()
+        statistics = self._local.loads.take_statistics()
         return LoadReport(
             tuple(
                 ServiceLoad(
@@ -87,4 +84,8 @@
                 )
                 for service, counts in self._owners.take_counts().items()
             ),
+            tuple(
+                ServerCrash(crash.fingerprint, *crash.life)
+                for crash in self._local.suspects.take_crashes()
+            ),
         )
--- a/tests/gateway/scene.py
+++ b/tests/gateway/scene.py
@@ -9,6 +9,7 @@
 from carobwalk.events import NullEventLog
 from carobwalk.gateway import (
     ConnectionPool,
+    CrashSuspects,
     Forwarder,
     ForwarderParts,
     GatewayServer,
@@ -99,6 +100,7 @@
         self.budgets = RepeatBudgets(
             RepeatRules(ratio=2, slack=64, window=10),
         )
+        self.suspects = CrashSuspects()
         forwarder = Forwarder(
             ForwarderParts(
                 names=PLATFORM_HEADERS,
@@ -107,6 +109,7 @@
                 unkeyed=UnkeyedChooser(self.directory, self.loads, place),
                 keyed=KeyedChooser(self.owners, self.loads),
                 budgets=self.budgets,
+                suspects=self.suspects,
                 events=NullEventLog(),
             ),
         )
--- a/tests/gateway/test_choosers.py
+++ b/tests/gateway/test_choosers.py
@@ -37,6 +37,7 @@
     now = trio.current_time()
     return CallerRequest(
         id=b'x',
+        caller='127.0.0.1',
         method=b'GET',
         target=b'/',
         headers=(),
