--- a/demo/steps/__init__.py
+++ b/demo/steps/__init__.py
@@ -12,6 +12,7 @@
 from demo.steps._graceful_stop import stop_entry
 from demo.steps._audit import compare
 from demo.steps._time_line import merge_time_line
+from demo.steps._platform import serve_on_platform
 # isort: on
 
 __all__ = (
@@ -24,6 +25,7 @@
     'race_operators',
     'send_all_ranks',
     'serve_everything',
+    'serve_on_platform',
     'stop_entry',
     'take_store_down',
 )
--- a/src/carobwalk/platform/__main__.py
+++ b/src/carobwalk/platform/__main__.py
@@ -12,7 +12,9 @@
 
 
 def main() -> int:
-    """Run the process that the platform's settings file describes.
+    """Run the process that a settings file describes.
+
+    The file is named by the first argument, else by the platform's variable.
 
     Returns:
         Exit code: 0 after a graceful shutdown, 1 if requests in flight were
@@ -21,7 +23,8 @@
     # trio looks up a library when it is imported.
     avoid_child_processes()
     app = importlib.import_module('carobwalk.app')
-    path = Path(os.environ[_SETTINGS_VARIABLE])
+    named = sys.argv[1] if len(sys.argv) > 1 else None
+    path = Path(named or os.environ[_SETTINGS_VARIABLE])
     return int(app.serve_gateway(path))
 
 
--- a/standins/_commands.py
+++ b/standins/_commands.py
@@ -7,13 +7,14 @@
 import trio
 
 from carobwalk.http import HttpHandler, serve_http
-from carobwalk.model import SuspendAwareClock
+from carobwalk.model import Address, SuspendAwareClock
 from carobwalk.store import Host
 from standins._combine import combine
 from standins._load_command import load_command
 from standins.backend import BackendSettings, make_state, serve_backend
 from standins.host_list_handler import HostListHandler
 from standins.memory_host_list import MemoryHostList
+from standins.platform import serve_deployment
 from standins.store_handler import StoreHandler
 
 _ADDRESS = '127.0.0.1:0'
@@ -34,6 +35,14 @@
     trio.run(_serve_store, listen)
 
 
+@main.command(name='platform')
+@click.option('--listen', default=_ADDRESS, show_default=True)
+def platform(listen: str) -> None:
+    """Run a deployment of the users' platform: store and backend servers."""
+    host, _, port = listen.rpartition(':')
+    trio.run(serve_deployment, Address(host, int(port)))
+
+
 @main.command(name='host-list')
 @click.option('--listen', default=_ADDRESS, show_default=True)
 @click.option('--lag', default=float(0), help='Age of the list in seconds.')
--- a/standins/platform/__init__.py
+++ b/standins/platform/__init__.py
@@ -1,15 +1,22 @@
 """Stand-ins of the users' platform: store, backend servers, operator."""
 
 from standins.platform._backend import Fault, PlatformBackend
+from standins.platform._deployment import serve_deployment
+from standins.platform._keyed_backend import KeyedBackend
 from standins.platform._kv_handler import KvHandler
 from standins.platform._kv_store import KvStore
 from standins.platform._order_book import KeyHolder, OrderBook
+from standins.platform._settings_file import RouterAddresses, fill_settings
 
 __all__ = (
     'Fault',
     'KeyHolder',
+    'KeyedBackend',
     'KvHandler',
     'KvStore',
     'OrderBook',
     'PlatformBackend',
+    'RouterAddresses',
+    'fill_settings',
+    'serve_deployment',
 )
--- a/standins/platform/_backend.py
+++ b/standins/platform/_backend.py
@@ -1,6 +1,7 @@
 """Backend server of the users' platform, with faults."""
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum, unique
 
@@ -12,8 +13,12 @@
 _ID = b'attempt-id'
 _EXPECTED = b'target-instance'
 _SIGNATURE = (b'response-signature', b'1.2.3')
+_NOT_RUN = (b'not-executed', b'1')
 _BODY = b'made by the server\n'
 
+HeaderFields = list[tuple[bytes, bytes]]
+Order = Callable[[bytes], HeaderFields]
+
 
 @unique
 class Fault(StrEnum):
@@ -63,6 +68,11 @@
         self.dropped: list[bytes] = []
         self.runs_by_id: Counter[bytes] = Counter()
         self.connections = 0
+        self._orders_by_target: dict[bytes, Order] = {}
+
+    def runs(self, headers: dict[bytes, bytes]) -> bool:
+        """Return whether the server runs a request with these headers."""
+        return True
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
@@ -83,25 +93,42 @@
         body = await http.read_body(1_000_000) or b''
         headers = dict(head.headers)
         request_id = headers.get(_ID, b'')
-        if headers.get(_EXPECTED, b'').decode() != self.name:
-            await self._send(http, 421, request_id, [(b'not-executed', b'1')])
+        status = self._turned_away(headers, head.target)
+        if status is not None:
+            await self._send(http, status, request_id, [_NOT_RUN])
             return http.is_reusable
-        fault = self._take_fault()
-        if fault is Fault.SHED:
-            await self._send(http, 503, request_id, [(b'not-executed', b'1')])
+        order = self._orders_by_target.get(head.target)
+        if order is not None:
+            await self._send(http, 200, request_id, order(body))
             return http.is_reusable
-        seen = Seen(
-            request_id,
-            head.method,
-            head.target,
-            tuple(head.headers),
-            body,
-        )
+        fields = tuple(head.headers)
+        seen = Seen(request_id, head.method, head.target, fields, body)
+        return await self._run(http, seen)
+
+    def _turned_away(
+        self,
+        headers: dict[bytes, bytes],
+        target: bytes,
+    ) -> int | None:
+        """Return the status for what is not run, ``None`` for the rest."""
+        if headers.get(_EXPECTED, b'').decode() != self.name:
+            return 421
+        if target in self._orders_by_target:
+            return None
+        if not self.runs(headers):
+            return 421
+        if self.fault is Fault.SHED and self.faults_left:
+            self.faults_left -= 1
+            return 503
+        return None
+
+    async def _run(self, http: H11Stream, seen: Seen) -> bool:
+        fault = self._take_fault()
         self.seen.append(seen)
-        self.runs_by_id[request_id] += 1
-        if not await self._work(http, request_id):
+        self.runs_by_id[seen.id] += 1
+        if not await self._work(http, seen.id):
             return False
-        return await self._answer(http, request_id, fault)
+        return await self._answer(http, seen.id, fault)
 
     async def _work(self, http: H11Stream, request_id: bytes) -> bool:
         """Work on a request; stop when the other side closes."""
--- /dev/null
+++ b/standins/platform/_settings_file.py
@@ -0,0 +1,55 @@
+"""Settings of a process, filled into the template of the deployment."""
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+
+from carobwalk.model import Address
+
+_TEMPLATE = Path(__file__).parent.parent.parent / 'deploy/settings.json5'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RouterAddresses:
+    """Addresses of one process.
+
+    Args:
+        callers: Takes callers.
+        readiness: Tells the balancer.
+        peers: Takes other processes.
+        metrics: Takes scrapes.
+        store: The store.
+    """
+
+    callers: Address
+    readiness: Address
+    peers: Address
+    metrics: Address
+    store: Address
+
+
+def fill_settings(name: str, addresses: RouterAddresses) -> str:
+    """Return the settings file of a process, as the platform fills it in."""
+    fields = {
+        'node_name': name,
+        'region': 'r1',
+        'zone': 'dc1',
+        'zones': {'dc1': 'r1'},
+        'listen.frontend': str(addresses.callers),
+        'listen.ready': str(addresses.readiness),
+        'platform.address': str(addresses.store),
+        'platform.min_ttl_s': 1,
+        'limits.memory_mb': 300,
+        'limits.max_fds': 4096,
+        'bounds.drain_s': 2,
+        'bounds.grace_s': 6,
+        'bounds.retry_budget_ratio': 0.2,
+        'bounds.retry_slack': 64,
+        'bounds.retry_window_s': 10,
+        'bounds.max_hold_s': 10,
+    }
+    text = _TEMPLATE.read_text()
+    for field, content in fields.items():
+        text = text.replace(f'{{{{{field}|json}}}}', json.dumps(content))
+    text = text.replace('{{ip}}:{{internal_ports.0}}', str(addresses.peers))
+    return text.replace('{{ip}}:9464', str(addresses.metrics))
--- a/tests/app/test_gateway_process.py
+++ b/tests/app/test_gateway_process.py
@@ -4,7 +4,6 @@
 import os
 import signal
 from pathlib import Path
-from types import MappingProxyType
 
 import h11
 import pytest
@@ -14,29 +13,16 @@
 from carobwalk.http import H11Stream, HttpClient, HttpRequest, serve_http
 from carobwalk.model import Address
 from carobwalk.settings import load_gateway_settings
-from standins.platform import KvHandler, KvStore, PlatformBackend
+from standins.platform import (
+    KvHandler,
+    KvStore,
+    PlatformBackend,
+    RouterAddresses,
+    fill_settings,
+)
 from standins.processes import find_free_addresses
 from tests.gateway.scene import CONFIGURATION, Answer, exchange
 
-TEMPLATE = Path(__file__).parent.parent.parent / 'deploy/settings.json5'
-FIELDS = MappingProxyType(
-    {
-        'node_name': 'p1',
-        'region': 'r1',
-        'zone': 'dc1',
-        'zones': {'dc1': 'r1'},
-        'platform.min_ttl_s': 1,
-        'limits.memory_mb': 300,
-        'limits.max_fds': 4096,
-        'bounds.drain_s': 2,
-        'bounds.grace_s': 6,
-        'bounds.retry_budget_ratio': 0.2,
-        'bounds.retry_slack': 64,
-        'bounds.retry_window_s': 10,
-        'bounds.max_hold_s': 10,
-    },
-)
-
 
 class Deployment:
     """A store, a backend server and one process on loopback."""
@@ -50,24 +36,21 @@
         self.metrics = next(addresses)
         self.address = next(addresses)
         self.path = folder / 'settings.json5'
-        self.path.write_text(self.fill())
+        self.path.write_text(
+            fill_settings(
+                'p1',
+                RouterAddresses(
+                    callers=self.callers,
+                    readiness=self.ready,
+                    peers=self.peers,
+                    metrics=self.metrics,
+                    store=self.address,
+                ),
+            ),
+        )
         self.backend = PlatformBackend('s1')
         self.http = HttpClient()
 
-    def fill(self) -> str:
-        """Return the template with its fields filled in."""
-        fields = {
-            **FIELDS,
-            'listen.frontend': str(self.callers),
-            'listen.ready': str(self.ready),
-            'platform.address': str(self.address),
-        }
-        text = TEMPLATE.read_text()
-        for name, content in fields.items():
-            text = text.replace(f'{{{{{name}|json}}}}', json.dumps(content))
-        text = text.replace('{{ip}}:{{internal_ports.0}}', str(self.peers))
-        return text.replace('{{ip}}:9464', str(self.metrics))
-
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the stand-ins and register the backend server."""
         listeners = await trio.open_tcp_listeners(
