--- a/src/carobwalk/keyspace/_key_map.py
+++ b/src/carobwalk/keyspace/_key_map.py
@@ -47,6 +47,14 @@
             expected = part.last + 1
         return expected == MOST_KEY + 1
 
+    def overlapping(self, first: int, last: int) -> tuple[KeyRange, ...]:
+        """Return the ranges that hold any of some keys."""
+        low = max(bisect_right(self._firsts, first) - 1, 0)
+        high = bisect_right(self._firsts, last)
+        return tuple(
+            part for part in self.ranges[low:high] if part.last >= first
+        )
+
     def assign(self, changed: Iterable[KeyRange]) -> 'KeyMap':
         """Return the map after ranges have been laid over it.
 
@@ -54,13 +62,25 @@
             changed: New ranges, which may cut existing ones.
         """
         ranges = list(self.ranges)
+        firsts = list(self._firsts)
         for laid in changed:
-            cut = (cut_out(old, laid) for old in ranges)
-            ranges = [laid, *chain.from_iterable(cut)]
-        ranges.sort(key=attrgetter('first'))
+            low = max(bisect_right(firsts, laid.first) - 1, 0)
+            high = bisect_right(firsts, laid.last)
+            pieces = _lay_over(laid, ranges[low:high])
+            ranges = [*ranges[:low], *pieces, *ranges[high:]]
+            starts = [piece.first for piece in pieces]
+            firsts = [*firsts[:low], *starts, *firsts[high:]]
         return KeyMap(join_alike(ranges), self.revision)
 
 
+def _lay_over(laid: KeyRange, ranges: Iterable[KeyRange]) -> list[KeyRange]:
+    """Return a range and what is left of those under it, in order."""
+    cut = (cut_out(old, laid) for old in ranges)
+    pieces = [laid, *chain.from_iterable(cut)]
+    pieces.sort(key=attrgetter('first'))
+    return pieces
+
+
 def cut_out(old: KeyRange, part: KeyRange) -> Iterator[KeyRange]:
     """Yield what is left of a range outside another one."""
     if part.last < old.first or part.first > old.last:
--- a/src/carobwalk/keyspace/_map_feed.py
+++ b/src/carobwalk/keyspace/_map_feed.py
@@ -18,8 +18,6 @@
 
 # Longest time until a question is answered without news.
 _HOLD_SECONDS: Final = 1.0
-# Several ranges are often granted in the same moment.
-_GATHER_SECONDS: Final = 0.01
 # Versions that an update may be laid over.
 _KEPT_VERSIONS: Final = 32
 _UNKNOWN: Final = MapVersion(0)
@@ -61,7 +59,6 @@
         with trio.move_on_after(_HOLD_SECONDS):
             while self.is_coordinator and not self._newer(question):
                 await self._changed.wait()
-                await trio.sleep(_GATHER_SECONDS)
         updates = tuple(
             self._update(service, question.known.get(service, _UNKNOWN))
             for service in self._newer(question)
--- a/src/carobwalk/keyspace/_owned_map.py
+++ b/src/carobwalk/keyspace/_owned_map.py
@@ -1,7 +1,6 @@
 """The map of a coordinator, with the grants that it does not show yet."""
 
 import math
-from collections.abc import Iterable
 from dataclasses import replace
 
 from carobwalk.keyspace._key_map import KeyMap
@@ -66,27 +65,21 @@
             and (part.is_granted or part in self._granted_at_by_range)
         ]
 
-    def assignment(self, move: Move) -> KeyRange:
-        """Return the range that a move makes."""
-        return KeyRange(
-            first=move.first,
-            last=move.last,
-            owner=move.owner,
-            previous=tuple(sorted(self._holders(move) - {move.owner})),
-        )
-
-    def _holders(self, move: Move) -> set[ServerLife]:
-        """Return the lives that may hold keys of a move."""
-        holders: set[ServerLife] = set()
-        for part in _overlapping(self.current(), move):
-            holders.add(part.owner)
-            holders.update(part.previous)
-        return holders
 
+def assignment(key_map: KeyMap, move: Move) -> KeyRange:
+    """Return the range that a move makes.
 
-def _overlapping(key_map: KeyMap, move: Move) -> Iterable[KeyRange]:
-    return (
-        part
-        for part in key_map
-        if part.first <= move.last and move.first <= part.last
+    Args:
+        key_map: Owners before the move, with all grants.
+        move: The move.
+    """
+    holders: set[ServerLife] = set()
+    for part in key_map.overlapping(move.first, move.last):
+        holders.add(part.owner)
+        holders.update(part.previous)
+    return KeyRange(
+        first=move.first,
+        last=move.last,
+        owner=move.owner,
+        previous=tuple(sorted(holders - {move.owner})),
     )
--- a/src/carobwalk/keyspace/_service_coordinator.py
+++ b/src/carobwalk/keyspace/_service_coordinator.py
@@ -14,7 +14,7 @@
 from carobwalk.keyspace._map_writer import MapWriter
 from carobwalk.keyspace._move import BALANCING, Move
 from carobwalk.keyspace._order_desk import OrderDesk
-from carobwalk.keyspace._owned_map import OwnedMap
+from carobwalk.keyspace._owned_map import OwnedMap, assignment
 from carobwalk.keyspace._planner import Planner
 from carobwalk.keyspace._renewals import Renewals
 from carobwalk.keyspace._term import Term
@@ -25,6 +25,7 @@
 # for one that is still on its way.
 _CONFIRM_SECONDS: Final = 0.5
 _BALANCE_SECONDS: Final = 0.3
+_GATHER_SECONDS: Final = 0.01
 
 
 class ServiceCoordinator:
@@ -59,6 +60,7 @@
         self._activating: set[KeyRange] = set()
         self._wake = trio.Event()
         self._is_stopping = False
+        self._has_news = False
         self._balance_at = -math.inf
 
     async def run(self, key_map: KeyMap) -> None:
@@ -81,10 +83,12 @@
             while not self._term.is_over and not self._is_stopping:
                 renewals.start(nursery)
                 self._start_activations(nursery)
+                self._publish_news()
                 if self._term.is_valid:
                     await self._step()
                 with trio.move_on_after(self._parts.orders.times.tick):
                     await self._wake.wait()
+                    await trio.sleep(_GATHER_SECONDS)
                 self._wake = trio.Event()
             nursery.cancel_scope.cancel()
 
@@ -105,7 +109,7 @@
         moves = self._plan(based)
         if not moves and not self._refused and not self._must_confirm():
             return
-        changed = [self._owned.assignment(move) for move in moves]
+        changed = [assignment(based, move) for move in moves]
         # A fence that was refused is replaced by a higher one.
         changed.extend(replace(part, fence=0) for part in self._refused)
         written = await self._writer.write(based.assign(changed))
@@ -138,7 +142,13 @@
         age = self._parts.clock.now() - self._owned.oldest_unwritten()
         return age >= _CONFIRM_SECONDS
 
+    def _publish_news(self) -> None:
+        """Tell the grants of a moment together: each telling costs a map."""
+        if self._has_news:
+            self._publish()
+
     def _publish(self) -> None:
+        self._has_news = False
         self._parts.feed.publish(self._service, self._owned.current())
 
     def _start_activations(self, nursery: trio.Nursery) -> None:
@@ -160,7 +170,7 @@
         self._activating.discard(part)
         if is_granted:
             self._owned.confirm(part, self._parts.clock.now())
-            self._publish()
+            self._has_news = True
             self._parts.events.emit(
                 KeysGranted(
                     service=self._service,
