--- a/src/carobwalk/keyspace/_key_map.py
+++ b/src/carobwalk/keyspace/_key_map.py
@@ -5,9 +5,12 @@
 from dataclasses import replace
 from itertools import chain
 from operator import attrgetter
+from typing import Final
 
 from carobwalk.keyspace._key_range import MOST_KEY, KeyRange
 
+_FIRST: Final = attrgetter('first')
+
 
 class KeyMap:
     """Ranges that cover all keys, in order.
@@ -62,14 +65,12 @@
             changed: New ranges, which may cut existing ones.
         """
         ranges = list(self.ranges)
-        firsts = list(self._firsts)
         for laid in changed:
-            low = max(bisect_right(firsts, laid.first) - 1, 0)
-            high = bisect_right(firsts, laid.last)
+            low = max(bisect_right(ranges, laid.first, key=_FIRST) - 1, 0)
+            high = bisect_right(ranges, laid.last, key=_FIRST)
             pieces = _lay_over(laid, ranges[low:high])
-            ranges = [*ranges[:low], *pieces, *ranges[high:]]
-            starts = [piece.first for piece in pieces]
-            firsts = [*firsts[:low], *starts, *firsts[high:]]
+            rest = ranges[high:]
+            ranges = [*ranges[:low], *pieces, *rest]
         return KeyMap(join_alike(ranges), self.revision)
 
 
@@ -77,7 +78,7 @@
     """Return a range and what is left of those under it, in order."""
     cut = (cut_out(old, laid) for old in ranges)
     pieces = [laid, *chain.from_iterable(cut)]
-    pieces.sort(key=attrgetter('first'))
+    pieces.sort(key=_FIRST)
     return pieces
 
 
