--- a/src/carobwalk/app/_core.py
+++ b/src/carobwalk/app/_core.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from carobwalk.app._clients import connect_platform
+from carobwalk.app._own_endpoint import own_endpoint
 from carobwalk.app._peer_bytes import watch_peer_bytes
 from carobwalk.events import EventLog, HybridClock, LineEventLog
 from carobwalk.http import HttpClient
@@ -50,7 +51,7 @@
     Raises:
         OSError: If the log can not be opened.
     """
-    own = _own_endpoint(settings)
+    own = own_endpoint(settings.process, settings.listen.peers)
     stamps = HybridClock()
     log = _open_log(settings, stamps)
     clock = SuspendAwareClock()
@@ -75,16 +76,6 @@
     )
 
 
-def _own_endpoint(settings: Settings) -> Endpoint:
-    place = settings.process
-    return Endpoint(
-        place.id,
-        settings.listen.peers,
-        place.region,
-        place.data_centre,
-    )
-
-
 def _open_log(settings: Settings, stamps: HybridClock) -> LineEventLog:
     log = settings.log
     return LineEventLog.open(settings.process.id, stamps, log.path, log.level)
--- a/src/carobwalk/app/_gateway_core.py
+++ b/src/carobwalk/app/_gateway_core.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from carobwalk.app._own_endpoint import own_endpoint
 from carobwalk.directory import ServerDirectory
 from carobwalk.events import (
     BoundedOutput,
@@ -58,7 +59,7 @@
 
 def build_gateway_core(settings: GatewaySettings) -> GatewayCore:
     """Return the parts that the settings describe."""
-    own = _own_endpoint(settings)
+    own = own_endpoint(settings.process, settings.listen.peers)
     stamps = HybridClock()
     output = BoundedOutput()
     log = LineEventLog.open(own.name, stamps, output.write, settings.log.level)
@@ -87,16 +88,6 @@
     )
 
 
-def _own_endpoint(settings: GatewaySettings) -> Endpoint:
-    place = settings.process
-    return Endpoint(
-        place.id,
-        settings.listen.peers,
-        place.region,
-        place.data_centre,
-    )
-
-
 async def _connect_for_orders(address: Address) -> trio.SocketStream:
     """Open a connection whose unsent bytes are lost when it is closed."""
     stream = await connect_probed(address)
--- a/src/carobwalk/gateway/_caller_connection.py
+++ b/src/carobwalk/gateway/_caller_connection.py
@@ -7,6 +7,7 @@
 import trio
 
 from carobwalk.gateway import _refusals as refusals
+from carobwalk.gateway._attempt_log import ConnectionCrashed
 from carobwalk.gateway._caller_request import CallerRequest
 from carobwalk.gateway._gateway_service import GatewayService
 from carobwalk.gateway._reply import Reply
@@ -19,6 +20,7 @@
 _STALL_SECONDS: Final = 5.0
 _LINGER_SECONDS: Final = 0.5
 _GONE: Final = (
+    trio.TooSlowError,
     trio.BrokenResourceError,
     trio.ClosedResourceError,
     h11.LocalProtocolError,
@@ -53,7 +55,12 @@
             while await self._serve_next():
                 self._http.protocol.start_next_cycle()
         except _GONE:
-            return  # The caller went away; nothing can be told to it.
+            return  # The caller went away, or does not take its answer.
+        except Exception as error:
+            # A fault of the program ends one connection, not the process.
+            self._service.events.emit(
+                ConnectionCrashed(type(error).__name__, str(error)),
+            )
         finally:
             await trio.aclose_forcefully(self._stream)
 
--- a/src/carobwalk/gateway/_gateway_server.py
+++ b/src/carobwalk/gateway/_gateway_server.py
@@ -1,14 +1,10 @@
 """Listener for callers."""
 
-from typing import Final
-
 import trio
 
-from carobwalk.gateway._attempt_log import ConnectionCrashed
 from carobwalk.gateway._caller_connection import CallerConnection
 from carobwalk.gateway._gateway_service import GatewayService
-
-_POLL_SECONDS: Final = 0.05
+from carobwalk.http import DrainingServer
 
 
 class GatewayServer:
@@ -25,19 +21,11 @@
         most_connections: int,
     ) -> None:
         self._service = service
-        self._most_connections = most_connections
-        self._accepting = trio.CancelScope()
-        self._connections: set[CallerConnection] = set()
+        self._server = DrainingServer(self._connect, most_connections)
 
     async def run(self, listeners: list[trio.SocketListener]) -> None:
         """Serve callers until ``close`` was called and the last one left."""
-        async with trio.open_nursery() as nursery:
-            with self._accepting:
-                await trio.serve_listeners(
-                    self._serve,
-                    listeners,
-                    handler_nursery=nursery,
-                )
+        await self._server.run(listeners)
 
     async def close(self, seconds: float) -> bool:
         """Stop accepting and let the requests in flight finish.
@@ -48,31 +36,7 @@
         Returns:
             Whether every request in flight finished in time.
         """
-        self._accepting.cancel()
-        with trio.move_on_after(seconds):
-            while self._connections:
-                for connection in tuple(self._connections):
-                    connection.idle_scope.cancel()
-                await trio.sleep(_POLL_SECONDS)
-        return not self._connections
+        return await self._server.drain(seconds)
 
-    async def _serve(self, stream: trio.SocketStream) -> None:
-        if len(self._connections) >= self._most_connections:
-            await trio.aclose_forcefully(stream)
-            return
-        try:
-            connection = CallerConnection(stream, self._service)
-        except OSError:
-            return  # The caller has gone since it was accepted.
-        self._connections.add(connection)
-        try:
-            await connection.run()
-        except trio.TooSlowError:
-            return  # The caller doesn't take its answer.
-        except Exception as error:
-            # A fault of the program ends one connection, not the process.
-            self._service.events.emit(
-                ConnectionCrashed(type(error).__name__, str(error)),
-            )
-        finally:
-            self._connections.discard(connection)
+    def _connect(self, stream: trio.SocketStream) -> CallerConnection:
+        return CallerConnection(stream, self._service)
--- a/src/carobwalk/http/__init__.py
+++ b/src/carobwalk/http/__init__.py
@@ -2,6 +2,10 @@
 
 from carobwalk.http._client import HttpClient
 from carobwalk.http._connect import connect_probed, reset_on_close
+from carobwalk.http._draining_server import (
+    DrainableConnection,
+    DrainingServer,
+)
 from carobwalk.http._failures import (
     ConnectFailed,
     HttpFailure,
@@ -15,6 +19,8 @@
 
 __all__ = (
     'ConnectFailed',
+    'DrainableConnection',
+    'DrainingServer',
     'H11Stream',
     'HttpClient',
     'HttpFailure',
