Learn of slow owners from requests that were given up; close a race of renewals

The coordinator took service times from answers only, so it learned nothing of servers that hardly answer, and their keys stayed. Requests given up count now, and with all slots busy the service time is slots divided by answers a second.

--- a/src/carobwalk/gateway/__init__.py
+++ b/src/carobwalk/gateway/__init__.py
@@ -7,6 +7,7 @@
 )
 from carobwalk.gateway._caller_request import CallerRequest
 from carobwalk.gateway._connection_pool import ConnectionPool
+from carobwalk.gateway._counted_work import CountedWork
 from carobwalk.gateway._crash_suspects import Crash, CrashSuspects
 from carobwalk.gateway._forwarder import Forwarder, ForwarderParts, Progress
 from carobwalk.gateway._gateway_server import GatewayServer
@@ -30,6 +31,7 @@
     'CallerLeft',
     'CallerRequest',
     'ConnectionPool',
+    'CountedWork',
     'Crash',
     'CrashSuspects',
     'Forwarder',
--- a/src/carobwalk/gateway/_connection_pool.py
+++ b/src/carobwalk/gateway/_connection_pool.py
@@ -7,7 +7,7 @@
 
 from carobwalk.directory import BackendServer, ServerDirectory
 from carobwalk.gateway._header_names import HeaderNames
-from carobwalk.gateway._load_table import Life
+from carobwalk.gateway._life import Life
 from carobwalk.gateway._outcomes import NotSent
 from carobwalk.gateway._upstream_connection import UpstreamConnection
 from carobwalk.http import connect_probed
--- a/src/carobwalk/gateway/_crash_suspects.py
+++ b/src/carobwalk/gateway/_crash_suspects.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from carobwalk.gateway._caller_request import CallerRequest
-from carobwalk.gateway._load_table import Life
+from carobwalk.gateway._life import Life
 
 # Time between the loss of a connection and a refused one that shows that the
 # server's process has ended.
--- a/src/carobwalk/gateway/_forwarder.py
+++ b/src/carobwalk/gateway/_forwarder.py
@@ -189,7 +189,7 @@
         now = trio.current_time()
         match outcome:
             case None:
-                loads.of(server).record_slow(now, now - began)
+                loads.record_given_up(server, now, now - began)
             case Answered():
                 loads.record_answer(
                     server,
--- a/src/carobwalk/gateway/_load_table.py
+++ b/src/carobwalk/gateway/_load_table.py
@@ -4,9 +4,11 @@
 from typing import Final
 
 from carobwalk.directory import BackendServer, ServerDirectory
+from carobwalk.gateway._life import Life
 from carobwalk.gateway._server_load import ServerLoad
 from carobwalk.gateway._waiting_line import WaitingLine
-from carobwalk.model import ServerId, ServiceName
+from carobwalk.gateway._work_counts import WorkCounts
+from carobwalk.model import ServiceName
 
 _FIRST_LATENCY_SECONDS: Final = 0.1
 _WEIGHT_OF_NEW: Final = 0.02
@@ -16,12 +18,6 @@
 _HELD_PER_SLOT: Final = 5
 _LEAST_LIMIT: Final = 2
 
-Life = tuple[ServerId, int]
-# Number of answers and the sum of their latencies in seconds.
-Answers = tuple[int, float]
-# Answers by service and life.
-Statistics = dict[ServiceName, dict[Life, Answers]]
-
 
 class LoadTable:
     """Loads by life of a backend server.
@@ -37,7 +33,7 @@
         self._lines_by_service: dict[ServiceName, WaitingLine] = defaultdict(
             WaitingLine,
         )
-        self._statistics: Statistics = {}
+        self.work = WorkCounts()
         self.process_count = 12
 
     def of(self, server: BackendServer) -> ServerLoad:
@@ -88,15 +84,27 @@
             usual + (seconds - usual) * _WEIGHT_OF_NEW
         )
 
-        answers_by_life = self._statistics.setdefault(server.service, {})
-        count, total = answers_by_life.get(server.life, (0, 0))
-        answers_by_life[server.life] = (count + 1, total + seconds)
+        counted = self.work.of(server)
+        counted.answers += 1
+        counted.seconds += seconds
+
+    def record_given_up(
+        self,
+        server: BackendServer,
+        now: float,
+        seconds: float,
+    ) -> None:
+        """Take in that a request was given up without an answer.
 
-    def take_statistics(self) -> Statistics:
-        """Return what was answered since the last call."""
-        statistics = self._statistics
-        self._statistics = {}
-        return statistics
+        Args:
+            server: Server that did not answer.
+            now: Present time.
+            seconds: Time that the request was in flight.
+        """
+        self.of(server).record_slow(now, seconds)
+        counted = self.work.of(server)
+        counted.given_up += 1
+        counted.seconds += seconds
 
     def finish(self, server: BackendServer) -> None:
         """Count the end of a request at a server."""
--- a/src/carobwalk/keyspace/_load_collector.py
+++ b/src/carobwalk/keyspace/_load_collector.py
@@ -1,11 +1,11 @@
 """Load of all processes, as the coordinator knows it."""
 
 from collections import defaultdict
-from dataclasses import dataclass
 from typing import Final
 
 import msgspec
 
+from carobwalk.gateway import CountedWork
 from carobwalk.keyspace._crash_counts import CrashCounts
 from carobwalk.keyspace._key_load import KeyLoad
 from carobwalk.keyspace._key_range import ServerLife
@@ -15,18 +15,13 @@
     ServiceLoad,
 )
 from carobwalk.keyspace._server_speed import ServerSpeeds
+from carobwalk.keyspace._server_work import rate_of
 from carobwalk.model import Clock, ProcessId, ServerId, ServiceName
 
 _REPORTER_SECONDS: Final = 3.0
 _WINDOW_SECONDS: Final = 0.5
 
 
-@dataclass(slots=True)
-class _Answers:
-    count: int = 0
-    seconds: float = 0
-
-
 class LoadCollector:
     """Takes the reports of all processes.
 
@@ -38,8 +33,8 @@
         self._clock = clock
         self._reported_by_process: dict[ProcessId, float] = {}
         self._loads_by_service: dict[ServiceName, KeyLoad] = {}
-        self._answers_by_life: dict[ServerLife, _Answers] = defaultdict(
-            _Answers,
+        self._work_by_life: dict[ServerLife, CountedWork] = defaultdict(
+            CountedWork,
         )
         self._window_started = clock.now()
         self._crashes = CrashCounts(clock)
@@ -92,23 +87,18 @@
         length = now - self._window_started
         if length < _WINDOW_SECONDS:
             return
-        for life, answers in self._answers_by_life.items():
-            self.speeds.record(
-                life,
-                answers.count,
-                answers.seconds / max(answers.count, 1),
-                answers.seconds / length,
-                slots,
-            )
-        self._answers_by_life.clear()
+        for life, work in self._work_by_life.items():
+            self.speeds.record(life, rate_of(work, length), slots, now)
+        self._work_by_life.clear()
         self._window_started = now
 
     def _take(self, load: ServiceLoad, now: float) -> None:
         self.load_of(ServiceName(load.service)).add(load.counts, now)
         for row in load.servers:
             life = ServerLife(ServerId(row.server), row.born)
-            answers = self._answers_by_life[life]
-            answers.count += row.answers
-            answers.seconds += row.seconds
+            work = self._work_by_life[life]
+            work.answers += row.answers
+            work.given_up += row.given_up
+            work.seconds += row.seconds
             if row.answers:
                 self.speeds.heard(life, now)
--- a/src/carobwalk/keyspace/_load_report.py
+++ b/src/carobwalk/keyspace/_load_report.py
@@ -16,12 +16,14 @@
         server: Identity of the server.
         born: Start of its life, in milliseconds since 1970.
         answers: Number of answers.
-        seconds: Sum of their latencies.
+        given_up: Number of requests that were given up without an answer.
+        seconds: Sum of the times that all of them were in flight.
     """
 
     server: str
     born: int
     answers: int
+    given_up: int
     seconds: float
 
 
--- a/src/carobwalk/keyspace/_load_reporter.py
+++ b/src/carobwalk/keyspace/_load_reporter.py
@@ -69,16 +69,21 @@
                 self._local.take(receipt)
 
     def _take_report(self) -> LoadReport:
-        statistics = self._local.loads.take_statistics()
+        work_by_service = self._local.loads.work.take()
         return LoadReport(
             tuple(
                 ServiceLoad(
                     service,
                     tuple(counts.items()),
                     tuple(
-                        ServerAnswers(server, born, answers, seconds)
-                        for (server, born), (answers, seconds) in (
-                            statistics.get(service, {}).items()
+                        ServerAnswers(
+                            *life,
+                            counted.answers,
+                            counted.given_up,
+                            counted.seconds,
+                        )
+                        for life, counted in (
+                            work_by_service.get(service, {}).items()
                         )
                     ),
                 )
--- a/src/carobwalk/keyspace/_renewals.py
+++ b/src/carobwalk/keyspace/_renewals.py
@@ -57,9 +57,13 @@
     async def _renew(self, life: ServerLife) -> None:
         times = self._parts.times
         while any(part.owner == life for part in self._owned.written):
+            was_in_doubt = self._term.is_in_doubt
             is_answered = True
             if self._parts.watch.is_usable(life):
                 is_answered = await self._renew_once(life)
+            if self._term.is_in_doubt and not was_in_doubt:
+                # The grants just sent are short; none may follow them.
+                continue
             pause = times.renewal if is_answered else times.retry
             with trio.move_on_after(pause):
                 await self._hurry.wait()
--- a/src/carobwalk/keyspace/_server_speed.py
+++ b/src/carobwalk/keyspace/_server_speed.py
@@ -1,50 +1,58 @@
 """How long backend servers work on a request."""
 
+import math
 from typing import Final
 
 from carobwalk.keyspace._key_range import ServerLife
+from carobwalk.keyspace._server_work import WorkRate
 
 _FIRST_SECONDS: Final = 0.1
 _WEIGHT_OF_NEW: Final = 0.25
 _LEAST_FACTOR: Final = 0.3
-_MOST_FACTOR: Final = 4.0
-_LEAST_ANSWERS: Final = 3
+_MOST_FACTOR: Final = 10.0
+_LEAST_ENDED: Final = 3
+_LEAST_RATE: Final = 0.5
+# A server that was slow gets few requests, so that it is not heard of again
+# soon; what is known of it loses its weight with time.
+_FORGET_SECONDS: Final = 8.0
 
 
 class ServerSpeeds:
-    """Service times by life, worked out from latencies.
+    """Service times by life, worked out from answers and latencies.
 
-    A server that has all slots busy makes requests queue, so that latency
-    grows with its load; the service time is then the latency divided by the
-    number of requests for each slot.
+    While a server has free slots, the latency is the service time. When all
+    slots are busy, requests queue, and some are given up: then the service
+    time is the number of slots divided by the answers a second.
     """
 
     def __init__(self) -> None:
         self._seconds_by_life: dict[ServerLife, float] = {}
+        self._recorded_by_life: dict[ServerLife, float] = {}
         self._heard_by_life: dict[ServerLife, float] = {}
 
     def record(
         self,
         life: ServerLife,
-        answers: int,
-        mean_latency: float,
-        in_flight: float,
+        work: WorkRate,
         slots: int,
+        now: float,
     ) -> None:
-        """Take in the answers of a while.
+        """Take in the work of a while.
 
         Args:
             life: The server.
-            answers: Number of answers.
-            mean_latency: Their mean latency in seconds.
-            in_flight: Mean number of requests in flight.
+            work: Its work.
             slots: Requests that the server runs at once.
+            now: Present time.
         """
-        if answers < _LEAST_ANSWERS:
+        if work.ended < _LEAST_ENDED:
             return
-        seconds = mean_latency / max(in_flight / slots, 1)
+        seconds = work.latency
+        if work.in_flight > slots:
+            seconds = slots / max(work.answered, _LEAST_RATE)
         known = self._seconds_by_life.get(life, seconds)
         self._seconds_by_life[life] = known + (seconds - known) * _WEIGHT_OF_NEW
+        self._recorded_by_life[life] = now
 
     def heard(self, life: ServerLife, now: float) -> None:
         """Take in that a server answered."""
@@ -57,11 +65,15 @@
         """Return when a server last answered a request."""
         return self._heard_by_life.get(life, float('-inf'))
 
-    def seconds(self, life: ServerLife) -> float:
+    def seconds(self, life: ServerLife, now: float) -> float:
         """Return the service time of a server in seconds."""
         usual = self.usual()
         known = self._seconds_by_life.get(life, usual)
-        return min(max(known, usual * _LEAST_FACTOR), usual * _MOST_FACTOR)
+        known = min(max(known, usual * _LEAST_FACTOR), usual * _MOST_FACTOR)
+        if known <= usual:
+            return known
+        age = max(now - self._recorded_by_life.get(life, now), 0)
+        return usual + (known - usual) * math.exp(-age / _FORGET_SECONDS)
 
     def usual(self) -> float:
         """Return the median service time in seconds."""
--- a/src/carobwalk/keyspace/_view_builder.py
+++ b/src/carobwalk/keyspace/_view_builder.py
@@ -77,12 +77,14 @@
 
     def _usable(self) -> dict[ServerLife, float]:
         collector = self._parts.collector
+        now = self._parts.clock.now()
         usable = {}
         for server in self._parts.orders.lives.registered(self._service):
             collector.refresh(server.slots)
             life = life_of(server)
             if not server.is_leaving and self._is_usable(life):
-                usable[life] = server.slots / collector.speeds.seconds(life)
+                seconds = collector.speeds.seconds(life, now)
+                usable[life] = server.slots / seconds
         return usable
 
     def _leaving(self) -> frozenset[ServerLife]:
--- a/tests/keyspace/test_coordination.py
+++ b/tests/keyspace/test_coordination.py
@@ -1,5 +1,6 @@
 """One owner a key, over losses of coordinators, owners and the store."""
 
+import random
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -233,6 +234,24 @@
 
         play(story)
 
+    @pytest.mark.parametrize('seed', range(12))
+    def test_outage_beside_renewals(self, play, seed: int) -> None:
+        """Short grants that are on their way when doubt begins don't stay.
+
+        Seed 2 lost all keys after 3.3 s, as did 35 of 150 seeds.
+        """
+
+        async def story(scene: Scene) -> None:
+            random.seed(seed)
+            for name in 'ab':
+                scene.add_router(name)
+            await scene.settle()
+            scene.store.is_down = True
+            await trio.sleep(5)
+            assert None not in {scene.book.owner(key) for key in WATCHED}
+
+        play(story)
+
     def test_lost_answers(self, play) -> None:
         """A write whose answer is lost is found again, not repeated."""
 
