Let limits follow latency only where nobody else can take the work

Now only owners of keys are limited so; others are waited for as before, for a third of the time left.

--- a/src/carobwalk/gateway/_forwarder.py
+++ b/src/carobwalk/gateway/_forwarder.py
@@ -155,7 +155,7 @@
             outcome = await self._send_shielded(request, server, progress)
         finally:
             loads.finish(server)
-            self._record(request, server, outcome, began)
+            self._record(request, progress, server, outcome, began)
         return outcome
 
     async def _send_shielded(
@@ -180,6 +180,7 @@
     def _record(
         self,
         request: CallerRequest,
+        progress: Progress,
         server: BackendServer,
         outcome: AttemptOutcome | None,
         began: float,
@@ -191,12 +192,11 @@
             case None:
                 loads.record_given_up(server, now, now - began)
             case Answered():
-                loads.record_answer(
-                    server,
-                    now,
-                    now - began,
-                    request.route.target_latency,
-                )
+                loads.record_answer(server, now, now - began)
+                if progress.is_keyed:
+                    # Others can't take what the owner of a key can't.
+                    wanted = request.route.target_latency
+                    loads.of(server).adapt(now - began, wanted)
             case NotSent():
                 loads.of(server).record_unreachable(now)
                 if outcome.is_refused:
--- a/src/carobwalk/gateway/_load_table.py
+++ b/src/carobwalk/gateway/_load_table.py
@@ -66,7 +66,6 @@
         server: BackendServer,
         now: float,
         seconds: float,
-        wanted: float,
     ) -> None:
         """Take in the latency of an answer.
 
@@ -74,11 +73,8 @@
             server: Server that answered.
             now: Present time.
             seconds: Latency of the answer.
-            wanted: Latency within which answers are wanted.
         """
-        load = self.of(server)
-        load.record_answer(now, seconds)
-        load.adapt(seconds, wanted)
+        self.of(server).record_answer(now, seconds)
         usual = self.usual_latency(server.service)
         self._latencies_by_service[server.service] = (
             usual + (seconds - usual) * _WEIGHT_OF_NEW
--- a/src/carobwalk/gateway/_unkeyed_chooser.py
+++ b/src/carobwalk/gateway/_unkeyed_chooser.py
@@ -9,11 +9,12 @@
 from carobwalk.gateway._caller_request import CallerRequest
 from carobwalk.gateway._load_table import LoadTable
 from carobwalk.gateway._place import Place
-from carobwalk.gateway._room_wait import longest_wait
 from carobwalk.gateway._target import NoTarget, Target
 from carobwalk.model import ServerId, ServiceName
 
 _JITTER: Final = 0.1
+# Part of the time left that a request may wait for room.
+_WAIT_SHARE: Final = 0.35
 _NONE_READY_SECONDS: Final = 0.3
 _LOAD_WEIGHT: Final = 1.0
 
@@ -52,7 +53,7 @@
         """
         now = trio.current_time()
         usual = self._loads.usual_latency(service)
-        give_up = now + longest_wait(request, now, usual)
+        give_up = now + (request.deadline - now) * _WAIT_SHARE
         line = self._loads.line_of(service)
         while True:
             server = self._find(service, request, tried)
