--- a/src/carobwalk/keyspace/_activation.py
+++ b/src/carobwalk/keyspace/_activation.py
@@ -1,15 +1,18 @@
 """The way of a range of keys to its new owner."""
 
 from collections.abc import Callable
+from typing import Final
 
 import trio
-from result import Err, Ok
+from result import Ok
 
 from carobwalk.keyspace._key_range import KeyRange, ServerLife
 from carobwalk.keyspace._order_desk import OrderDesk, OrderParts
-from carobwalk.keyspace._orders import OrderRefused
+from carobwalk.keyspace._orders import OrderFailure, OrderRefused
 from carobwalk.model import Clock
 
+_REFUSED_SECONDS: Final = 1.0
+
 
 class Activation:
     """Frees a range of keys and grants it to its owner.
@@ -69,8 +72,13 @@
                     self._desk.ledger.free_after_release(life),
                 )
                 return
-            if isinstance(released, Err):
-                await trio.sleep(self._parts.times.retry)
+            await trio.sleep(self._pause_after(released.err_value))
+
+    def _pause_after(self, failure: OrderFailure) -> float:
+        """Return the pause before the next release in seconds."""
+        if isinstance(failure, OrderRefused):
+            return _REFUSED_SECONDS  # Repeats are refused as well.
+        return self._parts.times.retry
 
     async def _wait_until(self, life: ServerLife, moment: float) -> None:
         while self._clock.now() < moment and not self._is_over(life):
--- a/standins/platform/_order_book.py
+++ b/standins/platform/_order_book.py
@@ -35,6 +35,7 @@
         born: Start of its life.
         is_refusing: Whether nothing listens at its address.
         is_silent: Whether it answers nothing and gets nothing.
+        refuses_releases: Whether it refuses each release.
         applies_late: Seconds after which it carries out orders that it does
             not answer; ``None`` if it answers.
     """
@@ -42,6 +43,7 @@
     born: int = 1
     is_refusing: bool = False
     is_silent: bool = False
+    refuses_releases: bool = False
     applies_late: float | None = None
     held: list[_Held] = field(default_factory=list)
     fences_by_key: dict[int, int] = field(default_factory=dict)
@@ -64,6 +66,7 @@
     def __init__(self, keys: tuple[int, ...]) -> None:
         self.holders_by_id: dict[ServerId, KeyHolder] = {}
         self.grants = 0
+        self.releases = 0
         self.violations: list[str] = []
         self._keys = keys
         self._nursery: trio.Nursery | None = None
@@ -113,6 +116,9 @@
         failure = await self._reach(server, holder)
         if failure is not None:
             return Err(failure)
+        self.releases += 1
+        if holder.refuses_releases:
+            return Err(OrderRefused('status 400'))
         kept = []
         for part in holder.held:
             kept.extend(_outside(part, order))
--- a/tests/keyspace/test_coordination.py
+++ b/tests/keyspace/test_coordination.py
@@ -147,6 +147,22 @@
 
         play(story)
 
+    def test_refused_releases(self, play) -> None:
+        """A refused release is not repeated in haste; its grant runs out."""
+
+        async def story(scene: Scene) -> None:
+            scene.add_router('a')
+            await scene.settle()
+            owner = scene.book.owner(0)
+            scene.book.holders_by_id[owner].refuses_releases = True
+            scene.leave(int(owner[1:]))
+            await trio.sleep(5)
+            assert scene.book.owner(0) not in {None, owner}
+            ranges = 4
+            assert scene.book.releases <= 5 * ranges
+
+        play(story)
+
 
 class TestCoordinatorLost:
     def test_killed(self, play) -> None:
