Take out a field nobody reads, a factor of one and a doubled handler

Found by reading the change once more: ServerLoad.heard_at was written only, _LOAD_WEIGHT multiplied by one, and refused and reset connections had the same handler twice. Behaviour is the same.

--- a/src/carobwalk/gateway/_connection_pool.py
+++ b/src/carobwalk/gateway/_connection_pool.py
@@ -100,9 +100,7 @@
         try:
             with trio.fail_after(_CONNECT_SECONDS):
                 stream = await connect_probed(server.address)
-        except ConnectionRefusedError as error:
-            return NotSent(str(error), is_refused=True)
-        except ConnectionResetError as error:
+        except (ConnectionRefusedError, ConnectionResetError) as error:
             return NotSent(str(error), is_refused=True)
         except (OSError, trio.TooSlowError) as error:
             return NotSent(f'{type(error).__name__}: {error}')
--- a/src/carobwalk/gateway/_load_table.py
+++ b/src/carobwalk/gateway/_load_table.py
@@ -79,7 +79,6 @@
         self._latencies_by_service[server.service] = (
             usual + (seconds - usual) * _WEIGHT_OF_NEW
         )
-
         counted = self.work.of(server)
         counted.answers += 1
         counted.seconds += seconds
--- a/src/carobwalk/gateway/_server_load.py
+++ b/src/carobwalk/gateway/_server_load.py
@@ -33,7 +33,6 @@
         self.in_flight = 0
         self.line = WaitingLine()
         self.suspended_until = -math.inf
-        self.heard_at = -math.inf
         self._latency: float | None = None
         self._latency_at = -math.inf
         self._failures = 0
@@ -83,7 +82,6 @@
         """Take in the latency of an answer."""
         self._failures = 0
         self.suspended_until = -math.inf
-        self.heard_at = now
         self._observe(now, seconds)
 
     def record_slow(self, now: float, seconds: float) -> None:
--- a/src/carobwalk/gateway/_unkeyed_chooser.py
+++ b/src/carobwalk/gateway/_unkeyed_chooser.py
@@ -16,7 +16,6 @@
 # Part of the time left that a request may wait for room.
 _WAIT_SHARE: Final = 0.35
 _NONE_READY_SECONDS: Final = 0.3
-_LOAD_WEIGHT: Final = 1.0
 
 
 class UnkeyedChooser:
@@ -83,7 +82,7 @@
             load = self._loads.of(server)
             if not load.has_room or load.suspended_until > now:
                 continue
-            queue = load.in_flight / server.slots * _LOAD_WEIGHT
+            queue = load.in_flight / server.slots
             cost = load.latency(now, usual) * (1 + queue)
             cost *= 1 + random.random() * _JITTER
             cost += self._place.penalty(server.data_centre, len(request.body))
