Say ready only once the keys are divided; read written owners at start

Now each keyed service with servers needs a map, at most 5 s, and only until the process was ready once. A process that starts while nobody coordinates reads the map that was written last: its owners hold their keys on, so a fleet that was killed at once is not held back by this.

Ruled out: waiting in the forwarder for longer, for callers would wait on a process that others could replace. Readiness for ever without a map: a store that takes no writes would close services without keys too.

Reading settings again moved to a module of its own.

--- a/src/carobwalk/app/_gateway_process.py
+++ b/src/carobwalk/app/_gateway_process.py
@@ -6,21 +6,17 @@
 from typing import Final
 
 import trio
-from result import Err
 
 from carobwalk.app._build_gateway import build_gateway, repeat_rules
 from carobwalk.app._build_keyspace import build_keyspace
 from carobwalk.app._gateway_core import build_gateway_core
-from carobwalk.app._gateway_events import (
-    ProcessStarted,
-    ReadinessChanged,
-    SettingsReloaded,
-)
+from carobwalk.app._gateway_events import ProcessStarted
 from carobwalk.app._gateway_records import follow_records
 from carobwalk.app._gateway_watches import watch_gateway
 from carobwalk.app._listeners import open_listener
 from carobwalk.app._no_forwarder import NoForwarder
-from carobwalk.app._settings_file import SettingsFile
+from carobwalk.app._readiness import Readiness
+from carobwalk.app._settings_reload import SettingsReload
 from carobwalk.app._small_servers import serve_small_requests
 from carobwalk.app._stop import ProcessStopped, ProcessStopping
 from carobwalk.gateway import CrashSuspects, LoadTable, RepeatBudgets
@@ -45,10 +41,8 @@
     """
 
     def __init__(self, settings: GatewaySettings, path: Path) -> None:
-        self._settings_file = SettingsFile(path)
         self._core = build_gateway_core(settings)
         self._is_stopping = False
-        self._was_ready = False
         core = self._core
         self._local = LocalLoad(
             loads=LoadTable(core.directory),
@@ -56,7 +50,9 @@
             suspects=CrashSuspects(),
             events=core.events,
         )
+        self._reload = SettingsReload(path, self._local.budgets, core.events)
         reader = KeyReader(core.events)
+        self._readiness = Readiness(core, reader)
         self._records = follow_records(core, reader)
         self._keyspace = build_keyspace(
             core,
@@ -103,7 +99,7 @@
                 await open_listener(listen.peers),
                 NoForwarder(),
             )
-            await serve_small_requests(core, self._is_ready, nursery)
+            await serve_small_requests(core, self._readiness.check, nursery)
             self._records.start(nursery)
             nursery.start_soon(self._keyspace.role.run)
             nursery.start_soon(self._keyspace.reporter.run)
@@ -123,12 +119,12 @@
             if number in _STOP_SIGNALS:
                 self._core.events.emit(ProcessStopping(number.name))
                 return await self._stop()
-            self._reload()
+            self._reload.run()
 
     async def _stop(self) -> bool:
         """Leave the balancer, hand the role over, finish what is in flight."""
         self._is_stopping = True
-        self._is_ready()
+        self._readiness.stop()
         seconds = self._core.settings.bounds.stop_seconds
         end = trio.current_time() + seconds - _STOP_MARGIN_SECONDS
         balancer_end = trio.current_time() + _BALANCER_SECONDS
@@ -140,38 +136,11 @@
         self._core.events.emit(ProcessStopped(is_graceful=is_graceful))
         return is_graceful
 
-    def _reload(self) -> None:
-        """Read the settings again and follow the bounds in them."""
-        loaded = self._settings_file.read()
-        if isinstance(loaded, Err):
-            detail = str(loaded.err_value)
-            self._core.events.emit(
-                SettingsReloaded(is_valid=False, detail=detail)
-            )
-            return
-        bounds = loaded.ok_value.bounds
-        self._local.budgets.follow(repeat_rules(bounds))
-        self._core.events.emit(
-            SettingsReloaded(is_valid=True, detail=str(bounds))
-        )
-
     async def _keep_up(self) -> None:
         """Drop what has grown old, and notice changed settings."""
         while True:
             await trio.sleep(_UPKEEP_SECONDS)
-            if self._settings_file.has_changed():
-                self._reload()
+            self._reload.run_if_changed()
             self._core.directory.expire()
             self._local.loads.forget_gone()
             await self._gateway.pool.close_old()
-
-    def _is_ready(self) -> bool:
-        is_ready = (
-            not self._is_stopping
-            and self._core.routes.table is not None
-            and self._core.directory.is_loaded
-        )
-        if is_ready != self._was_ready:
-            self._was_ready = is_ready
-            self._core.events.emit(ReadinessChanged(is_ready=is_ready))
-        return is_ready
--- a/src/carobwalk/keyspace/_map_follower.py
+++ b/src/carobwalk/keyspace/_map_follower.py
@@ -49,6 +49,9 @@
         while True:
             coordinator = self._reader.coordinator
             if coordinator is None:
+                if not self._reader.versions():
+                    # The owners that were written last hold their keys on.
+                    await self._read_store()
                 with trio.move_on_after(_STORE_PAUSE_SECONDS):
                     await self._reader.changed.wait()
             elif not await self._ask(coordinator):
