Don't call a lost request 'not run' when it has nowhere else to go

Cause: a read whose first send was lost (reset, noise, no answer) may have run. When no second server was left, or its key had no owner by then, or no time was left, the answer was 503 with the promise that it never ran.

Ruled out: a wrong count at the stand-ins; the run is in the server's record before the refusal in the process's log.

Now such a request is answered 502, outcome unknown, without a promise. Tests: two in tests/gateway/test_gateway.py, both failed before.

--- a/src/carobwalk/gateway/_forwarder.py
+++ b/src/carobwalk/gateway/_forwarder.py
@@ -35,6 +35,7 @@
 # leaves the outcome of a request open.
 _LONGEST_IDLE_AT_MOST_ONCE_SECONDS: Final = 2.0
 _LONGEST_IDLE_SECONDS: Final = 6.0
+_NO_TIME: Final = 'no time left'
 _QUARANTINED: Final = 'the request has crashed backend servers'
 _QUARANTINE_SECONDS: Final = 2.0
 
@@ -106,16 +107,16 @@
             return await self._run(request, progress)
         if progress.may_have_run:
             return refusals.timed_out()
-        return refusals.not_run('no time left', 0)
+        return refusals.not_run(_NO_TIME, 0)
 
     async def _run(self, request: CallerRequest, progress: Progress) -> Reply:
         while True:
             target = await self._choose(request, progress)
             if isinstance(target, NoTarget):
-                return refusals.not_run(target.detail, target.retry_after)
+                return _refusal(target, progress)
             if request.deadline - trio.current_time() < _LEAST_SECONDS:
                 self._parts.loads.finish(target.server)
-                return refusals.not_run('no time left', 0)
+                return _refusal(NoTarget(_NO_TIME, 0), progress)
             outcome = await self._attempt(request, target.server, progress)
             if isinstance(outcome, Answered):
                 return outcome.reply
@@ -276,6 +277,16 @@
         )
 
 
+def _refusal(target: NoTarget, progress: Progress) -> Reply:
+    """Return the answer when there is nowhere to send a request to.
+
+    An earlier send that was lost may have run all the same.
+    """
+    if progress.may_have_run:
+        return refusals.outcome_unknown(target.detail)
+    return refusals.not_run(target.detail, target.retry_after)
+
+
 def _final_reply(
     outcome: NotSent | NotRun | Lost,
     progress: Progress,
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -5,7 +5,8 @@
 import pytest
 import trio
 
-from standins.platform import Fault
+from carobwalk.model import ServerId
+from standins.platform import Fault, PlatformBackend
 from tests.gateway.scene import GatewayScene, exchange
 
 Story = Callable[[GatewayScene], Awaitable[None]]
@@ -148,6 +149,35 @@
 
         play(story)
 
+    def test_lost_read_without_another_server(self, play) -> None:
+        """A read that was lost isn't called 'not run' for lack of a target."""
+
+        async def story(scene: GatewayScene) -> None:
+            backend = await scene.add_backend('reads', 's1')
+            backend.fault = Fault.RESET
+            backend.faults_left = 1
+            answer = await scene.ask('GET', '/reads/a')
+            assert len(backend.seen) == 1
+            assert answer.status == 502
+
+        play(story)
+
+    def test_lost_read_of_a_key_that_loses_its_owner(self, play) -> None:
+        """A lost read isn't called 'not run' when its key has no owner."""
+
+        async def story(scene: GatewayScene) -> None:
+            backend = await scene.add_backend('keyed', 's1', seconds=0.05)
+            backend.fault = Fault.RESET
+            backend.faults_left = 1
+            scene.owners.server = scene.directory.get(ServerId('s1'))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_take_owner, scene, backend)
+                answer = await scene.ask('GET', '/keyed/a', shard_key='5')
+            assert len(backend.seen) == 1
+            assert answer.status in {502, 504}
+
+        play(story)
+
     @pytest.mark.parametrize(
         'fault',
         [Fault.RESET, Fault.CUT, Fault.NOISE, Fault.UNSIGNED],
@@ -379,3 +409,10 @@
             assert b'no owner' in answer.body
 
         play(story)
+
+
+async def _take_owner(scene: GatewayScene, backend: PlatformBackend) -> None:
+    """Take the keys away as soon as a request runs."""
+    while not backend.seen:
+        await trio.sleep(0.002)
+    scene.owners.server = None
