Stop a look at the load at the first server that isn't overused

Cause: servers are looked at from the most used one on; when that one had no excess, all others were tried all the same, each with a mean and a maximum over all servers.

Test: test_look_at_an_even_load_grows_with_servers, failed before.

--- a/src/carobwalk/keyspace/_planned_map.py
+++ b/src/carobwalk/keyspace/_planned_map.py
@@ -2,12 +2,18 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
+from typing import Final
 
 from carobwalk.keyspace._key_load import KeyLoad
 from carobwalk.keyspace._key_map import KeyMap
 from carobwalk.keyspace._key_range import KeyRange, ServerLife
 from carobwalk.keyspace._move import Move, MoveCause
 
+# Utilisation above the mean from which on keys move.
+_EXCESS: Final = 1.2
+_LEAST_EXCESS: Final = 0.08
+_LEAST_UTILISATION: Final = 0.3
+
 
 class PlannedMap:
     """The map with the moves planned so far.
@@ -67,6 +73,12 @@
         rate = sum(self._rates_by_life[life] for life in self._capacities)
         return (rate - self._unservable) / sum(self._capacities.values())
 
+    def is_overused(self, life: ServerLife) -> bool:
+        """Return whether a server has so much that keys should move."""
+        mean = self.mean_utilisation()
+        least = max(mean * _EXCESS, mean + _LEAST_EXCESS, _LEAST_UTILISATION)
+        return self.utilisation(life) >= least
+
     def least_used(self) -> ServerLife:
         """Return the usable server with the most room."""
         return min(
--- a/src/carobwalk/keyspace/_planner.py
+++ b/src/carobwalk/keyspace/_planner.py
@@ -12,10 +12,6 @@
 from carobwalk.keyspace._part_choice import choose_part
 from carobwalk.keyspace._planned_map import PlannedMap
 
-# Utilisation above the mean from which on keys move.
-_EXCESS: Final = 1.2
-_LEAST_EXCESS: Final = 0.08
-_LEAST_UTILISATION: Final = 0.3
 _MOST_MOVES: Final = 12
 _MOST_RANGES_PER_SERVER: Final = 12
 _MOST_PIECES: Final = 4
@@ -121,19 +117,17 @@
         sources = set(self._view.movable)
         while len(planned.moves) < _MOST_MOVES and len(planned.key_map) < limit:
             source = planned.most_used(sources)
-            if source is None:
+            # All others are used less than this one.
+            if source is None or not planned.is_overused(source):
                 return
             if not self._relieve(source):
                 sources.discard(source)
 
     def _relieve(self, source: ServerLife) -> bool:
-        """Take load from a server; return whether that was worth a move."""
+        """Take load from a server; return whether a part of it fits."""
         planned = self._planned
         mean = planned.mean_utilisation()
         high = planned.utilisation(source)
-        least = max(mean * _EXCESS, mean + _LEAST_EXCESS, _LEAST_UTILISATION)
-        if high < least:
-            return False
         if high > 1 and self._move_to_fastest(source):
             return True
         target = planned.least_used()
--- a/tests/keyspace/test_mass_moves.py
+++ b/tests/keyspace/test_mass_moves.py
@@ -4,7 +4,11 @@
 from trio.testing import MockClock
 
 from carobwalk.keyspace._key_map import KeyMap
+from carobwalk.keyspace._key_range import ServerLife
+from carobwalk.keyspace._planned_map import PlannedMap
+from carobwalk.keyspace._planner import Planner, PlannerView
 from tests.keyspace.scene import Scene
+from tests.keyspace.test_planner import Load, divide, make_lives
 
 
 class CountingMap(KeyMap):
@@ -58,3 +62,33 @@
             nursery.cancel_scope.cancel()
 
     trio.run(body, clock=virtual_clock)
+
+
+def test_look_at_an_even_load_grows_with_servers(monkeypatch) -> None:
+    """The coordinator looks at each server a few times, not at all pairs.
+
+    With a hundred servers under an even load a look once cost more than all
+    renewals of their grants.
+    """
+    lives = make_lives(300)
+    key_map = divide(lives)
+    load = Load(1)
+    load.run(1, 30_000, range(1), 0)
+    looks = 0
+    utilisation = PlannedMap.utilisation
+
+    def count(planned: PlannedMap, life: ServerLife) -> float:
+        nonlocal looks
+        looks += 1
+        return utilisation(planned, life)
+
+    monkeypatch.setattr(PlannedMap, 'utilisation', count)
+    view = PlannerView(
+        key_map=key_map,
+        usable=dict.fromkeys(lives, 500.0),
+        movable=frozenset(lives),
+        leaving=frozenset(),
+        load=load.counted,
+    )
+    assert not Planner(view).plan()
+    assert looks <= 4 * len(lives)
