--- a/src/carobwalk/keyspace/_map_feed.py
+++ b/src/carobwalk/keyspace/_map_feed.py
@@ -31,6 +31,11 @@
             ServiceName,
             deque[tuple[MapVersion, KeyMap]],
         ] = defaultdict(lambda: deque(maxlen=_KEPT_VERSIONS))
+        # Many processes know the same version; their answers are made once.
+        self._updates_by_known: dict[
+            tuple[ServiceName, MapVersion],
+            MapUpdate,
+        ] = {}
         self._changed = trio.Event()
         self.is_coordinator = False
 
@@ -46,12 +51,14 @@
         if maps and maps[-1][0].revision == key_map.revision:
             number = maps[-1][0].number + 1
         maps.append((MapVersion(key_map.revision, number), key_map))
+        self._updates_by_known.clear()
         self._changed.set()
         self._changed = trio.Event()
 
     def clear(self) -> None:
         """Forget all maps at the end of a term."""
         self._maps_by_service.clear()
+        self._updates_by_known.clear()
 
     async def answer(self, sender: ProcessId, payload: bytes) -> bytes:
         """Answer a question; a ``TopicHandler``."""
@@ -76,6 +83,15 @@
 
     def _update(self, service: ServiceName, known: MapVersion) -> MapUpdate:
         """Return the newest map, as changes if the known one is kept."""
+        update = self._updates_by_known.get((service, known))
+        if update is None:
+            update = self._make_update(service, known)
+            self._updates_by_known[service, known] = update
+        return update
+
+    def _make_update(
+        self, service: ServiceName, known: MapVersion
+    ) -> MapUpdate:
         maps = self._maps_by_service[service]
         version, newest = maps[-1]
         for kept_version, kept in maps:
--- a/tests/keyspace/test_map_feed.py
+++ b/tests/keyspace/test_map_feed.py
@@ -8,6 +8,7 @@
 
 from carobwalk.events import NullEventLog
 from carobwalk.keyspace import KeyReader, MapFeed
+from carobwalk.keyspace import _map_feed as map_feed
 from carobwalk.keyspace._key_map import KeyMap
 from carobwalk.keyspace._key_range import KeyRange, ServerLife
 from carobwalk.keyspace._map_messages import MapAnswer, MapQuestion
@@ -97,3 +98,29 @@
     def test_deposed(self) -> None:
         """A process that does not coordinate says so at once."""
         assert not follow(MapFeed(), KeyReader(NullEventLog())).is_coordinator
+
+
+def test_many_processes_share_an_update(monkeypatch) -> None:
+    """Pattern: 70 processes that know the same map ask after one change."""
+    encoded = 0
+    encode = map_feed.encode_map
+
+    def count(parts) -> bytes:
+        nonlocal encoded
+        encoded += 1
+        return encode(parts)
+
+    monkeypatch.setattr(map_feed, 'encode_map', count)
+    feed = MapFeed()
+    feed.is_coordinator = True
+    first = make_map(5, make_part(0, 's0'))
+    feed.publish(SERVICE, first)
+    readers = [KeyReader(NullEventLog()) for _ in range(70)]
+    for reader in readers:
+        follow(feed, reader)
+    feed.publish(SERVICE, first.assign([make_part(300, 's3')]))
+    for reader in readers:
+        follow(feed, reader)
+    assert encoded == 2
+    for reader in readers:
+        assert reader.map_of(SERVICE).find(300).owner.server == 's3'
