Keep each process's share until a new coordinator knows the fleet

Cause: found by reading, for the grown fleet: a new coordinator told the first processes that reported that they were 1, 2, 3 ..., and each took the whole fleet's repeats and places at servers for its own. It also counted all reporters anew for each report, which grows with the square of the fleet.

Now the number is not told until one second after the first report, and worked out four times a second.

--- a/src/carobwalk/keyspace/_load_collector.py
+++ b/src/carobwalk/keyspace/_load_collector.py
@@ -1,5 +1,6 @@
 """Load of all processes, as the coordinator knows it."""
 
+import math
 from collections import defaultdict
 from typing import Final
 
@@ -20,6 +21,9 @@
 
 _REPORTER_SECONDS: Final = 3.0
 _WINDOW_SECONDS: Final = 0.5
+# Time in which all processes have reported to a new coordinator.
+_FIRST_REPORTS_SECONDS: Final = 1.0
+_COUNT_SECONDS: Final = 0.25
 
 
 class LoadCollector:
@@ -37,6 +41,10 @@
             CountedWork,
         )
         self._window_started = clock.now()
+        self._last_heard = -math.inf
+        self._heard_since = -math.inf
+        self._counted_at = -math.inf
+        self._count = 0
         self._crashes = CrashCounts(clock)
         self.speeds = ServerSpeeds()
         self.is_coordinator = False
@@ -44,7 +52,7 @@
     async def answer(self, sender: ProcessId, payload: bytes) -> bytes:
         """Take a report and answer it; a ``TopicHandler``."""
         now = self._clock.now()
-        self._reported_by_process[sender] = now
+        self._hear(sender, now)
         report = msgspec.msgpack.decode(payload, type=LoadReport)
         for load in report.services:
             self._take(load, now)
@@ -60,14 +68,17 @@
         )
 
     def process_count(self) -> int:
-        """Return the number of processes that reported lately."""
-        limit = self._clock.now() - _REPORTER_SECONDS
-        self._reported_by_process = {
-            process: reported
-            for process, reported in self._reported_by_process.items()
-            if reported > limit
-        }
-        return max(len(self._reported_by_process), 1)
+        """Return the processes that reported lately, 0 if not known yet.
+
+        A new coordinator has heard of few at first. Shares worked out from
+        that would be many times too large.
+        """
+        now = self._clock.now()
+        if now - self._heard_since < _FIRST_REPORTS_SECONDS:
+            return 0
+        if now - self._counted_at >= _COUNT_SECONDS:
+            self._count_processes(now)
+        return self._count
 
     def load_of(self, service: ServiceName) -> KeyLoad:
         """Return how often the keys of a service are asked for."""
@@ -92,6 +103,22 @@
         self._work_by_life.clear()
         self._window_started = now
 
+    def _hear(self, sender: ProcessId, now: float) -> None:
+        if now - self._last_heard > _REPORTER_SECONDS:
+            self._heard_since = now
+        self._last_heard = now
+        self._reported_by_process[sender] = now
+
+    def _count_processes(self, now: float) -> None:
+        limit = now - _REPORTER_SECONDS
+        self._reported_by_process = {
+            process: reported
+            for process, reported in self._reported_by_process.items()
+            if reported > limit
+        }
+        self._counted_at = now
+        self._count = len(self._reported_by_process)
+
     def _take(self, load: ServiceLoad, now: float) -> None:
         self.load_of(ServiceName(load.service)).add(load.counts, now)
         for row in load.servers:
--- a/src/carobwalk/keyspace/_load_report.py
+++ b/src/carobwalk/keyspace/_load_report.py
@@ -72,7 +72,7 @@
 
     Args:
         is_coordinator: Whether the process coordinates.
-        processes: Number of processes that report.
+        processes: Processes that reported lately, 0 if not known yet.
         culprits: Fingerprints of requests that crash servers.
     """
 
--- a/src/carobwalk/keyspace/_local_load.py
+++ b/src/carobwalk/keyspace/_local_load.py
@@ -39,7 +39,8 @@
 
     def take(self, receipt: LoadReceipt) -> None:
         """Follow what the coordinator answered to a report."""
-        self.loads.process_count = receipt.processes
-        self.budgets.process_count = receipt.processes
+        if receipt.processes:
+            self.loads.process_count = receipt.processes
+            self.budgets.process_count = receipt.processes
         for fingerprint in self.suspects.quarantine(receipt.culprits):
             self.events.emit(RequestQuarantined(fingerprint))
