Let slow hosts leave the coordinator's role to fast ones

Hosts slower than 0.8 of a usual processor wait for 0.25 s times their slowness before they try (0.215 s at 0.43). On the small sites (0.86) nothing changes. The speed comes from two new settings, host.processor_share and host.processor_speed.

Ruled out: a coordinator that hands the role over to a faster host: a second change of owner-keeping for each start, for little.

--- a/src/carobwalk/app/_build_keyspace.py
+++ b/src/carobwalk/app/_build_keyspace.py
@@ -36,6 +36,7 @@
         role: Coordinates when it is this process's turn.
         reporter: Reports to the coordinator.
         follower: Learns of maps.
+        feed: Tells the maps while this process coordinates.
     """
 
     reader: KeyReader
@@ -43,6 +44,7 @@
     role: CoordinatorRole
     reporter: LoadReporter
     follower: MapFollower
+    feed: MapFeed
 
 
 def build_keyspace(
@@ -79,6 +81,7 @@
             reader=reader,
             is_current=is_current,
             keyed_services=lambda: _keyed_services(core),
+            speed=core.settings.host.speed,
             coordination=CoordinatorParts(
                 orders=orders,
                 collector=collector,
@@ -94,6 +97,7 @@
         role=role,
         reporter=LoadReporter(core.hub, reader, owners, local),
         follower=MapFollower(core.hub, core.store, reader),
+        feed=feed,
     )
 
 
--- a/src/carobwalk/keyspace/_coordinator_role.py
+++ b/src/carobwalk/keyspace/_coordinator_role.py
@@ -26,6 +26,9 @@
 
 _JITTER_SECONDS = 0.08
 _PAUSE_SECONDS = 0.2
+# Slower hosts than this let others take the role first.
+_WANTED_SPEED = 0.8
+_SLOWNESS_SECONDS = 0.25
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -39,6 +42,7 @@
         is_current: Returns whether the records are followed.
         keyed_services: Returns the services whose keys have owners.
         coordination: What coordination needs.
+        speed: Work that this host gets done, 1 being a whole processor.
     """
 
     own: Endpoint
@@ -47,6 +51,7 @@
     is_current: Callable[[], bool]
     keyed_services: Callable[[], Iterable[ServiceName]]
     coordination: CoordinatorParts
+    speed: float = 1
 
 
 class CoordinatorRole:
@@ -89,7 +94,8 @@
         while not self._is_free():
             with trio.move_on_after(_PAUSE_SECONDS):
                 await self._parts.reader.changed.wait()
-        await trio.sleep(random.random() * _JITTER_SECONDS)
+        jitter = random.random() * _JITTER_SECONDS
+        await trio.sleep(jitter + _head_start(self._parts.speed))
 
     def _is_free(self) -> bool:
         parts = self._parts
@@ -183,3 +189,9 @@
         )
         self._coordinators_by_service[service] = coordinator
         nursery.start_soon(coordinator.run, claim.key_map)
+
+
+def _head_start(speed: float) -> float:
+    """Return the seconds that a host leaves to faster ones."""
+    slowness = max(_WANTED_SPEED / speed - 1, 0)
+    return slowness * _SLOWNESS_SECONDS
--- a/src/carobwalk/settings/_gateway.py
+++ b/src/carobwalk/settings/_gateway.py
@@ -16,6 +16,7 @@
 
 _Count = Annotated[int, msgspec.Meta(ge=1, le=_MOST_COUNT)]
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=_MOST_SECONDS)]
+_Speed = Annotated[float, msgspec.Meta(gt=0, le=_MOST_COUNT)]
 _Share = Annotated[float, msgspec.Meta(ge=0, le=10)]
 
 
@@ -56,10 +57,19 @@
     Args:
         memory_megabytes: Memory beyond which the process is killed.
         descriptors: File descriptors that may be open.
+        processor_share: Share of a processor that the process gets.
+        processor_speed: How much faster than usual that processor is.
     """
 
     memory_megabytes: _Count
     descriptors: _Count
+    processor_share: _Speed = 1.0
+    processor_speed: _Speed = 1.0
+
+    @property
+    def speed(self) -> float:
+        """Work that the process gets done, 1 being a whole usual processor."""
+        return self.processor_share * self.processor_speed
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/standins/platform/_settings_file.py
+++ b/standins/platform/_settings_file.py
@@ -41,6 +41,8 @@
         'platform.min_ttl_s': 1,
         'limits.memory_mb': 300,
         'limits.max_fds': 4096,
+        'limits.cpu_share': 1,
+        'limits.cores': 1,
         'bounds.drain_s': 2,
         'bounds.grace_s': 6,
         'bounds.retry_budget_ratio': 0.2,
--- a/tests/keyspace/scene.py
+++ b/tests/keyspace/scene.py
@@ -137,7 +137,12 @@
         self.nursery = nursery
         self.book.start(nursery)
 
-    def add_router(self, name: str, times: KeyTimes | None = None) -> Router:
+    def add_router(
+        self,
+        name: str,
+        times: KeyTimes | None = None,
+        speed: float = 1,
+    ) -> Router:
         """Start a process."""
         assert self.nursery is not None
         times = times or KeyTimes()
@@ -173,6 +178,7 @@
                 reader=reader,
                 is_current=lambda: follower.is_current,
                 keyed_services=lambda: (SERVICE,),
+                speed=speed,
                 coordination=CoordinatorParts(
                     orders=orders,
                     collector=collector,
