Add a fault soak: real processes, links that fail, promises checked meanwhile

Store, backend servers, operator and callers run in the soak; each router is a process behind a link to the store, each life of a server behind its own link. Checked: one owner a key, fences that rise, at most once, refusals that are true, whole and signed answers, answers by the deadline, no work lost in planned stops, no fall of the configuration, all served again within 15 s, graceful ends.

make soak runs it; the model of ownership's soak is make soak-model.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 export PYTHONPATH := src:.
 
-.PHONY: test lint types unit demo bench soak
+.PHONY: test lint types unit demo bench soak soak-model
 
 $(VENV)/.installed: requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -16,7 +16,7 @@
 lint: $(VENV)/.installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 src standins benchmarks demo tests packaging
+	$(BIN)/flake8 src standins benchmarks demo soak tests packaging
 
 types: $(VENV)/.installed
 	$(BIN)/mypy
@@ -31,6 +31,9 @@
 	$(BIN)/python -m demo
 
 soak: $(VENV)/.installed
+	$(BIN)/python -m soak --seeds $(or $(SEEDS),1:51)
+
+soak-model: $(VENV)/.installed
 	$(BIN)/python -m tests.ownership.soak --seeds $(or $(SEEDS),0:2000)
 
 include packaging/binary.mk
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,84 @@
+"""Entry point of ``python -m soak``."""
+
+import sys
+import time
+from pathlib import Path
+
+import click
+import trio
+
+from soak._planted import PLANTED_BY_NAME
+from soak._run import SoakOutcome, SoakPlan, run_seed
+
+_DIRECTORY = Path('var') / 'soak'
+
+
+@click.command()
+@click.option('--seeds', default='1:11', help='First seed and end, FIRST:END.')
+@click.option('--at-once', default=3, help='Seeds that run side by side.')
+@click.option('--routers', default=3, help='Processes of a seed.')
+@click.option(
+    '--planted',
+    type=click.Choice(sorted(PLANTED_BY_NAME)),
+    help='Rule of the product that is switched off.',
+)
+def main(
+    seeds: str,
+    at_once: int,
+    routers: int,
+    planted: str | None,
+) -> None:
+    """Run seeds and tell the promises that were broken."""
+    first, _, end = seeds.partition(':')
+    module = ('soak.planted', planted) if planted else ('carobwalk.platform',)
+    plan = SoakPlan(
+        routers=routers,
+        module=module,
+    )
+    directory = _DIRECTORY / time.strftime('%Y%m%d-%H%M%S')
+    runner = _Runner(plan, directory.absolute())
+    numbers = range(int(first), int(end))
+    sys.exit(trio.run(runner.run, numbers, at_once))
+
+
+class _Runner:
+    """Runs seeds side by side and tells what they found."""
+
+    def __init__(self, plan: SoakPlan, directory: Path) -> None:
+        self._plan = plan
+        self._directory = directory
+        self._outcomes: list[SoakOutcome] = []
+
+    async def run(self, seeds: range, at_once: int) -> int:
+        """Run all seeds; return the number of those that failed."""
+        limit = trio.CapacityLimiter(at_once)
+        async with trio.open_nursery() as nursery:
+            for seed in seeds:
+                nursery.start_soon(self._run_one, seed, limit)
+        failed = sum(1 for outcome in self._outcomes if outcome.broken)
+        faults = sum(one.faults.total() for one in self._outcomes)
+        answers = sum(one.answered.total() for one in self._outcomes)
+        click.echo(
+            f'{len(seeds)} seeds, {faults} faults, {answers} answers, '
+            f'{failed} seeds with broken promises; logs in {self._directory}',
+        )
+        return failed
+
+    async def _run_one(self, seed: int, limit: trio.CapacityLimiter) -> None:
+        async with limit:
+            directory = self._directory / str(seed)
+            directory.mkdir(parents=True)
+            outcome = await run_seed(seed, self._plan, directory)
+        self._outcomes.append(outcome)
+        click.echo(
+            f'seed {seed}: faults={outcome.faults.total()} '
+            f'answers={dict(sorted(outcome.answered.items()))} '
+            f'recovery={outcome.recovery} s '
+            f'broken={len(outcome.broken)}',
+        )
+        for line in outcome.broken:
+            click.echo(f'  {line}')
+
+
+if __name__ == '__main__':
+    main()
--- a/standins/platform/__init__.py
+++ b/standins/platform/__init__.py
@@ -2,10 +2,11 @@
 
 from standins.platform._backend import Fault, PlatformBackend
 from standins.platform._deployment import serve_deployment
+from standins.platform._key_holder import KeyHolder
 from standins.platform._keyed_backend import KeyedBackend
 from standins.platform._kv_handler import KvHandler
 from standins.platform._kv_store import KvStore
-from standins.platform._order_book import KeyHolder, OrderBook
+from standins.platform._order_book import OrderBook, double_owners
 from standins.platform._settings_file import RouterAddresses, fill_settings
 
 __all__ = (
@@ -17,6 +18,7 @@
     'OrderBook',
     'PlatformBackend',
     'RouterAddresses',
+    'double_owners',
     'fill_settings',
     'serve_deployment',
 )
--- a/standins/platform/_backend.py
+++ b/standins/platform/_backend.py
@@ -1,7 +1,7 @@
 """Backend server of the users' platform, with faults."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import StrEnum, unique
 
@@ -17,7 +17,22 @@
 _BODY = b'made by the server\n'
 
 HeaderFields = list[tuple[bytes, bytes]]
-Order = Callable[[bytes], HeaderFields]
+
+
+@dataclass(frozen=True, slots=True)
+class OrderAnswer:
+    """Answer to an order about keys.
+
+    Args:
+        status: Status code.
+        headers: Header fields.
+    """
+
+    status: int = 200
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+
+Order = Callable[[bytes], Awaitable[OrderAnswer]]
 
 
 @unique
@@ -99,7 +114,8 @@
             return http.is_reusable
         order = self._orders_by_target.get(head.target)
         if order is not None:
-            await self._send(http, 200, request_id, order(body))
+            done = await order(body)
+            await self._send(http, done.status, request_id, list(done.headers))
             return http.is_reusable
         fields = tuple(head.headers)
         seen = Seen(request_id, head.method, head.target, fields, body)
--- a/standins/platform/_order_book.py
+++ b/standins/platform/_order_book.py
@@ -1,6 +1,6 @@
 """Backend servers that take orders about keys, in memory."""
 
-from dataclasses import dataclass, field
+from collections.abc import Mapping
 
 import trio
 from result import Err, Ok, Result
@@ -15,45 +15,7 @@
     Release,
 )
 from carobwalk.model import ServerId
-
-_SLOW_CLOCK = 0.98
-
-
-@dataclass(slots=True)
-class _Held:
-    first: int
-    last: int
-    fence: int
-    ends: float
-
-
-@dataclass(slots=True)
-class KeyHolder:
-    """One life of a backend server.
-
-    Args:
-        born: Start of its life.
-        is_refusing: Whether nothing listens at its address.
-        is_silent: Whether it answers nothing and gets nothing.
-        refuses_releases: Whether it refuses each release.
-        applies_late: Seconds after which it carries out orders that it does
-            not answer; ``None`` if it answers.
-    """
-
-    born: int = 1
-    is_refusing: bool = False
-    is_silent: bool = False
-    refuses_releases: bool = False
-    applies_late: float | None = None
-    held: list[_Held] = field(default_factory=list)
-    fences_by_key: dict[int, int] = field(default_factory=dict)
-
-    def holds(self, key: int, now: float) -> bool:
-        """Return whether it runs requests for a key."""
-        return not self.is_refusing and any(
-            part.first <= key <= part.last and now < part.ends
-            for part in self.held
-        )
+from standins.platform._key_holder import SLOW_CLOCK, KeyHolder
 
 
 class OrderBook:
@@ -95,7 +57,7 @@
         failure = await self._reach(server, holder)
         if failure is not None:
             return Err(failure)
-        ends = trio.current_time() + order.hold / _SLOW_CLOCK
+        ends = trio.current_time() + order.hold / SLOW_CLOCK
         self.grants += 1
         if holder.applies_late is not None:
             if self._nursery is not None:
@@ -119,10 +81,7 @@
         self.releases += 1
         if holder.refuses_releases:
             return Err(OrderRefused('status 400'))
-        kept = []
-        for part in holder.held:
-            kept.extend(_outside(part, order))
-        holder.held = kept
+        holder.release(order.first, order.last)
         return Ok(f'state-of-{server.id}')
 
     async def _reach(
@@ -148,42 +107,32 @@
         self._apply(holder, order, ends)
 
     def _apply(self, holder: KeyHolder, order: Grant, ends: float) -> bool:
-        for key in self._keys:
-            if order.first <= key <= order.last:
-                if holder.fences_by_key.get(key, 0) > order.fence:
-                    return False
-                holder.fences_by_key[key] = order.fence
-        same = [
-            part
-            for part in holder.held
-            if (part.first, part.last) == (order.first, order.last)
-        ]
-        if same:
-            same[0].ends = max(same[0].ends, ends)
-        else:
-            held = _Held(order.first, order.last, order.fence, ends)
-            holder.held.append(held)
+        bounds = (order.first, order.last)
+        if not holder.grant(bounds, order.fence, ends, self._keys):
+            return False
         self._check()
         return True
 
     def _check(self) -> None:
         now = trio.current_time()
-        for key in self._keys:
-            owners = [
-                server
-                for server, holder in self.holders_by_id.items()
-                if holder.holds(key, now)
-            ]
-            if len(owners) > 1:
-                self.violations.append(f'{now:.3f} key {key}: {owners}')
-
-
-def _outside(part: _Held, order: Release) -> list[_Held]:
-    pieces = []
-    if part.first < order.first:
-        last = min(part.last, order.first - 1)
-        pieces.append(_Held(part.first, last, part.fence, part.ends))
-    if part.last > order.last:
-        first = max(part.first, order.last + 1)
-        pieces.append(_Held(first, part.last, part.fence, part.ends))
-    return pieces
+        self.violations.extend(
+            double_owners(self.holders_by_id, self._keys, now),
+        )
+
+
+def double_owners(
+    holders_by_id: Mapping[ServerId, KeyHolder],
+    keys: tuple[int, ...],
+    now: float,
+) -> list[str]:
+    """Return a line for each key that two servers hold."""
+    lines = []
+    for key in keys:
+        owners = [
+            server
+            for server, holder in holders_by_id.items()
+            if holder.holds(key, now)
+        ]
+        if len(owners) > 1:
+            lines.append(f'{now:.3f} key {key}: {owners}')
+    return lines
--- /dev/null
+++ b/tests/fault_soak/test_link.py
@@ -0,0 +1,83 @@
+"""Tests of the links through which the soak injects faults."""
+
+import pytest
+import trio
+
+from carobwalk.model import Address
+from soak._link import Link, LinkState
+
+_SHORT_SECONDS = 0.2
+
+
+async def _echo(stream: trio.SocketStream) -> None:
+    async for part in stream:
+        await stream.send_all(part)
+
+
+async def _open(nursery: trio.Nursery) -> tuple[Link, trio.SocketStream]:
+    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+    port = listeners[0].socket.getsockname()[1]
+    nursery.start_soon(trio.serve_listeners, _echo, listeners)
+    link = Link(Address('127.0.0.1', port))
+    await nursery.start(link.run)
+    stream = await trio.open_tcp_stream('127.0.0.1', link.address.port)
+    return link, stream
+
+
+def _play(story) -> None:
+    async def body() -> None:
+        async with trio.open_nursery() as nursery:
+            link, stream = await _open(nursery)
+            await story(link, stream)
+            nursery.cancel_scope.cancel()
+
+    trio.run(body)
+
+
+async def _ask(stream: trio.SocketStream, part: bytes) -> bytes:
+    """Return what comes back soon, nothing if that is too late."""
+    await stream.send_all(part)
+    with trio.move_on_after(_SHORT_SECONDS):
+        return await stream.receive_some(100)
+    return b''
+
+
+class TestLink:
+    @pytest.mark.parametrize(
+        'state',
+        [LinkState.CUT_THERE, LinkState.CUT_BACK, LinkState.SILENT],
+    )
+    def test_cut_and_healed(self, state: LinkState) -> None:
+        """What is held back arrives when the link heals."""
+
+        async def story(link: Link, stream: trio.SocketStream) -> None:
+            assert await _ask(stream, b'one') == b'one'
+            link.switch(state)
+            assert not await _ask(stream, b'two')
+            link.switch(LinkState.PASSING)
+            assert await stream.receive_some(100) == b'two'
+
+        _play(story)
+
+    def test_delayed(self) -> None:
+        """Bytes come later, and whole."""
+
+        async def story(link: Link, stream: trio.SocketStream) -> None:
+            link.switch(LinkState.DELAYED)
+            began = trio.current_time()
+            await stream.send_all(b'one')
+            assert await stream.receive_some(100) == b'one'
+            assert trio.current_time() - began >= 2 * 0.15
+
+        _play(story)
+
+    def test_reset(self) -> None:
+        """Open connections are reset, and new ones too."""
+
+        async def story(link: Link, stream: trio.SocketStream) -> None:
+            assert await _ask(stream, b'one') == b'one'
+            link.switch(LinkState.RESET)
+            with pytest.raises(trio.BrokenResourceError):
+                await stream.receive_some(100)
+
+        _play(story)
