Ask the coordinator before for its last grants instead of waiting for the longest

Each map now names the coordinator and the term that wrote it. Who claims the map asks that process; it ends its term, if it hadn't heard of the end, and tells the bounds of its grants life by life, those on their way as unanswered ones. Without an answer (killed, unreachable) all is as before.

Ruled out: shorter grants in doubt (owners must outlive an outage of 8 s); the last holder of the role by the coordinator's record (a follower may miss one).

--- a/src/carobwalk/app/_build_keyspace.py
+++ b/src/carobwalk/app/_build_keyspace.py
@@ -7,6 +7,7 @@
 from carobwalk.keyspace import (
     LOAD_TOPIC,
     MAP_TOPIC,
+    SUCCESSION_TOPIC,
     CoordinatorParts,
     CoordinatorRole,
     KeyOwnerTable,
@@ -21,6 +22,7 @@
     RoleParts,
     ServerLives,
     ServerWatch,
+    Succession,
 )
 from carobwalk.model import ServiceName
 from carobwalk.platform import PlatformOrders
@@ -66,6 +68,8 @@
     core.topics.register(LOAD_TOPIC, collector.answer)
     feed = MapFeed()
     core.topics.register(MAP_TOPIC, feed.answer)
+    succession = Succession(core.hub, core.events)
+    core.topics.register(SUCCESSION_TOPIC, succession.answer)
     owners = KeyOwnerTable(reader, core.directory)
     orders = OrderParts(
         channel=PlatformOrders(core.orders, times),
@@ -86,6 +90,7 @@
                 orders=orders,
                 collector=collector,
                 feed=feed,
+                succession=succession,
                 clock=core.clock,
                 events=core.events,
             ),
--- a/src/carobwalk/keyspace/__init__.py
+++ b/src/carobwalk/keyspace/__init__.py
@@ -24,12 +24,14 @@
 )
 from carobwalk.keyspace._server_lives import ServerLives
 from carobwalk.keyspace._server_watch import ServerWatch
+from carobwalk.keyspace._succession import SUCCESSION_TOPIC, Succession
 from carobwalk.keyspace._times import KeyTimes
 
 __all__ = (
     'COORDINATOR_NAME',
     'LOAD_TOPIC',
     'MAP_TOPIC',
+    'SUCCESSION_TOPIC',
     'CoordinatorParts',
     'CoordinatorRole',
     'Grant',
@@ -52,4 +54,5 @@
     'RoleParts',
     'ServerLives',
     'ServerWatch',
+    'Succession',
 )
--- a/src/carobwalk/keyspace/_activation.py
+++ b/src/carobwalk/keyspace/_activation.py
@@ -67,10 +67,7 @@
             released = await self._desk.release(self.part, life)
             if isinstance(released, Ok):
                 self.handover = released.ok_value or self.handover
-                await self._wait_until(
-                    life,
-                    self._desk.ledger.free_after_release(life),
-                )
+                await self._wait_until_free(life)
                 return
             await trio.sleep(self._pause_after(released.err_value))
 
@@ -80,9 +77,14 @@
             return _REFUSED_SECONDS  # Repeats are refused as well.
         return self._parts.times.retry
 
-    async def _wait_until(self, life: ServerLife, moment: float) -> None:
+    async def _wait_until_free(self, life: ServerLife) -> None:
+        """Wait until a release that was answered is certain."""
+        ledger = self._desk.ledger
+        moment = ledger.free_after_release(life)
         while self._clock.now() < moment and not self._is_over(life):
             await trio.sleep(self._parts.times.tick)
+            # A predecessor may have told exact bounds meanwhile.
+            moment = min(moment, ledger.free_after_release(life))
 
     def _is_over(self, life: ServerLife) -> bool:
         if self._parts.watch.is_dead(life):
--- a/src/carobwalk/keyspace/_codec.py
+++ b/src/carobwalk/keyspace/_codec.py
@@ -6,6 +6,12 @@
 import msgspec
 from result import Err, Ok, Result
 
+from carobwalk.keyspace._claimant import (
+    Claimant,
+    ClaimantRow,
+    claimant_row,
+    read_claimant,
+)
 from carobwalk.keyspace._key_map import KeyMap
 from carobwalk.keyspace._key_range import KeyRange, ServerLife
 from carobwalk.keyspace._record_error import RecordError
@@ -26,9 +32,9 @@
 class _Map(msgspec.Struct):
     lives: tuple[tuple[str, int], ...]
     ranges: tuple[_Range, ...]
-    # Longest time in seconds for which a grant that was sent before this
-    # record may still hold, if its coordinator resigned.
+    # Whether its coordinator resigned and no grant is left unanswered.
     settled: bool = False
+    claimant: ClaimantRow | None = None
 
 
 def map_name(service: ServiceName) -> str:
@@ -40,6 +46,7 @@
     key_map: Iterable[KeyRange],
     *,
     is_settled: bool = False,
+    claimant: Claimant | None = None,
 ) -> bytes:
     """Return the record of a map, or of a part of it.
 
@@ -47,6 +54,7 @@
         key_map: The ranges.
         is_settled: Whether its coordinator resigned: it sends no grant any
             more, and every one that it sent was answered.
+        claimant: The coordinator that writes it.
     """
     ranges = tuple(key_map)
     lives = sorted(
@@ -69,6 +77,7 @@
                 for part in ranges
             ),
             settled=is_settled,
+            claimant=claimant_row(claimant),
         ),
     )
 
@@ -81,6 +90,14 @@
         return False
 
 
+def claimant_of(content: bytes) -> Claimant | None:
+    """Return the coordinator that wrote a map, ``None`` if not known."""
+    try:
+        return read_claimant(msgspec.json.decode(content, type=_Map).claimant)
+    except msgspec.MsgspecError:
+        return None
+
+
 def decode_map(
     content: bytes,
     revision: int,
--- a/src/carobwalk/keyspace/_coordinator_parts.py
+++ b/src/carobwalk/keyspace/_coordinator_parts.py
@@ -6,6 +6,7 @@
 from carobwalk.keyspace._load_collector import LoadCollector
 from carobwalk.keyspace._map_feed import MapFeed
 from carobwalk.keyspace._order_desk import OrderParts
+from carobwalk.keyspace._succession import Succession
 from carobwalk.model import Clock
 
 
@@ -17,6 +18,7 @@
         orders: What orders need.
         collector: Load of all processes.
         feed: Tells other processes of maps.
+        succession: Asks the coordinators before, and answers the next ones.
         clock: Clock that runs on while the host is suspended.
         events: Log of events.
     """
@@ -24,5 +26,6 @@
     orders: OrderParts
     collector: LoadCollector
     feed: MapFeed
+    succession: Succession
     clock: Clock
     events: EventLog
--- a/src/carobwalk/keyspace/_coordinator_role.py
+++ b/src/carobwalk/keyspace/_coordinator_role.py
@@ -7,6 +7,7 @@
 import trio
 from result import Err
 
+from carobwalk.keyspace._claimant import Claimant
 from carobwalk.keyspace._coordinator_codec import (
     COORDINATOR_NAME,
     encode_coordinator,
@@ -168,7 +169,12 @@
     ) -> None:
         """Claim a service's map, and coordinate it from then on."""
         coordination = self._parts.coordination
-        writer = MapWriter(self._parts.store, service, coordination.events)
+        writer = MapWriter(
+            self._parts.store,
+            service,
+            coordination.events,
+            Claimant(self._parts.own, term.lease),
+        )
         claim = await claim_map(writer, coordination.orders.times)
         if claim is None:
             return
@@ -179,6 +185,14 @@
             coordination.clock,
             claim.inherited,
         )
+        coordination.succession.begin(service, term, ledger)
+        if claim.predecessor is not None:
+            nursery.start_soon(
+                coordination.succession.learn,
+                claim.predecessor,
+                service,
+                ledger,
+            )
         desk = OrderDesk(coordination.orders, term, ledger)
         coordinator = ServiceCoordinator(
             service,
--- a/src/carobwalk/keyspace/_grant_ledger.py
+++ b/src/carobwalk/keyspace/_grant_ledger.py
@@ -1,11 +1,14 @@
 """Until when lives of backend servers may hold keys."""
 
 import math
+from collections import Counter
 from dataclasses import dataclass
 
+import msgspec
+
 from carobwalk.keyspace._key_range import ServerLife
 from carobwalk.keyspace._times import KeyTimes
-from carobwalk.model import Clock
+from carobwalk.model import Clock, ServerId
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -21,6 +24,36 @@
     unanswered: float
 
 
+class LifeBounds(msgspec.Struct, array_like=True, frozen=True):
+    """Bounds on the grants that one life got.
+
+    Args:
+        server: Server of the life.
+        born: Start of the life.
+        holds: Seconds until the last of them is over.
+        unanswered: Seconds until the last unanswered one of them is over.
+    """
+
+    server: str
+    born: int
+    holds: float
+    unanswered: float
+
+
+class LedgerState(msgspec.Struct, frozen=True):
+    """Bounds on all grants of a term, as its successor learns them.
+
+    Args:
+        holds: Seconds until what the term itself inherited is over.
+        unanswered: Seconds until the unanswered part of that is over.
+        lives: Bounds by life, for those that got grants in the term.
+    """
+
+    holds: float
+    unanswered: float
+    lives: tuple[LifeBounds, ...]
+
+
 class GrantLedger:
     """Bounds on the ends of all grants that were sent.
 
@@ -46,6 +79,7 @@
         self._inherited_unanswered = clock.now() + inherited.unanswered
         self._ends_by_life: dict[ServerLife, float] = {}
         self._unanswered_by_life: dict[ServerLife, float] = {}
+        self._in_flight: Counter[ServerLife] = Counter()
 
     def sending(self, life: ServerLife, hold: float) -> float:
         """Take in that a grant is about to be sent.
@@ -58,15 +92,22 @@
         end = self._clock.now() + latest_arrival + times.latest_end(hold)
         known = self._ends_by_life.get(life, -math.inf)
         self._ends_by_life[life] = max(known, end)
+        self._in_flight[life] += 1
         return known
 
+    def answered(self, life: ServerLife) -> None:
+        """Take in that a grant just got its answer."""
+        self._in_flight[life] -= 1
+
     def retract(self, life: ServerLife, bound: float) -> None:
         """Take in that nothing of the last grant was sent."""
         self._ends_by_life[life] = bound
+        self._in_flight[life] -= 1
 
     def unanswered(self, life: ServerLife, hold: float) -> None:
         """Take in that a grant just got no answer."""
         times = self._times
+        self._in_flight[life] -= 1
         end = self._clock.now() + times.arrival_slack + times.latest_end(hold)
         known = self._unanswered_by_life.get(life, -math.inf)
         self._unanswered_by_life[life] = max(known, end)
@@ -85,6 +126,45 @@
             self._inherited_unanswered,
         )
 
+    def state(self) -> LedgerState:
+        """Return what a successor has to wait for."""
+        now = self._clock.now()
+        rows = []
+        for life, end in self._ends_by_life.items():
+            unanswered = self._unanswered_by_life.get(life, -math.inf)
+            if self._in_flight[life]:
+                unanswered = end
+            row = LifeBounds(
+                life.server,
+                life.born,
+                max(end - now, 0),
+                max(unanswered - now, 0),
+            )
+            if row.holds:
+                rows.append(row)
+        return LedgerState(
+            max(self._inherited_until - now, 0),
+            max(self._inherited_unanswered - now, 0),
+            tuple(rows),
+        )
+
+    def inherit(self, state: LedgerState) -> None:
+        """Take exact bounds for the inherited grants.
+
+        Args:
+            state: The predecessor's bounds, counted from now.
+        """
+        now = self._clock.now()
+        self._inherited_until = min(self._inherited_until, now + state.holds)
+        self._inherited_unanswered = min(
+            self._inherited_unanswered,
+            now + state.unanswered,
+        )
+        for row in state.lives:
+            life = ServerLife(ServerId(row.server), row.born)
+            _raise_to(self._ends_by_life, life, now + row.holds)
+            _raise_to(self._unanswered_by_life, life, now + row.unanswered)
+
     @property
     def is_settled(self) -> bool:
         """Whether no grant is left that was not answered."""
@@ -93,3 +173,11 @@
             default=self._inherited_unanswered,
         )
         return max(latest, self._inherited_unanswered) <= self._clock.now()
+
+
+def _raise_to(
+    ends_by_life: dict[ServerLife, float],
+    life: ServerLife,
+    end: float,
+) -> None:
+    ends_by_life[life] = max(ends_by_life.get(life, -math.inf), end)
--- a/src/carobwalk/keyspace/_map_claim.py
+++ b/src/carobwalk/keyspace/_map_claim.py
@@ -5,7 +5,8 @@
 
 from result import Err
 
-from carobwalk.keyspace._codec import is_settled
+from carobwalk.keyspace._claimant import Claimant
+from carobwalk.keyspace._codec import claimant_of, is_settled
 from carobwalk.keyspace._grant_ledger import Inherited
 from carobwalk.keyspace._key_map import KeyMap
 from carobwalk.keyspace._map_writer import MapWriter
@@ -21,10 +22,12 @@
     Args:
         key_map: The map.
         inherited: Grants that earlier coordinators sent.
+        predecessor: The coordinator that wrote the map before, if known.
     """
 
     key_map: KeyMap
     inherited: Inherited
+    predecessor: Claimant | None = None
 
 
 async def claim_map(writer: MapWriter, times: KeyTimes) -> MapClaim | None:
@@ -55,4 +58,5 @@
     return MapClaim(
         key_map,
         Inherited(holds=times.inherited, unanswered=unanswered),
+        claimant_of(record.content) if record else None,
     )
--- a/src/carobwalk/keyspace/_map_writer.py
+++ b/src/carobwalk/keyspace/_map_writer.py
@@ -4,6 +4,7 @@
 from result import Err, Ok, Result
 
 from carobwalk.events import EventLog
+from carobwalk.keyspace._claimant import Claimant
 from carobwalk.keyspace._codec import decode_map, encode_map, map_name
 from carobwalk.keyspace._events import KeyRecordDamaged, MapNotWritten
 from carobwalk.keyspace._key_map import KeyMap
@@ -26,6 +27,7 @@
         store: The key-value service.
         service: Service whose keys the map divides.
         events: Log of events.
+        claimant: This process in its term.
     """
 
     def __init__(
@@ -33,10 +35,12 @@
         store: TransactionalStore,
         service: ServiceName,
         events: EventLog,
+        claimant: Claimant,
     ) -> None:
         self._store = store
         self._service = service
         self._events = events
+        self._claimant = claimant
 
     async def read(self) -> Result[Versioned | None, StoreFailure]:
         """Return the record as it stands."""
@@ -74,7 +78,11 @@
             The map as it stands in the store, which is another one after a
             conflict; ``None`` if that is not known.
         """
-        content = encode_map(key_map, is_settled=is_settled)
+        content = encode_map(
+            key_map,
+            is_settled=is_settled,
+            claimant=self._claimant,
+        )
         written = await self._store.write(
             map_name(self._service),
             content,
--- a/src/carobwalk/keyspace/_order_desk.py
+++ b/src/carobwalk/keyspace/_order_desk.py
@@ -15,6 +15,7 @@
     Grant,
     OrderChannel,
     OrderFailure,
+    OrderRefused,
     OrderUnanswered,
     OrderUnsent,
     Release,
@@ -106,7 +107,10 @@
                     self.ledger.unanswered(life, hold)
                 if isinstance(answered.err_value, OrderUnsent):
                     self.ledger.retract(life, bound)
+                if isinstance(answered.err_value, OrderRefused):
+                    self.ledger.answered(life)
                 return answered
+            self.ledger.answered(life)
         self._parts.watch.answered(life)
         return Ok(None)
 
--- a/src/carobwalk/keyspace/_term_events.py
+++ b/src/carobwalk/keyspace/_term_events.py
@@ -19,6 +19,24 @@
     inherited: float
 
 
+@dataclass(frozen=True, slots=True)
+class PredecessorAsked(Event):
+    """The coordinator before this one was asked for its last grants.
+
+    Args:
+        service: Service whose keys were granted.
+        process: The coordinator before.
+        is_answered: Whether it answered; the longest grants that there can
+            be are waited for if not.
+        holds: Seconds that what it inherited itself may hold, -1 if unknown.
+    """
+
+    service: str
+    process: str
+    is_answered: bool
+    holds: float
+
+
 @dataclass(frozen=True, slots=True)
 class TermEnded(Event):
     """This process coordinates no more.
--- a/tests/keyspace/scene.py
+++ b/tests/keyspace/scene.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field, replace
 
 import trio
-from result import Err, Result
+from result import Err, Ok, Result
 
 from carobwalk.directory import BackendServer, ServerDirectory
 from carobwalk.events import Event, NullEventLog
@@ -19,17 +19,20 @@
     RoleParts,
     ServerLives,
     ServerWatch,
+    Succession,
 )
 from carobwalk.keyspace._coordinator_codec import COORDINATOR_NAME
 from carobwalk.model import (
     Address,
     DataCentreName,
     Endpoint,
+    ProcessId,
     RegionName,
     ServerId,
     ServiceName,
     TrioClock,
 )
+from carobwalk.peer import PeerFailure, Topic, TopicHandler
 from carobwalk.store import (
     RecordFollower,
     StoreFailure,
@@ -71,6 +74,26 @@
         return call
 
 
+class PeerLinks:
+    """Ways between processes in memory; who isn't listed is unreachable."""
+
+    def __init__(self) -> None:
+        self.answers_by_name: dict[str, TopicHandler] = {}
+
+    async def ask(
+        self,
+        peer: Endpoint,
+        topic: Topic,
+        payload: bytes,
+        timeout: float,
+    ) -> Result[bytes, PeerFailure]:
+        """Ask another process."""
+        answer = self.answers_by_name.get(peer.name)
+        if answer is None:
+            return Err(PeerFailure(delivered=False, detail='unreachable'))
+        return Ok(await answer(ProcessId('asker'), payload))
+
+
 class RecordingLog:
     """Log that keeps the events."""
 
@@ -90,6 +113,7 @@
 class Router:
     """One process."""
 
+    name: str
     link: StoreLink
     reader: KeyReader
     role: CoordinatorRole
@@ -114,6 +138,7 @@
         self.clock = clock
         self.directory = ServerDirectory(clock, NullEventLog())
         self.directory.is_loaded = True
+        self.peers = PeerLinks()
         self.routers: list[Router] = []
         self.nursery: trio.Nursery | None = None
         for number in range(servers):
@@ -158,6 +183,8 @@
             self.clock,
             log,
         )
+        succession = Succession(self.peers, log)
+        self.peers.answers_by_name[name] = succession.answer
         watch = ServerWatch(times, self.clock, collector.speeds.last_heard)
         orders = OrderParts(
             channel=self.book,
@@ -183,12 +210,13 @@
                     orders=orders,
                     collector=collector,
                     feed=feed,
+                    succession=succession,
                     clock=self.clock,
                     events=log,
                 ),
             ),
         )
-        router = Router(link, reader, role, feed, collector, log)
+        router = Router(name, link, reader, role, feed, collector, log)
         self.nursery.start_soon(self._run, router, follower)
         self.routers.append(router)
         return router
@@ -196,6 +224,7 @@
     def kill(self, router: Router) -> None:
         """End a process as SIGKILL does."""
         router.scope.cancel()
+        del self.peers.answers_by_name[router.name]
 
     def coordinator(self) -> Router:
         """Return the process that coordinates."""
