Find out that a caller left before its request is sent

Cause: on a busy host a request may be read after its caller gave up. The watch for the caller's end and the way of the request started in the same turn of the event loop, and a request that found an idle connection to a server was sent in that turn.

Ruled out: requests on new connections; these wait, and are cancelled in time.

--- a/src/carobwalk/gateway/_caller_connection.py
+++ b/src/carobwalk/gateway/_caller_connection.py
@@ -19,6 +19,9 @@
 _RECEIVE_BYTES: Final = 65_536
 _STALL_SECONDS: Final = 5.0
 _LINGER_SECONDS: Final = 0.5
+# After so many turns of the event loop it is known whether a caller left
+# before its request was read, as it may on a busy host.
+_TICKS_TO_WATCH: Final = 3
 _GONE: Final = (
     trio.TooSlowError,
     trio.BrokenResourceError,
@@ -111,6 +114,8 @@
         reply: Reply | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch, nursery.cancel_scope)
+            for _ in range(_TICKS_TO_WATCH):
+                await trio.lowlevel.checkpoint()
             reply = await run.run()
             nursery.cancel_scope.cancel()
         run.log(reply)
--- a/tests/gateway/scene.py
+++ b/tests/gateway/scene.py
@@ -133,6 +133,11 @@
         self._port = listeners[0].socket.getsockname()[1]
         self.nursery.start_soon(self.server.run, listeners)
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where the gateway listens."""
+        return '127.0.0.1', self._port
+
     async def add_backend(
         self,
         service: str,
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -1,5 +1,6 @@
 """Requests through a gateway to backend servers that fail."""
 
+import socket
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -9,6 +10,11 @@
 from standins.platform import Fault, PlatformBackend
 from tests.gateway.scene import GatewayScene, exchange
 
+_LOOKUP = (
+    b'GET /reads/a HTTP/1.1\r\nhost: a.example\r\nattempt-id: left%d\r\n'
+    b'deadline-ms: 500\r\n\r\n'
+)
+
 Story = Callable[[GatewayScene], Awaitable[None]]
 
 
@@ -331,6 +337,21 @@
 
         play(story)
 
+    def test_caller_that_left_before_it_was_read(self, play) -> None:
+        """Pattern: a busy process reads requests whose callers gave up."""
+
+        async def story(scene: GatewayScene) -> None:
+            backend = await scene.add_backend('reads', 's1')
+            await scene.ask('GET', '/reads/a')
+            for number in range(20):
+                # Blocking calls: the gateway runs only after the close.
+                with socket.create_connection(scene.address) as caller:
+                    caller.sendall(_LOOKUP % number)
+            await trio.sleep(0.2)
+            assert [seen.id for seen in backend.seen] == [b'id1']
+
+        play(story)
+
     def test_write_of_leaving_caller(self, play) -> None:
         """A write goes on to its end when its caller has left."""
 
