--- a/src/carobwalk/app/_core.py
+++ b/src/carobwalk/app/_core.py
@@ -8,6 +8,7 @@
 from carobwalk.events import EventLog, HybridClock, LineEventLog
 from carobwalk.http import HttpClient
 from carobwalk.metrics import CountingEventLog, MeteredStore, Metrics
+from carobwalk.metrics.recorders import recorders_by_event
 from carobwalk.model import Clock, Endpoint, SuspendAwareClock
 from carobwalk.peer import PeerHub, TopicRegistry
 from carobwalk.settings import Settings
@@ -56,7 +57,7 @@
     log = _open_log(settings, stamps)
     clock = SuspendAwareClock()
     metrics = Metrics(own.name)
-    events = CountingEventLog(log, metrics, clock)
+    events = CountingEventLog(log, metrics, clock, recorders_by_event)
     topics = TopicRegistry(events)
     hub = PeerHub(own, stamps, topics)
     watch_peer_bytes(metrics, hub.traffic)
--- a/src/carobwalk/metrics/_event_recorders.py
+++ b/src/carobwalk/metrics/recorders.py
@@ -1,13 +1,15 @@
-"""Registry of what is counted for an event besides its name."""
+"""What is counted for events of dispatch and ownership besides their names.
+
+Only processes that dispatch and coordinate by shards import this.
+"""
 
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Any, Final, TypeVar
+from typing import Final, TypeVar
 
 from carobwalk.dispatch._events import RequestEnded, RequestSuspected
 from carobwalk.events import Event
-from carobwalk.metrics._metrics import Metrics
-from carobwalk.metrics._shard_history import ShardHistory, ShardName
+from carobwalk.metrics._records import Recorder, Records
+from carobwalk.metrics._shard_history import ShardName
 from carobwalk.model import ServiceName
 from carobwalk.ownership._events import (
     CoordinatorDeposed,
@@ -17,25 +19,10 @@
     ShardTakenOver,
 )
 
-
-@dataclass(frozen=True, slots=True)
-class Records:
-    """Where recorders write.
-
-    Args:
-        metrics: Takes counts.
-        shards: Takes changes of owners.
-    """
-
-    metrics: Metrics
-    shards: ShardHistory
-
-
 _EventT = TypeVar('_EventT', bound=Event)
-_Recorder = Callable[[Records, Any], None]
 _TypedRecorder = Callable[[Records, _EventT], None]
 
-recorders_by_event: Final[dict[type[Event], _Recorder]] = {}
+recorders_by_event: Final[dict[type[Event], Recorder]] = {}
 
 
 def records(
--- a/tests/metrics/test_counting.py
+++ b/tests/metrics/test_counting.py
@@ -12,6 +12,7 @@
 from carobwalk.events import Event
 from carobwalk.metrics import CountingEventLog, MeteredStore, Metrics
 from carobwalk.metrics._metered_store import _kind_of
+from carobwalk.metrics.recorders import recorders_by_event
 from carobwalk.model import ServerId, ServiceName, ShardNumber
 from carobwalk.ownership._events import (
     CoordinatorDeposed,
@@ -108,7 +109,12 @@
         self.metrics = Metrics('e1')
         self.clock = _Clock()
         self.inner = _Log()
-        self.log = CountingEventLog(self.inner, self.metrics, self.clock)
+        self.log = CountingEventLog(
+            self.inner,
+            self.metrics,
+            self.clock,
+            recorders_by_event,
+        )
 
     def emit_at(self, seconds: float, event: Event) -> None:
         self.clock.seconds = seconds
