Don't reuse rested connections for requests that run once only

Cause: on the grown sites servers forget idle connections after 160 to 320 ms; a write that was sent on one within the 2 s allowed until now was lost, and its caller told that the outcome is unknown. A connection that rested for more than 0.1 s is now replaced for such requests; that costs one round trip.

Ruled out: repeating such a write (it may have run); learning the time from losses (the first of them at each process are lost all the same).

Test: test_forgotten_connections: 502 before, five of five answered now. The limit for reads stands in the pool alone, too.

--- a/src/carobwalk/gateway/_connection_pool.py
+++ b/src/carobwalk/gateway/_connection_pool.py
@@ -15,6 +15,9 @@
 _CONNECT_SECONDS: Final = 0.4
 # Idle time after which a connection is not trusted any more.
 _LONGEST_IDLE_SECONDS: Final = 6.0
+# A server may forget an idle connection just before it is used, which leaves
+# the outcome of a request open; a new connection costs a round trip.
+_LONGEST_IDLE_AT_MOST_ONCE_SECONDS: Final = 0.1
 # Share of the server's own limit of idle time that is made use of.
 _IDLE_SHARE: Final = 0.6
 _MOST_IDLE: Final = 8
@@ -44,15 +47,20 @@
         self,
         server: BackendServer,
         *,
-        longest_idle: float = _LONGEST_IDLE_SECONDS,
+        is_repeatable: bool,
     ) -> UpstreamConnection | NotSent:
         """Return an idle connection, or a new one.
 
         Args:
             server: Backend server to connect to.
-            longest_idle: Idle time in seconds after which a connection is
-                not used.
+            is_repeatable: Whether the request may be sent again if the
+                connection turns out to be gone.
         """
+        longest_idle = (
+            _LONGEST_IDLE_SECONDS
+            if is_repeatable
+            else _LONGEST_IDLE_AT_MOST_ONCE_SECONDS
+        )
         # The list may be replaced during each wait.
         while self._idle_by_life[server.life]:
             connection = self._idle_by_life[server.life].pop()
--- a/src/carobwalk/gateway/_forwarder.py
+++ b/src/carobwalk/gateway/_forwarder.py
@@ -31,10 +31,6 @@
 
 # A request with less time left than this is not sent any more.
 _LEAST_SECONDS: Final = 0.02
-# An idle connection may be closed by the server just as it is used, which
-# leaves the outcome of a request open.
-_LONGEST_IDLE_AT_MOST_ONCE_SECONDS: Final = 2.0
-_LONGEST_IDLE_SECONDS: Final = 6.0
 _NO_TIME: Final = 'no time left'
 _QUARANTINED: Final = 'the request has crashed backend servers'
 _QUARANTINE_SECONDS: Final = 2.0
@@ -212,13 +208,11 @@
         server: BackendServer,
         progress: Progress,
     ) -> AttemptOutcome:
-        longest_idle = (
-            _LONGEST_IDLE_SECONDS
-            if request.route.is_idempotent
-            else _LONGEST_IDLE_AT_MOST_ONCE_SECONDS
-        )
         pool = self._parts.pool
-        taken = await pool.take(server, longest_idle=longest_idle)
+        taken = await pool.take(
+            server,
+            is_repeatable=request.route.is_idempotent,
+        )
         if isinstance(taken, NotSent):
             return taken
         might_have_run = progress.may_have_run
--- a/standins/platform/_backend.py
+++ b/standins/platform/_backend.py
@@ -1,5 +1,6 @@
 """Backend server of the users' platform, with faults."""
 
+import math
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -72,6 +73,9 @@
     Args:
         name: Identity.
         seconds: Time that a request takes.
+
+    After ``forgets_after`` seconds of rest a connection is forgotten without
+    notice: what is sent on it then is reset.
     """
 
     def __init__(self, name: str, seconds: float = 0) -> None:
@@ -79,6 +83,7 @@
         self.seconds = seconds
         self.fault = Fault.NONE
         self.faults_left = 0
+        self.forgets_after = math.inf
         self.seen: list[Seen] = []
         self.dropped: list[bytes] = []
         self.runs_by_id: Counter[bytes] = Counter()
@@ -102,8 +107,8 @@
             await trio.aclose_forcefully(stream)
 
     async def _serve_next(self, http: H11Stream) -> bool:
-        head = await http.receive()
-        if not isinstance(head, h11.Request):
+        head = await _receive_head(http, self.forgets_after)
+        if head is None:
             return False
         body = await http.read_body(1_000_000) or b''
         headers = dict(head.headers)
@@ -207,6 +212,19 @@
         )
 
 
+async def _receive_head(
+    http: H11Stream,
+    forgets_after: float,
+) -> h11.Request | None:
+    """Return the next head, ``None`` at the end of the connection."""
+    began = trio.current_time()
+    head = await http.receive()
+    if trio.current_time() - began > forgets_after:
+        # Closing with unread bytes resets the connection.
+        return None
+    return head if isinstance(head, h11.Request) else None
+
+
 def _ending(fault: Fault, request_id: bytes) -> bytes:
     """Return what is sent before the connection ends."""
     if fault is Fault.CUT:
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -293,6 +293,21 @@
 
         play(story)
 
+    def test_forgotten_connections(self, play) -> None:
+        """Pattern: writes at intervals, servers that forget connections."""
+
+        async def story(scene: GatewayScene) -> None:
+            backend = await scene.add_backend('writes', 's1')
+            backend.forgets_after = 0.15
+            for number in range(5):
+                answer = await scene.ask(
+                    'POST', '/writes/a', b'x', f'w{number}'
+                )
+                assert answer.status == 200
+                await trio.sleep(0.25)
+
+        play(story)
+
     def test_unreachable_server(self, play) -> None:
         """A server that can't be reached costs no request."""
 
