Wait for the grants of a range, not for all grants of its owner

Cause: the wait for a release that isn't answered ended when the owner's last grant was over, of any range. An owner that lives is renewed its other ranges twice a second, so the wait had no end while work on the range hung.

Test: test_release_beside_renewals, failed before: no owner after 6 s, now after the hold of the range.

--- a/src/carobwalk/keyspace/_activation.py
+++ b/src/carobwalk/keyspace/_activation.py
@@ -80,15 +80,17 @@
     async def _wait_until_free(self, life: ServerLife) -> None:
         """Wait until a release that was answered is certain."""
         ledger = self._desk.ledger
-        moment = ledger.free_after_release(life)
+        keys = self.part.bounds
+        moment = ledger.free_after_release(life, keys)
         while self._clock.now() < moment and not self._is_over(life):
             await trio.sleep(self._parts.times.tick)
             # A predecessor may have told exact bounds meanwhile.
-            moment = min(moment, ledger.free_after_release(life))
+            moment = min(moment, ledger.free_after_release(life, keys))
 
     def _is_over(self, life: ServerLife) -> bool:
         if self._parts.watch.is_dead(life):
             return True
         if self._parts.lives.is_replaced(life):
             return True
-        return self._clock.now() >= self._desk.ledger.holds_until(life)
+        end = self._desk.ledger.holds_until(life, self.part.bounds)
+        return self._clock.now() >= end
--- a/src/carobwalk/keyspace/_grant_ledger.py
+++ b/src/carobwalk/keyspace/_grant_ledger.py
@@ -1,15 +1,18 @@
 """Until when lives of backend servers may hold keys."""
 
 import math
-from collections import Counter
+from collections import defaultdict
 from dataclasses import dataclass
 
 import msgspec
 
-from carobwalk.keyspace._key_range import ServerLife
+from carobwalk.keyspace._key_range import MOST_KEY, KeyRange, ServerLife
+from carobwalk.keyspace._sent_grants import KeyBounds, SentGrants
 from carobwalk.keyspace._times import KeyTimes
 from carobwalk.model import Clock, ServerId
 
+_ALL_KEYS: KeyBounds = (0, MOST_KEY)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Inherited:
@@ -24,18 +27,20 @@
     unanswered: float
 
 
-class LifeBounds(msgspec.Struct, array_like=True, frozen=True):
-    """Bounds on the grants that one life got.
+class GrantBounds(msgspec.Struct, array_like=True, frozen=True):
+    """Bounds on the grants of one range that one life got.
 
     Args:
         server: Server of the life.
         born: Start of the life.
+        keys: First and last key.
         holds: Seconds until the last of them is over.
         unanswered: Seconds until the last unanswered one of them is over.
     """
 
     server: str
     born: int
+    keys: KeyBounds
     holds: float
     unanswered: float
 
@@ -46,12 +51,12 @@
     Args:
         holds: Seconds until what the term itself inherited is over.
         unanswered: Seconds until the unanswered part of that is over.
-        lives: Bounds by life, for those that got grants in the term.
+        grants: Bounds on the grants of the term.
     """
 
     holds: float
     unanswered: float
-    lives: tuple[LifeBounds, ...]
+    grants: tuple[GrantBounds, ...]
 
 
 class GrantLedger:
@@ -77,75 +82,75 @@
         self._clock = clock
         self._inherited_until = clock.now() + inherited.holds
         self._inherited_unanswered = clock.now() + inherited.unanswered
-        self._ends_by_life: dict[ServerLife, float] = {}
-        self._unanswered_by_life: dict[ServerLife, float] = {}
-        self._in_flight: Counter[ServerLife] = Counter()
+        self._sent_by_life: dict[ServerLife, SentGrants] = defaultdict(
+            SentGrants,
+        )
 
-    def sending(self, life: ServerLife, hold: float) -> float:
-        """Take in that a grant is about to be sent.
+    def sending(self, part: KeyRange, hold: float) -> float:
+        """Take in that a grant is about to be sent to a range's owner.
 
         Returns:
             The bound before it, for ``retract``.
         """
         times = self._times
+        now = self._clock.now()
         latest_arrival = times.order_timeout + times.arrival_slack
-        end = self._clock.now() + latest_arrival + times.latest_end(hold)
-        known = self._ends_by_life.get(life, -math.inf)
-        self._ends_by_life[life] = max(known, end)
-        self._in_flight[life] += 1
-        return known
+        sent = self._sent_by_life[part.owner]
+        sent.drop_old(now)
+        end = now + latest_arrival + times.latest_end(hold)
+        return sent.send(part.bounds, end)
 
-    def answered(self, life: ServerLife) -> None:
+    def answered(self, part: KeyRange) -> None:
         """Take in that a grant just got its answer."""
-        self._in_flight[life] -= 1
+        self._sent_by_life[part.owner].answer(part.bounds)
 
-    def retract(self, life: ServerLife, bound: float) -> None:
+    def retract(self, part: KeyRange, bound: float) -> None:
         """Take in that nothing of the last grant was sent."""
-        self._ends_by_life[life] = bound
-        self._in_flight[life] -= 1
+        self._sent_by_life[part.owner].retract(part.bounds, bound)
 
-    def unanswered(self, life: ServerLife, hold: float) -> None:
+    def unanswered(self, part: KeyRange, hold: float) -> None:
         """Take in that a grant just got no answer."""
         times = self._times
-        self._in_flight[life] -= 1
         end = self._clock.now() + times.arrival_slack + times.latest_end(hold)
-        known = self._unanswered_by_life.get(life, -math.inf)
-        self._unanswered_by_life[life] = max(known, end)
-
-    def holds_until(self, life: ServerLife) -> float:
-        """Return when a life holds nothing any more if it gets nothing."""
-        return max(
-            self._ends_by_life.get(life, -math.inf),
-            self._inherited_until,
-        )
+        self._sent_by_life[part.owner].lose(part.bounds, end)
 
-    def free_after_release(self, life: ServerLife) -> float:
-        """Return from when on an answered release is certain."""
-        return max(
-            self._unanswered_by_life.get(life, -math.inf),
-            self._inherited_unanswered,
-        )
+    def holds_until(
+        self,
+        life: ServerLife,
+        keys: KeyBounds = _ALL_KEYS,
+    ) -> float:
+        """Return when a life holds none of some keys if it gets nothing."""
+        sent = self._sent_by_life[life].holds_until(keys)
+        return max(sent, self._inherited_until)
+
+    def free_after_release(
+        self,
+        life: ServerLife,
+        keys: KeyBounds = _ALL_KEYS,
+    ) -> float:
+        """Return from when on an answered release of some keys is certain."""
+        sent = self._sent_by_life[life].unanswered_until(keys)
+        return max(sent, self._inherited_unanswered)
 
     def state(self) -> LedgerState:
         """Return what a successor has to wait for."""
         now = self._clock.now()
-        rows = []
-        for life, end in self._ends_by_life.items():
-            unanswered = self._unanswered_by_life.get(life, -math.inf)
-            if self._in_flight[life]:
-                unanswered = end
-            row = LifeBounds(
-                life.server,
-                life.born,
-                max(end - now, 0),
-                max(unanswered - now, 0),
+        grants = tuple(
+            GrantBounds(
+                server=life.server,
+                born=life.born,
+                keys=keys,
+                holds=holds - now,
+                unanswered=max(unanswered - now, 0),
             )
-            if row.holds:
-                rows.append(row)
+            for life, sent in self._sent_by_life.items()
+            for keys, holds, unanswered in sent.rows()
+            if holds > now
+        )
         return LedgerState(
             max(self._inherited_until - now, 0),
             max(self._inherited_unanswered - now, 0),
-            tuple(rows),
+            grants,
         )
 
     def inherit(self, state: LedgerState) -> None:
@@ -160,24 +165,22 @@
             self._inherited_unanswered,
             now + state.unanswered,
         )
-        for row in state.lives:
+        for row in state.grants:
             life = ServerLife(ServerId(row.server), row.born)
-            _raise_to(self._ends_by_life, life, now + row.holds)
-            _raise_to(self._unanswered_by_life, life, now + row.unanswered)
+            self._sent_by_life[life].inherit(
+                row.keys,
+                now + row.holds,
+                now + row.unanswered,
+            )
 
     @property
     def is_settled(self) -> bool:
         """Whether no grant is left that was not answered."""
         latest = max(
-            self._unanswered_by_life.values(),
-            default=self._inherited_unanswered,
+            (
+                sent.unanswered_until(_ALL_KEYS)
+                for sent in self._sent_by_life.values()
+            ),
+            default=-math.inf,
         )
         return max(latest, self._inherited_unanswered) <= self._clock.now()
-
-
-def _raise_to(
-    ends_by_life: dict[ServerLife, float],
-    life: ServerLife,
-    end: float,
-) -> None:
-    ends_by_life[life] = max(ends_by_life.get(life, -math.inf), end)
--- a/src/carobwalk/keyspace/_key_range.py
+++ b/src/carobwalk/keyspace/_key_range.py
@@ -42,6 +42,11 @@
     is_granted: bool = False
     previous: tuple[ServerLife, ...] = ()
 
+    @property
+    def bounds(self) -> tuple[int, int]:
+        """First and last key."""
+        return self.first, self.last
+
     def __len__(self) -> int:
         """Return the number of keys."""
         return self.last - self.first + 1
--- a/src/carobwalk/keyspace/_order_desk.py
+++ b/src/carobwalk/keyspace/_order_desk.py
@@ -92,7 +92,7 @@
             if not self._term.is_valid or not is_wanted():
                 return Err(OrderUnsent('not wanted', is_refused=False))
             hold = self._hold()
-            bound = self.ledger.sending(life, hold)
+            bound = self.ledger.sending(part, hold)
             order = Grant(
                 first=part.first,
                 last=part.last,
@@ -104,13 +104,13 @@
             if isinstance(answered, Err):
                 self._note_failure('grant', part, life, answered.err_value)
                 if isinstance(answered.err_value, OrderUnanswered):
-                    self.ledger.unanswered(life, hold)
+                    self.ledger.unanswered(part, hold)
                 if isinstance(answered.err_value, OrderUnsent):
-                    self.ledger.retract(life, bound)
+                    self.ledger.retract(part, bound)
                 if isinstance(answered.err_value, OrderRefused):
-                    self.ledger.answered(life)
+                    self.ledger.answered(part)
                 return answered
-            self.ledger.answered(life)
+            self.ledger.answered(part)
         self._parts.watch.answered(life)
         return Ok(None)
 
--- a/src/carobwalk/keyspace/_part_choice.py
+++ b/src/carobwalk/keyspace/_part_choice.py
@@ -5,8 +5,7 @@
 from carobwalk.keyspace._key_load import KeyLoad
 from carobwalk.keyspace._key_map import KeyMap
 from carobwalk.keyspace._key_range import KeyRange, ServerLife
-
-KeyBounds = tuple[int, int]
+from carobwalk.keyspace._sent_grants import KeyBounds
 
 
 def choose_part(
--- a/standins/platform/_key_holder.py
+++ b/standins/platform/_key_holder.py
@@ -22,6 +22,8 @@
         is_refusing: Whether nothing listens at its address.
         is_silent: Whether it answers nothing and gets nothing.
         refuses_releases: Whether it refuses each release.
+        hangs_releases: Whether it answers no release, for work on the keys
+            doesn't end.
         applies_late: Seconds after which it carries out orders that it does
             not answer; ``None`` if it answers.
     """
@@ -30,6 +32,7 @@
     is_refusing: bool = False
     is_silent: bool = False
     refuses_releases: bool = False
+    hangs_releases: bool = False
     applies_late: float | None = None
     held: list[_Held] = field(default_factory=list)
     fences_by_key: dict[int, int] = field(default_factory=dict)
--- a/standins/platform/_order_book.py
+++ b/standins/platform/_order_book.py
@@ -17,6 +17,8 @@
 from carobwalk.model import ServerId
 from standins.platform._key_holder import SLOW_CLOCK, KeyHolder
 
+_RELEASE_SECONDS = 1.5
+
 
 class OrderBook:
     """An ``OrderChannel`` to servers in memory; it finds double owners.
@@ -81,6 +83,9 @@
         self.releases += 1
         if holder.refuses_releases:
             return Err(OrderRefused('status 400'))
+        if holder.hangs_releases:
+            await trio.sleep(_RELEASE_SECONDS)
+            return Err(OrderUnanswered('work goes on'))
         holder.release(order.first, order.last)
         return Ok(f'state-of-{server.id}')
 
--- a/tests/keyspace/test_coordination.py
+++ b/tests/keyspace/test_coordination.py
@@ -163,6 +163,25 @@
 
         play(story)
 
+    def test_release_beside_renewals(self, play) -> None:
+        """A release that is never answered doesn't wait for other ranges.
+
+        The server's other grants were renewed meanwhile, and with them the
+        wait for the range that it was to give up went on for ever.
+        """
+
+        async def story(scene: Scene) -> None:
+            router = scene.add_router('a')
+            await scene.settle()
+            for holder in scene.book.holders_by_id.values():
+                holder.hangs_releases = True
+            scene.add_server(9)
+            await trio.sleep(6)
+            granted = router.log.named('KeysGranted')
+            assert 's9' in {event.server for event in granted}
+
+        play(story)
+
 
 class TestCoordinatorLost:
     def test_killed(self, play) -> None:
--- a/tests/keyspace/test_succession.py
+++ b/tests/keyspace/test_succession.py
@@ -9,12 +9,13 @@
 
 from carobwalk.keyspace import KeyTimes
 from carobwalk.keyspace._grant_ledger import GrantLedger, Inherited
-from carobwalk.keyspace._key_range import ServerLife
+from carobwalk.keyspace._key_range import KeyRange, ServerLife
 from carobwalk.model import ServerId, TrioClock
 from tests.keyspace.scene import Scene
 
 Story = Callable[[Scene], Awaitable[None]]
 LIFE = ServerLife(ServerId('s1'), 1)
+PART = KeyRange(first=0, last=99, owner=LIFE)
 OTHER = ServerLife(ServerId('s2'), 1)
 
 
@@ -136,14 +137,15 @@
             times = KeyTimes()
             clock = TrioClock()
             before = GrantLedger(times, clock, Inherited(holds=0, unanswered=0))
-            before.sending(LIFE, times.hold)
-            before.answered(LIFE)
+            before.sending(PART, times.hold)
+            before.answered(PART)
             await trio.sleep(1)
             inherited = Inherited(holds=times.inherited, unanswered=11)
             after = GrantLedger(times, clock, inherited)
             after.inherit(before.state())
             now = clock.now()
             assert after.holds_until(OTHER) == now
+            assert after.holds_until(LIFE, (100, 200)) == now
             assert now + 2 < after.holds_until(LIFE) < now + 3
             assert after.free_after_release(LIFE) == now
             assert after.is_settled
@@ -158,7 +160,7 @@
             clock = TrioClock()
             nothing = Inherited(holds=0, unanswered=0)
             before = GrantLedger(times, clock, nothing)
-            before.sending(LIFE, times.hold)
+            before.sending(PART, times.hold)
             after = GrantLedger(times, clock, nothing)
             after.inherit(before.state())
             bound = after.holds_until(LIFE)
