Number told maps apart from the record in the store

Cause: a record and the first map told under its revision had the same version, but the told one may hold grants that were confirmed while the record was written. A process that had read the record took later changes over it, and the range stayed without an owner there.

Ruled out: a lost confirmation at the coordinator; its own map had none open.

Test: test_record_with_an_older_state, failed before.

--- a/src/carobwalk/keyspace/_map_feed.py
+++ b/src/carobwalk/keyspace/_map_feed.py
@@ -20,6 +20,8 @@
 _HOLD_SECONDS: Final = 1.0
 # Versions that an update may be laid over.
 _KEPT_VERSIONS: Final = 32
+# A record may lack grants that were confirmed while it was written.
+_FIRST_NUMBER: Final = 1
 _UNKNOWN: Final = MapVersion(0)
 
 
@@ -47,7 +49,7 @@
             key_map: The map with the revision of its record.
         """
         maps = self._maps_by_service[service]
-        number = 0
+        number = _FIRST_NUMBER
         if maps and maps[-1][0].revision == key_map.revision:
             number = maps[-1][0].number + 1
         maps.append((MapVersion(key_map.revision, number), key_map))
--- a/src/carobwalk/keyspace/_map_messages.py
+++ b/src/carobwalk/keyspace/_map_messages.py
@@ -14,8 +14,8 @@
 
     Args:
         revision: Revision of its record in the store.
-        number: Number of the update since then: confirmed grants are told to
-            processes before they are written.
+        number: Number of the update since then, 0 for the record itself:
+            confirmed grants are told to processes before they are written.
     """
 
     revision: int
--- a/tests/fault_soak/test_soak.py
+++ b/tests/fault_soak/test_soak.py
@@ -11,6 +11,8 @@
 # Seeds that failed once, each with its cause.
 FAILED_SEEDS = (
     3,  # a lost read was called 'not run' when its key had no owner any more
+    30,  # the wait for an unanswered release went on with other ranges
+    34,  # changes of a map were laid over another state of it
 )
 SHORT = SoakPlan(routers=2, seconds=4, faults=6)
 
--- a/tests/keyspace/test_map_feed.py
+++ b/tests/keyspace/test_map_feed.py
@@ -9,9 +9,15 @@
 from carobwalk.events import NullEventLog
 from carobwalk.keyspace import KeyReader, MapFeed
 from carobwalk.keyspace import _map_feed as map_feed
+from carobwalk.keyspace._codec import encode_map
 from carobwalk.keyspace._key_map import KeyMap
 from carobwalk.keyspace._key_range import KeyRange, ServerLife
-from carobwalk.keyspace._map_messages import MapAnswer, MapQuestion
+from carobwalk.keyspace._map_messages import (
+    MapAnswer,
+    MapQuestion,
+    MapUpdate,
+    MapVersion,
+)
 from carobwalk.model import ProcessId, ServerId
 from tests.keyspace.scene import SERVICE
 from tests.keyspace.test_key_map import WHOLE
@@ -62,6 +68,27 @@
         sizes = [len(answer.updates[0].content) for answer in (whole, change)]
         assert sizes[1] < sizes[0] / 4
 
+    def test_record_with_an_older_state(self) -> None:
+        """A record lacks the grants that were confirmed while it was written.
+
+        Changes that were laid over it left such a range without an owner at
+        one process for ever.
+        """
+        feed = MapFeed()
+        feed.is_coordinator = True
+        reader = KeyReader(NullEventLog())
+        record = make_map(5, make_part(300, 's3'))
+        reader.take_update(
+            MapUpdate(SERVICE, MapVersion(5), encode_map(record)),
+        )
+        granted = record.assign([make_part(300, 's3', is_granted=True)])
+        feed.publish(SERVICE, granted)
+        follow(feed, reader)
+        newest = granted.assign([make_part(700, 's7')])
+        feed.publish(SERVICE, newest)
+        follow(feed, reader)
+        assert reader.map_of(SERVICE).ranges == newest.ranges
+
     def test_far_behind(self) -> None:
         """A process that missed many versions gets the whole map."""
         feed = MapFeed()
