--- a/soak/_run.py
+++ b/soak/_run.py
@@ -92,7 +92,6 @@
         store = KvStore()
         self._ledger = Ledger()
         self._scene = Scene(store, Operator(store), self._ledger)
-        self._probes: list[VersionProbe] = []
         self._recovery: float = 0
 
     def outcome(self) -> SoakOutcome:
@@ -149,7 +148,6 @@
                 caller = Caller(router, self._ledger)
                 nursery.start_soon(caller.run, maker)
             probe = VersionProbe(router, self._scene.operator, self._ledger)
-            self._probes.append(probe)
             nursery.start_soon(probe.run)
 
     async def _inject(self) -> None:
--- a/soak/_server.py
+++ b/soak/_server.py
@@ -1,6 +1,7 @@
 """Backend server of the soak: its lives, its link and its registration."""
 
 import json
+import zlib
 from collections.abc import Callable
 from typing import Protocol
 
@@ -21,6 +22,9 @@
 UNKEYED_SERVICE = 'ledger'
 WATCHED_KEYS = tuple(range(100, 65_536, 4_096))
 _WORK_SECONDS = 0.02
+# Some work is long enough to be under way when a process ends.
+_SLOW_EVERY = 8
+_SLOW_SECONDS = 1.0
 _LEAVING_SECONDS = 1.5
 _AWAY_SECONDS = 0.3
 
@@ -39,6 +43,8 @@
 
     async def _work(self, http: object, request_id: bytes) -> bool:
         self.observer.ledger.record_run(request_id.decode(), self.name)
+        is_slow = zlib.crc32(request_id) % _SLOW_EVERY == 0
+        self.seconds = _SLOW_SECONDS if is_slow else _WORK_SECONDS
         return await super()._work(http, request_id)  # type: ignore[arg-type]
 
 
--- a/src/carobwalk/keyspace/_grant_ledger.py
+++ b/src/carobwalk/keyspace/_grant_ledger.py
@@ -6,8 +6,13 @@
 
 import msgspec
 
-from carobwalk.keyspace._key_range import MOST_KEY, KeyRange, ServerLife
-from carobwalk.keyspace._sent_grants import KeyBounds, SentGrants
+from carobwalk.keyspace._key_range import (
+    MOST_KEY,
+    KeyBounds,
+    KeyRange,
+    ServerLife,
+)
+from carobwalk.keyspace._sent_grants import SentGrants
 from carobwalk.keyspace._times import KeyTimes
 from carobwalk.model import Clock, ServerId
 
--- a/src/carobwalk/keyspace/_key_range.py
+++ b/src/carobwalk/keyspace/_key_range.py
@@ -6,6 +6,9 @@
 
 MOST_KEY = 65_535
 
+# First and last key of a range.
+KeyBounds = tuple[int, int]
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class ServerLife:
@@ -43,7 +46,7 @@
     previous: tuple[ServerLife, ...] = ()
 
     @property
-    def bounds(self) -> tuple[int, int]:
+    def bounds(self) -> KeyBounds:
         """First and last key."""
         return self.first, self.last
 
--- a/src/carobwalk/keyspace/_part_choice.py
+++ b/src/carobwalk/keyspace/_part_choice.py
@@ -4,8 +4,7 @@
 
 from carobwalk.keyspace._key_load import KeyLoad
 from carobwalk.keyspace._key_map import KeyMap
-from carobwalk.keyspace._key_range import KeyRange, ServerLife
-from carobwalk.keyspace._sent_grants import KeyBounds
+from carobwalk.keyspace._key_range import KeyBounds, KeyRange, ServerLife
 
 
 def choose_part(
--- a/src/carobwalk/keyspace/_sent_grants.py
+++ b/src/carobwalk/keyspace/_sent_grants.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
-KeyBounds = tuple[int, int]
+from carobwalk.keyspace._key_range import KeyBounds
 
 
 @dataclass(slots=True)
