Don't ask oneself for the grants of the term that asks

Cause: found by reading. A claim of a map whose answer was lost is tried again; the record then names the claiming term itself, which would have asked itself, and ended its own term by that.

A term that its successor ends is logged, too.

Test: test_own_claim, failed before.

--- a/src/carobwalk/keyspace/_succession.py
+++ b/src/carobwalk/keyspace/_succession.py
@@ -15,7 +15,7 @@
 from carobwalk.keyspace._claimant import Claimant
 from carobwalk.keyspace._grant_ledger import GrantLedger, LedgerState
 from carobwalk.keyspace._term import Term
-from carobwalk.keyspace._term_events import PredecessorAsked
+from carobwalk.keyspace._term_events import PredecessorAsked, TermEnded
 from carobwalk.model import ProcessId, ServiceName
 from carobwalk.peer import Peers, Topic
 
@@ -75,7 +75,10 @@
         served = self._served.get(question)
         if served is None:
             return msgspec.msgpack.encode(_Answer())
-        served.term.end()
+        if not served.term.is_over:
+            served.term.end()
+            cause = f'followed by {sender}'
+            self._events.emit(TermEnded(served.term.lease, cause))
         return msgspec.msgpack.encode(_Answer(served.ledger.state()))
 
     async def learn(
@@ -91,6 +94,9 @@
             service: Service whose keys the map divides.
             ledger: Ledger of the new term.
         """
+        own = self._served.get(_Question(str(predecessor.lease), service))
+        if own is not None and own.ledger is ledger:
+            return  # An earlier claim in this term, whose answer was lost.
         state = await self._ask(predecessor, service)
         if state is not None:
             ledger.inherit(state)
--- a/tests/keyspace/scene.py
+++ b/tests/keyspace/scene.py
@@ -57,6 +57,16 @@
     )
 
 
+def make_endpoint(name: str) -> Endpoint:
+    """Return where a process takes other processes."""
+    return Endpoint(
+        name,
+        Address('127.0.0.1', 1),
+        RegionName('r'),
+        DataCentreName('dc1'),
+    )
+
+
 class StoreLink:
     """A process's way to the store, which can be cut."""
 
@@ -195,12 +205,7 @@
         )
         role = CoordinatorRole(
             RoleParts(
-                own=Endpoint(
-                    name,
-                    Address('127.0.0.1', 1),
-                    RegionName('r'),
-                    DataCentreName('dc1'),
-                ),
+                own=make_endpoint(name),
                 store=link,  # type: ignore[arg-type]
                 reader=reader,
                 is_current=lambda: follower.is_current,
--- a/tests/keyspace/test_succession.py
+++ b/tests/keyspace/test_succession.py
@@ -7,11 +7,20 @@
 import trio
 from trio.testing import MockClock
 
-from carobwalk.keyspace import KeyTimes
+from carobwalk.keyspace import KeyTimes, Succession
+from carobwalk.keyspace._claimant import Claimant
 from carobwalk.keyspace._grant_ledger import GrantLedger, Inherited
 from carobwalk.keyspace._key_range import KeyRange, ServerLife
+from carobwalk.keyspace._term import Term
 from carobwalk.model import ServerId, TrioClock
-from tests.keyspace.scene import Scene
+from carobwalk.store import LeaseId
+from tests.keyspace.scene import (
+    SERVICE,
+    PeerLinks,
+    RecordingLog,
+    Scene,
+    make_endpoint,
+)
 
 Story = Callable[[Scene], Awaitable[None]]
 LIFE = ServerLife(ServerId('s1'), 1)
@@ -129,6 +138,35 @@
         play(story)
 
 
+class TestSuccession:
+    def test_own_claim(self, virtual_clock: MockClock) -> None:
+        """A claim whose answer was lost doesn't end the term that made it."""
+
+        async def body() -> None:
+            log = RecordingLog()
+            peers = PeerLinks()
+            succession = Succession(peers, log)
+            peers.answers_by_name['a'] = succession.answer
+            clock = TrioClock()
+            times = KeyTimes()
+            term = Term(LeaseId('7'), clock.now(), times, clock)
+            nothing = Inherited(holds=0, unanswered=0)
+            ledger = GrantLedger(times, clock, nothing)
+            succession.begin(SERVICE, term, ledger)
+            claimant = Claimant(make_endpoint('a'), LeaseId('7'))
+            await succession.learn(claimant, SERVICE, ledger)
+            assert term.is_valid
+            await succession.learn(
+                claimant,
+                SERVICE,
+                GrantLedger(times, clock, nothing),
+            )
+            assert term.is_over
+            assert log.named('TermEnded')
+
+        trio.run(body, clock=virtual_clock)
+
+
 class TestLedgerState:
     def test_exact_bounds(self, virtual_clock: MockClock) -> None:
         """A successor waits for each life as long as its own grants last."""
