Keep once whether a process stops and which services have keys

Cause: readiness repeated the list of keyed services that coordination had, and kept beside the process whether it stops. The list is the configuration's now; whether it stops is readiness's alone. A limit of the soak's report has a name, and the follower's default is explained. Behaviour is the same.

--- a/soak/_ledger.py
+++ b/soak/_ledger.py
@@ -5,6 +5,8 @@
 
 import trio
 
+_TOLD_OF_A_KIND = 3
+
 
 @dataclass(slots=True)
 class Ledger:
@@ -33,7 +35,7 @@
     def break_promise(self, promise: str, detail: str) -> None:
         """Note a broken promise; the first few of a kind are told."""
         self._kinds[promise] += 1
-        if self._kinds[promise] <= 3:
+        if self._kinds[promise] <= _TOLD_OF_A_KIND:
             now = trio.current_time()
             self.broken.append(f'{now:.3f} {promise}: {detail}')
 
--- a/src/carobwalk/app/_build_keyspace.py
+++ b/src/carobwalk/app/_build_keyspace.py
@@ -121,5 +121,4 @@
     table = core.routes.table
     if table is None or not core.directory.is_loaded:
         return ()
-    services = table.configuration.services_by_name.values()
-    return tuple(service.name for service in services if service.is_keyed)
+    return table.configuration.keyed_services
--- a/src/carobwalk/app/_gateway_process.py
+++ b/src/carobwalk/app/_gateway_process.py
@@ -42,7 +42,6 @@
 
     def __init__(self, settings: GatewaySettings, path: Path) -> None:
         self._core = build_gateway_core(settings)
-        self._is_stopping = False
         core = self._core
         self._local = LocalLoad(
             loads=LoadTable(core.directory),
@@ -68,7 +67,7 @@
             core,
             self._keyspace.owners,
             self._local,
-            lambda: self._is_stopping,
+            lambda: self._readiness.is_stopping,
         )
         watch_gateway(core, self._gateway.pool)
 
@@ -127,7 +126,6 @@
 
     async def _stop(self) -> bool:
         """Leave the balancer, hand the role over, finish what is in flight."""
-        self._is_stopping = True
         self._readiness.stop()
         seconds = self._core.settings.bounds.stop_seconds
         end = trio.current_time() + seconds - _STOP_MARGIN_SECONDS
--- a/src/carobwalk/app/_readiness.py
+++ b/src/carobwalk/app/_readiness.py
@@ -29,17 +29,17 @@
         self._give_up_at = core.clock.now() + _LONGEST_WAIT_SECONDS
         self._has_started = False
         self._was_ready = False
-        self._is_stopping = False
+        self.is_stopping = False
 
     def stop(self) -> None:
         """Take no more callers."""
-        self._is_stopping = True
+        self.is_stopping = True
         self.check()
 
     def check(self) -> bool:
         """Return whether the process takes callers; log a change."""
         self._has_started = self._has_started or self._is_complete()
-        is_ready = self._has_started and not self._is_stopping
+        is_ready = self._has_started and not self.is_stopping
         if is_ready != self._was_ready:
             self._was_ready = is_ready
             self._core.events.emit(ReadinessChanged(is_ready=is_ready))
@@ -51,12 +51,7 @@
             return False
         if self._core.clock.now() >= self._give_up_at:
             return True
-        services = table.configuration.services_by_name.values()
-        return all(
-            self._has_owners(service.name)
-            for service in services
-            if service.is_keyed
-        )
+        return all(map(self._has_owners, table.configuration.keyed_services))
 
     def _has_owners(self, service: ServiceName) -> bool:
         """Return whether keys are divided as far as there are servers."""
--- a/src/carobwalk/routing/_configuration.py
+++ b/src/carobwalk/routing/_configuration.py
@@ -40,3 +40,9 @@
     routes: tuple[Route, ...]
     services_by_name: Mapping[ServiceName, RoutedService]
     limits: CallerLimits
+
+    @property
+    def keyed_services(self) -> tuple[ServiceName, ...]:
+        """Names of the services whose keys have owners."""
+        services = self.services_by_name.values()
+        return tuple(service.name for service in services if service.is_keyed)
--- a/src/carobwalk/store/_follower.py
+++ b/src/carobwalk/store/_follower.py
@@ -80,7 +80,8 @@
         reader: Takes the records.
         clock: Clock of outages.
         events: Log of events.
-        is_urgent: Returns whether a series of changes may not be gathered.
+        is_urgent: Returns whether a series of changes may not be gathered;
+            it may always, by default.
     """
 
     def __init__(
