Log why a previous owner holds keys no longer

The logs of the double ownership could not tell the hypotheses of the incident apart: neither what the preceding coordinator reported nor why the owner before was taken to hold nothing was written. KeysRevoked names the evidence (released, expired, process ended, restarted) and the known end of its grants; PredecessorAsked gives the number of reported grants and the end of the last one. No decision changes: _holds_nothing became the function that returns the evidence.

--- a/src/carobwalk/keyspace/_activation.py
+++ b/src/carobwalk/keyspace/_activation.py
@@ -9,6 +9,7 @@
 from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
 from carobwalk.keyspace._order_sender import OrderDependencies, OrderSender
 from carobwalk.keyspace._orders import OrderFailure, OrderRefused
+from carobwalk.keyspace._revocation import KeysRevoked, RevocationCause
 from carobwalk.model import Clock
 
 _REFUSED_RETRY_SECONDS: Final = 1.0
@@ -64,15 +65,18 @@
 
     async def _revoke(self, incarnation: ServerIncarnation) -> None:
         """Wait until an incarnation is certain to hold none of the keys."""
-        while not self._holds_nothing(incarnation):
+        cause = self._cause_of_revocation(incarnation)
+        while cause is None:
             released = await self._order_sender.release(
                 self.key_range, incarnation
             )
             if isinstance(released, Ok):
                 self.handover = released.ok_value or self.handover
-                await self._wait_until_revoked(incarnation)
-                return
+                cause = await self._wait_until_revoked(incarnation)
+                break
             await trio.sleep(self._retry_delay(released.err_value))
+            cause = self._cause_of_revocation(incarnation)
+        self._log_revocation(incarnation, cause)
 
     def _retry_delay(self, failure: OrderFailure) -> float:
         """Return the delay before the next release attempt in seconds."""
@@ -80,24 +84,52 @@
             return _REFUSED_RETRY_SECONDS  # A retry would be refused as well.
         return self._dependencies.times.retry
 
-    async def _wait_until_revoked(self, incarnation: ServerIncarnation) -> None:
+    async def _wait_until_revoked(
+        self, incarnation: ServerIncarnation
+    ) -> RevocationCause:
         """Wait until no unanswered grant can undo an answered release."""
         ledger = self._order_sender.ledger
         keys = self.key_range.bounds
         free_at = ledger.free_after_release(incarnation, keys)
-        while self._clock.now() < free_at and not self._holds_nothing(
-            incarnation
-        ):
+        while self._clock.now() < free_at:
+            cause = self._cause_of_revocation(incarnation)
+            if cause is not None:
+                return cause
             await trio.sleep(self._dependencies.times.tick)
             # A predecessor may have reported tighter bounds meanwhile.
             free_at = min(free_at, ledger.free_after_release(incarnation, keys))
+        return RevocationCause.RELEASED
 
-    def _holds_nothing(self, incarnation: ServerIncarnation) -> bool:
+    def _cause_of_revocation(
+        self, incarnation: ServerIncarnation
+    ) -> RevocationCause | None:
+        """Return why an incarnation holds no key, ``None`` if it may hold."""
         if self._dependencies.failure_detector.is_dead(incarnation):
-            return True
+            return RevocationCause.PROCESS_ENDED
         if self._dependencies.incarnations.is_replaced(incarnation):
-            return True
+            return RevocationCause.RESTARTED
+        if self._seconds_held(incarnation) <= 0:
+            return RevocationCause.EXPIRED
+        return None
+
+    def _seconds_held(self, incarnation: ServerIncarnation) -> float:
+        """Return the seconds for which an incarnation may hold the keys."""
         end = self._order_sender.ledger.holds_until(
             incarnation, self.key_range.bounds
         )
-        return self._clock.now() >= end
+        return end - self._clock.now()
+
+    def _log_revocation(
+        self, incarnation: ServerIncarnation, cause: RevocationCause
+    ) -> None:
+        self._dependencies.events.emit(
+            KeysRevoked(
+                server=incarnation.server,
+                born=incarnation.born,
+                first=self.key_range.first,
+                last=self.key_range.last,
+                fence=self.key_range.fence,
+                cause=cause,
+                expires_in=round(self._seconds_held(incarnation), 3),
+            ),
+        )
--- a/src/carobwalk/keyspace/_succession.py
+++ b/src/carobwalk/keyspace/_succession.py
@@ -102,12 +102,16 @@
         state = await self._ask(predecessor, service)
         if state is not None:
             ledger.inherit(state)
+        grants = state.grants if state else ()
+        latest = max((grant.holds for grant in grants), default=-1)
         self._events.emit(
             PredecessorAsked(
                 service,
                 predecessor.coordinator.name,
                 is_answered=state is not None,
                 holds=round(state.holds, 3) if state else -1,
+                grants=len(grants),
+                latest=round(latest, 3),
             ),
         )
 
--- a/src/carobwalk/keyspace/_term_events.py
+++ b/src/carobwalk/keyspace/_term_events.py
@@ -31,12 +31,16 @@
             longest possible grants.
         holds: Seconds until the grants that it inherited itself have expired,
             -1 if unknown.
+        grants: Number of ranges with grants of its own in force.
+        latest: Seconds until the last of those expires, -1 if there is none.
     """
 
     service: str
     process: str
     is_answered: bool
     holds: float
+    grants: int
+    latest: float
 
 
 @dataclass(frozen=True, slots=True)
