Keep a predecessor's report when a renewal was not sent

Cause: a lost update. A renewal is recorded before it is sent; when its connection did not open, GrantLedger.retract set the bound of the range back to the value from before the send. Everything learned in the 0.4 s between was undone. A new coordinator sends its first renewals 1 ms before its predecessor's report arrives, so with servers that it could not reach the reported grants of 10 s were forgotten, and their keys went to others as 'expired'.

Ruled out: an incomplete report, an owner taken for dead or restarted.

Change: each grant in flight has an entry of its own in SentGrants, named by a handle. An unsent grant removes its entry and nothing else; no earlier value is written back.

--- a/src/carobwalk/keyspace/_grant_ledger.py
+++ b/src/carobwalk/keyspace/_grant_ledger.py
@@ -12,7 +12,7 @@
     KeyRange,
     ServerIncarnation,
 )
-from carobwalk.keyspace._sent_grants import SentGrants
+from carobwalk.keyspace._sent_grants import SentGrant, SentGrants
 from carobwalk.keyspace._times import KeyTimes
 from carobwalk.model import Clock, ServerId
 
@@ -92,7 +92,7 @@
             defaultdict(SentGrants)
         )
 
-    def record_send(self, key_range: KeyRange, hold: float) -> float:
+    def record_send(self, key_range: KeyRange, hold: float) -> SentGrant:
         """Record that a grant is about to be sent to the owner of a range.
 
         Args:
@@ -100,7 +100,7 @@
             hold: Duration of the grant in seconds.
 
         Returns:
-            The previous bound, to be passed to ``retract``.
+            Handle with which the outcome is recorded.
         """
         times = self._times
         now = self._clock.now()
@@ -108,27 +108,24 @@
         sent = self._sent_by_incarnation[key_range.owner]
         sent.drop_expired(now)
         end = now + arrival_delay + times.latest_end(hold)
-        return sent.record_send(key_range.bounds, end)
+        return sent.record_send(key_range.owner, key_range.bounds, end)
 
-    def record_answer(self, key_range: KeyRange) -> None:
+    def record_answer(self, sent_grant: SentGrant) -> None:
         """Record that a grant was just answered."""
-        self._sent_by_incarnation[key_range.owner].record_answer(
-            key_range.bounds
-        )
+        sent = self._sent_by_incarnation[sent_grant.incarnation]
+        sent.record_answer(sent_grant)
 
-    def retract(self, key_range: KeyRange, bound: float) -> None:
-        """Restore the previous bound because the last grant was not sent."""
-        self._sent_by_incarnation[key_range.owner].retract(
-            key_range.bounds, bound
-        )
+    def retract(self, sent_grant: SentGrant) -> None:
+        """Record that no part of a grant was sent after all."""
+        sent = self._sent_by_incarnation[sent_grant.incarnation]
+        sent.retract(sent_grant)
 
-    def record_no_answer(self, key_range: KeyRange, hold: float) -> None:
+    def record_no_answer(self, sent_grant: SentGrant, hold: float) -> None:
         """Record that the wait for the answer to a grant just timed out."""
         times = self._times
         end = self._clock.now() + times.arrival_slack + times.latest_end(hold)
-        self._sent_by_incarnation[key_range.owner].record_no_answer(
-            key_range.bounds, end
-        )
+        sent = self._sent_by_incarnation[sent_grant.incarnation]
+        sent.record_no_answer(sent_grant, end)
 
     def holds_until(
         self,
--- a/src/carobwalk/keyspace/_order_sender.py
+++ b/src/carobwalk/keyspace/_order_sender.py
@@ -21,6 +21,7 @@
     OrderUnsent,
     Release,
 )
+from carobwalk.keyspace._sent_grants import SentGrant
 from carobwalk.keyspace._server_incarnations import ServerIncarnations
 from carobwalk.keyspace._term import Term
 from carobwalk.keyspace._times import KeyTimes
@@ -96,7 +97,7 @@
             if not self._term.is_valid or not is_needed():
                 return Err(OrderUnsent('no longer needed', is_refused=False))
             hold = self._hold_seconds()
-            bound = self.ledger.record_send(key_range, hold)
+            sent_grant = self.ledger.record_send(key_range, hold)
             order = Grant(
                 first=key_range.first,
                 last=key_range.last,
@@ -109,14 +110,9 @@
                 self._record_failure(
                     'grant', key_range, incarnation, answered.err_value
                 )
-                if isinstance(answered.err_value, OrderUnanswered):
-                    self.ledger.record_no_answer(key_range, hold)
-                if isinstance(answered.err_value, OrderUnsent):
-                    self.ledger.retract(key_range, bound)
-                if isinstance(answered.err_value, OrderRefused):
-                    self.ledger.record_answer(key_range)
+                self._record_outcome(sent_grant, hold, answered.err_value)
                 return answered
-            self.ledger.record_answer(key_range)
+            self.ledger.record_answer(sent_grant)
         self._dependencies.failure_detector.record_answer(incarnation)
         return Ok(None)
 
@@ -162,6 +158,20 @@
         times = self._dependencies.times
         return times.longest_hold if self._term.is_in_doubt else times.hold
 
+    def _record_outcome(
+        self,
+        sent_grant: SentGrant,
+        hold: float,
+        failure: OrderFailure,
+    ) -> None:
+        match failure:
+            case OrderUnanswered():
+                self.ledger.record_no_answer(sent_grant, hold)
+            case OrderUnsent():
+                self.ledger.retract(sent_grant)
+            case OrderRefused():
+                self.ledger.record_answer(sent_grant)
+
     def _record_failure(
         self,
         order: str,
--- a/src/carobwalk/keyspace/_sent_grants.py
+++ b/src/carobwalk/keyspace/_sent_grants.py
@@ -3,29 +3,53 @@
 import math
 from collections import defaultdict
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from carobwalk.keyspace._key_range import KeyBounds
+from carobwalk.keyspace._key_range import KeyBounds, ServerIncarnation
+
+
+@dataclass(frozen=True, slots=True)
+class SentGrant:
+    """Handle of a grant in flight.
+
+    Args:
+        incarnation: Incarnation of the server that the grant is sent to.
+        bounds: First and last key of the granted range.
+        number: Number of the grant, unique for its incarnation.
+    """
+
+    incarnation: ServerIncarnation
+    bounds: KeyBounds
+    number: int
 
 
 @dataclass(slots=True)
 class _SentBounds:
     """Bounds on the grants of one range, as times of the ledger's clock.
 
+    Each grant in flight has an entry of its own, because other bounds may
+    change before its outcome is known.
+
     Args:
-        holds: When the last grant expires.
+        answered: When the last answered grant expires.
         unanswered: When the last grant whose answer timed out expires.
-        in_flight: Number of grants that wait for an answer.
+        in_flight_by_number: When each grant that waits for an answer expires.
     """
 
-    holds: float = -math.inf
+    answered: float = -math.inf
     unanswered: float = -math.inf
-    in_flight: int = 0
+    in_flight_by_number: dict[int, float] = field(default_factory=dict)
+
+    @property
+    def holds(self) -> float:
+        """When the last grant expires."""
+        return max(self.answered, self.latest_unanswered)
 
     @property
     def latest_unanswered(self) -> float:
         """When the last grant without an answer expires."""
-        return self.holds if self.in_flight else self.unanswered
+        in_flight = self.in_flight_by_number.values()
+        return max(self.unanswered, *in_flight, -math.inf)
 
 
 class SentGrants:
@@ -39,30 +63,37 @@
         self._sent_by_bounds: dict[KeyBounds, _SentBounds] = defaultdict(
             _SentBounds
         )
+        self._next_number = 0
 
-    def record_send(self, bounds: KeyBounds, end: float) -> float:
-        """Record that a grant is sent; return the previous bound."""
-        sent = self._sent_by_bounds[bounds]
-        known = sent.holds
-        sent.holds = max(known, end)
-        sent.in_flight += 1
-        return known
-
-    def record_answer(self, bounds: KeyBounds) -> None:
+    def record_send(
+        self,
+        incarnation: ServerIncarnation,
+        bounds: KeyBounds,
+        end: float,
+    ) -> SentGrant:
+        """Record that a grant is sent, which expires at ``end``."""
+        sent_grant = SentGrant(incarnation, bounds, self._next_number)
+        self._next_number += 1
+        in_flight = self._sent_by_bounds[bounds].in_flight_by_number
+        in_flight[sent_grant.number] = end
+        return sent_grant
+
+    def record_answer(self, sent_grant: SentGrant) -> None:
         """Record that the grant was answered."""
-        self._sent_by_bounds[bounds].in_flight -= 1
+        sent = self._sent_by_bounds[sent_grant.bounds]
+        end = sent.in_flight_by_number.pop(sent_grant.number)
+        sent.answered = max(sent.answered, end)
 
-    def retract(self, bounds: KeyBounds, known: float) -> None:
-        """Restore the previous bound of a grant that was not sent."""
-        sent = self._sent_by_bounds[bounds]
-        sent.holds = known
-        sent.in_flight -= 1
+    def retract(self, sent_grant: SentGrant) -> None:
+        """Remove a grant that was not sent after all."""
+        sent = self._sent_by_bounds[sent_grant.bounds]
+        sent.in_flight_by_number.pop(sent_grant.number)
 
-    def record_no_answer(self, bounds: KeyBounds, end: float) -> None:
+    def record_no_answer(self, sent_grant: SentGrant, end: float) -> None:
         """Record that the grant was not answered in time."""
-        sent = self._sent_by_bounds[bounds]
+        sent = self._sent_by_bounds[sent_grant.bounds]
+        sent.in_flight_by_number.pop(sent_grant.number)
         sent.unanswered = max(sent.unanswered, end)
-        sent.in_flight -= 1
 
     def inherit(
         self,
@@ -72,7 +103,7 @@
     ) -> None:
         """Merge the bounds that another coordinator reported."""
         sent = self._sent_by_bounds[bounds]
-        sent.holds = max(sent.holds, holds)
+        sent.answered = max(sent.answered, holds)
         sent.unanswered = max(sent.unanswered, unanswered)
 
     def holds_until(self, bounds: KeyBounds) -> float:
@@ -92,7 +123,7 @@
         old = [
             bounds
             for bounds, sent in self._sent_by_bounds.items()
-            if sent.holds < now and not sent.in_flight
+            if sent.holds < now and not sent.in_flight_by_number
         ]
         for bounds in old:
             self._sent_by_bounds.pop(bounds)
--- /dev/null
+++ b/tests/keyspace/test_predecessor_report.py
@@ -0,0 +1,169 @@
+"""Reported grants of the preceding coordinator, while orders are in flight."""
+
+import pytest
+import trio
+from result import Err, Ok, Result
+from trio.testing import MockClock
+
+from carobwalk.directory import BackendServer, ServerDirectory
+from carobwalk.events import NullEventLog
+from carobwalk.keyspace import (
+    FailureDetector,
+    Grant,
+    KeyTimes,
+    OrderDependencies,
+    OrderFailure,
+    OrderUnsent,
+    Release,
+    ServerIncarnations,
+)
+from carobwalk.keyspace._activation import Activation
+from carobwalk.keyspace._grant_ledger import (
+    GrantBounds,
+    GrantLedger,
+    InheritedBounds,
+    LedgerState,
+)
+from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
+from carobwalk.keyspace._order_sender import OrderSender
+from carobwalk.keyspace._server_incarnations import incarnation_of
+from carobwalk.keyspace._term import Term
+from carobwalk.model import ServerId, TrioClock
+from carobwalk.store import LeaseId
+from tests.keyspace.simulated_fleet import RecordingLog, make_server
+
+TIMES = KeyTimes(lease=60)
+HELD_SECONDS = 10.0
+OLD_OWNER = incarnation_of(make_server(0))
+NEW_OWNER = incarnation_of(make_server(1))
+RECORDED = KeyRange(first=0, last=99, owner=OLD_OWNER, fence=1, is_granted=True)
+REASSIGNED = KeyRange(
+    first=0,
+    last=99,
+    owner=NEW_OWNER,
+    fence=2,
+    previous=(OLD_OWNER,),
+)
+
+
+class UnopenedChannel:
+    """Order channel on which connections to one server do not open.
+
+    Args:
+        unreachable: Server whose connections do not open.
+    """
+
+    def __init__(self, unreachable: ServerId) -> None:
+        self._unreachable = unreachable
+
+    async def grant(
+        self, server: BackendServer, order: Grant
+    ) -> Result[None, OrderFailure]:
+        """Accept a grant, unless the connection does not open."""
+        if server.id == self._unreachable:
+            await trio.sleep(TIMES.order_timeout)
+            return Err(OrderUnsent('not open in 0.4 s', is_refused=False))
+        return Ok(None)
+
+    async def release(
+        self, server: BackendServer, order: Release
+    ) -> Result[str, OrderFailure]:
+        """Accept a release, unless the connection does not open."""
+        if server.id == self._unreachable:
+            await trio.sleep(TIMES.order_timeout)
+            return Err(OrderUnsent('not open in 0.4 s', is_refused=False))
+        return Ok('')
+
+
+def _report(incarnation: ServerIncarnation, unanswered: float) -> LedgerState:
+    row = GrantBounds(
+        server=incarnation.server,
+        born=incarnation.born,
+        keys=RECORDED.bounds,
+        holds=HELD_SECONDS,
+        unanswered=unanswered,
+    )
+    return LedgerState(holds=0, unanswered=0, grants=(row,))
+
+
+def _inheriting_ledger() -> GrantLedger:
+    inherited = InheritedBounds(holds=TIMES.inherited, unanswered=0)
+    return GrantLedger(TIMES, TrioClock(), inherited)
+
+
+class TestUnsentRenewal:
+    # Guards against two owners: a renewal that could not be sent took back the
+    # predecessor's report that had arrived meanwhile (OWNER on dongphuong-gw).
+    @pytest.mark.parametrize('unanswered', [0, HELD_SECONDS])
+    def test_report_outlives_unsent_renewal(
+        self, virtual_clock: MockClock, unanswered: float
+    ) -> None:
+        """A reported grant counts although a renewal was not sent."""
+
+        async def body() -> None:
+            ledger = _inheriting_ledger()
+            sent = ledger.record_send(RECORDED, TIMES.hold)
+            ledger.inherit(_report(OLD_OWNER, unanswered))
+            ledger.retract(sent)
+            now = trio.current_time()
+            assert ledger.holds_until(OLD_OWNER) == now + HELD_SECONDS
+            free_at = ledger.free_after_release(OLD_OWNER)
+            assert free_at == now + unanswered
+
+        trio.run(body, clock=virtual_clock)
+
+    def test_answered_grant_outlives_unsent_renewal(
+        self, virtual_clock: MockClock
+    ) -> None:
+        """An answered grant counts although a later renewal was not sent."""
+
+        async def body() -> None:
+            nothing = InheritedBounds(holds=0, unanswered=0)
+            ledger = GrantLedger(TIMES, TrioClock(), nothing)
+            unsent = ledger.record_send(RECORDED, TIMES.hold)
+            answered = ledger.record_send(RECORDED, TIMES.longest_hold)
+            ledger.record_answer(answered)
+            ledger.retract(unsent)
+            held = ledger.holds_until(OLD_OWNER) - trio.current_time()
+            assert held > TIMES.longest_hold
+
+        trio.run(body, clock=virtual_clock)
+
+    # Guards against two owners on the whole way from the report to the grant.
+    def test_new_owner_waits_for_reported_grant(
+        self, virtual_clock: MockClock
+    ) -> None:
+        """A new owner is granted keys only after the reported grant."""
+
+        async def body() -> None:
+            clock = TrioClock()
+            log = RecordingLog()
+            directory = ServerDirectory(clock, NullEventLog())
+            for number in (0, 1):
+                directory.put(make_server(number), 1)
+            incarnations = ServerIncarnations(directory)
+            incarnations.refresh()
+            dependencies = OrderDependencies(
+                channel=UnopenedChannel(OLD_OWNER.server),
+                incarnations=incarnations,
+                failure_detector=FailureDetector(TIMES, clock, lambda _: 0),
+                times=TIMES,
+                events=log,
+            )
+            ledger = _inheriting_ledger()
+            term = Term(LeaseId('1'), clock.now(), TIMES, clock)
+            sender = OrderSender(dependencies, term, ledger)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(sender.grant, RECORDED, '', lambda: True)
+                await trio.sleep(TIMES.order_timeout / 2)
+                ledger.inherit(_report(OLD_OWNER, 0))
+                reported_at = trio.current_time()
+            activation = Activation(
+                REASSIGNED, sender, dependencies, clock, lambda: True
+            )
+            assert await activation.run()
+            assert trio.current_time() >= reported_at + HELD_SECONDS
+            revoked = log.named('KeysRevoked')
+            assert [event.cause for event in revoked] == ['expired']
+
+        trio.run(body, clock=virtual_clock)
--- a/tests/keyspace/test_succession.py
+++ b/tests/keyspace/test_succession.py
@@ -177,8 +177,8 @@
             before = GrantLedger(
                 times, clock, InheritedBounds(holds=0, unanswered=0)
             )
-            before.record_send(KEY_RANGE, times.hold)
-            before.record_answer(KEY_RANGE)
+            sent = before.record_send(KEY_RANGE, times.hold)
+            before.record_answer(sent)
             await trio.sleep(1)
             inherited = InheritedBounds(holds=times.inherited, unanswered=11)
             after = GrantLedger(times, clock, inherited)
