Bound a grant by its outcome, not by the moment before its send

What callers could see: two owners of a key after a host was suspended, or after a grant was cancelled while on its way.

The end of a grant was computed when it was recorded. A host that is suspended while the connection opens sends it seconds later by the clock that runs during suspension; record_no_answer moved only the bound of unanswered grants, a late answer moved nothing, and a cancelled grant kept its early bound.

Change: a grant in flight counts from now on, however long ago it was recorded; an answered one from its answer (it arrived before that); one whose wait ended, by timeout or cancellation, from that end plus the slack for arrival.

--- a/src/carobwalk/keyspace/_grant_ledger.py
+++ b/src/carobwalk/keyspace/_grant_ledger.py
@@ -70,7 +70,8 @@
 
     An answered release ends the grants that were answered before it. A grant
     that was not answered may still be applied after a release; its duration
-    counts from its arrival all the same.
+    counts from its arrival all the same. Bounds are taken when an outcome is
+    known, not when a grant is sent, because the host may be suspended between.
 
     Args:
         times: Timing settings of grants.
@@ -91,6 +92,7 @@
         self._sent_by_incarnation: dict[ServerIncarnation, SentGrants] = (
             defaultdict(SentGrants)
         )
+        self._grant_count = 0
 
     def record_send(self, key_range: KeyRange, hold: float) -> SentGrant:
         """Record that a grant is about to be sent to the owner of a range.
@@ -100,32 +102,37 @@
             hold: Duration of the grant in seconds.
 
         Returns:
-            Handle with which the outcome is recorded.
+            The grant, with which its outcome is recorded.
         """
         times = self._times
-        now = self._clock.now()
-        arrival_delay = times.order_timeout + times.arrival_slack
+        self._grant_count += 1
+        sent_grant = SentGrant(
+            incarnation=key_range.owner,
+            bounds=key_range.bounds,
+            number=self._grant_count,
+            longest_delay=times.order_timeout + times.arrival_slack,
+            longest_hold=times.latest_end(hold),
+        )
         sent = self._sent_by_incarnation[key_range.owner]
-        sent.drop_expired(now)
-        end = now + arrival_delay + times.latest_end(hold)
-        return sent.record_send(key_range.owner, key_range.bounds, end)
+        sent.drop_expired(self._clock.now())
+        sent.record_send(sent_grant)
+        return sent_grant
 
     def record_answer(self, sent_grant: SentGrant) -> None:
         """Record that a grant was just answered."""
         sent = self._sent_by_incarnation[sent_grant.incarnation]
-        sent.record_answer(sent_grant)
+        sent.record_answer(sent_grant, self._clock.now())
 
     def retract(self, sent_grant: SentGrant) -> None:
         """Record that no part of a grant was sent after all."""
         sent = self._sent_by_incarnation[sent_grant.incarnation]
         sent.retract(sent_grant)
 
-    def record_no_answer(self, sent_grant: SentGrant, hold: float) -> None:
-        """Record that the wait for the answer to a grant just timed out."""
-        times = self._times
-        end = self._clock.now() + times.arrival_slack + times.latest_end(hold)
+    def record_no_answer(self, sent_grant: SentGrant) -> None:
+        """Record that the wait for the answer to a grant just ended."""
+        arrival = self._clock.now() + self._times.arrival_slack
         sent = self._sent_by_incarnation[sent_grant.incarnation]
-        sent.record_no_answer(sent_grant, end)
+        sent.record_no_answer(sent_grant, arrival + sent_grant.longest_hold)
 
     def holds_until(
         self,
@@ -133,8 +140,9 @@
         keys: KeyBounds = _ALL_KEYS,
     ) -> float:
         """Return when an incarnation's grants of some keys have expired."""
-        sent = self._sent_by_incarnation[incarnation].holds_until(keys)
-        return max(sent, self._inherited_until)
+        sent = self._sent_by_incarnation[incarnation]
+        end = sent.holds_until(keys, self._clock.now())
+        return max(end, self._inherited_until)
 
     def free_after_release(
         self,
@@ -142,8 +150,9 @@
         keys: KeyBounds = _ALL_KEYS,
     ) -> float:
         """Return when no unanswered grant can follow a release any more."""
-        sent = self._sent_by_incarnation[incarnation].unanswered_until(keys)
-        return max(sent, self._inherited_unanswered)
+        sent = self._sent_by_incarnation[incarnation]
+        end = sent.unanswered_until(keys, self._clock.now())
+        return max(end, self._inherited_unanswered)
 
     def state(self) -> LedgerState:
         """Return the bounds that a successor has to wait for."""
@@ -157,7 +166,7 @@
                 unanswered=max(unanswered - now, 0),
             )
             for incarnation, sent in self._sent_by_incarnation.items()
-            for keys, holds, unanswered in sent.rows()
+            for keys, holds, unanswered in sent.rows(now)
             if holds > now
         )
         return LedgerState(
@@ -189,11 +198,12 @@
     @property
     def is_settled(self) -> bool:
         """Whether no unanswered grant can still be in force."""
+        now = self._clock.now()
         latest = max(
             (
-                sent.unanswered_until(_ALL_KEYS)
+                sent.unanswered_until(_ALL_KEYS, now)
                 for sent in self._sent_by_incarnation.values()
             ),
             default=-math.inf,
         )
-        return max(latest, self._inherited_unanswered) <= self._clock.now()
+        return max(latest, self._inherited_unanswered) <= now
--- a/src/carobwalk/keyspace/_order_sender.py
+++ b/src/carobwalk/keyspace/_order_sender.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 import trio
-from result import Err, Ok, Result
+from result import Err, Result
 
 from carobwalk.events import EventLog
 from carobwalk.keyspace._events import OrderFailed
@@ -16,7 +16,6 @@
     Grant,
     OrderChannel,
     OrderFailure,
-    OrderRefused,
     OrderUnanswered,
     OrderUnsent,
     Release,
@@ -105,16 +104,20 @@
                 hold=hold,
                 handover=handover,
             )
-            answered = await self._dependencies.channel.grant(server, order)
+            answered: Result[None, OrderFailure] = Err(
+                OrderUnanswered('cancelled')
+            )
+            try:
+                answered = await self._dependencies.channel.grant(server, order)
+            finally:
+                self._record_outcome(sent_grant, answered)
             if isinstance(answered, Err):
                 self._record_failure(
                     'grant', key_range, incarnation, answered.err_value
                 )
-                self._record_outcome(sent_grant, hold, answered.err_value)
                 return answered
-            self.ledger.record_answer(sent_grant)
         self._dependencies.failure_detector.record_answer(incarnation)
-        return Ok(None)
+        return answered
 
     async def release(
         self,
@@ -161,16 +164,15 @@
     def _record_outcome(
         self,
         sent_grant: SentGrant,
-        hold: float,
-        failure: OrderFailure,
+        answered: Result[None, OrderFailure],
     ) -> None:
-        match failure:
-            case OrderUnanswered():
-                self.ledger.record_no_answer(sent_grant, hold)
-            case OrderUnsent():
-                self.ledger.retract(sent_grant)
-            case OrderRefused():
-                self.ledger.record_answer(sent_grant)
+        failure = answered.err_value if isinstance(answered, Err) else None
+        if isinstance(failure, OrderUnanswered):
+            self.ledger.record_no_answer(sent_grant)
+        elif isinstance(failure, OrderUnsent):
+            self.ledger.retract(sent_grant)
+        else:
+            self.ledger.record_answer(sent_grant)
 
     def _record_failure(
         self,
--- a/src/carobwalk/keyspace/_sent_grants.py
+++ b/src/carobwalk/keyspace/_sent_grants.py
@@ -8,19 +8,28 @@
 from carobwalk.keyspace._key_range import KeyBounds, ServerIncarnation
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, kw_only=True)
 class SentGrant:
-    """Handle of a grant in flight.
+    """A grant in flight.
 
     Args:
         incarnation: Incarnation of the server that the grant is sent to.
         bounds: First and last key of the granted range.
-        number: Number of the grant, unique for its incarnation.
+        number: Number that distinguishes it from other grants of the range.
+        longest_delay: Longest time until it arrives, in seconds.
+        longest_hold: Longest time from its arrival until it expires, in
+            seconds.
     """
 
     incarnation: ServerIncarnation
     bounds: KeyBounds
     number: int
+    longest_delay: float
+    longest_hold: float
+
+    def latest_end(self, now: float) -> float:
+        """Return when the grant expires at the latest if it is still sent."""
+        return now + self.longest_delay + self.longest_hold
 
 
 @dataclass(slots=True)
@@ -33,23 +42,22 @@
     Args:
         answered: When the last answered grant expires.
         unanswered: When the last grant whose answer timed out expires.
-        in_flight_by_number: When each grant that waits for an answer expires.
+        in_flight: Grants that wait for an answer. A host that was suspended
+            may send them only now, however long ago they were recorded.
     """
 
     answered: float = -math.inf
     unanswered: float = -math.inf
-    in_flight_by_number: dict[int, float] = field(default_factory=dict)
+    in_flight: set[SentGrant] = field(default_factory=set)
 
-    @property
-    def holds(self) -> float:
-        """When the last grant expires."""
-        return max(self.answered, self.latest_unanswered)
+    def holds_until(self, now: float) -> float:
+        """Return when the last grant expires."""
+        return max(self.answered, self.unanswered_until(now))
 
-    @property
-    def latest_unanswered(self) -> float:
-        """When the last grant without an answer expires."""
-        in_flight = self.in_flight_by_number.values()
-        return max(self.unanswered, *in_flight, -math.inf)
+    def unanswered_until(self, now: float) -> float:
+        """Return when the last grant without an answer expires."""
+        ends = (sent_grant.latest_end(now) for sent_grant in self.in_flight)
+        return max(self.unanswered, max(ends, default=-math.inf))
 
 
 class SentGrants:
@@ -63,36 +71,26 @@
         self._sent_by_bounds: dict[KeyBounds, _SentBounds] = defaultdict(
             _SentBounds
         )
-        self._next_number = 0
 
-    def record_send(
-        self,
-        incarnation: ServerIncarnation,
-        bounds: KeyBounds,
-        end: float,
-    ) -> SentGrant:
-        """Record that a grant is sent, which expires at ``end``."""
-        sent_grant = SentGrant(incarnation, bounds, self._next_number)
-        self._next_number += 1
-        in_flight = self._sent_by_bounds[bounds].in_flight_by_number
-        in_flight[sent_grant.number] = end
-        return sent_grant
-
-    def record_answer(self, sent_grant: SentGrant) -> None:
-        """Record that the grant was answered."""
+    def record_send(self, sent_grant: SentGrant) -> None:
+        """Record that a grant is about to be sent."""
+        self._sent_by_bounds[sent_grant.bounds].in_flight.add(sent_grant)
+
+    def record_answer(self, sent_grant: SentGrant, now: float) -> None:
+        """Record that the grant was just answered: it arrived before."""
         sent = self._sent_by_bounds[sent_grant.bounds]
-        end = sent.in_flight_by_number.pop(sent_grant.number)
-        sent.answered = max(sent.answered, end)
+        sent.in_flight.remove(sent_grant)
+        sent.answered = max(sent.answered, now + sent_grant.longest_hold)
 
     def retract(self, sent_grant: SentGrant) -> None:
         """Remove a grant that was not sent after all."""
         sent = self._sent_by_bounds[sent_grant.bounds]
-        sent.in_flight_by_number.pop(sent_grant.number)
+        sent.in_flight.remove(sent_grant)
 
     def record_no_answer(self, sent_grant: SentGrant, end: float) -> None:
         """Record that the grant was not answered in time."""
         sent = self._sent_by_bounds[sent_grant.bounds]
-        sent.in_flight_by_number.pop(sent_grant.number)
+        sent.in_flight.remove(sent_grant)
         sent.unanswered = max(sent.unanswered, end)
 
     def inherit(
@@ -106,16 +104,16 @@
         sent.answered = max(sent.answered, holds)
         sent.unanswered = max(sent.unanswered, unanswered)
 
-    def holds_until(self, bounds: KeyBounds) -> float:
+    def holds_until(self, bounds: KeyBounds, now: float) -> float:
         """Return when all grants that overlap some keys have expired."""
         found = _overlapping(self._sent_by_bounds, bounds)
-        ends = (sent.holds for sent in found)
+        ends = (sent.holds_until(now) for sent in found)
         return max(ends, default=-math.inf)
 
-    def unanswered_until(self, bounds: KeyBounds) -> float:
+    def unanswered_until(self, bounds: KeyBounds, now: float) -> float:
         """Return when all unanswered grants of some keys have expired."""
         found = _overlapping(self._sent_by_bounds, bounds)
-        ends = (sent.latest_unanswered for sent in found)
+        ends = (sent.unanswered_until(now) for sent in found)
         return max(ends, default=-math.inf)
 
     def drop_expired(self, now: float) -> None:
@@ -123,15 +121,15 @@
         old = [
             bounds
             for bounds, sent in self._sent_by_bounds.items()
-            if sent.holds < now and not sent.in_flight_by_number
+            if sent.holds_until(now) < now
         ]
         for bounds in old:
             self._sent_by_bounds.pop(bounds)
 
-    def rows(self) -> Iterator[tuple[KeyBounds, float, float]]:
+    def rows(self, now: float) -> Iterator[tuple[KeyBounds, float, float]]:
         """Yield each range with the bounds of all and of unanswered grants."""
         for bounds, sent in self._sent_by_bounds.items():
-            yield bounds, sent.holds, sent.latest_unanswered
+            yield bounds, sent.holds_until(now), sent.unanswered_until(now)
 
 
 def _overlapping(
--- a/tests/keyspace/test_predecessor_report.py
+++ b/tests/keyspace/test_predecessor_report.py
@@ -167,3 +167,81 @@
             assert [event.cause for event in revoked] == ['expired']
 
         trio.run(body, clock=virtual_clock)
+
+
+class SettableClock:
+    """Clock that a test sets, as one that runs while the host is suspended."""
+
+    def __init__(self) -> None:
+        self.seconds: float = 0
+
+    def now(self) -> float:
+        """Return the seconds that the test set."""
+        return self.seconds
+
+
+class TestSuspendedHost:
+    """A host that is suspended between the recording of a grant and its send.
+
+    Guards against two owners: the bound was taken before the suspension, so
+    it was over although the grant arrived only afterwards.
+    """
+
+    @pytest.mark.parametrize('outcome', ['in-flight', 'answer', 'no-answer'])
+    def test_late_send_extends_hold(self, outcome: str) -> None:
+        """A grant sent after a suspension counts from its late arrival."""
+        clock = SettableClock()
+        nothing = InheritedBounds(holds=0, unanswered=0)
+        ledger = GrantLedger(TIMES, clock, nothing)
+        sent = ledger.record_send(RECORDED, TIMES.longest_hold)
+        clock.seconds = 8.0
+        if outcome == 'answer':
+            ledger.record_answer(sent)
+        if outcome == 'no-answer':
+            ledger.record_no_answer(sent)
+        end = clock.seconds + TIMES.latest_end(TIMES.longest_hold)
+        assert ledger.holds_until(OLD_OWNER) >= end
+        reported = [grant.holds for grant in ledger.state().grants]
+        assert reported[0] >= TIMES.latest_end(TIMES.longest_hold)
+
+    def test_answered_grant_ends_with_its_answer(self) -> None:
+        """An answered grant is in force for its duration, not longer."""
+        clock = SettableClock()
+        nothing = InheritedBounds(holds=0, unanswered=0)
+        ledger = GrantLedger(TIMES, clock, nothing)
+        sent = ledger.record_send(RECORDED, TIMES.hold)
+        clock.seconds = 0.01
+        ledger.record_answer(sent)
+        end = clock.seconds + TIMES.latest_end(TIMES.hold)
+        assert ledger.holds_until(OLD_OWNER) == end
+
+    def test_cancelled_grant_is_unanswered(
+        self, virtual_clock: MockClock
+    ) -> None:
+        """A grant whose sending was cancelled may be applied all the same."""
+
+        async def body() -> None:
+            clock = TrioClock()
+            directory = ServerDirectory(clock, NullEventLog())
+            directory.put(make_server(0), 1)
+            incarnations = ServerIncarnations(directory)
+            incarnations.refresh()
+            dependencies = OrderDependencies(
+                channel=UnopenedChannel(OLD_OWNER.server),
+                incarnations=incarnations,
+                failure_detector=FailureDetector(TIMES, clock, lambda _: 0),
+                times=TIMES,
+                events=NullEventLog(),
+            )
+            nothing = InheritedBounds(holds=0, unanswered=0)
+            ledger = GrantLedger(TIMES, clock, nothing)
+            term = Term(LeaseId('1'), clock.now(), TIMES, clock)
+            sender = OrderSender(dependencies, term, ledger)
+            with trio.move_on_after(0.1):
+                await sender.grant(RECORDED, '', lambda: True)
+            end = trio.current_time() + TIMES.latest_end(TIMES.hold)
+            assert end <= ledger.free_after_release(OLD_OWNER) < end + 1
+            await trio.sleep(5)
+            assert ledger.is_settled
+
+        trio.run(body, clock=virtual_clock)
--- a/tests/keyspace/test_succession.py
+++ b/tests/keyspace/test_succession.py
@@ -186,7 +186,8 @@
             now = clock.now()
             assert after.holds_until(OTHER) == now
             assert after.holds_until(INCARNATION, (100, 200)) == now
-            assert now + 2 < after.holds_until(INCARNATION) < now + 3
+            expires_at = times.latest_end(times.hold)
+            assert after.holds_until(INCARNATION) == pytest.approx(expires_at)
             assert after.free_after_release(INCARNATION) == now
             assert after.is_settled
 
