Send no grant after the record that declares all of them answered

What callers could see: two owners of a key after a planned stop of the coordinator, if its last renewal is applied late.

A resigning coordinator read its ledger (is_settled), wrote the record, and its renewals went on until the loop noticed the stop. A successor that can't ask it any more trusts the record and grants a released range at once.

Test: TestResignation; without close a grant was accepted for sending after the ledger had been read as settled.

--- a/src/carobwalk/keyspace/_order_sender.py
+++ b/src/carobwalk/keyspace/_order_sender.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Final
 
 import trio
 from result import Err, Result
@@ -25,6 +26,8 @@
 from carobwalk.keyspace._term import Term
 from carobwalk.keyspace._times import KeyTimes
 
+_DRAIN_POLL_SECONDS: Final = 0.01
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class OrderDependencies:
@@ -66,6 +69,8 @@
         self._dependencies = dependencies
         self._term = term
         self.ledger = ledger
+        self._is_closed = False
+        self._grants_in_flight = 0
         self._locks_by_incarnation: dict[ServerIncarnation, trio.Lock] = (
             defaultdict(
                 trio.Lock,
@@ -93,7 +98,7 @@
                 OrderUnsent('server is not registered', is_refused=False)
             )
         async with self._locks_by_incarnation[incarnation]:
-            if not self._term.is_valid or not is_needed():
+            if not self._may_send() or not is_needed():
                 return Err(OrderUnsent('no longer needed', is_refused=False))
             hold = self._hold_seconds()
             sent_grant = self.ledger.record_send(key_range, hold)
@@ -107,9 +112,11 @@
             answered: Result[None, OrderFailure] = Err(
                 OrderUnanswered('cancelled')
             )
+            self._grants_in_flight += 1
             try:
                 answered = await self._dependencies.channel.grant(server, order)
             finally:
+                self._grants_in_flight -= 1
                 self._record_outcome(sent_grant, answered)
             if isinstance(answered, Err):
                 self._record_failure(
@@ -139,9 +146,9 @@
                 OrderUnsent('server is not registered', is_refused=False)
             )
         async with self._locks_by_incarnation[incarnation]:
-            if not self._term.is_valid:
+            if not self._may_send():
                 return Err(
-                    OrderUnsent('lease may have expired', is_refused=False)
+                    OrderUnsent('the term may be over', is_refused=False)
                 )
             order = Release(
                 first=key_range.first,
@@ -157,6 +164,19 @@
             self._dependencies.failure_detector.record_answer(incarnation)
         return released
 
+    async def close(self) -> None:
+        """Send no further orders, and wait for the grants in flight.
+
+        Afterwards the ledger's bounds do not grow any more.
+        """
+        self._is_closed = True
+        with trio.move_on_after(self._dependencies.times.order_timeout):
+            while self._grants_in_flight:
+                await trio.sleep(_DRAIN_POLL_SECONDS)
+
+    def _may_send(self) -> bool:
+        return self._term.is_valid and not self._is_closed
+
     def _hold_seconds(self) -> float:
         times = self._dependencies.times
         return times.longest_hold if self._term.is_in_doubt else times.hold
--- a/src/carobwalk/keyspace/_service_coordinator.py
+++ b/src/carobwalk/keyspace/_service_coordinator.py
@@ -94,6 +94,8 @@
 
     async def resign(self) -> None:
         """Stop, and write the final map for the next coordinator."""
+        # Orders sent after the ledger was read would be missing in the record.
+        await self._order_sender.close()
         self._is_stopping = True
         self._wake.set()
         if self._term.is_valid and self._map.written.ranges:
--- a/tests/keyspace/test_predecessor_report.py
+++ b/tests/keyspace/test_predecessor_report.py
@@ -86,6 +86,24 @@
     return LedgerState(holds=0, unanswered=0, grants=(row,))
 
 
+def _make_sender(channel: UnopenedChannel, clock: TrioClock) -> OrderSender:
+    """Return a sender of orders to the old owner, which has no grants yet."""
+    directory = ServerDirectory(clock, NullEventLog())
+    directory.put(make_server(0), 1)
+    incarnations = ServerIncarnations(directory)
+    incarnations.refresh()
+    dependencies = OrderDependencies(
+        channel=channel,
+        incarnations=incarnations,
+        failure_detector=FailureDetector(TIMES, clock, lambda _: 0),
+        times=TIMES,
+        events=NullEventLog(),
+    )
+    nothing = InheritedBounds(holds=0, unanswered=0)
+    term = Term(LeaseId('1'), clock.now(), TIMES, clock)
+    return OrderSender(dependencies, term, GrantLedger(TIMES, clock, nothing))
+
+
 def _inheriting_ledger() -> GrantLedger:
     inherited = InheritedBounds(holds=TIMES.inherited, unanswered=0)
     return GrantLedger(TIMES, TrioClock(), inherited)
@@ -222,21 +240,8 @@
 
         async def body() -> None:
             clock = TrioClock()
-            directory = ServerDirectory(clock, NullEventLog())
-            directory.put(make_server(0), 1)
-            incarnations = ServerIncarnations(directory)
-            incarnations.refresh()
-            dependencies = OrderDependencies(
-                channel=UnopenedChannel(OLD_OWNER.server),
-                incarnations=incarnations,
-                failure_detector=FailureDetector(TIMES, clock, lambda _: 0),
-                times=TIMES,
-                events=NullEventLog(),
-            )
-            nothing = InheritedBounds(holds=0, unanswered=0)
-            ledger = GrantLedger(TIMES, clock, nothing)
-            term = Term(LeaseId('1'), clock.now(), TIMES, clock)
-            sender = OrderSender(dependencies, term, ledger)
+            sender = _make_sender(UnopenedChannel(OLD_OWNER.server), clock)
+            ledger = sender.ledger
             with trio.move_on_after(0.1):
                 await sender.grant(RECORDED, '', lambda: True)
             end = trio.current_time() + TIMES.latest_end(TIMES.hold)
@@ -245,3 +250,29 @@
             assert ledger.is_settled
 
         trio.run(body, clock=virtual_clock)
+
+
+class TestResignation:
+    # Guards against two owners: a renewal sent while the coordinator resigned
+    # was missing in the record that declares all grants answered.
+    def test_no_grant_after_settled_record(
+        self, virtual_clock: MockClock
+    ) -> None:
+        """A resigning coordinator waits for grants and sends no more."""
+
+        async def body() -> None:
+            clock = TrioClock()
+            sender = _make_sender(UnopenedChannel(OLD_OWNER.server), clock)
+            ledger = sender.ledger
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(sender.grant, RECORDED, '', lambda: True)
+                await trio.sleep(TIMES.order_timeout / 2)
+                assert not ledger.is_settled
+                await sender.close()
+                assert ledger.is_settled
+            sent = await sender.grant(RECORDED, '', lambda: True)
+            assert isinstance(sent.err(), OrderUnsent)
+            assert ledger.is_settled
+            assert trio.current_time() < TIMES.order_timeout * 1.1
+
+        trio.run(body, clock=virtual_clock)
