Move no keys for balance on servers that do not answer, nor at once after a takeover

Cause: balancing looked only at whether a released range would be free at once. It took a server whose last order was not answered as source and as target, and it used the loads of the first half second of a new coordinator.

Change: servers with an unanswered order of the last 3 s keep their keys and get none while others answer; a new coordinator balances first after 2 s. Moves away from lost and leaving servers are as before.

Tests: TestUnansweringServers (the same plans with and without the mark), test_no_balancing_at_first (fails with a delay of 0).

--- a/src/carobwalk/keyspace/_failure_detector.py
+++ b/src/carobwalk/keyspace/_failure_detector.py
@@ -95,6 +95,14 @@
             now - evidence.unresponsive_since >= self._times.detection_timeout
         )
 
+    def has_unanswered_order(self, incarnation: ServerIncarnation) -> bool:
+        """Whether the last order to the server was not answered lately."""
+        evidence = self._evidence_by_incarnation.get(incarnation)
+        if evidence is None:
+            return False
+        age = self._clock.now() - evidence.last_timeout_at
+        return age <= _EXCLUSION_SECONDS
+
     def is_usable(self, incarnation: ServerIncarnation) -> bool:
         """Whether the server may be given keys."""
         return not self.is_dead(incarnation) and not self.is_unresponsive(
--- a/src/carobwalk/keyspace/_planned_map.py
+++ b/src/carobwalk/keyspace/_planned_map.py
@@ -91,10 +91,12 @@
         )
         return self.utilisation(incarnation) >= threshold
 
-    def least_utilised(self) -> ServerIncarnation:
-        """Return the usable server with the lowest utilisation."""
+    def least_utilised(
+        self, among: Iterable[ServerIncarnation]
+    ) -> ServerIncarnation:
+        """Return the usable server with the lowest utilisation among some."""
         return min(
-            self._capacities,
+            among,
             key=lambda incarnation: (
                 self.utilisation(incarnation),
                 incarnation,
--- a/src/carobwalk/keyspace/_planner.py
+++ b/src/carobwalk/keyspace/_planner.py
@@ -36,6 +36,8 @@
         leaving: Servers that are draining: they serve but are given no keys.
         load: Request rates of keys.
         may_balance: Whether keys may move to balance the load.
+        unanswering: Usable servers whose last order was not answered. They
+            keep their keys but are given none while other servers answer.
     """
 
     key_map: KeyMap
@@ -44,6 +46,12 @@
     leaving: frozenset[ServerIncarnation]
     load: KeyLoad
     may_balance: bool = True
+    unanswering: frozenset[ServerIncarnation] = frozenset()
+
+    def targets(self) -> frozenset[ServerIncarnation]:
+        """Return the servers that keys may be moved to."""
+        usable = frozenset(self.usable)
+        return usable - self.unanswering or usable
 
 
 class Planner:
@@ -56,6 +64,7 @@
     def __init__(self, view: PlannerView) -> None:
         self._view = view
         self._planned = PlannedMap(view.key_map, view.usable, view.load)
+        self._targets = view.targets()
 
     def plan(self) -> tuple[Move, ...]:
         """Return the planned moves, first those of keys without an owner."""
@@ -100,14 +109,14 @@
                 max_last = key_range.last - remaining
                 last = self._view.load.split_point(first, max_last, target_rate)
                 last = max(last, first)
-            target = self._planned.least_utilised()
+            target = self._planned.least_utilised(self._targets)
             self._planned.move(first, last, target, cause)
             first = last + 1
 
     def _assign_to_new_servers(self) -> None:
         """Assign keys to servers that have none."""
         owners = {key_range.owner for key_range in self._planned.key_map}
-        for incarnation in sorted(self._view.usable.keys() - owners):
+        for incarnation in sorted(self._targets - owners):
             source = self._planned.most_utilised(self._view.movable)
             if source is None:
                 return
@@ -140,7 +149,7 @@
         high = planned.utilisation(source)
         if high > 1 and self._move_to_fastest(source):
             return True
-        target = planned.least_utilised()
+        target = planned.least_utilised(self._targets)
         excess = (high - mean) * self._view.usable[source]
         gap = (mean - planned.utilisation(target)) * self._view.usable[target]
         return self._move_load(source, target, min(excess, gap), MoveCause.LOAD)
@@ -149,7 +158,7 @@
         """Move a key that overloads its server to the fastest server."""
         capacities = self._view.usable
         fastest = max(
-            capacities,
+            self._targets,
             key=lambda incarnation: (capacities[incarnation], incarnation),
         )
         if capacities[fastest] < capacities[source] * _MIN_CAPACITY_RATIO:
--- a/src/carobwalk/keyspace/_service_coordinator.py
+++ b/src/carobwalk/keyspace/_service_coordinator.py
@@ -25,6 +25,9 @@
 # new coordinator would treat the range as still in transfer.
 _MAX_UNWRITTEN_SECONDS: Final = 0.5
 _BALANCE_INTERVAL_SECONDS: Final = 0.3
+# A new coordinator knows neither the loads nor which servers answer it. Moves
+# that nobody needs wait until both are known.
+_FIRST_BALANCE_DELAY_SECONDS: Final = 2.0
 _BATCH_SECONDS: Final = 0.01
 
 
@@ -72,6 +75,8 @@
         self._map.replace_written(key_map)
         if key_map.ranges:
             self._publish()
+            now = self._dependencies.clock.now()
+            self._next_balance_at = now + _FIRST_BALANCE_DELAY_SECONDS
         renewer = GrantRenewer(
             self._map,
             self._order_sender,
--- a/src/carobwalk/keyspace/_view_builder.py
+++ b/src/carobwalk/keyspace/_view_builder.py
@@ -49,14 +49,19 @@
         load = collector.load_of(self._service)
         load.refresh(now)
         usable = self._usable()
+        failure_detector = self._dependencies.orders.failure_detector
+        unanswering = frozenset(
+            filter(failure_detector.has_unanswered_order, usable)
+        )
         return PlannerView(
             key_map=key_map,
             usable=usable,
             movable=frozenset(
                 incarnation
-                for incarnation in usable
+                for incarnation in usable.keys() - unanswering
                 if self._ledger.free_after_release(incarnation) <= now
             ),
+            unanswering=unanswering,
             leaving=self._leaving(),
             load=load,
             may_balance=may_balance,
--- a/tests/keyspace/test_planner.py
+++ b/tests/keyspace/test_planner.py
@@ -253,3 +253,43 @@
             if incarnation != owner
         ]
         assert max(used) < MAX_UTILISATION
+
+
+class TestUnansweringServers:
+    """Servers whose last order was not answered, while others serve.
+
+    Guards against keys without an owner: a move that nobody needed released
+    keys from, or granted keys to, a server that did not answer its orders.
+    """
+
+    def _plan(self, unanswering: set[int]) -> tuple[Move, ...]:
+        incarnations = make_incarnations(4)
+        key_map = divide(incarnations)
+        load = KeyLoad(0)
+        load.add([(100, 150), (200, 150), (300, 150)], 1)
+        load.refresh(1)
+        silent = frozenset(incarnations[number] for number in unanswering)
+        view = PlannerView(
+            key_map=key_map,
+            usable=dict.fromkeys(incarnations, 50.0),
+            movable=frozenset(incarnations) - silent,
+            leaving=frozenset((incarnations[3],)),
+            load=load,
+            unanswering=silent,
+        )
+        return Planner(view).plan()
+
+    def test_source_keeps_its_keys(self) -> None:
+        """An overloaded server that does not answer is not relieved."""
+        assert any(move.first < 1000 for move in self._plan(set()))
+        assert not any(move.first < 1000 for move in self._plan({0}))
+
+    def test_target_gets_no_keys(self) -> None:
+        """Neither balanced load nor a leaving server's keys go to it."""
+        owners = {move.owner.server for move in self._plan({1})}
+        assert 's02' in owners
+        assert 's01' not in owners
+
+    def test_all_unanswering(self) -> None:
+        """A leaving server's keys move even if no server answers."""
+        assert self._plan({0, 1, 2, 3})
--- a/tests/keyspace/test_succession.py
+++ b/tests/keyspace/test_succession.py
@@ -112,6 +112,21 @@
 
         run_scenario(scenario)
 
+    # Guards against keys without an owner: the first loads after a takeover
+    # are incomplete, and servers that do not answer are not known yet.
+    def test_no_balancing_at_first(self, run_scenario) -> None:
+        """A new coordinator moves no keys in its first 2 s for balance."""
+
+        async def scenario(fleet: SimulatedFleet) -> None:
+            await _depose(fleet)
+            new = fleet.book.holders_by_id[fleet.add_server(9).id]
+            await trio.sleep(1.4)
+            assert new.held == []
+            await trio.sleep(1.4)
+            assert new.held
+
+        run_scenario(scenario)
+
     @pytest.mark.parametrize('seed', range(20))
     def test_no_second_owner(self, run_scenario, seed: int) -> None:
         """Late grants of the preceding coordinator do not create two owners."""
