Log and count requests that are answered before they have a route

Cause: the reader's refusals (400, 404, 408, 413, 431, 503 'no configuration yet') were written by CallerConnection alone; the line and the metrics were the request handler's, which exists only for routed requests.

Change: one RequestAnswered line (route and service empty) and one count for each, with the id whenever the head was read: checks of size and framing now follow the reading of the head. The 503 carries Retry-After of 0.5 s.

--- a/src/carobwalk/gateway/_caller_connection.py
+++ b/src/carobwalk/gateway/_caller_connection.py
@@ -6,9 +6,8 @@
 import h11
 import trio
 
-from carobwalk.gateway import _refusals as refusals
 from carobwalk.gateway._caller_request import CallerRequest
-from carobwalk.gateway._events import ConnectionCrashed
+from carobwalk.gateway._events import ConnectionCrashed, RequestAnswered
 from carobwalk.gateway._gateway_service import GatewayService
 from carobwalk.gateway._reply import Reply
 from carobwalk.gateway._request_error import RequestError
@@ -74,10 +73,14 @@
         """Serve one request and return whether the connection stays open."""
         if not await self._wait_for_first_byte():
             return False
+        started_at = trio.current_time()
+        head = None
         try:
-            request = await self._read()
+            head = await self._read_head()
+            request = await self._reader.read_request(head) if head else None
         except RequestError as error:
-            await self._refuse(error)
+            self._log_refusal(error, head, started_at)
+            await self._refuse(error.reply())
             return False
         if request is None:
             return False
@@ -101,7 +104,7 @@
         self._http.protocol.receive_data(chunk)
         return True
 
-    async def _read(self) -> CallerRequest | None:
+    async def _read_head(self) -> h11.Request | None:
         seconds = self._service.limits().header_seconds
         head_scope = trio.CancelScope(deadline=trio.current_time() + seconds)
         head = None
@@ -109,7 +112,7 @@
             head = await self._reader.read_head()
         if head_scope.cancelled_caught:
             raise RequestError(HTTPStatus.REQUEST_TIMEOUT, 'head too slow')
-        return await self._reader.read_request(head) if head else None
+        return head
 
     async def _answer(self, request: CallerRequest) -> Reply | None:
         """Return the answer, ``None`` if the caller disconnected first."""
@@ -152,19 +155,43 @@
                 h11.EndOfMessage(),
             )
 
-    async def _drain(self) -> None:
-        chunk = await self._stream.receive_some(_RECEIVE_BYTES)
-        while chunk:
-            chunk = await self._stream.receive_some(_RECEIVE_BYTES)
-
-    async def _refuse(self, error: RequestError) -> None:
+    def _log_refusal(
+        self,
+        error: RequestError,
+        head: h11.Request | None,
+        started_at: float,
+    ) -> None:
+        """Log and count a request that was answered before it was routed."""
+        request_id = self._reader.request_id(head) if head else b''
+        seconds = trio.current_time() - started_at
+        table = self._service.routes.table
+        self._service.meter.record('', 0, error.status, seconds)
+        if error.retry_after is not None:
+            self._service.meter.record_refusal('', error.detail)
+        self._service.events.emit(
+            RequestAnswered(
+                request=request_id.decode('latin-1'),
+                route='',
+                version=table.configuration.version if table else 0,
+                service='',
+                server='',
+                key=None,
+                status=error.status,
+                sends=0,
+                seconds=round(seconds, 4),
+                time_left=0,
+                cause=error.detail,
+            ),
+        )
+
+    async def _refuse(self, reply: Reply) -> None:
         """Reject a request that can't be read and discard further input.
 
         Closing a connection with unread bytes resets it, and the caller might
         lose the answer.
         """
-        reply = refusals.rejected(error.status, error.detail)
         headers = [
+            *reply.headers,
             (b'content-length', str(len(reply.body)).encode()),
             (b'connection', b'close'),
         ]
@@ -176,4 +203,10 @@
             )
             await self._stream.send_eof()
         with trio.move_on_after(_LINGER_SECONDS):
-            await self._drain()
+            await _discard_input(self._stream)
+
+
+async def _discard_input(stream: trio.SocketStream) -> None:
+    chunk = await stream.receive_some(_RECEIVE_BYTES)
+    while chunk:
+        chunk = await stream.receive_some(_RECEIVE_BYTES)
--- a/src/carobwalk/gateway/_request_reader.py
+++ b/src/carobwalk/gateway/_request_reader.py
@@ -22,6 +22,9 @@
 # space and a line break.
 _FIELD_OVERHEAD_BYTES: Final = 4
 _MAX_KEY: Final = 65_535
+# A process gets its configuration within about this time of its start, if the
+# store answers.
+_CONFIGURATION_RETRY_SECONDS: Final = 0.5
 _CONTINUE: Final = h11.InformationalResponse(status_code=100, headers=[])
 
 
@@ -48,8 +51,7 @@
         """Return the head of a request, ``None`` if the caller disconnected.
 
         Raises:
-            RequestError: If the caller violated HTTP, or sent too large a
-                head or two different framings of the body.
+            RequestError: If the caller violated HTTP.
         """
         try:
             event = await self._http.receive()
@@ -58,17 +60,11 @@
                 HTTPStatus(error.error_status_hint),
                 str(error),
             ) from error
-        if not isinstance(event, h11.Request):
-            return None
-        self._check_size(event)
-        has_length = find_header(event.headers, b'content-length') is not None
-        coding = find_header(event.headers, b'transfer-encoding')
-        if has_length and coding is not None:
-            raise RequestError(
-                HTTPStatus.BAD_REQUEST,
-                'a length and a transfer coding',
-            )
-        return event
+        return event if isinstance(event, h11.Request) else None
+
+    def request_id(self, head: h11.Request) -> bytes:
+        """Return the id of a request, empty if it has none."""
+        return find_header(head.headers, self._service.names.request_id) or b''
 
     async def read_request(self, head: h11.Request) -> CallerRequest:
         """Read the body and return the complete request.
@@ -77,10 +73,13 @@
             head: Head of the request.
 
         Raises:
-            RequestError: If there is no route, or the body is malformed, too
+            RequestError: If the head is too large or has two framings of the
+                body, if there is no route, or if the body is malformed, too
                 long or not received before the deadline.
         """
         arrived = trio.current_time()
+        self._check_size(head)
+        _check_framing(head)
         route = self._find_route(head)
         seconds = self._seconds_left(head, route)
         body = None
@@ -89,10 +88,9 @@
         if body is None:
             raise RequestError(HTTPStatus.REQUEST_TIMEOUT, 'body too slow')
         names = self._service.names
-        request_id = find_header(head.headers, names.request_id) or b''
         key = find_number(head.headers, names.key)
         return CallerRequest(
-            id=request_id,
+            id=self.request_id(head),
             caller=self._caller,
             method=head.method,
             target=head.target,
@@ -130,6 +128,7 @@
             raise RequestError(
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 'no configuration yet',
+                _CONFIGURATION_RETRY_SECONDS,
             )
         host = find_header(head.headers, b'host') or b''
         route = table.find(
@@ -160,3 +159,14 @@
                 f'body longer than {limit} bytes',
             )
         return body
+
+
+def _check_framing(head: h11.Request) -> None:
+    """Reject a request with two framings of its body."""
+    has_length = find_header(head.headers, b'content-length') is not None
+    coding = find_header(head.headers, b'transfer-encoding')
+    if has_length and coding is not None:
+        raise RequestError(
+            HTTPStatus.BAD_REQUEST,
+            'a length and a transfer coding',
+        )
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -35,6 +35,7 @@
 from carobwalk.platform import PLATFORM_HEADERS, decode_configuration
 from carobwalk.routing import ActiveRoutes
 from standins.platform import PlatformBackend
+from tests.keyspace.simulated_fleet import RecordingLog
 
 LOCAL_DATA_CENTRE = DataCentreName('dc1')
 CONFIGURATION = b"""{"version":"r7",
@@ -83,12 +84,32 @@
         await trio.sleep(0.05)
 
 
+class RecordingMeter(NullRequestMeter):
+    """Meter that records statuses and the causes of refusals."""
+
+    def __init__(self) -> None:
+        self.statuses: list[int] = []
+        self.refusal_causes: list[str] = []
+
+    def record(
+        self, service: str, rank: int, status: int, seconds: float
+    ) -> None:
+        """Record the status of a request."""
+        self.statuses.append(status)
+
+    def record_refusal(self, service: str, cause: str) -> None:
+        """Record the cause of a refusal."""
+        self.refusal_causes.append(cause)
+
+
 class GatewayHarness:
     """Gateway on loopback with all its dependencies."""
 
     def __init__(self, nursery: trio.Nursery) -> None:
         self.nursery = nursery
         self.is_stopping = False
+        self.log = RecordingLog()
+        self.meter = RecordingMeter()
         self.directory = ServerDirectory(TrioClock(), NullEventLog())
         self.routes = ActiveRoutes(NullEventLog())
         decoded = decode_configuration(CONFIGURATION)
@@ -121,8 +142,8 @@
                 routes=self.routes,
                 forwarder=forwarder,
                 count_key=self.owners.count,
-                meter=NullRequestMeter(),
-                events=NullEventLog(),
+                meter=self.meter,
+                events=self.log,
                 is_stopping=lambda: self.is_stopping,
             ),
             100,
