Assign the keys of a damaged record only after all grants

What callers could see: two owners of many keys after a key map record could not be read (a damaged or an incompatible one).

Such a record is taken as an empty map, and an empty map was divided among the servers as soon as these had registered, without regard to the 11 s for which grants of the unknown owners may be in force: a range with no recorded owner has nobody to be revoked.

Change: keys without a recorded owner are assigned when the ledger says that no usable server can hold a grant of an earlier coordinator. Nothing changes where there never was a record (no inherited grants).

--- a/src/carobwalk/keyspace/_service_coordinator.py
+++ b/src/carobwalk/keyspace/_service_coordinator.py
@@ -139,8 +139,8 @@
             key_map,
             may_balance=now >= self._next_balance_at,
         )
-        is_settled = self._views.are_servers_settled(view)
-        if not key_map.ranges and not is_settled:
+        may_assign_first = self._views.may_assign_first(view)
+        if not key_map.ranges and not may_assign_first:
             return ()
         moves = Planner(view).plan()
         if any(move.cause in BALANCING for move in moves):
--- a/src/carobwalk/keyspace/_view_builder.py
+++ b/src/carobwalk/keyspace/_view_builder.py
@@ -67,12 +67,23 @@
             may_balance=may_balance,
         )
 
-    def are_servers_settled(self, view: PlannerView) -> bool:
-        """Return whether the set of usable servers has been stable.
+    def may_assign_first(self, view: PlannerView) -> bool:
+        """Return whether keys without a recorded owner may be assigned.
 
         Keys that are assigned while servers are still starting would move
-        again with each server that registers.
+        again with each server that registers. Grants of a record that was
+        damaged may still be in force.
         """
+        return self._are_servers_settled(view) and self._hold_nothing(view)
+
+    def _hold_nothing(self, view: PlannerView) -> bool:
+        now = self._dependencies.clock.now()
+        ends = (
+            self._ledger.holds_until(incarnation) for incarnation in view.usable
+        )
+        return all(end <= now for end in ends)
+
+    def _are_servers_settled(self, view: PlannerView) -> bool:
         now = self._dependencies.clock.now()
         usable = frozenset(view.usable)
         if usable != self._last_usable:
--- a/tests/keyspace/test_succession.py
+++ b/tests/keyspace/test_succession.py
@@ -9,6 +9,7 @@
 
 from carobwalk.keyspace import KeyTimes, Succession
 from carobwalk.keyspace._claimant import Claimant
+from carobwalk.keyspace._codec import map_name
 from carobwalk.keyspace._grant_ledger import GrantLedger, InheritedBounds
 from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
 from carobwalk.keyspace._term import Term
@@ -112,6 +113,25 @@
 
         run_scenario(scenario)
 
+    # Guards against two owners: a damaged record names no owner, but the
+    # grants of its owners are still in force.
+    def test_damaged_record(self, run_scenario) -> None:
+        """Keys of a damaged record are assigned after all grants."""
+
+        async def scenario(fleet: SimulatedFleet) -> None:
+            first = fleet.add_router('a')
+            await fleet.wait_until_owned()
+            first.link.is_cut = True
+            await trio.sleep(1.3)
+            fleet.kill(first)
+            fleet.store.records.put(map_name(SERVICE), b'?')
+            fleet.add_server(4)
+            fleet.add_router('b')
+            await trio.sleep(16)
+            assert fleet.book.owner(0) is not None
+
+        run_scenario(scenario)
+
     # Guards against keys without an owner: the first loads after a takeover
     # are incomplete, and servers that do not answer are not known yet.
     def test_no_balancing_at_first(self, run_scenario) -> None:
