Cut the launcher's image and its bundle apart in the test

Cause: the test cut at shares of the whole file. On arm64 the linker places the data segment at the end of a 64 KiB page, so that its end can be made read-only also with pages of 64 KiB. `readelf -lW`: LOAD 0x000000 size 0x1830 and LOAD 0x00fdc0 size 0x320, both aligned to 0x10000; the executable has 67776 bytes. With the bundle of the test, 0.2 of the file is byte 45576, before the data segment. None of the launcher's code runs below that, so it cannot report anything.

Weighed: linking with max-page-size=4096 (10432 bytes) or without RELRO (8944 bytes) moves the cut into the bundle. The first is not loadable on kernels with pages of 64 KiB (not run here), the second gives up write protection of the GOT, and both only move the range of the cuts that no code of ours can handle. In the real binary the launcher is a small share either way. The product stays as it is.

Change: test_truncated cuts at shares of the bundle behind the launcher, six in place of three, and checks also that there is no output and that nothing is unpacked. test_truncated_image cuts at ten shares of the launcher: it is refused by the kernel or ends by a signal or a status of failure, which is neither 0 nor the status of the program, without output and without an unpacked file.

With the check of the trailer's magic taken out of the launcher as a trial, both tests fail.

--- a/tests/packaging/test_launcher.py
+++ b/tests/packaging/test_launcher.py
@@ -1,5 +1,6 @@
 """Tests of the launcher of the single-file binary, with a small bundle."""
 
+import errno
 import os
 import stat
 import subprocess
@@ -13,6 +14,7 @@
 
 PACKAGING = Path(__file__).parents[2] / 'packaging'
 PROGRAM = b'#!/bin/sh\necho "$$ $(cat "${0%/*}/deep/er/data") $*"\nexit 7\n'
+PROGRAM_STATUS = 7
 DATA = b'content ' * 20_000
 UNUSABLE = 126
 
@@ -70,11 +72,34 @@
 def _check_run(process: 'subprocess.Popen[str]', arguments: str) -> None:
     """Check that the program ran to its end in the process of the launcher."""
     output, errors = process.communicate(timeout=20)
-    assert (process.returncode, errors) == (7, '')
+    assert (process.returncode, errors) == (PROGRAM_STATUS, '')
     content = DATA.decode()
     assert output == f'{process.pid} {content} {arguments}\n'
 
 
+def _image_bytes(binary: Path) -> int:
+    """Return the size of the launcher's executable, which comes first."""
+    return (binary.parent / 'launcher').stat().st_size
+
+
+def _write_start(binary: Path, cut: Path, size: int) -> None:
+    """Write the first bytes of the binary to an executable file."""
+    cut.write_bytes(binary.read_bytes()[:size])
+    cut.chmod(0o755)
+
+
+def _run_damaged(launch: Launch, program: Path) -> str:
+    """Check that the program does not succeed; return its output."""
+    try:
+        process = launch(program=program)
+    except OSError as error:
+        assert error.errno in {errno.ENOEXEC, errno.EIO}
+        return ''
+    output, _ = process.communicate(timeout=20)
+    assert process.returncode not in {0, PROGRAM_STATUS}
+    return output
+
+
 def _only_entry(directory: Path) -> Path:
     roots = list(directory.iterdir())
     assert len(roots) == 1
@@ -140,20 +165,43 @@
         process.communicate(timeout=20)
         assert process.returncode == UNUSABLE
 
-    @pytest.mark.parametrize('kept', [0.2, 0.9, 0.9999])
+    @pytest.mark.parametrize('kept', [0, 0.0001, 0.2, 0.5, 0.9, 0.9999])
     def test_truncated(
         self,
         launch: Launch,
         binary: Path,
+        tmp_path: Path,
         tmp_path_factory: pytest.TempPathFactory,
         kept: float,
     ) -> None:
-        """A truncated binary exits with an error before it runs a program."""
-        content = binary.read_bytes()
+        """A bundle without its end exits with an error and unpacks nothing."""
+        image = _image_bytes(binary)
+        bundle = binary.stat().st_size - image
         cut = tmp_path_factory.mktemp('cut') / 'cut'
-        cut.write_bytes(content[: int(len(content) * kept)])
-        cut.chmod(0o755)
+        _write_start(binary, cut, image + int(bundle * kept))
         process = launch(program=cut)
-        _, errors = process.communicate(timeout=20)
-        assert process.returncode == UNUSABLE
+        output, errors = process.communicate(timeout=20)
+        assert (process.returncode, output) == (UNUSABLE, '')
         assert 'the binary is damaged' in errors
+        assert not list(tmp_path.iterdir())
+
+    @pytest.mark.parametrize(
+        'kept', [0.001, 0.01, 0.1, 0.2, 0.4, 0.6, 0.8, 0.9, 0.99, 0.9999]
+    )
+    def test_truncated_image(
+        self,
+        launch: Launch,
+        binary: Path,
+        tmp_path: Path,
+        tmp_path_factory: pytest.TempPathFactory,
+        kept: float,
+    ) -> None:
+        """A launcher without its end fails and unpacks nothing.
+
+        The kernel refuses it, or it ends by a signal or a status of failure;
+        most of the cuts end it before its own code runs.
+        """
+        cut = tmp_path_factory.mktemp('cut') / 'cut'
+        _write_start(binary, cut, int(_image_bytes(binary) * kept))
+        assert _run_damaged(launch, cut) == ''
+        assert not list(tmp_path.iterdir())
