Use one recording event log in the tests

Four test modules had a `_RecordingEventLog` of their own beside the `RecordingLog` of the simulated fleet; all five did the same.

Change: tests/recording_log.py contains the class, and all users import it from there. No assertion is changed.

--- a/tests/app/test_guarded_forwarder.py
+++ b/tests/app/test_guarded_forwarder.py
@@ -6,7 +6,6 @@
 
 from carobwalk.app._guarded_forwarder import GuardedForwarder, RequestCrashed
 from carobwalk.dispatch import DoubleSendError
-from carobwalk.events import Event
 from carobwalk.model import (
     Call,
     CallerGoneError,
@@ -18,6 +17,7 @@
     ReplySink,
 )
 from tests.dispatch.fakes import ListSink, call_of, endpoint_of, placement_of
+from tests.recording_log import RecordingLog
 
 
 class _FailingForwarder:
@@ -37,19 +37,9 @@
         raise self._error
 
 
-class _RecordingEventLog:
-    """Event log that keeps events in memory."""
-
-    def __init__(self) -> None:
-        self.events: list[Event] = []
-
-    def emit(self, event: Event) -> None:
-        self.events.append(event)
-
-
 async def _forward(
     failing: _FailingForwarder,
-    log: _RecordingEventLog,
+    log: RecordingLog,
 ) -> Result[Completion, Failure]:
     guarded = GuardedForwarder(failing, log)
     placement = placement_of(endpoint_of('s'))
@@ -60,7 +50,7 @@
     @pytest.mark.parametrize('is_sent', [True, False])
     def test_unexpected_exception(self, *, is_sent: bool) -> None:
         """An unexpected exception is logged and fails one request only."""
-        log = _RecordingEventLog()
+        log = RecordingLog()
         failing = _FailingForwarder(DoubleSendError('r'), is_sent=is_sent)
         ended = trio.run(_forward, failing, log)
         assert isinstance(ended, Err)
@@ -72,7 +62,7 @@
 
     def test_caller_gone(self) -> None:
         """The loss of the caller is propagated and not logged as a crash."""
-        log = _RecordingEventLog()
+        log = RecordingLog()
         failing = _FailingForwarder(CallerGoneError('gone'), is_sent=True)
         with pytest.raises(CallerGoneError):
             trio.run(_forward, failing, log)
--- a/tests/app/test_readiness.py
+++ b/tests/app/test_readiness.py
@@ -13,7 +13,8 @@
 from carobwalk.platform import decode_configuration
 from carobwalk.routing import ActiveRoutes
 from tests.gateway.harness import CONFIGURATION
-from tests.keyspace.simulated_fleet import RecordingLog, make_server
+from tests.keyspace.simulated_fleet import make_server
+from tests.recording_log import RecordingLog
 
 _KEYED = ServiceName('keyed')
 
--- a/tests/app/test_request_log.py
+++ b/tests/app/test_request_log.py
@@ -4,7 +4,6 @@
 
 from carobwalk.app._request_log import RequestLog
 from carobwalk.entry import RequestEnded
-from carobwalk.events import Event
 from carobwalk.metrics import Metrics
 from carobwalk.model import (
     FailureKind,
@@ -13,16 +12,7 @@
     RequestId,
     ServiceName,
 )
-
-
-class _RecordingEventLog:
-    """Event log that keeps events in memory."""
-
-    def __init__(self) -> None:
-        self.events: list[Event] = []
-
-    def emit(self, event: Event) -> None:
-        self.events.append(event)
+from tests.recording_log import RecordingLog
 
 
 def _finished_request(rank: Rank, outcome: Outcome) -> RequestEnded:
@@ -59,7 +49,7 @@
         event_count: int,
     ) -> None:
         """Refusals and complete lookups are counted but not logged."""
-        log = _RecordingEventLog()
+        log = RecordingLog()
         metrics = Metrics('p')
         RequestLog(log, metrics).observe(_finished_request(rank, outcome))
         assert len(log.events) == event_count
--- a/tests/gateway/test_crashed_connection.py
+++ b/tests/gateway/test_crashed_connection.py
@@ -6,7 +6,7 @@
 
 from carobwalk.gateway import GatewayServer
 from tests.gateway.harness import GatewayHarness
-from tests.keyspace.simulated_fleet import RecordingLog
+from tests.recording_log import RecordingLog
 
 
 class BrokenForwarder:
--- a/tests/keyspace/simulated_fleet.py
+++ b/tests/keyspace/simulated_fleet.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from carobwalk.directory import BackendServer, ServerDirectory
-from carobwalk.events import Event, NullEventLog
+from carobwalk.events import NullEventLog
 from carobwalk.keyspace import (
     CoordinatorDependencies,
     CoordinatorRole,
@@ -39,6 +39,7 @@
     Unavailable,
 )
 from standins.platform import KeyHolder, KvStore, MemoryOrderChannel
+from tests.recording_log import RecordingLog
 
 SERVICE = ServiceName('registry')
 SAMPLE_KEYS = (0, 1000, 20_000, 40_000, 65_535)
@@ -107,21 +108,6 @@
         return Ok(await answer(ProcessId('asker'), payload))
 
 
-class RecordingLog:
-    """Event log that records the events."""
-
-    def __init__(self) -> None:
-        self.events: list[Event] = []
-
-    def emit(self, event: Event) -> None:
-        """Record an event."""
-        self.events.append(event)
-
-    def named(self, name: str) -> list[Event]:
-        """Return the recorded events of a class."""
-        return [event for event in self.events if type(event).__name__ == name]
-
-
 @dataclass
 class Router:
     """A process of the fleet."""
--- a/tests/keyspace/test_succession.py
+++ b/tests/keyspace/test_succession.py
@@ -17,10 +17,10 @@
 from tests.keyspace.simulated_fleet import (
     SERVICE,
     PeerLinks,
-    RecordingLog,
     SimulatedFleet,
     make_endpoint,
 )
+from tests.recording_log import RecordingLog
 
 Scenario = Callable[[SimulatedFleet], Awaitable[None]]
 INCARNATION = ServerIncarnation(ServerId('s1'), 1)
--- a/tests/metrics/test_counting.py
+++ b/tests/metrics/test_counting.py
@@ -30,6 +30,7 @@
     Unavailable,
 )
 from standins.memory_store import MemoryStore
+from tests.recording_log import RecordingLog
 
 SERVICE = ServiceName('dat-hang')
 SHARD = ShardNumber(3)
@@ -46,16 +47,6 @@
         return self.seconds
 
 
-class _RecordingEventLog:
-    """Event log that keeps its events."""
-
-    def __init__(self) -> None:
-        self.events: list[Event] = []
-
-    def emit(self, event: Event) -> None:
-        self.events.append(event)
-
-
 @dataclass(frozen=True, slots=True)
 class PlainEvent(Event):
     """Event without a recorder, counted only by its name."""
@@ -108,7 +99,7 @@
     def __init__(self) -> None:
         self.metrics = Metrics('e1')
         self.clock = _ManualClock()
-        self.inner_log = _RecordingEventLog()
+        self.inner_log = RecordingLog()
         self.log = CountingEventLog(
             self.inner_log,
             self.metrics,
--- a/tests/peer/test_topic_registry.py
+++ b/tests/peer/test_topic_registry.py
@@ -4,24 +4,14 @@
 import trio
 from result import Err
 
-from carobwalk.events import Event
 from carobwalk.model import ProcessId
 from carobwalk.peer import DuplicateTopicError, Topic, TopicRegistry
 from carobwalk.peer._topic_failure import TopicCrashed
+from tests.recording_log import RecordingLog
 
 _TOPIC = Topic('t')
 
 
-class _RecordingEventLog:
-    """Event log that keeps its events."""
-
-    def __init__(self) -> None:
-        self.events: list[Event] = []
-
-    def emit(self, event: Event) -> None:
-        self.events.append(event)
-
-
 async def _raise_error(sender: ProcessId, payload: bytes) -> bytes:
     raise ValueError(payload)
 
@@ -29,7 +19,7 @@
 class TestTopicRegistry:
     def test_handler_raises(self) -> None:
         """An exception in a handler is logged and fails only its message."""
-        log = _RecordingEventLog()
+        log = RecordingLog()
         topics = TopicRegistry(log)
         topics.register(_TOPIC, _raise_error)
         result = trio.run(topics.answer, _TOPIC, ProcessId('e'), b'!')
