Remove DispatchPool.drop, which has no caller

It was written for a process that loses the lease of a server; the table evicts dispatchers itself, and drain clears them. No test called it, so none is removed. DispatcherTable.drop stays: eviction and clear use it.

Checks: tests/dispatch passes; ruff, flake8 and mypy are clean.

--- a/src/carobwalk/dispatch/_dispatch_pool.py
+++ b/src/carobwalk/dispatch/_dispatch_pool.py
@@ -114,18 +114,6 @@
             return Err(_not_run(kind, 'too many busy backend servers'))
         return await dispatcher.forward(call, placement, sink, profile)
 
-    async def drop(self, server: ServerId) -> None:
-        """Drop the dispatcher of a server whose lease this process lost.
-
-        Requests in flight are left to finish. A new dispatcher of the server
-        starts without knowledge of earlier requests, as it would in another
-        process.
-
-        Args:
-            server: Name of the backend server.
-        """
-        await self._dispatchers.drop(server)
-
     async def drain(self, seconds: float) -> bool:
         """Refuse new requests and wait for those in flight.
 
