Parse the settings once in the tests of derived times

test_silence_limit passed hypothesis' limit of 200 ms for one example on a busy machine (271 and 326 ms), since each of its 100 examples read and parsed the example settings.

Weighed: a longer limit or none, which leaves the needless work in place.

Change: a fixture of the module parses the settings before the examples run; an example only replaces the interval and derives the times. The range of the intervals, both assertions and the default limit are as before.

The limit itself still is wall-clock time; only a pause of the process of about 200 ms within an example can pass it now.

--- a/tests/app/test_derive_times.py
+++ b/tests/app/test_derive_times.py
@@ -9,29 +9,37 @@
 
 from carobwalk.app._derive_times import derive_times
 from carobwalk.ownership import OwnershipTimes
-from carobwalk.settings import load_settings
+from carobwalk.settings import Settings, load_settings
 
 _EXAMPLE = Path(__file__).parents[2] / 'docs' / 'example-settings.json5'
 
 
+@pytest.fixture(scope='module')
+def example_settings() -> Settings:
+    """Example settings, parsed once and not in each generated example."""
+    return load_settings(str(_EXAMPLE)).unwrap()
+
+
 class TestDeriveTimes:
     @given(heartbeat=st.floats(0.02, 10))
-    def test_silence_limit(self, heartbeat: float) -> None:
+    def test_silence_limit(
+        self, example_settings: Settings, heartbeat: float
+    ) -> None:
         """The silence limit covers at least two heartbeat intervals."""
-        settings = load_settings(str(_EXAMPLE)).unwrap()
-        ownership = replace(settings.ownership, heartbeat_seconds=heartbeat)
-        times = derive_times(replace(settings, ownership=ownership))
+        ownership = replace(
+            example_settings.ownership, heartbeat_seconds=heartbeat
+        )
+        times = derive_times(replace(example_settings, ownership=ownership))
         assert times.election_timeout >= 2 * times.heartbeat
         assert times.liveness_timeout > times.election_timeout
 
-    def test_defaults_match(self) -> None:
+    def test_defaults_match(self, example_settings: Settings) -> None:
         """Default settings give the defaults of ``OwnershipTimes``.
 
         The randomised tests of ownership run with these defaults, so that
         they test the times that are in use.
         """
-        settings = load_settings(str(_EXAMPLE)).unwrap()
-        times = derive_times(settings)
+        times = derive_times(example_settings)
         expected = OwnershipTimes(
             store_timeout=times.store_timeout,
             host_list_interval=times.host_list_interval,
