Call the fencing token by one term

Docstrings and pages said "fence token" beside "fencing token", the field's usual term. The names in code (`FenceToken`, `fence`) and on the wire stay.

--- a/src/carobwalk/admin/_explanation.py
+++ b/src/carobwalk/admin/_explanation.py
@@ -18,7 +18,7 @@
         shard: Shard of the key; ``None`` if it is not known.
         owner: Backend server that owns the key.
         dispatcher: Entry process that sends to it.
-        token: Fence token of the grant.
+        token: Fencing token of the grant.
         why: Reasons, one a line.
     """
 
--- a/src/carobwalk/ownership/_exceptions.py
+++ b/src/carobwalk/ownership/_exceptions.py
@@ -8,7 +8,7 @@
 
 
 class TokenFellError(OwnershipInvariantError):
-    """A fence token was lower than an earlier one of the same shard."""
+    """A fencing token was lower than an earlier one of the same shard."""
 
 
 class MapRevisionFellError(OwnershipInvariantError):
--- a/src/carobwalk/ownership/_grant_table.py
+++ b/src/carobwalk/ownership/_grant_table.py
@@ -74,7 +74,7 @@
         Args:
             service: Service of the request.
             shard: Shard of the request's key.
-            token: Fence token that the dispatcher sent.
+            token: Fencing token that the dispatcher sent.
             now: Time on the server's clock, in seconds.
         """
         shard_id = (service, shard)
--- a/src/carobwalk/ownership/_group_grants.py
+++ b/src/carobwalk/ownership/_group_grants.py
@@ -18,7 +18,7 @@
     """A grant of a shard to this holder.
 
     Args:
-        token: Fence token of the grant.
+        token: Fencing token of the grant.
         until: Expiry time in seconds on the holder's clock.
         draining: Whether new requests are refused.
     """
--- a/src/carobwalk/ownership/_group_state.py
+++ b/src/carobwalk/ownership/_group_state.py
@@ -71,7 +71,7 @@
         )
 
     def activate(self, shard: ShardState, holder: Holder) -> None:
-        """Make a holder the owner with a new fence token.
+        """Make a holder the owner with a new fencing token.
 
         Raises:
             TokenFellError: If the token is not above the shard's last one.
--- a/src/carobwalk/ownership/_leases.py
+++ b/src/carobwalk/ownership/_leases.py
@@ -28,7 +28,7 @@
         service: ServiceName,
         key: Key | None,
     ) -> Result[FenceToken, NoLease]:
-        """Return the fence token for a request; call it right before sending.
+        """Return the fencing token for a request; call it right before sending.
 
         The dispatcher's own lease must be live, and for a key the owner's
         grant must be live too, on this process's clock.
--- a/src/carobwalk/ownership/_map_leases.py
+++ b/src/carobwalk/ownership/_map_leases.py
@@ -42,7 +42,7 @@
         service: ServiceName,
         key: Key | None,
     ) -> Result[FenceToken, NoLease]:
-        """Return the fence token for a request; call it right before sending.
+        """Return the fencing token for a request; call it right before sending.
 
         Args:
             server: Backend server to send to.
--- a/src/carobwalk/ownership/_server_link.py
+++ b/src/carobwalk/ownership/_server_link.py
@@ -22,7 +22,7 @@
         reported_at: Time of that report.
         sequence: Sequence of the last order; increases across all servers.
         applied: Sequence of the last order that the server applied.
-        tokens: Fence tokens of the grants in its last report.
+        tokens: Fencing tokens of the grants in its last report.
         fence: Report on the fence order of this epoch; ``None`` if not fenced.
         fenced_at: Time of that report.
         reported_leaving: Whether its last report said that it is shutting down.
--- a/src/carobwalk/ownership/_server_messages.py
+++ b/src/carobwalk/ownership/_server_messages.py
@@ -30,7 +30,7 @@
     Args:
         service: Service that the shard belongs to.
         shard: Number of the shard.
-        sequence: Sequence of the grant's fence token.
+        sequence: Sequence of the grant's fencing token.
     """
 
     service: ServiceName
@@ -114,7 +114,7 @@
     Args:
         service: Service that the shard belongs to.
         shard: Number of the shard.
-        token: Fence token of the grant.
+        token: Fencing token of the grant.
         remaining: Seconds until expiry on the holder's clock.
         draining: Whether the holder admits no new requests for it.
     """
--- a/src/carobwalk/ownership/_shard_row.py
+++ b/src/carobwalk/ownership/_shard_row.py
@@ -21,7 +21,7 @@
         service: Service that the shard belongs to.
         shard: Number of the shard.
         owner: Server that confirmed its grant; ``None`` if there is none.
-        token: Fence token of that grant.
+        token: Fencing token of that grant.
         successor: Server that may become owner without a write to the store.
     """
 
--- a/src/carobwalk/ownership/_shard_state.py
+++ b/src/carobwalk/ownership/_shard_state.py
@@ -22,7 +22,7 @@
             owner expired; minus infinity if that never happened.
         not_before: Time from which no request of an earlier owner can still
             be running.
-        sequence: Sequence of the owner's fence token.
+        sequence: Sequence of the owner's fencing token.
         release: Sequence of the first order that asks the owner to drain.
         target: Holder that a planned move assigns the shard to.
     """
--- a/standins/backend/_request.py
+++ b/standins/backend/_request.py
@@ -42,7 +42,7 @@
 
     @property
     def token(self) -> FenceToken | None:
-        """Fence token of the request; ``None`` if missing or malformed."""
+        """Fencing token of the request; ``None`` if missing or malformed."""
         text = self.headers.get('carobwalk-fence', '')
         epoch, _, sequence = text.partition('.')
         if epoch.isdecimal() and sequence.isdecimal():
--- a/standins/backend/_run_record.py
+++ b/standins/backend/_run_record.py
@@ -24,7 +24,7 @@
         key: Last segment of the path.
         mark: Text unique to the request.
         shard: Shard in the request.
-        token: Fence token in the request.
+        token: Fencing token in the request.
         started_at: Time when the request got its slot, in seconds.
         committed_at: Time of the effect, in seconds.
         ended_at: Time when the last byte of the response was sent, in seconds.
