Name the two retry budgets after their rules

`RetryBudget` was the name of two classes. That of the dispatcher is a token bucket: each success at a backend server adds a fraction of a retry, up to ten, and time plays no part. That of the gateway is a sliding window: retries stay below a fraction of the requests of a window, successful or not, plus a share of a slack that all processes divide.

Weighed: one class with both rules. They share neither state nor the moment at which the budget grows; only the name of `spend` is the same, with other arguments.

Change: `TokenBucketRetryBudget` and `SlidingWindowRetryBudget`, in modules of these names; the docstrings give the rule and name the other class. Behaviour is unchanged; the tests differ in the name only.

--- a/src/carobwalk/dispatch/_sender.py
+++ b/src/carobwalk/dispatch/_sender.py
@@ -9,11 +9,11 @@
 from carobwalk.dispatch._dispatch_request import DispatchRequest
 from carobwalk.dispatch._failures import failure_of
 from carobwalk.dispatch._limit_policy import SendEnd
-from carobwalk.dispatch._retry_budget import RetryBudget
 from carobwalk.dispatch._slots import Slots
 from carobwalk.dispatch._suspect import Suspect
 from carobwalk.dispatch._suspect_tracker import SuspectTracker
 from carobwalk.dispatch._ticket import Ticket
+from carobwalk.dispatch._token_bucket_retry_budget import TokenBucketRetryBudget
 from carobwalk.dispatch._upstream import Upstream
 from carobwalk.dispatch._upstream_failures import (
     NotConnected,
@@ -61,7 +61,7 @@
         self._upstream = upstream
         self._suspect_tracker = suspect_tracker
         self._context = context
-        self._budget = RetryBudget()
+        self._budget = TokenBucketRetryBudget()
 
     async def run(self, request: DispatchRequest) -> _CallResult:
         """Send a request, with retries while they are allowed.
--- a/src/carobwalk/dispatch/_retry_budget.py
+++ b/src/carobwalk/dispatch/_token_bucket_retry_budget.py
@@ -1,14 +1,17 @@
-"""Retry budget of a dispatcher."""
+"""Retry budget of a dispatcher, a token bucket that successes fill."""
 
 _MAX_SAVED_RETRIES = 10
 _ROUNDING_TOLERANCE = 1e-9
 
 
-class RetryBudget:
+class TokenBucketRetryBudget:
     """Limits retries to a fraction of the successful requests.
 
     The budget starts empty, so the number of sends never exceeds the number
-    of requests plus ``ratio`` times the number of successes.
+    of requests plus ``ratio`` times the number of successes. Time plays no
+    part: a backend server that fails gets only the few retries saved before,
+    however long it fails. The ``SlidingWindowRetryBudget`` of the gateway
+    relates retries to all requests of a window instead.
     """
 
     def __init__(self) -> None:
--- a/src/carobwalk/gateway/__init__.py
+++ b/src/carobwalk/gateway/__init__.py
@@ -20,8 +20,11 @@
 from carobwalk.gateway._reply import Reply
 from carobwalk.gateway._request_meter import NullRequestMeter, RequestMeter
 from carobwalk.gateway._request_totals import RequestTotals
-from carobwalk.gateway._retry_budget import RetryBudget, RetryRules
 from carobwalk.gateway._retry_budgets import RetryBudgets
+from carobwalk.gateway._sliding_window_retry_budget import (
+    RetryRules,
+    SlidingWindowRetryBudget,
+)
 from carobwalk.gateway._target import NoTarget, Target
 from carobwalk.gateway._unkeyed_chooser import UnkeyedChooser
 
@@ -53,9 +56,9 @@
     'RequestAnswered',
     'RequestMeter',
     'RequestTotals',
-    'RetryBudget',
     'RetryBudgets',
     'RetryRules',
+    'SlidingWindowRetryBudget',
     'Target',
     'UnkeyedChooser',
 )
--- a/src/carobwalk/gateway/_retry_budgets.py
+++ b/src/carobwalk/gateway/_retry_budgets.py
@@ -2,7 +2,10 @@
 
 import trio
 
-from carobwalk.gateway._retry_budget import RetryBudget, RetryRules
+from carobwalk.gateway._sliding_window_retry_budget import (
+    RetryRules,
+    SlidingWindowRetryBudget,
+)
 from carobwalk.model import ServiceName
 
 
@@ -17,7 +20,9 @@
         self.rules = rules
         self.process_count = 12
         self._started: float | None = None
-        self._budgets_by_service: dict[ServiceName, RetryBudget] = {}
+        self._budgets_by_service: dict[
+            ServiceName, SlidingWindowRetryBudget
+        ] = {}
 
     def apply_rules(self, rules: RetryRules) -> None:
         """Replace the rules of all budgets; past retries still count."""
@@ -40,11 +45,11 @@
             self.process_count,
         )
 
-    def _of(self, service: ServiceName) -> RetryBudget:
+    def _of(self, service: ServiceName) -> SlidingWindowRetryBudget:
         if self._started is None:
             self._started = trio.current_time()
         budget = self._budgets_by_service.get(service)
         if budget is None:
-            budget = RetryBudget(self.rules, self._started)
+            budget = SlidingWindowRetryBudget(self.rules, self._started)
             self._budgets_by_service[service] = budget
         return budget
--- a/src/carobwalk/gateway/_retry_budget.py
+++ b/src/carobwalk/gateway/_sliding_window_retry_budget.py
@@ -24,8 +24,13 @@
     window: float
 
 
-class RetryBudget:
-    """Retry budget of one service over a sliding window.
+class SlidingWindowRetryBudget:
+    """Limits retries of a service to a fraction of the requests of a window.
+
+    Requests count whether they succeed or not. The rules bind all processes
+    together: each counts its own requests and takes an equal share of the
+    slack. The ``TokenBucketRetryBudget`` of the dispatcher relates retries to
+    successes instead, at one backend server.
 
     Args:
         rules: Limits on the retries of all processes together.
--- a/tests/gateway/test_choosers.py
+++ b/tests/gateway/test_choosers.py
@@ -15,8 +15,8 @@
     LoadTable,
     Locality,
     NoTarget,
-    RetryBudget,
     RetryRules,
+    SlidingWindowRetryBudget,
     Target,
     UnkeyedChooser,
 )
@@ -227,12 +227,12 @@
         run(scenario)
 
 
-class TestRetryBudget:
+class TestSlidingWindowRetryBudget:
     def test_bound(self) -> None:
         """The retries of all processes together stay within the budget."""
         rules = RetryRules(ratio=0.2, slack=64, window=10)
         processes = 12
-        budgets = [RetryBudget(rules, 0) for _ in range(processes)]
+        budgets = [SlidingWindowRetryBudget(rules, 0) for _ in range(processes)]
         spent = []
         requests = 0
         for tick in range(3000):
@@ -248,6 +248,8 @@
 
     def test_restart(self) -> None:
         """After a start the slack is unavailable for one window."""
-        budget = RetryBudget(RetryRules(ratio=0.2, slack=64, window=10), 0)
+        budget = SlidingWindowRetryBudget(
+            RetryRules(ratio=0.2, slack=64, window=10), 0
+        )
         assert not budget.spend(1, 1)
         assert budget.spend(11, 1)
