Describe the sending of an order once, in GrantChannel

The two implementations of `GrantChannel` repeated the docstring of the protocol's method with its arguments; changes would have to be made three times. They refer to the protocol now, as the senders and forwarders do.

Weighed: a common base class. The implementations share no code (one encodes an HTTP request, the other looks up the dispatcher and asks a peer), and the signature, six lines, must stand in each for the type checker.

--- a/src/carobwalk/ownership/_delegating_grant_channel.py
+++ b/src/carobwalk/ownership/_delegating_grant_channel.py
@@ -38,13 +38,7 @@
         order: ServerOrder,
         timeout: float,
     ) -> Result[GrantReport, GrantFailure]:
-        """Send an order and wait for the report.
-
-        Args:
-            server: Backend server that the order is for.
-            order: The order.
-            timeout: Maximum time to wait for the report, in seconds.
-        """
+        """Send an order and wait for the report; see ``GrantChannel``."""
         row = self._maps.row_of(ServerId(server.name))
         if row is None or self._context.checks_grants(row.service):
             return await self._context.channel.send(server, order, timeout)
--- a/src/carobwalk/ownership/_http_grant_channel.py
+++ b/src/carobwalk/ownership/_http_grant_channel.py
@@ -44,13 +44,7 @@
         order: ServerOrder,
         timeout: float,
     ) -> Result[GrantReport, GrantFailure]:
-        """Send an order and wait for the report.
-
-        Args:
-            server: Backend server that the order is for.
-            order: The order.
-            timeout: Maximum time to wait for the report, in seconds.
-        """
+        """Send an order and wait for the report; see ``GrantChannel``."""
         request = HttpRequest(
             method='POST',
             path=CONTROL_PATHS[type(order)],
