Give the loops of replication one pause between attempts

The watch of the store (twice), the synchronisation with neighbours (twice) and the initial synchronisation each slept for a random time around `retry_seconds` in their own words. They use `FollowerParts.pause` now; each draws one random number as before, in the same order.

Weighed: one loop for both classes. The bodies differ: one polls the store while the process is a watcher, the other runs a task for each neighbour and ends its pause when the local revision is ahead.

--- a/src/carobwalk/profiles/replication/_follower_parts.py
+++ b/src/carobwalk/profiles/replication/_follower_parts.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import trio
+
 from carobwalk.events import EventLog
 from carobwalk.model import Clock, Endpoint
 from carobwalk.peer import Peers, Topics
@@ -49,3 +51,7 @@
     def jitter(self, mean: float) -> float:
         """Return a random duration from 50 % to 150 % of a mean in seconds."""
         return self.generator.uniform(mean / 2, mean + mean / 2)
+
+    async def pause(self) -> None:
+        """Sleep for a random duration around ``settings.retry_seconds``."""
+        await trio.sleep(self.jitter(self.settings.retry_seconds))
--- a/src/carobwalk/profiles/replication/_initial_sync.py
+++ b/src/carobwalk/profiles/replication/_initial_sync.py
@@ -54,8 +54,7 @@
         while not self._is_settled(deadline_passed=deadline_passed):
             await self._poll_sources()
             if not self._is_settled(deadline_passed=deadline_passed):
-                mean = self._parts.settings.retry_seconds
-                await trio.sleep(self._parts.jitter(mean))
+                await self._parts.pause()
 
     def _is_settled(self, *, deadline_passed: bool) -> bool:
         if self._store_answered:
--- a/src/carobwalk/profiles/replication/_neighbour_sync.py
+++ b/src/carobwalk/profiles/replication/_neighbour_sync.py
@@ -37,8 +37,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 self._refresh_tasks(nursery)
-                pause = self._parts.jitter(self._parts.settings.retry_seconds)
-                await trio.sleep(pause)
+                await self._parts.pause()
 
     def _refresh_tasks(self, nursery: trio.Nursery) -> None:
         parts = self._parts
@@ -60,7 +59,7 @@
             while True:
                 synchronised = await self._exchange.synchronise(peer)
                 if isinstance(synchronised, Err):
-                    await trio.sleep(parts.jitter(parts.settings.retry_seconds))
+                    await parts.pause()
                     continue
                 pause = parts.jitter(parts.settings.exchange_seconds)
                 with trio.move_on_after(pause):
--- a/src/carobwalk/profiles/replication/_store_watch.py
+++ b/src/carobwalk/profiles/replication/_store_watch.py
@@ -47,12 +47,11 @@
 
     async def watch(self) -> None:
         """Watch the store while this process is a watcher."""
-        settings = self._parts.settings
         while True:
             if self._parts.is_watcher():
                 await self._watch_once()
             else:
-                await trio.sleep(self._parts.jitter(settings.retry_seconds))
+                await self._parts.pause()
 
     async def sweep(self) -> None:
         """Poll the store at a rate that all processes share.
@@ -73,10 +72,9 @@
         return await self._apply_changes(0)
 
     async def _watch_once(self) -> None:
-        settings = self._parts.settings
-        answered = await self._apply_changes(settings.watch_seconds)
-        if not answered:
-            await trio.sleep(self._parts.jitter(settings.retry_seconds))
+        wait = self._parts.settings.watch_seconds
+        if not await self._apply_changes(wait):
+            await self._parts.pause()
 
     async def _apply_changes(self, wait: float) -> bool:
         changes = await self._watch_head(wait)
