Use one type for the incarnation of a backend server

The gateway used a pair, `Incarnation`, and the keyspace the data class `ServerIncarnation`, for the same id and start; the keyspace had a function that made its own from a `BackendServer`.

Change: `ServerIncarnation` moves from keyspace/_key_range.py to the directory, beside `BackendServer`, which both packages import already; `BackendServer.incarnation` returns it. `gateway/_incarnation.py` and `incarnation_of` are removed. Reports between processes name the two fields in place of unpacking the pair; the encoding is unchanged. In the coordinator's modules only imports change.

Weighed: the unkeyed chooser looks up the load of each candidate for each request. No benchmark of whole requests was run. The field takes no part in comparison and repr, and the arguments of `BackendServer` are as before.

--- a/src/carobwalk/directory/__init__.py
+++ b/src/carobwalk/directory/__init__.py
@@ -7,6 +7,7 @@
     ServerForgotten,
 )
 from carobwalk.directory._server_directory import ServerDirectory
+from carobwalk.directory._server_incarnation import ServerIncarnation
 
 __all__ = (
     'BackendServer',
@@ -14,4 +15,5 @@
     'ServerDirectory',
     'ServerEntryDropped',
     'ServerForgotten',
+    'ServerIncarnation',
 )
--- a/src/carobwalk/directory/_backend_server.py
+++ b/src/carobwalk/directory/_backend_server.py
@@ -1,7 +1,8 @@
 """Registration of a backend server."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from carobwalk.directory._server_incarnation import ServerIncarnation
 from carobwalk.model import Address, DataCentreName, ServerId, ServiceName
 
 
@@ -19,6 +20,7 @@
         slots: Requests that the server runs concurrently.
         is_leaving: Whether the server is shutting down and accepts no new
             work.
+        incarnation: Identity of this incarnation, from ``id`` and ``born``.
     """
 
     id: ServerId
@@ -28,8 +30,12 @@
     data_centre: DataCentreName
     slots: int
     is_leaving: bool
+    # Created once, since choosing a server looks up its load for each request.
+    incarnation: ServerIncarnation = field(
+        init=False, repr=False, compare=False
+    )
 
-    @property
-    def incarnation(self) -> tuple[ServerId, int]:
-        """Identity of this incarnation: the id and the start."""
-        return (self.id, self.born)
+    def __post_init__(self) -> None:
+        """Set the incarnation."""
+        incarnation = ServerIncarnation(self.id, self.born)
+        object.__setattr__(self, 'incarnation', incarnation)
--- a/src/carobwalk/gateway/_connection_pool.py
+++ b/src/carobwalk/gateway/_connection_pool.py
@@ -5,9 +5,12 @@
 
 import trio
 
-from carobwalk.directory import BackendServer, ServerDirectory
+from carobwalk.directory import (
+    BackendServer,
+    ServerDirectory,
+    ServerIncarnation,
+)
 from carobwalk.gateway._header_names import HeaderNames
-from carobwalk.gateway._incarnation import Incarnation
 from carobwalk.gateway._outcomes import NotSent
 from carobwalk.gateway._upstream_connection import UpstreamConnection
 from carobwalk.http import connect_with_keepalive
@@ -42,7 +45,7 @@
         self._directory = directory
         self._names = names
         self._idle_by_incarnation: dict[
-            Incarnation, list[UpstreamConnection]
+            ServerIncarnation, list[UpstreamConnection]
         ] = defaultdict(
             list,
         )
--- a/src/carobwalk/gateway/_crash_tracker.py
+++ b/src/carobwalk/gateway/_crash_tracker.py
@@ -7,8 +7,8 @@
 import trio
 import xxhash
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.gateway._caller_request import CallerRequest
-from carobwalk.gateway._incarnation import Incarnation
 
 # A server counts as crashed if it refuses a connection within this time after
 # another one was lost.
@@ -28,7 +28,7 @@
     """
 
     fingerprint: int
-    incarnation: Incarnation
+    incarnation: ServerIncarnation
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +45,7 @@
     """
 
     def __init__(self) -> None:
-        self._losses_by_incarnation: dict[Incarnation, list[_Loss]] = {}
+        self._losses_by_incarnation: dict[ServerIncarnation, list[_Loss]] = {}
         self._crashes: list[Crash] = []
         self._until_by_fingerprint: dict[int, float] = {}
 
@@ -57,7 +57,7 @@
         return trio.current_time() < until
 
     def record_lost_connection(
-        self, request: CallerRequest, incarnation: Incarnation
+        self, request: CallerRequest, incarnation: ServerIncarnation
     ) -> None:
         """Record that a connection was lost while it carried a request."""
         losses = self._losses_by_incarnation.setdefault(incarnation, [])
@@ -65,7 +65,7 @@
             loss = _Loss(fingerprint_of(request), trio.current_time())
             losses.append(loss)
 
-    def record_refused_connection(self, incarnation: Incarnation) -> None:
+    def record_refused_connection(self, incarnation: ServerIncarnation) -> None:
         """Record that a server refused a connection.
 
         Requests whose connections to it were lost shortly before count as
--- a/src/carobwalk/gateway/_load_table.py
+++ b/src/carobwalk/gateway/_load_table.py
@@ -3,8 +3,11 @@
 from collections import defaultdict
 from typing import Final
 
-from carobwalk.directory import BackendServer, ServerDirectory
-from carobwalk.gateway._incarnation import Incarnation
+from carobwalk.directory import (
+    BackendServer,
+    ServerDirectory,
+    ServerIncarnation,
+)
 from carobwalk.gateway._priority_queue import PriorityQueue
 from carobwalk.gateway._request_totals_table import RequestTotalsTable
 from carobwalk.gateway._server_load import ServerLoad
@@ -31,7 +34,7 @@
 
     def __init__(self, directory: ServerDirectory) -> None:
         self._directory = directory
-        self._loads_by_incarnation: dict[Incarnation, ServerLoad] = {}
+        self._loads_by_incarnation: dict[ServerIncarnation, ServerLoad] = {}
         self._latencies_by_service: dict[ServiceName, float] = {}
         self._queues_by_service: dict[ServiceName, PriorityQueue] = defaultdict(
             PriorityQueue,
--- a/src/carobwalk/gateway/_request_totals_table.py
+++ b/src/carobwalk/gateway/_request_totals_table.py
@@ -1,11 +1,10 @@
 """Totals of the requests that this process sent to all backend servers."""
 
-from carobwalk.directory import BackendServer
-from carobwalk.gateway._incarnation import Incarnation
+from carobwalk.directory import BackendServer, ServerIncarnation
 from carobwalk.gateway._request_totals import RequestTotals
 from carobwalk.model import ServiceName
 
-TotalsByIncarnation = dict[Incarnation, RequestTotals]
+TotalsByIncarnation = dict[ServerIncarnation, RequestTotals]
 
 
 class RequestTotalsTable:
--- a/src/carobwalk/keyspace/_activation.py
+++ b/src/carobwalk/keyspace/_activation.py
@@ -6,7 +6,8 @@
 import trio
 from result import Ok
 
-from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
+from carobwalk.directory import ServerIncarnation
+from carobwalk.keyspace._key_range import KeyRange
 from carobwalk.keyspace._order_sender import OrderDependencies, OrderSender
 from carobwalk.keyspace._orders import OrderFailure, OrderRefused
 from carobwalk.model import Clock
--- a/src/carobwalk/keyspace/_codec.py
+++ b/src/carobwalk/keyspace/_codec.py
@@ -6,6 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.keyspace._claimant import (
     Claimant,
     ClaimantRow,
@@ -13,7 +14,7 @@
     read_claimant,
 )
 from carobwalk.keyspace._key_map import KeyMap
-from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
+from carobwalk.keyspace._key_range import KeyRange
 from carobwalk.keyspace._record_error import RecordError
 from carobwalk.model import ServerId, ServiceName
 
--- a/src/carobwalk/keyspace/_coordinator_map.py
+++ b/src/carobwalk/keyspace/_coordinator_map.py
@@ -3,8 +3,9 @@
 import math
 from dataclasses import replace
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.keyspace._key_map import KeyMap
-from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
+from carobwalk.keyspace._key_range import KeyRange
 from carobwalk.keyspace._move import Move
 
 
--- a/src/carobwalk/keyspace/_crash_counts.py
+++ b/src/carobwalk/keyspace/_crash_counts.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from typing import Final
 
-from carobwalk.keyspace._key_range import ServerIncarnation
+from carobwalk.directory import ServerIncarnation
 from carobwalk.model import Clock
 
 # Other requests that run concurrently with the culprit are rarely running in
--- a/src/carobwalk/keyspace/_failure_detector.py
+++ b/src/carobwalk/keyspace/_failure_detector.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from carobwalk.keyspace._key_range import ServerIncarnation
+from carobwalk.directory import ServerIncarnation
 from carobwalk.keyspace._times import KeyTimes
 from carobwalk.model import Clock
 
--- a/src/carobwalk/keyspace/_grant_ledger.py
+++ b/src/carobwalk/keyspace/_grant_ledger.py
@@ -6,12 +6,8 @@
 
 import msgspec
 
-from carobwalk.keyspace._key_range import (
-    MAX_KEY,
-    KeyBounds,
-    KeyRange,
-    ServerIncarnation,
-)
+from carobwalk.directory import ServerIncarnation
+from carobwalk.keyspace._key_range import MAX_KEY, KeyBounds, KeyRange
 from carobwalk.keyspace._sent_grants import SentGrants
 from carobwalk.keyspace._times import KeyTimes
 from carobwalk.model import Clock, ServerId
--- a/src/carobwalk/keyspace/_grant_renewer.py
+++ b/src/carobwalk/keyspace/_grant_renewer.py
@@ -3,8 +3,9 @@
 import trio
 from result import Ok
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.keyspace._coordinator_map import CoordinatorMap
-from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
+from carobwalk.keyspace._key_range import KeyRange
 from carobwalk.keyspace._order_sender import OrderDependencies, OrderSender
 from carobwalk.keyspace._term import Term
 
--- a/src/carobwalk/keyspace/_key_range.py
+++ b/src/carobwalk/keyspace/_key_range.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from carobwalk.model import ServerId
+from carobwalk.directory import ServerIncarnation
 
 MAX_KEY = 65_535
 
@@ -10,19 +10,6 @@
 KeyBounds = tuple[int, int]
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class ServerIncarnation:
-    """One incarnation of a backend server, from its start to its end.
-
-    Args:
-        server: Identity of the server, which a restarted server keeps.
-        born: Start of the incarnation, in milliseconds since 1970.
-    """
-
-    server: ServerId
-    born: int
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class KeyRange:
     """A range of keys and its owner.
--- a/src/carobwalk/keyspace/_load_collector.py
+++ b/src/carobwalk/keyspace/_load_collector.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.gateway import RequestTotals
 from carobwalk.keyspace._crash_counts import CrashCounts
 from carobwalk.keyspace._key_load import KeyLoad
-from carobwalk.keyspace._key_range import ServerIncarnation
 from carobwalk.keyspace._load_report import (
     LoadReceipt,
     LoadReport,
--- a/src/carobwalk/keyspace/_load_reporter.py
+++ b/src/carobwalk/keyspace/_load_reporter.py
@@ -77,7 +77,8 @@
                     tuple(counts.items()),
                     tuple(
                         ServerAnswers(
-                            *incarnation,
+                            incarnation.server,
+                            incarnation.born,
                             counted.answers,
                             counted.given_up,
                             counted.seconds,
@@ -90,7 +91,11 @@
                 for service, counts in self._owners.pop_counts().items()
             ),
             tuple(
-                ServerCrash(crash.fingerprint, *crash.incarnation)
+                ServerCrash(
+                    crash.fingerprint,
+                    crash.incarnation.server,
+                    crash.incarnation.born,
+                )
                 for crash in self._local.crash_tracker.pop_crashes()
             ),
         )
--- a/src/carobwalk/keyspace/_move.py
+++ b/src/carobwalk/keyspace/_move.py
@@ -4,7 +4,7 @@
 from enum import StrEnum, unique
 from typing import Final
 
-from carobwalk.keyspace._key_range import ServerIncarnation
+from carobwalk.directory import ServerIncarnation
 
 
 @unique
--- a/src/carobwalk/keyspace/_move_selection.py
+++ b/src/carobwalk/keyspace/_move_selection.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterator
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.keyspace._key_load import KeyLoad
 from carobwalk.keyspace._key_map import KeyMap
-from carobwalk.keyspace._key_range import KeyBounds, KeyRange, ServerIncarnation
+from carobwalk.keyspace._key_range import KeyBounds, KeyRange
 
 
 def select_keys(
--- a/src/carobwalk/keyspace/_order_sender.py
+++ b/src/carobwalk/keyspace/_order_sender.py
@@ -7,11 +7,12 @@
 import trio
 from result import Err, Ok, Result
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.events import EventLog
 from carobwalk.keyspace._events import OrderFailed
 from carobwalk.keyspace._failure_detector import FailureDetector
 from carobwalk.keyspace._grant_ledger import GrantLedger
-from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
+from carobwalk.keyspace._key_range import KeyRange
 from carobwalk.keyspace._orders import (
     Grant,
     OrderChannel,
--- a/src/carobwalk/keyspace/_planned_map.py
+++ b/src/carobwalk/keyspace/_planned_map.py
@@ -4,9 +4,10 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.keyspace._key_load import KeyLoad
 from carobwalk.keyspace._key_map import KeyMap
-from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
+from carobwalk.keyspace._key_range import KeyRange
 from carobwalk.keyspace._move import Move, MoveCause
 
 # Utilisation, relative to the mean, from which a server is overloaded.
--- a/src/carobwalk/keyspace/_planner.py
+++ b/src/carobwalk/keyspace/_planner.py
@@ -5,9 +5,10 @@
 from itertools import pairwise
 from typing import Final
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.keyspace._key_load import KeyLoad
 from carobwalk.keyspace._key_map import KeyMap
-from carobwalk.keyspace._key_range import MAX_KEY, KeyRange, ServerIncarnation
+from carobwalk.keyspace._key_range import MAX_KEY, KeyRange
 from carobwalk.keyspace._move import Move, MoveCause
 from carobwalk.keyspace._move_selection import select_keys
 from carobwalk.keyspace._planned_map import PlannedMap
--- a/src/carobwalk/keyspace/_server_incarnations.py
+++ b/src/carobwalk/keyspace/_server_incarnations.py
@@ -1,7 +1,10 @@
 """Known incarnations of backend servers, including deregistered ones."""
 
-from carobwalk.directory import BackendServer, ServerDirectory
-from carobwalk.keyspace._key_range import ServerIncarnation
+from carobwalk.directory import (
+    BackendServer,
+    ServerDirectory,
+    ServerIncarnation,
+)
 from carobwalk.model import ServerId, ServiceName
 
 
@@ -22,8 +25,7 @@
     def refresh(self) -> None:
         """Add the servers that are currently registered."""
         for server in self._directory.all_servers():
-            incarnation = incarnation_of(server)
-            self._servers_by_incarnation[incarnation] = server
+            self._servers_by_incarnation[server.incarnation] = server
             latest = self._latest_by_id.get(server.id, 0)
             self._latest_by_id[server.id] = max(latest, server.born)
 
@@ -41,8 +43,3 @@
     def registered(self, service: ServiceName) -> list[BackendServer]:
         """Return the registered servers of a service."""
         return self._directory.of_service(service)
-
-
-def incarnation_of(server: BackendServer) -> ServerIncarnation:
-    """Return the current incarnation of a registered server."""
-    return ServerIncarnation(server.id, server.born)
--- a/src/carobwalk/keyspace/_server_speed.py
+++ b/src/carobwalk/keyspace/_server_speed.py
@@ -3,7 +3,7 @@
 import math
 from typing import Final
 
-from carobwalk.keyspace._key_range import ServerIncarnation
+from carobwalk.directory import ServerIncarnation
 from carobwalk.keyspace._server_work import WorkRate
 
 _DEFAULT_SERVICE_SECONDS: Final = 0.1
--- a/src/carobwalk/keyspace/_view_builder.py
+++ b/src/carobwalk/keyspace/_view_builder.py
@@ -3,13 +3,12 @@
 import math
 from typing import Final
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.keyspace._coordinator_dependencies import CoordinatorDependencies
 from carobwalk.keyspace._events import OwnerLost
 from carobwalk.keyspace._grant_ledger import GrantLedger
 from carobwalk.keyspace._key_map import KeyMap
-from carobwalk.keyspace._key_range import ServerIncarnation
 from carobwalk.keyspace._planner import PlannerView
-from carobwalk.keyspace._server_incarnations import incarnation_of
 from carobwalk.model import ServiceName
 
 _REGISTRATION_QUIET_SECONDS: Final = 0.8
@@ -83,7 +82,7 @@
             self._service
         ):
             collector.refresh(server.slots)
-            incarnation = incarnation_of(server)
+            incarnation = server.incarnation
             if not server.is_leaving and self._is_usable(incarnation):
                 seconds = collector.speeds.seconds(incarnation, now)
                 usable[incarnation] = server.slots / seconds
@@ -94,7 +93,7 @@
             self._service
         )
         return frozenset(
-            incarnation_of(server) for server in servers if server.is_leaving
+            server.incarnation for server in servers if server.is_leaving
         )
 
     def _is_usable(self, incarnation: ServerIncarnation) -> bool:
--- a/tests/keyspace/test_crashes.py
+++ b/tests/keyspace/test_crashes.py
@@ -6,6 +6,7 @@
 import trio
 from trio.testing import MockClock
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.gateway import CallerRequest, CrashTracker
 from carobwalk.keyspace import LoadCollector
 from carobwalk.keyspace._load_report import (
@@ -29,7 +30,11 @@
         """Send a report from each process and apply the receipt."""
         for number, tracker in enumerate(self.trackers):
             crashes = tuple(
-                ServerCrash(crash.fingerprint, *crash.incarnation)
+                ServerCrash(
+                    crash.fingerprint,
+                    crash.incarnation.server,
+                    crash.incarnation.born,
+                )
                 for crash in tracker.pop_crashes()
             )
             answered = await self.collector.answer(
@@ -41,7 +46,7 @@
 
     def crash(self, process: int, server: int, *running: CallerRequest) -> None:
         """Crash a server while requests of a process run on it."""
-        incarnation = (ServerId(f's{server}'), 1)
+        incarnation = ServerIncarnation(ServerId(f's{server}'), 1)
         for request in running:
             self.trackers[process].record_lost_connection(request, incarnation)
         self.trackers[process].record_refused_connection(incarnation)
--- a/tests/keyspace/test_key_map.py
+++ b/tests/keyspace/test_key_map.py
@@ -6,9 +6,10 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.keyspace._codec import decode_map, encode_map, is_settled
 from carobwalk.keyspace._key_map import KeyMap
-from carobwalk.keyspace._key_range import MAX_KEY, KeyRange, ServerIncarnation
+from carobwalk.keyspace._key_range import MAX_KEY, KeyRange
 from carobwalk.model import ServerId
 
 INCARNATION = ServerIncarnation(ServerId('a'), 1)
--- a/tests/keyspace/test_map_feed.py
+++ b/tests/keyspace/test_map_feed.py
@@ -6,12 +6,13 @@
 import trio
 from trio.testing import MockClock
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.events import NullEventLog
 from carobwalk.keyspace import KeyReader, MapFeed
 from carobwalk.keyspace import _map_feed as map_feed
 from carobwalk.keyspace._codec import encode_map
 from carobwalk.keyspace._key_map import KeyMap
-from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
+from carobwalk.keyspace._key_range import KeyRange
 from carobwalk.keyspace._map_messages import (
     MapAnswer,
     MapQuestion,
--- a/tests/keyspace/test_mass_moves.py
+++ b/tests/keyspace/test_mass_moves.py
@@ -3,8 +3,8 @@
 import trio
 from trio.testing import MockClock
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.keyspace._key_map import KeyMap
-from carobwalk.keyspace._key_range import ServerIncarnation
 from carobwalk.keyspace._planned_map import PlannedMap
 from carobwalk.keyspace._planner import Planner, PlannerView
 from tests.keyspace.simulated_fleet import SimulatedFleet
--- a/tests/keyspace/test_planner.py
+++ b/tests/keyspace/test_planner.py
@@ -5,9 +5,10 @@
 
 import pytest
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.keyspace._key_load import KeyLoad
 from carobwalk.keyspace._key_map import KeyMap
-from carobwalk.keyspace._key_range import MAX_KEY, KeyRange, ServerIncarnation
+from carobwalk.keyspace._key_range import MAX_KEY, KeyRange
 from carobwalk.keyspace._move import Move, MoveCause
 from carobwalk.keyspace._planner import Planner, PlannerView
 from carobwalk.model import ServerId
--- a/tests/keyspace/test_server_speed.py
+++ b/tests/keyspace/test_server_speed.py
@@ -1,7 +1,7 @@
 """Service times of owners that become many times slower."""
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.gateway import RequestTotals
-from carobwalk.keyspace._key_range import ServerIncarnation
 from carobwalk.keyspace._server_speed import ServerSpeeds
 from carobwalk.keyspace._server_work import rate_of
 from carobwalk.model import ServerId
--- a/tests/keyspace/test_succession.py
+++ b/tests/keyspace/test_succession.py
@@ -7,10 +7,11 @@
 import trio
 from trio.testing import MockClock
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.keyspace import KeyTimes, Succession
 from carobwalk.keyspace._claimant import Claimant
 from carobwalk.keyspace._grant_ledger import GrantLedger, InheritedBounds
-from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
+from carobwalk.keyspace._key_range import KeyRange
 from carobwalk.keyspace._term import Term
 from carobwalk.model import ServerId, TrioClock
 from carobwalk.store import LeaseId
