--- a/src/carobwalk/keyspace/_order_sender.py
+++ b/src/carobwalk/keyspace/_order_sender.py
@@ -8,11 +8,12 @@
 import trio
 from result import Err, Result
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.events import EventLog
 from carobwalk.keyspace._events import OrderFailed
 from carobwalk.keyspace._failure_detector import FailureDetector
 from carobwalk.keyspace._grant_ledger import GrantLedger
-from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
+from carobwalk.keyspace._key_range import KeyRange
 from carobwalk.keyspace._orders import (
     Grant,
     OrderChannel,
--- a/src/carobwalk/keyspace/_sent_grants.py
+++ b/src/carobwalk/keyspace/_sent_grants.py
@@ -5,7 +5,8 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
-from carobwalk.keyspace._key_range import KeyBounds, ServerIncarnation
+from carobwalk.directory import ServerIncarnation
+from carobwalk.keyspace._key_range import KeyBounds
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -35,7 +35,7 @@
 from carobwalk.platform import PLATFORM_HEADERS, decode_configuration
 from carobwalk.routing import ActiveRoutes
 from standins.platform import PlatformBackend
-from tests.keyspace.simulated_fleet import RecordingLog
+from tests.recording_log import RecordingLog
 
 LOCAL_DATA_CENTRE = DataCentreName('dc1')
 CONFIGURATION = b"""{"version":"r7",
--- a/tests/keyspace/test_predecessor_report.py
+++ b/tests/keyspace/test_predecessor_report.py
@@ -5,7 +5,11 @@
 from result import Err, Ok, Result
 from trio.testing import MockClock
 
-from carobwalk.directory import BackendServer, ServerDirectory
+from carobwalk.directory import (
+    BackendServer,
+    ServerDirectory,
+    ServerIncarnation,
+)
 from carobwalk.events import NullEventLog
 from carobwalk.keyspace import (
     FailureDetector,
@@ -24,18 +28,18 @@
     InheritedBounds,
     LedgerState,
 )
-from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
+from carobwalk.keyspace._key_range import KeyRange
 from carobwalk.keyspace._order_sender import OrderSender
-from carobwalk.keyspace._server_incarnations import incarnation_of
 from carobwalk.keyspace._term import Term
 from carobwalk.model import ServerId, TrioClock
 from carobwalk.store import LeaseId
-from tests.keyspace.simulated_fleet import RecordingLog, make_server
+from tests.keyspace.simulated_fleet import make_server
+from tests.recording_log import RecordingLog
 
 TIMES = KeyTimes(lease=60)
 HELD_SECONDS = 10.0
-OLD_OWNER = incarnation_of(make_server(0))
-NEW_OWNER = incarnation_of(make_server(1))
+OLD_OWNER = make_server(0).incarnation
+NEW_OWNER = make_server(1).incarnation
 RECORDED = KeyRange(first=0, last=99, owner=OLD_OWNER, fence=1, is_granted=True)
 REASSIGNED = KeyRange(
     first=0,
--- a/tests/keyspace/test_succession.py
+++ b/tests/keyspace/test_succession.py
@@ -7,21 +7,22 @@
 import trio
 from trio.testing import MockClock
 
+from carobwalk.directory import ServerIncarnation
 from carobwalk.keyspace import KeyTimes, Succession
 from carobwalk.keyspace._claimant import Claimant
 from carobwalk.keyspace._codec import map_name
 from carobwalk.keyspace._grant_ledger import GrantLedger, InheritedBounds
-from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
+from carobwalk.keyspace._key_range import KeyRange
 from carobwalk.keyspace._term import Term
 from carobwalk.model import ServerId, TrioClock
 from carobwalk.store import LeaseId
 from tests.keyspace.simulated_fleet import (
     SERVICE,
     PeerLinks,
-    RecordingLog,
     SimulatedFleet,
     make_endpoint,
 )
+from tests.recording_log import RecordingLog
 
 Scenario = Callable[[SimulatedFleet], Awaitable[None]]
 INCARNATION = ServerIncarnation(ServerId('s1'), 1)
