Carry each request id at most once on a connection to a server

Callers saw 503 "not run" for a keyed write that had run, against the promise of that status. With the refusal of a first send, a faulty server had written a second copy, late, on the kept connection; the gateway sent the request again on the same connection, under the same id, and took the copy for the answer of the second send. Depending on the timing, a third send could have run the request twice.

Cause: answers are matched by the id of the caller's attempt, which is the same for all sends of it, so the id does not tell two sends on one connection apart.

Change: a connection remembers hashes of the ids it has carried, and the pool passes over connections that have carried the request's id.

--- a/src/carobwalk/gateway/_connection_pool.py
+++ b/src/carobwalk/gateway/_connection_pool.py
@@ -6,6 +6,7 @@
 import trio
 
 from carobwalk.directory import BackendServer, ServerDirectory
+from carobwalk.gateway._caller_request import CallerRequest
 from carobwalk.gateway._header_names import HeaderNames
 from carobwalk.gateway._incarnation import Incarnation
 from carobwalk.gateway._outcomes import NotSent
@@ -51,30 +52,28 @@
     async def acquire(
         self,
         server: BackendServer,
-        *,
-        is_retryable: bool,
+        request: CallerRequest,
     ) -> UpstreamConnection | NotSent:
         """Return an idle connection or open a new one.
 
         Args:
             server: Backend server to connect to.
-            is_retryable: Whether the request may be retried if the server
-                has already dropped the connection.
+            request: Request that the connection is to carry.
 
         Returns:
             A usable connection, or ``NotSent`` if none could be opened.
         """
         max_idle_seconds = (
             _MAX_IDLE_SECONDS
-            if is_retryable
+            if request.route.is_idempotent
             else _MAX_IDLE_AT_MOST_ONCE_SECONDS
         )
-        # ``close_expired`` may replace the list during each await.
-        while self._idle_by_incarnation[server.incarnation]:
-            connection = self._idle_by_incarnation[server.incarnation].pop()
+        connection = self._pop_idle(server, request.id)
+        while connection is not None:
             if _is_usable(connection, max_idle_seconds):
                 return connection
             await connection.aclose()
+            connection = self._pop_idle(server, request.id)
         return await self._open(server)
 
     async def release(
@@ -110,6 +109,20 @@
             for closing in expired:
                 await closing.aclose()
 
+    def _pop_idle(
+        self,
+        server: BackendServer,
+        request_id: bytes,
+    ) -> UpstreamConnection | None:
+        """Remove and return the last used connection that may carry an id."""
+        # ``close_expired`` may have replaced the list since the last call.
+        idle = self._idle_by_incarnation[server.incarnation]
+        for connection in reversed(idle):
+            if connection.carried_ids.may_add(request_id):
+                idle.remove(connection)
+                return connection
+        return None
+
     async def _open(
         self,
         server: BackendServer,
--- a/src/carobwalk/gateway/_forwarder.py
+++ b/src/carobwalk/gateway/_forwarder.py
@@ -219,10 +219,7 @@
         progress: Progress,
     ) -> AttemptOutcome:
         pool = self._parts.pool
-        connection = await pool.acquire(
-            server,
-            is_retryable=request.route.is_idempotent,
-        )
+        connection = await pool.acquire(server, request)
         if isinstance(connection, NotSent):
             return connection
         may_have_run_before = progress.may_have_run
--- a/src/carobwalk/gateway/_upstream_connection.py
+++ b/src/carobwalk/gateway/_upstream_connection.py
@@ -7,6 +7,7 @@
 
 from carobwalk.gateway._answer_classifier import classify_answer
 from carobwalk.gateway._caller_request import CallerRequest
+from carobwalk.gateway._carried_ids import CarriedIds
 from carobwalk.gateway._header_fields import (
     find_header,
     keep_alive_timeout_seconds,
@@ -44,6 +45,7 @@
         self.idle_since = trio.current_time()
         self.idle_limit_seconds: float | None = None
         self.use_count = 0
+        self.carried_ids = CarriedIds()
         self._names = names
         self._http = H11Stream(stream, h11.CLIENT)
         self._is_sent = False
@@ -62,10 +64,10 @@
     def is_reusable(self) -> bool:
         """Whether another request may be sent on this connection."""
         stray, _ = self._http.protocol.trailing_data
+        is_matched = self._has_answer_id and self._is_sent and not stray
         return (
-            self._has_answer_id
-            and self._is_sent
-            and not stray
+            is_matched
+            and not self.carried_ids.is_full
             and self._http.is_reusable
         )
 
@@ -77,12 +79,13 @@
         """Send a request and read its complete answer.
 
         Args:
-            request: The request.
+            request: The request; ``carried_ids`` must admit its id.
             head: Head to send to the server.
         """
         if self.use_count:
             self._http.protocol.start_next_cycle()
         self.use_count += 1
+        self.carried_ids.add(request.id)
         self._has_answer_id = False
         self._is_sent = False
         message = self._http.encode(
--- a/standins/platform/_backend.py
+++ b/standins/platform/_backend.py
@@ -42,6 +42,7 @@
 
     NONE = 'none'
     SHED = 'shed'
+    REPEATED_REFUSAL = 'repeated_refusal'
     HANG = 'hang'
     RESET = 'reset'
     CUT = 'cut'
@@ -58,6 +59,9 @@
 )
 
 
+_REFUSING_FAULTS = frozenset((Fault.SHED, Fault.REPEATED_REFUSAL))
+
+
 @dataclass(frozen=True, slots=True)
 class ReceivedRequest:
     """A request that the server started to run."""
@@ -76,6 +80,9 @@
         name: Identity, as in the ``target-instance`` header field.
         seconds: Service time of a request.
 
+    With the fault ``REPEATED_REFUSAL``, a refusal is written once more on its
+    connection, just before the answer to the next request.
+
     A connection that is idle for ``idle_timeout`` seconds is abandoned without
     notice; the next request on it causes a reset.
     """
@@ -91,6 +98,7 @@
         self.runs_by_id: Counter[bytes] = Counter()
         self.connections = 0
         self._handlers_by_target: dict[bytes, OrderHandler] = {}
+        self._late_answers_by_connection: dict[H11Stream, bytes] = {}
 
     def accepts(self, headers: dict[bytes, bytes]) -> bool:
         """Return whether the server accepts a request with these headers."""
@@ -106,6 +114,7 @@
         except (h11.ProtocolError, trio.BrokenResourceError):
             return
         finally:
+            self._late_answers_by_connection.pop(http, None)
             await trio.aclose_forcefully(stream)
 
     async def _serve_next(self, http: H11Stream) -> bool:
@@ -113,6 +122,9 @@
         if head is None:
             return False
         body = await http.read_body(1_000_000) or b''
+        late_answer = self._late_answers_by_connection.pop(http, b'')
+        if late_answer:
+            await http.stream.send_all(late_answer)
         headers = dict(head.headers)
         request_id = headers.get(_ATTEMPT_ID, b'')
         status = self._refusal_status(headers, head.target)
@@ -126,9 +138,8 @@
                 http, response.status, request_id, list(response.headers)
             )
             return http.is_reusable
-        fields = tuple(head.headers)
         request = ReceivedRequest(
-            request_id, head.method, head.target, fields, body
+            request_id, head.method, head.target, tuple(head.headers), body
         )
         return await self._run(http, request)
 
@@ -144,7 +155,7 @@
             return None
         if not self.accepts(headers):
             return 421
-        if self.fault is Fault.SHED and self.remaining_faults:
+        if self.fault in _REFUSING_FAULTS and self.remaining_faults:
             self.remaining_faults -= 1
             return 503
         return None
@@ -203,7 +214,7 @@
         request_id: bytes,
         headers: list[tuple[bytes, bytes]],
     ) -> None:
-        await http.send(
+        encoded = http.encode(
             h11.Response(
                 status_code=status,
                 headers=[
@@ -216,6 +227,9 @@
             h11.Data(data=_BODY),
             h11.EndOfMessage(),
         )
+        await http.stream.send_all(encoded)
+        if self.fault is Fault.REPEATED_REFUSAL and status == 503:
+            self._late_answers_by_connection[http] = encoded
 
 
 async def _receive_head(
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -1,7 +1,6 @@
 """Tests of requests through a gateway to failing backend servers."""
 
 import socket
-from collections.abc import Awaitable, Callable
 
 import pytest
 import trio
@@ -15,25 +14,6 @@
     b'deadline-ms: 500\r\n\r\n'
 )
 
-Scenario = Callable[[GatewayHarness], Awaitable[None]]
-
-
-@pytest.fixture
-def run_scenario() -> Callable[[Scenario], None]:
-    """Return a function that runs a scenario with a started gateway."""
-
-    def run(scenario: Scenario) -> None:
-        async def body() -> None:
-            async with trio.open_nursery() as nursery:
-                harness = GatewayHarness(nursery)
-                await harness.start()
-                await scenario(harness)
-                nursery.cancel_scope.cancel()
-
-        trio.run(body)
-
-    return run
-
 
 class TestForwarding:
     def test_content_unchanged(self, run_scenario) -> None:
