Count an answer without an id only as the first of its connection

Callers got an answer to another request, or 503 "not run" for a write that had run, if a server sent an extra answer without an id on a kept connection: the gateway took each answer without an id for that of the request then waiting.

Change: an answer without an id (absent or empty) counts only if it is the first answer on a connection that carried no earlier request; only then can it belong to no other. Otherwise the outcome is unknown, the connection is closed, and a write is answered with 502. This holds for refusals too, 421 and Not-Executed included, and after a skipped answer.

The stand-in has three new faults that write a late answer: LATE_EXTRA, UNIDENTIFIED_EXTRA and UNIDENTIFIED_REFUSAL.

Cost: a server that omits the id on a used connection has such requests lost and is ejected for a time, as after a lost connection.

--- a/src/carobwalk/gateway/_upstream_connection.py
+++ b/src/carobwalk/gateway/_upstream_connection.py
@@ -120,7 +120,12 @@
             return Lost(f'{type(error).__name__}: {error}')
 
     async def _read_matching(self, request: CallerRequest) -> AttemptOutcome:
-        """Read the answer to a request, skipping answers to others."""
+        """Read the answer to a request, skipping answers to others.
+
+        An answer without an id counts only if it is the first one on the
+        connection: any other may belong to an earlier request.
+        """
+        is_first = self.use_count == 1
         for _ in range(_MAX_STRAY_ANSWERS):
             response = await self._read_head()
             if response is None:
@@ -129,13 +134,16 @@
             if body is None:
                 return Lost('the answer is too long')
             answered_id = find_header(response.headers, self._names.request_id)
-            if answered_id is None or answered_id == request.id:
-                self._has_answer_id = answered_id is not None
+            if not answered_id and not is_first:
+                return Lost('an answer without an id on a used connection')
+            if not answered_id or answered_id == request.id:
+                self._has_answer_id = bool(answered_id)
                 self.idle_limit_seconds = keep_alive_timeout_seconds(
                     response.headers
                 )
                 return classify_answer(response, body, self._names)
             self._skip_answer()
+            is_first = False
         return Lost('answers to other requests only')
 
     async def _read_head(self) -> h11.Response | None:
--- a/standins/platform/_backend.py
+++ b/standins/platform/_backend.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import StrEnum, unique
+from types import MappingProxyType
 
 import h11
 import trio
@@ -47,6 +48,9 @@
     RESET = 'reset'
     CUT = 'cut'
     EXTRA = 'extra'
+    LATE_EXTRA = 'late_extra'
+    UNIDENTIFIED_EXTRA = 'unidentified_extra'
+    UNIDENTIFIED_REFUSAL = 'unidentified_refusal'
     UNFRAMED = 'unframed'
     UNSIGNED = 'unsigned'
     NOISE = 'noise'
@@ -59,6 +63,23 @@
 )
 
 
+# Further answers, to no request, that a fault causes after an answer.
+_EXTRA_ANSWER = (
+    b'HTTP/1.1 200 OK\r\nattempt-id: other\r\n%s: %s\r\n'
+    b'content-length: 5\r\n\r\nstray'
+) % _SIGNATURE
+_LATE_REFUSAL = (
+    b'HTTP/1.1 421 Misdirected\r\n%s: %s\r\ncontent-length: 0\r\n\r\n'
+) % _NOT_RUN
+_LATE_ANSWERS_BY_FAULT = MappingProxyType(
+    {
+        Fault.LATE_EXTRA: _EXTRA_ANSWER,
+        Fault.UNIDENTIFIED_EXTRA: _EXTRA_ANSWER.replace(
+            b'attempt-id: other\r\n', b''
+        ),
+        Fault.UNIDENTIFIED_REFUSAL: _LATE_REFUSAL,
+    },
+)
 _REFUSING_FAULTS = frozenset((Fault.SHED, Fault.REPEATED_REFUSAL))
 
 
@@ -80,8 +101,9 @@
         name: Identity, as in the ``target-instance`` header field.
         seconds: Service time of a request.
 
-    With the fault ``REPEATED_REFUSAL``, a refusal is written once more on its
-    connection, just before the answer to the next request.
+    Late answers, which some faults cause, are written just before the answer
+    to the next request on the connection. ``REPEATED_REFUSAL`` repeats a
+    refusal in this way.
 
     A connection that is idle for ``idle_timeout`` seconds is abandoned without
     notice; the next request on it causes a reset.
@@ -200,11 +222,10 @@
         signature = [] if fault is Fault.UNSIGNED else [_SIGNATURE]
         await self._send(http, status, request_id, signature)
         if fault is Fault.EXTRA:
-            extra_response = (
-                b'HTTP/1.1 200 OK\r\nattempt-id: other\r\n%s: %s\r\n'
-                b'content-length: 5\r\n\r\nstray'
-            )
-            await http.stream.send_all(extra_response % _SIGNATURE)
+            await http.stream.send_all(_EXTRA_ANSWER)
+        late_answer = _LATE_ANSWERS_BY_FAULT.get(fault)
+        if late_answer:
+            self._late_answers_by_connection[http] = late_answer
         return http.is_reusable
 
     async def _send(
--- a/tests/gateway/test_answer_identity.py
+++ b/tests/gateway/test_answer_identity.py
@@ -1,5 +1,8 @@
 """Tests that an answer is never taken for that of another request."""
 
+import pytest
+import trio
+
 from carobwalk.model import ServerId
 from carobwalk.platform import decode_configuration
 from standins.platform import Fault
@@ -49,3 +52,87 @@
             assert connections == [1, 1, 1, 2]
 
         run_scenario(scenario)
+
+
+class TestExtraAnswers:
+    # A late answer without an id counted as that of the request then waiting.
+    @pytest.mark.parametrize(
+        'fault', [Fault.UNIDENTIFIED_EXTRA, Fault.UNIDENTIFIED_REFUSAL]
+    )
+    def test_late_answer_without_id(self, run_scenario, fault) -> None:
+        """On a used connection, an answer without an id tells no outcome."""
+
+        async def scenario(harness: GatewayHarness) -> None:
+            backend = await harness.add_backend('writes', 's1')
+            backend.fault = fault
+            backend.remaining_faults = 1
+            await harness.send_request('POST', '/writes/a', b'x', 'id1')
+            answer = await harness.send_request(
+                'POST', '/writes/a', b'x', 'id2'
+            )
+            assert backend.connections == 1
+            assert backend.runs_by_id == {b'id1': 1, b'id2': 1}
+            assert answer.status == 502
+            harness.loads.of(harness.directory.get('s1')).ejected_until = 0
+            answer = await harness.send_request(
+                'POST', '/writes/a', b'x', 'id3'
+            )
+            assert (answer.status, backend.connections) == (200, 2)
+
+        run_scenario(scenario)
+
+    # Empty ids of two requests were equal, so any answer matched either.
+    def test_requests_without_id(self, run_scenario) -> None:
+        """Requests without an id are each sent on a connection of their own."""
+
+        async def scenario(harness: GatewayHarness) -> None:
+            backend = await harness.add_backend('reads', 's1')
+            for number in range(1, 4):
+                answer = await harness.send_request('GET', '/reads/a', b'', '')
+                assert answer.status == 200
+                assert backend.connections == number
+
+        run_scenario(scenario)
+
+    # Skipping a late answer must not lose the answer that follows it.
+    def test_late_answer_with_other_id(self, run_scenario) -> None:
+        """A late answer with another id is skipped."""
+
+        async def scenario(harness: GatewayHarness) -> None:
+            backend = await harness.add_backend('writes', 's1')
+            backend.fault = Fault.LATE_EXTRA
+            backend.remaining_faults = 9
+            for number in range(3):
+                answer = await harness.send_request(
+                    'POST', '/writes/a', b'x', f'id{number}'
+                )
+                assert answer.headers[b'attempt-id'] == b'id%d' % number
+                assert answer.body == b'made by the server\n'
+            assert backend.connections == 1
+
+        run_scenario(scenario)
+
+    # After a stray answer, one without an id may be a stray answer too.
+    def test_answer_without_id_after_another(self, run_scenario) -> None:
+        """On a new connection, only the first answer counts without an id."""
+
+        async def answer_twice(stream: trio.SocketStream) -> None:
+            await stream.receive_some(10_000)
+            await stream.send_all(
+                b'HTTP/1.1 200 OK\r\nattempt-id: other\r\n'
+                b'response-signature: 1\r\ncontent-length: 0\r\n\r\n'
+                b'HTTP/1.1 200 OK\r\n'
+                b'response-signature: 1\r\ncontent-length: 0\r\n\r\n'
+            )
+
+        async def scenario(harness: GatewayHarness) -> None:
+            listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+            port = listeners[0].socket.getsockname()[1]
+            harness.nursery.start_soon(
+                trio.serve_listeners, answer_twice, listeners
+            )
+            harness.register('writes', 's1', port)
+            answer = await harness.send_request('POST', '/writes/a', b'x')
+            assert answer.status == 502
+
+        run_scenario(scenario)
