--- a/tests/http/test_http_exchange.py
+++ b/tests/http/test_http_exchange.py
@@ -92,6 +92,42 @@
         assert isinstance(result, Err)
         assert isinstance(result.err_value, ConnectFailed)
 
+    # Bytes left after a response were parsed as the next response.
+    def test_surplus_response(self) -> None:
+        """A second response to one request is not taken for the next one's."""
+        bodies = iter((b'one', b'two'))
+
+        async def answer_twice(stream: trio.SocketStream) -> None:
+            while await stream.receive_some(10_000):
+                response = (
+                    b'HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n%s'
+                    % next(bodies)
+                )
+                await stream.send_all(response + response)
+
+        async def main() -> list[object]:
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+                port = listeners[0].socket.getsockname()[1]
+                nursery.start_soon(
+                    trio.serve_listeners, answer_twice, listeners
+                )
+                client = HttpClient()
+                results = [
+                    await client.send(
+                        Address('127.0.0.1', port),
+                        HttpRequest('GET', '/'),
+                        _TIMEOUT_SECONDS,
+                    )
+                    for _ in range(2)
+                ]
+                nursery.cancel_scope.cancel()
+            return results
+
+        first, second = trio.run(main)
+        assert first == Ok(_response(b'one', first))
+        assert second == Ok(_response(b'two', second))
+
 
 def _response(body: bytes, result: object) -> HttpResponse:
     """Return a response with the headers of ``result`` and the given body."""
