Identify orders about keys, and match their answers by it

A key could get two owners: if a server wrote the answer to a grant once more, late, the coordinator took the copy for the answer to the next order on the kept connection. A release then counted as done while the server still worked on the keys, and a grant that was to be applied late counted as answered. Nothing identified orders or their answers.

Change: each order carries an id of its own in the field that servers echo (Attempt-Id). HttpClient has a setting for such a field: an answer with another id counts as none and closes the connection; one without an id counts only as the first answer of its connection, which is closed after it. Refusals (400, 409, 421) are matched alike. Releases use a client of their own that opens a connection for each. One connection of the client is now a class, ClientConnection; the code moved otherwise unchanged.

Evidence: against the code before, with one client for both orders, TestReleases.test_repeated_answer fails in both cases (the release returns at once, with an empty handover), and so do TestGrants.test_repeated_answer, test_answer_without_id and test_connections[False-3]. All pass now.

Cost: one new connection for each release.

--- a/src/carobwalk/app/_gateway_core.py
+++ b/src/carobwalk/app/_gateway_core.py
@@ -17,7 +17,7 @@
 from carobwalk.metrics import CountingEventLog, MeteredSender, Metrics
 from carobwalk.model import Address, Clock, Endpoint, SuspendAwareClock
 from carobwalk.peer import PeerHub, TopicRegistry
-from carobwalk.platform import PlatformStore
+from carobwalk.platform import ORDER_ID_HEADER, PlatformStore
 from carobwalk.routing import ActiveRoutes
 from carobwalk.settings import GatewaySettings
 
@@ -39,7 +39,8 @@
         topics: Handlers of messages from peers, by topic.
         hub: Connections to peers.
         store: Client of the platform's key-value store.
-        grant_client: HTTP client for grants and releases.
+        grant_client: HTTP client for grants of keys.
+        release_client: HTTP client for releases of keys.
         directory: Registered backend servers.
         routes: Routing configuration in force.
     """
@@ -55,6 +56,7 @@
     hub: PeerHub
     store: PlatformStore
     grant_client: HttpClient
+    release_client: HttpClient
     directory: ServerDirectory
     routes: ActiveRoutes
 
@@ -93,13 +95,18 @@
             MeteredSender(HttpClient(connect=connect_with_keepalive), metrics),
             settings.store.address,
         ),
-        grant_client=HttpClient(idle_limit=1, connect=_connect_for_grants),
+        grant_client=_order_client(idle_limit=1),
+        release_client=_order_client(idle_limit=0),
         directory=ServerDirectory(clock, events),
         routes=ActiveRoutes(events),
     )
 
 
-async def _connect_for_grants(address: Address) -> trio.SocketStream:
+def _order_client(idle_limit: int) -> HttpClient:
+    return HttpClient(idle_limit, _connect_for_orders, ORDER_ID_HEADER)
+
+
+async def _connect_for_orders(address: Address) -> trio.SocketStream:
     """Open a connection that is reset on close, which discards unsent bytes.
 
     A grant or release whose sender gave up can then not arrive later.
--- a/src/carobwalk/http/_client.py
+++ b/src/carobwalk/http/_client.py
@@ -2,21 +2,16 @@
 
 from collections import defaultdict
 from collections.abc import Awaitable, Callable
-from typing import Final
-from urllib.parse import quote, urlencode
 
 import h11
 import trio
 from result import Err, Ok, Result
 
+from carobwalk.http._client_connection import ClientConnection
 from carobwalk.http._failures import ConnectFailed, HttpFailure, NoAnswer
-from carobwalk.http._h11_stream import H11Stream
 from carobwalk.http._messages import HttpRequest, HttpResponse
-from carobwalk.http._server import parse_headers
 from carobwalk.model import Address
 
-_MAX_BODY_BYTES: Final = 16_777_216
-
 
 class HttpClient:
     """Sends requests over persistent connections, without pipelining.
@@ -28,6 +23,10 @@
         idle_limit: Maximum number of idle connections per address; further
             ones are closed after use.
         connect: Opens a connection; by default, without keep-alive probes.
+        echo_header: Header field that identifies requests, in lower case,
+            if servers may repeat responses. A response with another value
+            than its request counts as none. One without a value counts only
+            on a new connection, which is then closed.
     """
 
     def __init__(
@@ -35,11 +34,13 @@
         idle_limit: int = 8,
         connect: Callable[[Address], Awaitable[trio.SocketStream]]
         | None = None,
+        echo_header: str | None = None,
     ) -> None:
         self._idle_limit = idle_limit
         self._connect = connect or _connect
-        self._idle_by_address: dict[Address, list[H11Stream]] = defaultdict(
-            list,
+        self._echo_header = echo_header
+        self._idle_by_address: dict[Address, list[ClientConnection]] = (
+            defaultdict(list)
         )
 
     async def send(
@@ -59,7 +60,7 @@
             The response; ``ConnectFailed`` if no byte of the request was
             sent; ``NoAnswer`` if the request may have arrived.
         """
-        acquired: Result[H11Stream, HttpFailure] | None = None
+        acquired: Result[ClientConnection, HttpFailure] | None = None
         with trio.move_on_after(timeout):
             acquired = await self._acquire(address)
             if isinstance(acquired, Err):
@@ -72,100 +73,46 @@
     async def _acquire(
         self,
         address: Address,
-    ) -> Result[H11Stream, HttpFailure]:
+    ) -> Result[ClientConnection, HttpFailure]:
         idle = self._idle_by_address[address]
         while idle:
             connection = idle.pop()
-            if _is_open(connection):
+            if connection.is_open:
                 return Ok(connection)
-            await trio.aclose_forcefully(connection.stream)
+            await connection.aclose()
         try:
             stream = await self._connect(address)
         except ConnectionRefusedError as error:
             return Err(ConnectFailed(f'{address}: {error}', is_refused=True))
         except OSError as error:
             return Err(ConnectFailed(f'{address}: {error}'))
-        return Ok(H11Stream(stream, h11.CLIENT))
+        return Ok(ClientConnection(address, stream, self._echo_header))
 
     async def _exchange(
         self,
         address: Address,
-        connection: H11Stream,
+        connection: ClientConnection,
         request: HttpRequest,
     ) -> Result[HttpResponse, HttpFailure]:
         is_pooled = False
         try:
-            response = await _send_and_receive(connection, address, request)
+            response = await connection.exchange(request)
             is_pooled = self._release(address, connection)
         except (h11.ProtocolError, trio.BrokenResourceError) as error:
             return Err(NoAnswer(f'{address}: {error}'))
         finally:
             if not is_pooled:
-                await trio.aclose_forcefully(connection.stream)
-        if response is None:
-            return Err(NoAnswer(f'{address}: body too large or no response'))
-        return Ok(response)
+                await connection.aclose()
+        return response
 
-    def _release(self, address: Address, connection: H11Stream) -> bool:
+    def _release(self, address: Address, connection: ClientConnection) -> bool:
         """Return a connection to the pool; return whether it was accepted."""
         idle = self._idle_by_address[address]
-        # Bytes after a response would be parsed as the next response.
-        stray, _ = connection.protocol.trailing_data
-        if stray or not connection.is_reusable or len(idle) >= self._idle_limit:
+        if not connection.is_reusable or len(idle) >= self._idle_limit:
             return False
-        connection.protocol.start_next_cycle()
         idle.append(connection)
         return True
 
 
 async def _connect(address: Address) -> trio.SocketStream:
     return await trio.open_tcp_stream(address.host, address.port)
-
-
-def _is_open(connection: H11Stream) -> bool:
-    """Return whether the server has left an idle connection open."""
-    stream = connection.stream
-    if not isinstance(stream, trio.SocketStream):
-        return True
-    # A server sends nothing on an idle connection, so readable means closed.
-    return not stream.socket.is_readable()
-
-
-async def _send_and_receive(
-    connection: H11Stream,
-    address: Address,
-    request: HttpRequest,
-) -> HttpResponse | None:
-    await connection.send(*_request_events(address, request))
-    event = await connection.receive()
-    while isinstance(event, h11.InformationalResponse):
-        event = await connection.receive()
-    if not isinstance(event, h11.Response):
-        return None
-    body = await connection.read_body(_MAX_BODY_BYTES)
-    if body is None:
-        return None
-    return HttpResponse(
-        status=event.status_code,
-        headers=parse_headers(event.headers),
-        body=body,
-    )
-
-
-def _request_events(
-    address: Address,
-    request: HttpRequest,
-) -> tuple[h11.Event, ...]:
-    target = quote(request.path)
-    if request.query:
-        target = f'{target}?{urlencode(request.query)}'
-    headers = [
-        ('host', str(address)),
-        ('content-length', str(len(request.body))),
-        *request.headers.items(),
-    ]
-    return (
-        h11.Request(method=request.method, target=target, headers=headers),
-        h11.Data(data=request.body),
-        h11.EndOfMessage(),
-    )
--- a/standins/platform/_backend.py
+++ b/standins/platform/_backend.py
@@ -28,10 +28,14 @@
     Args:
         status: Status code.
         headers: Header fields.
+        has_id: Whether it repeats the id of the order.
+        is_repeated: Whether it is sent once more as a late answer.
     """
 
     status: int = 200
     headers: tuple[tuple[bytes, bytes], ...] = ()
+    has_id: bool = True
+    is_repeated: bool = False
 
 
 OrderHandler = Callable[[bytes], Awaitable[OrderResponse]]
@@ -51,6 +55,7 @@
     LATE_EXTRA = 'late_extra'
     UNIDENTIFIED_EXTRA = 'unidentified_extra'
     UNIDENTIFIED_REFUSAL = 'unidentified_refusal'
+    REPEATED_ORDER_ANSWER = 'repeated_order_answer'
     UNFRAMED = 'unframed'
     UNSIGNED = 'unsigned'
     NOISE = 'noise'
@@ -151,13 +156,23 @@
         request_id = headers.get(_ATTEMPT_ID, b'')
         status = self._refusal_status(headers, head.target)
         if status is not None:
-            await self._send(http, status, request_id, [_NOT_RUN])
+            await self._send(
+                http,
+                status,
+                request_id,
+                [_NOT_RUN],
+                status == 503 and self.fault is Fault.REPEATED_REFUSAL,
+            )
             return http.is_reusable
         handler = self._handlers_by_target.get(head.target)
         if handler is not None:
             response = await handler(body)
             await self._send(
-                http, response.status, request_id, list(response.headers)
+                http,
+                response.status,
+                request_id if response.has_id else b'',
+                list(response.headers),
+                response.is_repeated,
             )
             return http.is_reusable
         request = ReceivedRequest(
@@ -234,6 +249,7 @@
         status: int,
         request_id: bytes,
         headers: list[tuple[bytes, bytes]],
+        is_repeated: bool = False,
     ) -> None:
         encoded = http.encode(
             h11.Response(
@@ -249,7 +265,7 @@
             h11.EndOfMessage(),
         )
         await http.stream.send_all(encoded)
-        if self.fault is Fault.REPEATED_REFUSAL and status == 503:
+        if is_repeated:
             self._late_answers_by_connection[http] = encoded
 
 
--- a/standins/platform/_keyed_backend.py
+++ b/standins/platform/_keyed_backend.py
@@ -13,7 +13,6 @@
 )
 from standins.platform._key_holder import SLOW_CLOCK_RATE, KeyHolder
 
-_STALE_FENCE = OrderResponse(409)
 _POLL_SECONDS = 0.005
 
 
@@ -31,6 +30,9 @@
         name: Identity, as in the ``target-instance`` header field.
         seconds: Service time of a request.
         tracked_keys: Keys whose highest fence is kept.
+
+    ``echoes_order_ids`` tells whether answers repeat the ids of orders, and
+    ``repeats_order_answers`` whether it repeats them as late answers.
     """
 
     def __init__(
@@ -41,6 +43,8 @@
     ) -> None:
         super().__init__(name, seconds)
         self.holder = KeyHolder()
+        self.echoes_order_ids = True
+        self.repeats_order_answers = False
         self._tracked_keys = tracked_keys
         self._running_by_key: Counter[int] = Counter()
         self._handlers_by_target.update(
@@ -68,8 +72,8 @@
         if self.holder.grant(
             bounds, order.fence, expires_at, self._tracked_keys
         ):
-            return OrderResponse()
-        return _STALE_FENCE
+            return self._answer_order(200)
+        return self._answer_order(409)
 
     async def _release(self, body: bytes) -> OrderResponse:
         order = msgspec.json.decode(body, type=_Order)
@@ -77,7 +81,17 @@
         while self._has_running(order):
             await trio.sleep(_POLL_SECONDS)
         state = f'state of {self.name}'.encode()
-        return OrderResponse(headers=((b'handover', state),))
+        return self._answer_order(200, (b'handover', state))
+
+    def _answer_order(
+        self, status: int, *headers: tuple[bytes, bytes]
+    ) -> OrderResponse:
+        return OrderResponse(
+            status,
+            headers,
+            has_id=self.echoes_order_ids,
+            is_repeated=self.repeats_order_answers,
+        )
 
     def _has_running(self, order: _Order) -> bool:
         return any(
--- /dev/null
+++ b/tests/platform/test_grant_channel.py
@@ -0,0 +1,150 @@
+"""Tests of orders about keys, sent to servers that repeat their answers."""
+
+from collections.abc import Awaitable, Callable
+
+import pytest
+import trio
+from result import Err, Ok
+
+from carobwalk.directory import BackendServer
+from carobwalk.http import HttpClient
+from carobwalk.keyspace import Grant, KeyTimes, OrderUnanswered, Release
+from carobwalk.model import Address, DataCentreName, ServerId, ServiceName
+from carobwalk.platform import ORDER_ID_HEADER, PlatformGrantChannel
+from standins.platform import KeyedBackend
+
+_WORK_SECONDS = 0.2
+_TIMES = KeyTimes(order_timeout=0.2, release_timeout=1)
+_FIRST = Grant(first=0, last=9, fence=1, hold=5)
+_SECOND = Grant(first=10, last=19, fence=2, hold=5)
+_RELEASE = Release(first=0, last=9, fence=3)
+_REQUEST_FOR_KEY_5 = (
+    b'POST /a HTTP/1.1\r\nhost: a.example\r\nattempt-id: id1\r\n'
+    b'target-instance: s1\r\nshard-key: 5\r\ncontent-length: 0\r\n\r\n'
+)
+
+
+class _Fleet:
+    """One keyed server on loopback and the channel that orders it."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.backend = KeyedBackend('s1', _WORK_SECONDS)
+        self.channel = PlatformGrantChannel(
+            HttpClient(idle_limit=1, echo_header=ORDER_ID_HEADER),
+            HttpClient(idle_limit=0, echo_header=ORDER_ID_HEADER),
+            _TIMES,
+        )
+        self._nursery = nursery
+        self._port = 0
+
+    @property
+    def server(self) -> BackendServer:
+        """Registration of the server."""
+        return BackendServer(
+            id=ServerId('s1'),
+            born=1,
+            service=ServiceName('keyed'),
+            address=Address('127.0.0.1', self._port),
+            data_centre=DataCentreName('dc1'),
+            slots=4,
+            is_leaving=False,
+        )
+
+    async def start(self) -> None:
+        """Start the server on a free port."""
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        self._port = listeners[0].socket.getsockname()[1]
+        self._nursery.start_soon(
+            trio.serve_listeners, self.backend.serve, listeners
+        )
+
+
+Scenario = Callable[[_Fleet], Awaitable[None]]
+
+
+@pytest.fixture
+def run_scenario() -> Callable[[Scenario], None]:
+    """Return a function that runs a scenario with a started server."""
+
+    def run(scenario: Scenario) -> None:
+        async def body() -> None:
+            async with trio.open_nursery() as nursery:
+                fleet = _Fleet(nursery)
+                await fleet.start()
+                await scenario(fleet)
+                nursery.cancel_scope.cancel()
+
+        trio.run(body)
+
+    return run
+
+
+class TestGrants:
+    # The answer to a grant, written twice, also counted for the next grant.
+    def test_repeated_answer(self, run_scenario) -> None:
+        """A grant that is not yet applied is unanswered."""
+
+        async def scenario(fleet: _Fleet) -> None:
+            fleet.backend.repeats_order_answers = True
+            assert await fleet.channel.grant(fleet.server, _FIRST) == Ok(None)
+            fleet.backend.holder.apply_delay = 5
+            sent = await fleet.channel.grant(fleet.server, _SECOND)
+            assert fleet.backend.connections == 1
+            assert isinstance(sent, Err)
+            assert isinstance(sent.err_value, OrderUnanswered)
+
+        run_scenario(scenario)
+
+    # An answer without an id on a kept connection counted for any grant.
+    def test_answer_without_id(self, run_scenario) -> None:
+        """On a used connection, an answer without an id does not count."""
+
+        async def scenario(fleet: _Fleet) -> None:
+            assert await fleet.channel.grant(fleet.server, _FIRST) == Ok(None)
+            fleet.backend.echoes_order_ids = False
+            sent = await fleet.channel.grant(fleet.server, _SECOND)
+            assert isinstance(sent, Err)
+            assert isinstance(sent.err_value, OrderUnanswered)
+            again = await fleet.channel.grant(fleet.server, _SECOND)
+            assert (again, fleet.backend.connections) == (Ok(None), 2)
+
+        run_scenario(scenario)
+
+    # A connection whose answers carry no ids was kept.
+    @pytest.mark.parametrize(
+        ('echoes_ids', 'connections'), [(True, 1), (False, 3)]
+    )
+    def test_connections(self, run_scenario, echoes_ids, connections) -> None:
+        """A connection is used again only if its answers carry ids."""
+
+        async def scenario(fleet: _Fleet) -> None:
+            fleet.backend.echoes_order_ids = echoes_ids
+            for _ in range(3):
+                sent = await fleet.channel.grant(fleet.server, _FIRST)
+                assert sent == Ok(None)
+            assert fleet.backend.connections == connections
+
+        run_scenario(scenario)
+
+
+class TestReleases:
+    # The answer to a grant, written twice, counted for the release after it.
+    @pytest.mark.parametrize('echoes_ids', [True, False])
+    def test_repeated_answer(self, run_scenario, echoes_ids) -> None:
+        """A release is answered only after the work on its keys has ended."""
+
+        async def scenario(fleet: _Fleet) -> None:
+            fleet.backend.echoes_order_ids = echoes_ids
+            fleet.backend.repeats_order_answers = True
+            assert await fleet.channel.grant(fleet.server, _FIRST) == Ok(None)
+            address = fleet.server.address
+            caller = await trio.open_tcp_stream(address.host, address.port)
+            await caller.send_all(_REQUEST_FOR_KEY_5)
+            while not fleet.backend.requests:
+                await trio.sleep(0.005)
+            running_until = trio.current_time() + _WORK_SECONDS / 2
+            released = await fleet.channel.release(fleet.server, _RELEASE)
+            assert released == Ok('state of s1')
+            assert trio.current_time() > running_until
+
+        run_scenario(scenario)
