--- a/standins/platform/_backend.py
+++ b/standins/platform/_backend.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import StrEnum, unique
+from types import MappingProxyType
 
 import h11
 import trio
@@ -27,10 +28,14 @@
     Args:
         status: Status code.
         headers: Header fields.
+        has_id: Whether it repeats the id of the order.
+        is_repeated: Whether it is sent once more as a late answer.
     """
 
     status: int = 200
     headers: tuple[tuple[bytes, bytes], ...] = ()
+    has_id: bool = True
+    is_repeated: bool = False
 
 
 OrderHandler = Callable[[bytes], Awaitable[OrderResponse]]
@@ -42,10 +47,15 @@
 
     NONE = 'none'
     SHED = 'shed'
+    REPEATED_REFUSAL = 'repeated_refusal'
     HANG = 'hang'
     RESET = 'reset'
     CUT = 'cut'
     EXTRA = 'extra'
+    LATE_EXTRA = 'late_extra'
+    UNIDENTIFIED_EXTRA = 'unidentified_extra'
+    UNIDENTIFIED_REFUSAL = 'unidentified_refusal'
+    REPEATED_ORDER_ANSWER = 'repeated_order_answer'
     UNFRAMED = 'unframed'
     UNSIGNED = 'unsigned'
     NOISE = 'noise'
@@ -58,6 +68,26 @@
 )
 
 
+# Further answers, to no request, that a fault causes after an answer.
+_EXTRA_ANSWER = (
+    b'HTTP/1.1 200 OK\r\nattempt-id: other\r\n%s: %s\r\n'
+    b'content-length: 5\r\n\r\nstray'
+) % _SIGNATURE
+_LATE_REFUSAL = (
+    b'HTTP/1.1 421 Misdirected\r\n%s: %s\r\ncontent-length: 0\r\n\r\n'
+) % _NOT_RUN
+_LATE_ANSWERS_BY_FAULT = MappingProxyType(
+    {
+        Fault.LATE_EXTRA: _EXTRA_ANSWER,
+        Fault.UNIDENTIFIED_EXTRA: _EXTRA_ANSWER.replace(
+            b'attempt-id: other\r\n', b''
+        ),
+        Fault.UNIDENTIFIED_REFUSAL: _LATE_REFUSAL,
+    },
+)
+_REFUSING_FAULTS = frozenset((Fault.SHED, Fault.REPEATED_REFUSAL))
+
+
 @dataclass(frozen=True, slots=True)
 class ReceivedRequest:
     """A request that the server started to run."""
@@ -76,6 +106,10 @@
         name: Identity, as in the ``target-instance`` header field.
         seconds: Service time of a request.
 
+    Late answers, which some faults cause, are written just before the answer
+    to the next request on the connection. ``REPEATED_REFUSAL`` repeats a
+    refusal in this way.
+
     A connection that is idle for ``idle_timeout`` seconds is abandoned without
     notice; the next request on it causes a reset.
     """
@@ -91,6 +125,7 @@
         self.runs_by_id: Counter[bytes] = Counter()
         self.connections = 0
         self._handlers_by_target: dict[bytes, OrderHandler] = {}
+        self._late_answers_by_connection: dict[H11Stream, bytes] = {}
 
     def accepts(self, headers: dict[bytes, bytes]) -> bool:
         """Return whether the server accepts a request with these headers."""
@@ -106,6 +141,7 @@
         except (h11.ProtocolError, trio.BrokenResourceError):
             return
         finally:
+            self._late_answers_by_connection.pop(http, None)
             await trio.aclose_forcefully(stream)
 
     async def _serve_next(self, http: H11Stream) -> bool:
@@ -113,22 +149,34 @@
         if head is None:
             return False
         body = await http.read_body(1_000_000) or b''
+        late_answer = self._late_answers_by_connection.pop(http, b'')
+        if late_answer:
+            await http.stream.send_all(late_answer)
         headers = dict(head.headers)
         request_id = headers.get(_ATTEMPT_ID, b'')
         status = self._refusal_status(headers, head.target)
         if status is not None:
-            await self._send(http, status, request_id, [_NOT_RUN])
+            await self._send(
+                http,
+                status,
+                request_id,
+                [_NOT_RUN],
+                status == 503 and self.fault is Fault.REPEATED_REFUSAL,
+            )
             return http.is_reusable
         handler = self._handlers_by_target.get(head.target)
         if handler is not None:
             response = await handler(body)
             await self._send(
-                http, response.status, request_id, list(response.headers)
+                http,
+                response.status,
+                request_id if response.has_id else b'',
+                list(response.headers),
+                response.is_repeated,
             )
             return http.is_reusable
-        fields = tuple(head.headers)
         request = ReceivedRequest(
-            request_id, head.method, head.target, fields, body
+            request_id, head.method, head.target, tuple(head.headers), body
         )
         return await self._run(http, request)
 
@@ -144,7 +192,7 @@
             return None
         if not self.accepts(headers):
             return 421
-        if self.fault is Fault.SHED and self.remaining_faults:
+        if self.fault in _REFUSING_FAULTS and self.remaining_faults:
             self.remaining_faults -= 1
             return 503
         return None
@@ -189,11 +237,10 @@
         signature = [] if fault is Fault.UNSIGNED else [_SIGNATURE]
         await self._send(http, status, request_id, signature)
         if fault is Fault.EXTRA:
-            extra_response = (
-                b'HTTP/1.1 200 OK\r\nattempt-id: other\r\n%s: %s\r\n'
-                b'content-length: 5\r\n\r\nstray'
-            )
-            await http.stream.send_all(extra_response % _SIGNATURE)
+            await http.stream.send_all(_EXTRA_ANSWER)
+        late_answer = _LATE_ANSWERS_BY_FAULT.get(fault)
+        if late_answer:
+            self._late_answers_by_connection[http] = late_answer
         return http.is_reusable
 
     async def _send(
@@ -202,8 +249,9 @@
         status: int,
         request_id: bytes,
         headers: list[tuple[bytes, bytes]],
+        is_repeated: bool = False,
     ) -> None:
-        await http.send(
+        encoded = http.encode(
             h11.Response(
                 status_code=status,
                 headers=[
@@ -216,6 +264,9 @@
             h11.Data(data=_BODY),
             h11.EndOfMessage(),
         )
+        await http.stream.send_all(encoded)
+        if is_repeated:
+            self._late_answers_by_connection[http] = encoded
 
 
 async def _receive_head(
