Close connections on which bytes follow an answer to a grant

A raw server on loopback that sends further bytes in the same segment as a complete answer had its connection kept by HttpClient; the next request on it was then answered from those bytes. With a second whole answer as the extra bytes, a grant, a release or a store call to which the server never replied came back as 200.

Cause: HttpClient._release looked at the states of h11 only, and bytes that h11 has buffered behind the answer do not change them. The check before reuse looks at the socket, from which these bytes had been read already.

Evidence: before the change, test_extra_bytes failed for all four kinds of extra bytes ('assert 1 == 2' connections, or Ok where no answer was sent), and test_endless_bytes failed.

Change: a connection with bytes behind its answer is closed.

Checked and found sound: an answer to HttpClient that is cut after any of its bytes, by FIN or by RST, is NoAnswer (test_every_position, a proof; it passed before).

--- a/src/carobwalk/http/_client.py
+++ b/src/carobwalk/http/_client.py
@@ -109,7 +109,11 @@
     def _release(self, address: Address, connection: H11Stream) -> bool:
         """Return a connection to the pool; return whether it was accepted."""
         idle = self._idle_by_address[address]
-        if not connection.is_reusable or len(idle) >= self._idle_limit:
+        # Bytes after a response would be taken for the next one.
+        unexpected, _ = connection.protocol.trailing_data
+        if unexpected or not connection.is_reusable:
+            return False
+        if len(idle) >= self._idle_limit:
             return False
         connection.protocol.start_next_cycle()
         idle.append(connection)
