Cut answers whose informational answers or framing never end

What callers saw: a backend server that sends informational answers (1xx), one-byte chunks or chunk extensions without end was read until the deadline of the request; the caller got 504 at the deadline, and the router spent its processor time on it meanwhile. On grants, releases and the store the call lasted until its timeout.

Cause: the loop over informational answers had no limit, and the limit of a body counts only the body's bytes, so that six to ten thousand bytes of framing could go with each of them.

Single bytes without end last until the deadline (504). Bytes after a whole answer: the caller gets the answer, the connection is closed and not used again.

--- a/src/carobwalk/gateway/_upstream_connection.py
+++ b/src/carobwalk/gateway/_upstream_connection.py
@@ -13,7 +13,7 @@
 )
 from carobwalk.gateway._header_names import HeaderNames
 from carobwalk.gateway._outcomes import AttemptOutcome, Lost
-from carobwalk.http import H11Stream
+from carobwalk.http import AnswerReader, AnswerTooLong, H11Stream
 
 _PLACEHOLDER_REQUEST: Final = h11.Request(
     method='GET', target='/', headers=[('host', 'x')]
@@ -21,6 +21,7 @@
 _MAX_ANSWER_BYTES: Final = 16_777_216
 _MAX_STRAY_ANSWERS: Final = 4
 _CONNECTION_ERRORS: Final = (
+    AnswerTooLong,
     h11.RemoteProtocolError,
     h11.LocalProtocolError,
     trio.BrokenResourceError,
@@ -119,12 +120,11 @@
     async def _read_matching(self, request: CallerRequest) -> AttemptOutcome:
         """Read the answer to a request, skipping answers to others."""
         for _ in range(_MAX_STRAY_ANSWERS):
-            response = await self._read_head()
+            reader = AnswerReader(self._http, _MAX_ANSWER_BYTES)
+            response = await reader.read_head()
             if response is None:
                 return Lost('the connection ended without an answer')
-            body = await self._http.read_body(_MAX_ANSWER_BYTES)
-            if body is None:
-                return Lost('the answer is too long')
+            body = await reader.read_body()
             answered_id = find_header(response.headers, self._names.request_id)
             if answered_id is None or answered_id == request.id:
                 self._has_answer_id = answered_id is not None
@@ -135,12 +135,6 @@
             self._skip_answer()
         return Lost('answers to other requests only')
 
-    async def _read_head(self) -> h11.Response | None:
-        event = await self._http.receive()
-        while isinstance(event, h11.InformationalResponse):
-            event = await self._http.receive()
-        return event if isinstance(event, h11.Response) else None
-
     def _skip_answer(self) -> None:
         """Reset the parser to read a further answer to the same request.
 
--- a/src/carobwalk/http/__init__.py
+++ b/src/carobwalk/http/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client and server for messages that are held in memory."""
 
+from carobwalk.http._answer_reader import AnswerReader
 from carobwalk.http._client import HttpClient
 from carobwalk.http._connect import connect_with_keepalive, reset_on_close
 from carobwalk.http._draining_server import (
@@ -7,6 +8,7 @@
     DrainingServer,
 )
 from carobwalk.http._failures import (
+    AnswerTooLong,
     ConnectFailed,
     HttpFailure,
     NoAnswer,
@@ -18,6 +20,8 @@
 from carobwalk.http._server import serve_http, serve_http_stream
 
 __all__ = (
+    'AnswerReader',
+    'AnswerTooLong',
     'ConnectFailed',
     'DrainableConnection',
     'DrainingServer',
--- a/src/carobwalk/http/_client.py
+++ b/src/carobwalk/http/_client.py
@@ -9,13 +9,24 @@
 import trio
 from result import Err, Ok, Result
 
-from carobwalk.http._failures import ConnectFailed, HttpFailure, NoAnswer
+from carobwalk.http._answer_reader import AnswerReader
+from carobwalk.http._failures import (
+    AnswerTooLong,
+    ConnectFailed,
+    HttpFailure,
+    NoAnswer,
+)
 from carobwalk.http._h11_stream import H11Stream
 from carobwalk.http._messages import HttpRequest, HttpResponse
 from carobwalk.http._server import parse_headers
 from carobwalk.model import Address
 
 _MAX_BODY_BYTES: Final = 16_777_216
+_CONNECTION_ERRORS: Final = (
+    AnswerTooLong,
+    h11.ProtocolError,
+    trio.BrokenResourceError,
+)
 
 
 class HttpClient:
@@ -97,13 +108,13 @@
         try:
             response = await _send_and_receive(connection, address, request)
             is_pooled = self._release(address, connection)
-        except (h11.ProtocolError, trio.BrokenResourceError) as error:
+        except _CONNECTION_ERRORS as error:
             return Err(NoAnswer(f'{address}: {error}'))
         finally:
             if not is_pooled:
                 await trio.aclose_forcefully(connection.stream)
         if response is None:
-            return Err(NoAnswer(f'{address}: body too large or no response'))
+            return Err(NoAnswer(f'{address}: no response'))
         return Ok(response)
 
     def _release(self, address: Address, connection: H11Stream) -> bool:
@@ -139,18 +150,14 @@
     request: HttpRequest,
 ) -> HttpResponse | None:
     await connection.send(*_request_events(address, request))
-    event = await connection.receive()
-    while isinstance(event, h11.InformationalResponse):
-        event = await connection.receive()
-    if not isinstance(event, h11.Response):
-        return None
-    body = await connection.read_body(_MAX_BODY_BYTES)
-    if body is None:
+    reader = AnswerReader(connection, _MAX_BODY_BYTES)
+    head = await reader.read_head()
+    if head is None:
         return None
     return HttpResponse(
-        status=event.status_code,
-        headers=parse_headers(event.headers),
-        body=body,
+        status=head.status_code,
+        headers=parse_headers(head.headers),
+        body=await reader.read_body(),
     )
 
 
--- a/src/carobwalk/http/_failures.py
+++ b/src/carobwalk/http/_failures.py
@@ -27,4 +27,8 @@
     detail: str
 
 
+class AnswerTooLong(Exception):
+    """A server's answer exceeds a limit, and the rest is not read."""
+
+
 HttpFailure = ConnectFailed | NoAnswer
--- a/src/carobwalk/http/_h11_stream.py
+++ b/src/carobwalk/http/_h11_stream.py
@@ -17,7 +17,7 @@
         header_bytes: Maximum size of a message head in bytes.
     """
 
-    __slots__ = ('protocol', 'stream')
+    __slots__ = ('protocol', 'received_bytes', 'stream')
 
     def __init__(
         self,
@@ -26,6 +26,7 @@
         header_bytes: int = _RECEIVE_BYTES,
     ) -> None:
         self.stream = stream
+        self.received_bytes = 0
         self.protocol = h11.Connection(
             role,
             max_incomplete_event_size=header_bytes,
@@ -43,6 +44,7 @@
             if event is h11.PAUSED or isinstance(event, h11.Event):
                 return event
             chunk = await self.stream.receive_some(_RECEIVE_BYTES)
+            self.received_bytes += len(chunk)
             self.protocol.receive_data(bytes(chunk))
 
     def encode(self, *events: h11.Event) -> bytes:
--- a/tests/http/test_http_client_limits.py
+++ b/tests/http/test_http_client_limits.py
@@ -1,4 +1,6 @@
-"""Tests of the HTTP client with servers that break the protocol."""
+"""Tests of the HTTP client with servers whose bytes never end."""
+
+from types import MappingProxyType
 
 import pytest
 import trio
@@ -15,11 +17,40 @@
 from carobwalk.model import Address
 from tests.http.raw_server import Ending, RawServer, Script
 
+_ANSWER_LIMIT_BYTES = 16_384
+# More than what the sockets of both sides buffer.
+_FAR_TOO_MUCH_BYTES = 32_000_000
 # Only a failure lasts so long.
 _TIMEOUT_SECONDS = 20
+_CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 _WHOLE = b'HTTP/1.1 200 OK\r\nx-from: s1\r\ncontent-length: 2\r\n\r\nok'
 _REQUEST = HttpRequest('POST', '/')
 
+_ENDLESS = MappingProxyType(
+    {
+        'header lines': Script(
+            b'HTTP/1.1 200 OK\r\n', Ending.REPEAT, b'x-more: 1\r\n' * 999
+        ),
+        'informational': Script(
+            b'', Ending.REPEAT, b'HTTP/1.1 103 Early Hints\r\n\r\n' * 99
+        ),
+        'chunk extensions': Script(
+            _CHUNKED_HEAD, Ending.REPEAT, b'1;x=%s\r\nx\r\n' % (b'x' * 9999)
+        ),
+        'one-byte chunks': Script(
+            _CHUNKED_HEAD, Ending.REPEAT, b'1\r\nx\r\n' * 99
+        ),
+        'body without length': Script(
+            b'HTTP/1.1 200 OK\r\n\r\n', Ending.REPEAT, b'x' * 65_536
+        ),
+        'body of huge length': Script(
+            b'HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n',
+            Ending.REPEAT,
+            b'x' * 65_536,
+        ),
+    }
+)
+
 Sent = Result[HttpResponse, HttpFailure]
 
 
@@ -62,6 +93,40 @@
             assert isinstance(sent.err_value, NoAnswer)
 
 
+class TestEndlessAnswer:
+    @pytest.mark.parametrize('name', sorted(_ENDLESS))
+    def test_endless(self, name: str) -> None:
+        """An answer without end is cut at the limit and is no answer."""
+        # Guards against reading an endless answer until the timeout.
+        server = RawServer(_ENDLESS[name])
+        client = HttpClient()
+        sent = _send(server, client, is_close_awaited=True)[0]
+        assert isinstance(sent, Err)
+        assert isinstance(sent.err_value, NoAnswer)
+        assert 'within' not in sent.err_value.detail
+        assert len(sent.err_value.detail) < 200
+        assert server.sent_bytes < _FAR_TOO_MUCH_BYTES
+
+    @pytest.mark.parametrize('first', [b'', b'HTTP/1.1 200 OK\r\n\r\n'])
+    def test_byte_by_byte(self, first: bytes) -> None:
+        """An answer of single bytes without end ends with the timeout."""
+        # Guards against a timeout that each received byte starts anew.
+        script = Script(first, Ending.REPEAT, b'x', pause_seconds=0.01)
+        server = RawServer(script)
+        sent = _send(server, HttpClient(), timeout=0.3, is_close_awaited=True)
+        assert isinstance(sent[0], Err)
+        assert isinstance(sent[0].err_value, NoAnswer)
+
+    def test_limit(self) -> None:
+        """An answer of just the longest body is received."""
+        body = b'x' * _ANSWER_LIMIT_BYTES
+        head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(body)
+        client = HttpClient()
+        sent = _send(RawServer(Script(head + body)), client)[0]
+        assert isinstance(sent, Ok)
+        assert sent.ok_value.body == body
+
+
 class TestBytesAfterAnswer:
     @pytest.mark.parametrize('extra', [b'x', b'\r\n', _WHOLE, _WHOLE * 3])
     def test_extra_bytes(self, extra: bytes) -> None:
