Shorten the causes of failed attempts in logs and answers

What callers saw: a backend server that sends a long line that is no HTTP had up to 64 KiB of it quoted to the caller in the 502, and in the log line of the failed attempt and of the request; bytes of an answer to another request could be among them.

Cause: errors of h11 quote the whole line that they reject.

--- a/src/carobwalk/gateway/_upstream_connection.py
+++ b/src/carobwalk/gateway/_upstream_connection.py
@@ -13,7 +13,7 @@
 )
 from carobwalk.gateway._header_names import HeaderNames
 from carobwalk.gateway._outcomes import AttemptOutcome, Lost
-from carobwalk.http import AnswerReader, AnswerTooLong, H11Stream
+from carobwalk.http import AnswerReader, AnswerTooLong, H11Stream, error_detail
 
 _PLACEHOLDER_REQUEST: Final = h11.Request(
     method='GET', target='/', headers=[('host', 'x')]
@@ -115,7 +115,7 @@
         try:
             return await self._read_matching(request)
         except _CONNECTION_ERRORS as error:
-            return Lost(f'{type(error).__name__}: {error}')
+            return Lost(error_detail(error))
 
     async def _read_matching(self, request: CallerRequest) -> AttemptOutcome:
         """Read the answer to a request, skipping answers to others."""
--- a/src/carobwalk/http/__init__.py
+++ b/src/carobwalk/http/__init__.py
@@ -7,6 +7,7 @@
     DrainableConnection,
     DrainingServer,
 )
+from carobwalk.http._error_detail import error_detail
 from carobwalk.http._failures import (
     AnswerTooLong,
     ConnectFailed,
@@ -34,6 +35,7 @@
     'HttpSender',
     'NoAnswer',
     'connect_with_keepalive',
+    'error_detail',
     'reset_on_close',
     'serve_http',
     'serve_http_stream',
--- a/src/carobwalk/http/_client.py
+++ b/src/carobwalk/http/_client.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from carobwalk.http._answer_reader import AnswerReader
+from carobwalk.http._error_detail import error_detail
 from carobwalk.http._failures import (
     AnswerTooLong,
     ConnectFailed,
@@ -109,7 +110,7 @@
             response = await _send_and_receive(connection, address, request)
             is_pooled = self._release(address, connection)
         except _CONNECTION_ERRORS as error:
-            return Err(NoAnswer(f'{address}: {error}'))
+            return Err(NoAnswer(f'{address}: {error_detail(error)}'))
         finally:
             if not is_pooled:
                 await trio.aclose_forcefully(connection.stream)
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -87,6 +87,15 @@
         assert server.connections == 1
         assert server.sent_bytes < _FAR_TOO_MUCH_BYTES
 
+    @pytest.mark.parametrize('line', [b'x', b'x: \x00', b'HTTP/1.1 '])
+    def test_long_line(self, line: bytes) -> None:
+        """A long line that is no HTTP is not repeated to the caller."""
+        # Guards against log lines and answers as long as what was received.
+        message = b'%s%s%s\r\n\r\n' % (OPEN_HEAD, line, b'x' * 30_000)
+        answer, _ = ask('POST', '/writes/a', Script(message))
+        assert answer.status == 502
+        assert len(answer.body) < 300
+
     @pytest.mark.parametrize('first', [b'', HEAD[:40], CHUNKED_HEAD, STRAY])
     def test_byte_by_byte(self, first: bytes) -> None:
         """Single bytes without end are read until the deadline at most."""
--- a/tests/http/test_http_client_limits.py
+++ b/tests/http/test_http_client_limits.py
@@ -107,6 +107,14 @@
         assert len(sent.err_value.detail) < 200
         assert server.sent_bytes < _FAR_TOO_MUCH_BYTES
 
+    def test_long_line(self) -> None:
+        """The cause of a failure does not repeat a long line."""
+        # Guards against log lines as long as what was received.
+        message = b'HTTP/1.1 200 OK\r\n%s\r\n\r\n' % (b'x' * 30_000)
+        sent = _send(RawServer(Script(message)), HttpClient())[0]
+        assert isinstance(sent, Err)
+        assert len(sent.err_value.detail) < 200
+
     @pytest.mark.parametrize('first', [b'', b'HTTP/1.1 200 OK\r\n\r\n'])
     def test_byte_by_byte(self, first: bytes) -> None:
         """An answer of single bytes without end ends with the timeout."""
