Read 16 KiB of the answer to a grant or release at most

A backend server that answers a grant or release with a body without end had 16 MiB of it held in memory, for each server that did so at the same time; the process has 300 MB.

Cause: HttpClient has one limit of 16 MiB, which suits the store.

Evidence: before the change tests/app/test_gateway_core.py failed (the detail named bytes).

Change: the limit is an argument of HttpClient; the client of grants and releases has 16 KiB, as their answers carry everything in header fields.

Result: the test passes; tests/gateway, platform, http, app pass. The store's client keeps 16 MiB: a range page holds 1 MB, a refused transaction up to 32 items.

--- a/src/carobwalk/app/_gateway_core.py
+++ b/src/carobwalk/app/_gateway_core.py
@@ -1,6 +1,7 @@
 """Components that are shared by all parts of a gateway process."""
 
 from dataclasses import dataclass
+from typing import Final
 
 import trio
 
@@ -21,6 +22,9 @@
 from carobwalk.routing import ActiveRoutes
 from carobwalk.settings import GatewaySettings
 
+# Answers to grants and releases carry their data in header fields.
+_MAX_GRANT_ANSWER_BYTES: Final = 16_384
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GatewayCore:
@@ -93,7 +97,11 @@
             MeteredSender(HttpClient(connect=connect_with_keepalive), metrics),
             settings.store.address,
         ),
-        grant_client=HttpClient(idle_limit=1, connect=_connect_for_grants),
+        grant_client=HttpClient(
+            idle_limit=1,
+            connect=_connect_for_grants,
+            max_answer_bytes=_MAX_GRANT_ANSWER_BYTES,
+        ),
         directory=ServerDirectory(clock, events),
         routes=ActiveRoutes(events),
     )
--- a/src/carobwalk/http/_client.py
+++ b/src/carobwalk/http/_client.py
@@ -22,7 +22,7 @@
 from carobwalk.http._server import parse_headers
 from carobwalk.model import Address
 
-_MAX_BODY_BYTES: Final = 16_777_216
+_MAX_ANSWER_BYTES: Final = 16_777_216
 _CONNECTION_ERRORS: Final = (
     AnswerTooLong,
     h11.ProtocolError,
@@ -40,6 +40,7 @@
         idle_limit: Maximum number of idle connections per address; further
             ones are closed after use.
         connect: Opens a connection; by default, without keep-alive probes.
+        max_answer_bytes: Maximum size of the body of a response in bytes.
     """
 
     def __init__(
@@ -47,9 +48,11 @@
         idle_limit: int = 8,
         connect: Callable[[Address], Awaitable[trio.SocketStream]]
         | None = None,
+        max_answer_bytes: int = _MAX_ANSWER_BYTES,
     ) -> None:
         self._idle_limit = idle_limit
         self._connect = connect or _connect
+        self._max_answer_bytes = max_answer_bytes
         self._idle_by_address: dict[Address, list[H11Stream]] = defaultdict(
             list,
         )
@@ -107,7 +110,8 @@
     ) -> Result[HttpResponse, HttpFailure]:
         is_pooled = False
         try:
-            response = await _send_and_receive(connection, address, request)
+            await connection.send(*_request_events(address, request))
+            response = await self._receive(connection)
             is_pooled = self._release(address, connection)
         except _CONNECTION_ERRORS as error:
             return Err(NoAnswer(f'{address}: {error_detail(error)}'))
@@ -118,6 +122,17 @@
             return Err(NoAnswer(f'{address}: no response'))
         return Ok(response)
 
+    async def _receive(self, connection: H11Stream) -> HttpResponse | None:
+        reader = AnswerReader(connection, self._max_answer_bytes)
+        head = await reader.read_head()
+        if head is None:
+            return None
+        return HttpResponse(
+            status=head.status_code,
+            headers=parse_headers(head.headers),
+            body=await reader.read_body(),
+        )
+
     def _release(self, address: Address, connection: H11Stream) -> bool:
         """Return a connection to the pool; return whether it was accepted."""
         idle = self._idle_by_address[address]
@@ -145,23 +160,6 @@
     return not stream.socket.is_readable()
 
 
-async def _send_and_receive(
-    connection: H11Stream,
-    address: Address,
-    request: HttpRequest,
-) -> HttpResponse | None:
-    await connection.send(*_request_events(address, request))
-    reader = AnswerReader(connection, _MAX_BODY_BYTES)
-    head = await reader.read_head()
-    if head is None:
-        return None
-    return HttpResponse(
-        status=head.status_code,
-        headers=parse_headers(head.headers),
-        body=await reader.read_body(),
-    )
-
-
 def _request_events(
     address: Address,
     request: HttpRequest,
