Bound the memory that all answers use together

Each answer of a backend server may be 16 MiB, and nothing bounded their sum: thirty servers in trouble whose bytes do not end took a process past the 300 MB at which it is killed.

Cause: a limit for each answer only, also where the head declares more.

With the bound switched off test_declared (24 answers held at once) and test_endless fail.

Change: AnswerMemory counts the answers over 16 KiB of the process; an answer may grow to a third of what the others leave free, so that some large answers do not keep out the rest, and small ones always pass. A declared length is reserved at the head, or the answer is cut there. The share belongs to the caller's connection, which frees it after writing the answer and when it ends; a failed attempt frees it at once. An answer that is cut has an unknown outcome (502, or a retry of an idempotent request); the cause is in AttemptFailed. The sum is a sixth of the host's memory (50 MB of 300), since an answer is copied up to two times on its way; the limit of one answer stays 16 MiB, in effect 16.7 MB on an otherwise idle process of 300 MB.

TestRelease finds the memory free after whole, cut, stray, unfinished and abandoned answers.

--- a/src/carobwalk/app/_build_gateway.py
+++ b/src/carobwalk/app/_build_gateway.py
@@ -16,13 +16,18 @@
     RetryRules,
     UnkeyedChooser,
 )
+from carobwalk.http import AnswerMemory
 from carobwalk.keyspace import LocalLoad
 from carobwalk.metrics import GatewayMeter
 from carobwalk.platform import PLATFORM_HEADERS
-from carobwalk.settings import Bounds
+from carobwalk.settings import Bounds, HostLimits
 
 # File descriptors that are not available to connections of callers.
 _RESERVED_DESCRIPTORS = 1200
+_BYTES_PER_MEGABYTE = 1_000_000
+# An answer is copied up to two times, to complete it and to write it. With
+# these, answers use half of the process's memory at most.
+_ANSWER_MEMORY_DIVISOR = 6
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -88,6 +93,7 @@
         routes=core.routes,
         forwarder=forwarder,
         count_key=owners.count,
+        answer_memory=AnswerMemory(_answer_bytes(settings.host)),
         meter=GatewayMeter(core.metrics),
         events=core.events,
         is_stopping=is_stopping,
@@ -97,3 +103,9 @@
         100,
     )
     return Gateway(server=GatewayServer(service, max_connections), pool=pool)
+
+
+def _answer_bytes(host: HostLimits) -> int:
+    """Return the maximum total size of answers in bytes."""
+    memory_bytes = host.memory_megabytes * _BYTES_PER_MEGABYTE
+    return memory_bytes // _ANSWER_MEMORY_DIVISOR
--- a/src/carobwalk/gateway/_caller_connection.py
+++ b/src/carobwalk/gateway/_caller_connection.py
@@ -14,7 +14,7 @@
 from carobwalk.gateway._request_error import RequestError
 from carobwalk.gateway._request_handler import RequestHandler
 from carobwalk.gateway._request_reader import RequestReader
-from carobwalk.http import H11Stream
+from carobwalk.http import AnswerShare, H11Stream
 
 _RECEIVE_BYTES: Final = 65_536
 _WRITE_TIMEOUT_SECONDS: Final = 5.0
@@ -53,7 +53,13 @@
         limits = service.limits()
         self._http = H11Stream(stream, h11.SERVER, limits.header_bytes)
         caller = str(stream.socket.getpeername()[0])
-        self._reader = RequestReader(self._http, service, caller)
+        self._answer_share = AnswerShare(service.answer_memory)
+        self._reader = RequestReader(
+            self._http,
+            service,
+            caller,
+            self._answer_share,
+        )
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -68,6 +74,7 @@
                 ConnectionCrashed(type(error).__name__, str(error)),
             )
         finally:
+            self._answer_share.release()
             await trio.aclose_forcefully(self._stream)
 
     async def _serve_next(self) -> bool:
@@ -85,6 +92,7 @@
         if reply is None:
             return False
         await self._write(reply, request.method)
+        self._answer_share.release()
         return self._http.is_reusable and not self._service.is_stopping()
 
     async def _wait_for_first_byte(self) -> bool:
--- a/src/carobwalk/gateway/_caller_request.py
+++ b/src/carobwalk/gateway/_caller_request.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from carobwalk.gateway._reply import HeaderList
+from carobwalk.http import AnswerShare
 from carobwalk.routing import Route
 
 
@@ -22,6 +23,7 @@
         arrived: Time at which the head was read, on the event loop's clock.
         deadline: Time after which the caller no longer waits for the answer,
             on the same clock.
+        answer_share: Memory of the answer.
     """
 
     id: bytes
@@ -34,3 +36,4 @@
     key: int | None
     arrived: float
     deadline: float
+    answer_share: AnswerShare
--- a/src/carobwalk/gateway/_gateway_service.py
+++ b/src/carobwalk/gateway/_gateway_service.py
@@ -7,6 +7,7 @@
 from carobwalk.gateway._forwarder import Forwarder
 from carobwalk.gateway._header_names import HeaderNames
 from carobwalk.gateway._request_meter import RequestMeter
+from carobwalk.http import AnswerMemory
 from carobwalk.model import ServiceName
 from carobwalk.routing import ActiveRoutes, CallerLimits
 
@@ -21,6 +22,7 @@
         forwarder: Sends requests to backend servers.
         count_key: Counts a request for a key of a service, for the balancing of
             keys over servers.
+        answer_memory: Limits the memory that answers use.
         meter: Counts and times requests.
         events: Event log.
         is_stopping: Returns whether the process is shutting down.
@@ -30,6 +32,7 @@
     routes: ActiveRoutes
     forwarder: Forwarder
     count_key: Callable[[ServiceName, int], None]
+    answer_memory: AnswerMemory
     meter: RequestMeter
     events: EventLog
     is_stopping: Callable[[], bool]
--- a/src/carobwalk/gateway/_request_reader.py
+++ b/src/carobwalk/gateway/_request_reader.py
@@ -14,7 +14,7 @@
     find_number,
 )
 from carobwalk.gateway._request_error import RequestError
-from carobwalk.http import H11Stream
+from carobwalk.http import AnswerShare, H11Stream
 from carobwalk.routing import Route
 
 _SECONDS_PER_MILLISECOND: Final = 0.001
@@ -32,6 +32,7 @@
         http: HTTP protocol state of the connection.
         service: State shared by all connections.
         caller: IP address of the caller.
+        answer_share: Memory of the answers, one after the other.
     """
 
     def __init__(
@@ -39,8 +40,10 @@
         http: H11Stream,
         service: GatewayService,
         caller: str,
+        answer_share: AnswerShare,
     ) -> None:
         self._caller = caller
+        self._answer_share = answer_share
         self._http = http
         self._service = service
 
@@ -105,6 +108,7 @@
             key=key if key is None or key <= _MAX_KEY else None,
             arrived=arrived,
             deadline=arrived + seconds,
+            answer_share=self._answer_share,
         )
 
     def _check_size(self, head: h11.Request) -> None:
--- a/src/carobwalk/gateway/_upstream_connection.py
+++ b/src/carobwalk/gateway/_upstream_connection.py
@@ -13,7 +13,13 @@
 )
 from carobwalk.gateway._header_names import HeaderNames
 from carobwalk.gateway._outcomes import AttemptOutcome, Lost
-from carobwalk.http import AnswerReader, AnswerTooLong, H11Stream, error_detail
+from carobwalk.http import (
+    AnswerReader,
+    AnswerTooLong,
+    H11Stream,
+    declared_length,
+    error_detail,
+)
 
 _PLACEHOLDER_REQUEST: Final = h11.Request(
     method='GET', target='/', headers=[('host', 'x')]
@@ -115,16 +121,21 @@
         try:
             return await self._read_matching(request)
         except _CONNECTION_ERRORS as error:
+            request.answer_share.release()
             return Lost(error_detail(error))
 
     async def _read_matching(self, request: CallerRequest) -> AttemptOutcome:
         """Read the answer to a request, skipping answers to others."""
         for _ in range(_MAX_STRAY_ANSWERS):
-            reader = AnswerReader(self._http, _MAX_ANSWER_BYTES)
+            share = request.answer_share
+            share.release()
+            reader = AnswerReader(self._http, _MAX_ANSWER_BYTES, share)
             response = await reader.read_head()
             if response is None:
                 return Lost('the connection ended without an answer')
-            body = await reader.read_body()
+            body = await reader.read_body(
+                declared_length(response, request.method)
+            )
             answered_id = find_header(response.headers, self._names.request_id)
             if answered_id is None or answered_id == request.id:
                 self._has_answer_id = answered_id is not None
--- a/src/carobwalk/http/__init__.py
+++ b/src/carobwalk/http/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client and server for messages that are held in memory."""
 
-from carobwalk.http._answer_reader import AnswerReader
+from carobwalk.http._answer_memory import AnswerMemory, AnswerShare
+from carobwalk.http._answer_reader import AnswerReader, declared_length
 from carobwalk.http._client import HttpClient
 from carobwalk.http._connect import connect_with_keepalive, reset_on_close
 from carobwalk.http._draining_server import (
@@ -21,7 +22,9 @@
 from carobwalk.http._server import serve_http, serve_http_stream
 
 __all__ = (
+    'AnswerMemory',
     'AnswerReader',
+    'AnswerShare',
     'AnswerTooLong',
     'ConnectFailed',
     'DrainableConnection',
@@ -35,6 +38,7 @@
     'HttpSender',
     'NoAnswer',
     'connect_with_keepalive',
+    'declared_length',
     'error_detail',
     'reset_on_close',
     'serve_http',
--- a/src/carobwalk/http/_answer_reader.py
+++ b/src/carobwalk/http/_answer_reader.py
@@ -1,9 +1,11 @@
 """Bounded reading of answers."""
 
+from http import HTTPStatus
 from typing import Final
 
 import h11
 
+from carobwalk.http._answer_memory import AnswerShare
 from carobwalk.http._failures import AnswerTooLong
 from carobwalk.http._h11_stream import H11Stream
 
@@ -11,6 +13,9 @@
 # Allows bodies of many megabytes in chunks of common sizes, but no chunks of a
 # few bytes, which cost processor time, or long extensions and trailers.
 _MAX_FRAMING_BYTES: Final = 262_144
+_BODILESS_STATUSES: Final = frozenset(
+    (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+)
 
 
 class AnswerReader:
@@ -19,13 +24,20 @@
     Args:
         http: HTTP protocol state of the connection.
         max_body_bytes: Maximum size of a body in bytes.
+        share: Memory to reserve for the body; by default, none is reserved.
     """
 
-    __slots__ = ('_http', '_max_body_bytes')
+    __slots__ = ('_http', '_max_body_bytes', '_share')
 
-    def __init__(self, http: H11Stream, max_body_bytes: int) -> None:
+    def __init__(
+        self,
+        http: H11Stream,
+        max_body_bytes: int,
+        share: AnswerShare | None = None,
+    ) -> None:
         self._http = http
         self._max_body_bytes = max_body_bytes
+        self._share = share
 
     async def read_head(self) -> h11.Response | None:
         """Return the head of the final answer, ``None`` if there is none.
@@ -45,22 +57,26 @@
             f'more than {_MAX_INFORMATIONAL_ANSWERS} informational answers',
         )
 
-    async def read_body(self) -> bytes:
+    async def read_body(self, declared_bytes: int = 0) -> bytes:
         """Return the complete body that follows a head.
 
+        Args:
+            declared_bytes: Size that the head declares, 0 if it is unknown.
+
         Raises:
-            AnswerTooLong: If the body or its framing exceeds its limit.
+            AnswerTooLong: If the body or its framing exceeds its limit, or
+                there is no memory for it.
             h11.RemoteProtocolError: If the body is incomplete.
             trio.BrokenResourceError: If the connection is lost.
         """
+        self._reserve(declared_bytes)
         body = bytearray()
-        max_bytes = self._max_body_bytes
         received_before = self._http.received_bytes
         event = await self._http.receive()
         while isinstance(event, h11.Data):
             body += event.data
-            if len(body) > max_bytes:
-                raise AnswerTooLong(f'a body longer than {max_bytes} bytes')
+            if len(body) > declared_bytes:
+                self._reserve(len(body))
             received_bytes = self._http.received_bytes - received_before
             if received_bytes - len(body) > _MAX_FRAMING_BYTES:
                 raise AnswerTooLong(
@@ -68,3 +84,26 @@
                 )
             event = await self._http.receive()
         return bytes(body)
+
+    def _reserve(self, size_bytes: int) -> None:
+        if size_bytes > self._max_body_bytes:
+            raise AnswerTooLong(
+                f'a body longer than {self._max_body_bytes} bytes',
+            )
+        if self._share is not None and not self._share.grow_to(size_bytes):
+            raise AnswerTooLong(f'no memory for {size_bytes} bytes')
+
+
+def declared_length(head: h11.Response, method: bytes) -> int:
+    """Return the size in bytes that an answer declares, 0 for none.
+
+    Args:
+        head: Head of the answer.
+        method: HTTP method of the request.
+    """
+    if method == b'HEAD' or head.status_code in _BODILESS_STATUSES:
+        return 0
+    fields = dict(head.headers)
+    if b'transfer-encoding' in fields:
+        return 0
+    return int(fields.get(b'content-length', 0))
--- a/src/carobwalk/http/_client.py
+++ b/src/carobwalk/http/_client.py
@@ -9,7 +9,7 @@
 import trio
 from result import Err, Ok, Result
 
-from carobwalk.http._answer_reader import AnswerReader
+from carobwalk.http._answer_reader import AnswerReader, declared_length
 from carobwalk.http._error_detail import error_detail
 from carobwalk.http._failures import (
     AnswerTooLong,
@@ -111,7 +111,7 @@
         is_pooled = False
         try:
             await connection.send(*_request_events(address, request))
-            response = await self._receive(connection)
+            response = await self._receive(connection, request.method)
             is_pooled = self._release(address, connection)
         except _CONNECTION_ERRORS as error:
             return Err(NoAnswer(f'{address}: {error_detail(error)}'))
@@ -122,7 +122,11 @@
             return Err(NoAnswer(f'{address}: no response'))
         return Ok(response)
 
-    async def _receive(self, connection: H11Stream) -> HttpResponse | None:
+    async def _receive(
+        self,
+        connection: H11Stream,
+        method: str,
+    ) -> HttpResponse | None:
         reader = AnswerReader(connection, self._max_answer_bytes)
         head = await reader.read_head()
         if head is None:
@@ -130,7 +134,9 @@
         return HttpResponse(
             status=head.status_code,
             headers=parse_headers(head.headers),
-            body=await reader.read_body(),
+            body=await reader.read_body(
+                declared_length(head, method.encode()),
+            ),
         )
 
     def _release(self, address: Address, connection: H11Stream) -> bool:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -23,7 +23,7 @@
     RetryRules,
     UnkeyedChooser,
 )
-from carobwalk.http import H11Stream
+from carobwalk.http import AnswerMemory, H11Stream
 from carobwalk.model import (
     Address,
     DataCentreName,
@@ -86,8 +86,13 @@
 class GatewayHarness:
     """Gateway on loopback with all its dependencies."""
 
-    def __init__(self, nursery: trio.Nursery) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        answer_bytes: int = 50_000_000,
+    ) -> None:
         self.nursery = nursery
+        self.answer_memory = AnswerMemory(answer_bytes)
         self.is_stopping = False
         self.directory = ServerDirectory(TrioClock(), NullEventLog())
         self.routes = ActiveRoutes(NullEventLog())
@@ -121,6 +126,7 @@
                 routes=self.routes,
                 forwarder=forwarder,
                 count_key=self.owners.count,
+                answer_memory=self.answer_memory,
                 meter=NullRequestMeter(),
                 events=NullEventLog(),
                 is_stopping=lambda: self.is_stopping,
--- a/tests/gateway/raw_scenarios.py
+++ b/tests/gateway/raw_scenarios.py
@@ -29,12 +29,17 @@
 Scenario = Callable[[GatewayHarness], Awaitable[None]]
 
 
-def run(scenario: Scenario) -> None:
-    """Run a scenario with a started gateway."""
+def run(scenario: Scenario, answer_bytes: int = 50_000_000) -> None:
+    """Run a scenario with a started gateway.
+
+    Args:
+        scenario: Scenario to run.
+        answer_bytes: Maximum total size of answers in bytes.
+    """
 
     async def body() -> None:
         async with trio.open_nursery() as nursery:
-            harness = GatewayHarness(nursery)
+            harness = GatewayHarness(nursery, answer_bytes)
             harness.routes.offer(decode_configuration(_PATIENT).ok_value, 2)
             await harness.start()
             await scenario(harness)
--- a/tests/gateway/test_choosers.py
+++ b/tests/gateway/test_choosers.py
@@ -20,6 +20,7 @@
     Target,
     UnkeyedChooser,
 )
+from carobwalk.http import AnswerMemory, AnswerShare
 from carobwalk.model import DataCentreName, RegionName, TrioClock
 from tests.gateway.harness import SingleOwnerMap
 from tests.keyspace.simulated_fleet import SERVICE, make_server
@@ -46,6 +47,7 @@
         key=7,
         arrived=now,
         deadline=now + seconds,
+        answer_share=AnswerShare(AnswerMemory(1_000_000)),
     )
 
 
