Limit framing by the size of the body

Cause: a fixed number must be both large, for large bodies, and small. Bytes that are received but not parsed yet counted as framing too.

Evidence: test_chunked[128-60000] failed with 'more than 262144 bytes of framing'. A smaller limit that still counted unparsed bytes failed test_complete[128-60000] and [16384-900].

Change: 32 KiB and a sixteenth of the body, of bytes that have been parsed.

--- a/src/carobwalk/http/_answer_reader.py
+++ b/src/carobwalk/http/_answer_reader.py
@@ -10,9 +10,11 @@
 from carobwalk.http._h11_stream import H11Stream
 
 _MAX_INFORMATIONAL_ANSWERS: Final = 16
-# Allows bodies of many megabytes in chunks of common sizes, but no chunks of a
-# few bytes, which cost processor time, or long extensions and trailers.
-_MAX_FRAMING_BYTES: Final = 262_144
+# Limits on the framing of a body: a number of bytes, and as many more as this
+# part of the body. Chunks of a few bytes and long extensions without end, which
+# cost processor time, exceed them.
+_FREE_FRAMING_BYTES: Final = 32_768
+_BODY_BYTES_PER_FRAMING_BYTE: Final = 16
 _BODILESS_STATUSES: Final = frozenset(
     (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 )
@@ -77,11 +79,8 @@
             body += event.data
             if len(body) > declared_bytes:
                 self._reserve(len(body))
-            received_bytes = self._http.received_bytes - received_before
-            if received_bytes - len(body) > _MAX_FRAMING_BYTES:
-                raise AnswerTooLong(
-                    f'more than {_MAX_FRAMING_BYTES} bytes of framing',
-                )
+            parsed_bytes = self._http.parsed_bytes - received_before
+            _check_framing(parsed_bytes - len(body), len(body))
             event = await self._http.receive()
         return bytes(body)
 
@@ -94,6 +93,12 @@
             raise AnswerTooLong(f'no memory for {size_bytes} bytes')
 
 
+def _check_framing(framing_bytes: int, body_bytes: int) -> None:
+    extra_bytes = framing_bytes - _FREE_FRAMING_BYTES
+    if extra_bytes > body_bytes // _BODY_BYTES_PER_FRAMING_BYTE:
+        raise AnswerTooLong(f'{framing_bytes} bytes of framing')
+
+
 def declared_length(head: h11.Response, method: bytes) -> int:
     """Return the size in bytes that an answer declares, 0 for none.
 
--- a/src/carobwalk/http/_h11_stream.py
+++ b/src/carobwalk/http/_h11_stream.py
@@ -15,9 +15,14 @@
         stream: Connected stream.
         role: ``h11.SERVER`` or ``h11.CLIENT``.
         header_bytes: Maximum size of a message head in bytes.
+
+    Attributes:
+        received_bytes: Bytes received so far.
+        parsed_bytes: Bytes received so far without those of the last read,
+            which may not have been parsed yet.
     """
 
-    __slots__ = ('protocol', 'received_bytes', 'stream')
+    __slots__ = ('parsed_bytes', 'protocol', 'received_bytes', 'stream')
 
     def __init__(
         self,
@@ -27,6 +32,7 @@
     ) -> None:
         self.stream = stream
         self.received_bytes = 0
+        self.parsed_bytes = 0
         self.protocol = h11.Connection(
             role,
             max_incomplete_event_size=header_bytes,
@@ -44,6 +50,7 @@
             if event is h11.PAUSED or isinstance(event, h11.Event):
                 return event
             chunk = await self.stream.receive_some(_RECEIVE_BYTES)
+            self.parsed_bytes = self.received_bytes
             self.received_bytes += len(chunk)
             self.protocol.receive_data(bytes(chunk))
 
--- a/tests/http/test_http_client_limits.py
+++ b/tests/http/test_http_client_limits.py
@@ -125,6 +125,18 @@
         assert isinstance(sent[0], Err)
         assert isinstance(sent[0].err_value, NoAnswer)
 
+    @pytest.mark.parametrize(
+        ('chunk_bytes', 'count'), [(1, 5000), (128, 60_000)]
+    )
+    def test_chunked(self, chunk_bytes: int, count: int) -> None:
+        """A complete answer in small chunks is received."""
+        # Guards against limits that cut complete answers.
+        chunk = b'%x\r\n%s\r\n' % (chunk_bytes, b'x' * chunk_bytes)
+        message = b'%s%s0\r\n\r\n' % (_CHUNKED_HEAD, chunk * count)
+        sent = _send(RawServer(Script(message)), HttpClient())[0]
+        assert isinstance(sent, Ok)
+        assert len(sent.ok_value.body) == count * chunk_bytes
+
     def test_limit(self) -> None:
         """An answer of just the longest body is received."""
         body = b'x' * _ANSWER_LIMIT_BYTES
