Close idle grant connections on which bytes arrive

A backend server that goes on sending after its answer to a grant filled the receive buffer of the idle connection until the next grant or release to it; the rule is that it goes on until the router closes. Bytes not read yet count as the process's memory.

Cause: HttpClient looked at an idle connection only before its next use; the pool of backend connections already does so every 0.25 s.

Evidence: there was nothing to close such a connection; test_unused_connection fails without the new method, for bytes without end and for a closed one.

Change: HttpClient.close_unusable; the gateway process calls it each second for the grant client.

--- a/src/carobwalk/app/_gateway_process.py
+++ b/src/carobwalk/app/_gateway_process.py
@@ -26,6 +26,7 @@
 _STOP_SIGNALS: Final = frozenset((signal.SIGTERM, signal.SIGINT))
 _RELOAD_SIGNAL: Final = signal.SIGHUP
 _MAINTENANCE_INTERVAL_SECONDS: Final = 0.25
+_GRANT_CONNECTIONS_INTERVAL_SECONDS: Final = 1.0
 # A load balancer stops sending new callers after two failed readiness checks.
 _BALANCER_DRAIN_SECONDS: Final = 2.6
 # Part of the shutdown time that is reserved for steps after the last wait.
@@ -112,6 +113,7 @@
             nursery.start_soon(self._keyspace.reporter.run)
             nursery.start_soon(self._keyspace.follower.run)
             nursery.start_soon(self._run_maintenance)
+            nursery.start_soon(self._close_unusable_connections)
             nursery.start_soon(
                 self._gateway.server.run,
                 await open_listener(listen.callers),
@@ -150,3 +152,9 @@
             self._core.directory.expire()
             self._local.loads.remove_unregistered()
             await self._gateway.pool.close_expired()
+
+    async def _close_unusable_connections(self) -> None:
+        """Periodically close connections for grants that receive data."""
+        while True:
+            await trio.sleep(_GRANT_CONNECTIONS_INTERVAL_SECONDS)
+            await self._core.grant_client.close_unusable()
--- a/src/carobwalk/http/_client.py
+++ b/src/carobwalk/http/_client.py
@@ -84,6 +84,24 @@
             return Err(ConnectFailed(f'{address}: not open in {timeout} s'))
         return Err(NoAnswer(f'no answer from {address} within {timeout} s'))
 
+    @property
+    def idle_count(self) -> int:
+        """Number of idle connections."""
+        return sum(map(len, self._idle_by_address.values()))
+
+    async def close_unusable(self) -> None:
+        """Close idle connections on which data or their end has arrived."""
+        unusable: list[H11Stream] = []
+        for address, idle in tuple(self._idle_by_address.items()):
+            for connection in tuple(idle):
+                if not _is_open(connection):
+                    idle.remove(connection)
+                    unusable.append(connection)
+            if not idle:
+                self._idle_by_address.pop(address)
+        for closing in unusable:
+            await trio.aclose_forcefully(closing.stream)
+
     async def _acquire(
         self,
         address: Address,
--- a/tests/http/raw_server.py
+++ b/tests/http/raw_server.py
@@ -50,6 +50,7 @@
         self.connections = 0
         self.requests: list[bytes] = []
         self.sent_bytes = 0
+        # Set when a connection has ended.
         self.closed = trio.Event()
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -63,15 +64,15 @@
         try:
             await self._answer(stream)
         except trio.BrokenResourceError:
-            self.closed.set()
+            pass  # The client has closed the connection.
         finally:
+            self.closed.set()
             await trio.aclose_forcefully(stream)
 
     async def _answer(self, stream: trio.SocketStream) -> None:
         while True:
             received = await stream.receive_some(_RECEIVE_BYTES)
             if not received:
-                self.closed.set()
                 return
             index = min(len(self.requests), len(self.scripts) - 1)
             script = self.scripts[index]
--- a/tests/http/test_http_client_limits.py
+++ b/tests/http/test_http_client_limits.py
@@ -159,6 +159,47 @@
         assert isinstance(second, Err)
         assert server.connections == 2
 
+    @pytest.mark.parametrize('ending', [Ending.REPEAT, Ending.CLOSE])
+    def test_unused_connection(self, ending: Ending) -> None:
+        """An idle connection on which bytes arrive is closed without use."""
+        # Guards against bytes that fill the buffers of idle connections.
+        server = RawServer(Script(_WHOLE, ending, b'x' * 65_536))
+        client = HttpClient()
+
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                await server.start(nursery)
+                address = Address('127.0.0.1', server.port)
+                sent = await client.send(address, _REQUEST, _TIMEOUT_SECONDS)
+                assert isinstance(sent, Ok)
+                await wait_all_tasks_blocked(0.01)
+                await client.close_unusable()
+                assert client.idle_count == 0
+                with trio.fail_after(_TIMEOUT_SECONDS):
+                    await server.closed.wait()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_usable_connection(self) -> None:
+        """An idle connection without unexpected bytes is kept."""
+        server = RawServer(Script(_WHOLE))
+        client = HttpClient()
+
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                await server.start(nursery)
+                address = Address('127.0.0.1', server.port)
+                for _ in range(2):
+                    await client.send(address, _REQUEST, _TIMEOUT_SECONDS)
+                    await wait_all_tasks_blocked()
+                    await client.close_unusable()
+                    assert client.idle_count == 1
+                assert server.connections == 1
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
     def test_endless_bytes(self) -> None:
         """A connection with bytes without end after an answer is closed."""
         # Guards against keeping a connection that fills with bytes.
