--- a/src/carobwalk/app/_gateway_core.py
+++ b/src/carobwalk/app/_gateway_core.py
@@ -1,6 +1,7 @@
 """Components that are shared by all parts of a gateway process."""
 
 from dataclasses import dataclass
+from typing import Final
 
 import trio
 
@@ -21,6 +22,9 @@
 from carobwalk.routing import ActiveRoutes
 from carobwalk.settings import GatewaySettings
 
+# Answers to grants and releases carry their data in header fields.
+_MAX_ORDER_ANSWER_BYTES: Final = 16_384
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GatewayCore:
@@ -103,7 +107,12 @@
 
 
 def _order_client(idle_limit: int) -> HttpClient:
-    return HttpClient(idle_limit, _connect_for_orders, ORDER_ID_HEADER)
+    return HttpClient(
+        idle_limit,
+        _connect_for_orders,
+        ORDER_ID_HEADER,
+        _MAX_ORDER_ANSWER_BYTES,
+    )
 
 
 async def _connect_for_orders(address: Address) -> trio.SocketStream:
--- a/src/carobwalk/gateway/_upstream_connection.py
+++ b/src/carobwalk/gateway/_upstream_connection.py
@@ -14,7 +14,13 @@
 )
 from carobwalk.gateway._header_names import HeaderNames
 from carobwalk.gateway._outcomes import AttemptOutcome, Lost
-from carobwalk.http import H11Stream
+from carobwalk.http import (
+    AnswerReader,
+    AnswerTooLong,
+    H11Stream,
+    declared_length,
+    error_detail,
+)
 
 _PLACEHOLDER_REQUEST: Final = h11.Request(
     method='GET', target='/', headers=[('host', 'x')]
@@ -22,6 +28,7 @@
 _MAX_ANSWER_BYTES: Final = 16_777_216
 _MAX_STRAY_ANSWERS: Final = 4
 _CONNECTION_ERRORS: Final = (
+    AnswerTooLong,
     h11.RemoteProtocolError,
     h11.LocalProtocolError,
     trio.BrokenResourceError,
@@ -117,7 +124,8 @@
         try:
             return await self._read_matching(request)
         except _CONNECTION_ERRORS as error:
-            return Lost(f'{type(error).__name__}: {error}')
+            request.answer_share.release()
+            return Lost(error_detail(error))
 
     async def _read_matching(self, request: CallerRequest) -> AttemptOutcome:
         """Read the answer to a request, skipping answers to others.
@@ -127,12 +135,15 @@
         """
         is_first = self.use_count == 1
         for _ in range(_MAX_STRAY_ANSWERS):
-            response = await self._read_head()
+            share = request.answer_share
+            share.release()
+            reader = AnswerReader(self._http, _MAX_ANSWER_BYTES, share)
+            response = await reader.read_head()
             if response is None:
                 return Lost('the connection ended without an answer')
-            body = await self._http.read_body(_MAX_ANSWER_BYTES)
-            if body is None:
-                return Lost('the answer is too long')
+            body = await reader.read_body(
+                declared_length(response, request.method)
+            )
             answered_id = find_header(response.headers, self._names.request_id)
             if not answered_id and not is_first:
                 return Lost('an answer without an id on a used connection')
@@ -146,12 +157,6 @@
             is_first = False
         return Lost('answers to other requests only')
 
-    async def _read_head(self) -> h11.Response | None:
-        event = await self._http.receive()
-        while isinstance(event, h11.InformationalResponse):
-            event = await self._http.receive()
-        return event if isinstance(event, h11.Response) else None
-
     def _skip_answer(self) -> None:
         """Reset the parser to read a further answer to the same request.
 
--- a/src/carobwalk/http/_client.py
+++ b/src/carobwalk/http/_client.py
@@ -2,16 +2,30 @@
 
 from collections import defaultdict
 from collections.abc import Awaitable, Callable
+from typing import Final
 
 import h11
 import trio
 from result import Err, Ok, Result
 
 from carobwalk.http._client_connection import ClientConnection
-from carobwalk.http._failures import ConnectFailed, HttpFailure, NoAnswer
+from carobwalk.http._error_detail import error_detail
+from carobwalk.http._failures import (
+    AnswerTooLong,
+    ConnectFailed,
+    HttpFailure,
+    NoAnswer,
+)
 from carobwalk.http._messages import HttpRequest, HttpResponse
 from carobwalk.model import Address
 
+_MAX_ANSWER_BYTES: Final = 16_777_216
+_CONNECTION_ERRORS: Final = (
+    AnswerTooLong,
+    h11.ProtocolError,
+    trio.BrokenResourceError,
+)
+
 
 class HttpClient:
     """Sends requests over persistent connections, without pipelining.
@@ -27,6 +41,7 @@
             if servers may repeat responses. A response with another value
             than its request counts as none. One without a value counts only
             on a new connection, which is then closed.
+        max_answer_bytes: Maximum size of the body of a response in bytes.
     """
 
     def __init__(
@@ -35,10 +50,12 @@
         connect: Callable[[Address], Awaitable[trio.SocketStream]]
         | None = None,
         echo_header: str | None = None,
+        max_answer_bytes: int = _MAX_ANSWER_BYTES,
     ) -> None:
         self._idle_limit = idle_limit
         self._connect = connect or _connect
         self._echo_header = echo_header
+        self._max_answer_bytes = max_answer_bytes
         self._idle_by_address: dict[Address, list[ClientConnection]] = (
             defaultdict(list)
         )
@@ -70,6 +87,24 @@
             return Err(ConnectFailed(f'{address}: not open in {timeout} s'))
         return Err(NoAnswer(f'no answer from {address} within {timeout} s'))
 
+    @property
+    def idle_count(self) -> int:
+        """Number of idle connections."""
+        return sum(map(len, self._idle_by_address.values()))
+
+    async def close_unusable(self) -> None:
+        """Close idle connections on which data or their end has arrived."""
+        unusable: list[ClientConnection] = []
+        for address, idle in tuple(self._idle_by_address.items()):
+            for connection in tuple(idle):
+                if not connection.is_open:
+                    idle.remove(connection)
+                    unusable.append(connection)
+            if not idle:
+                self._idle_by_address.pop(address)
+        for closing in unusable:
+            await closing.aclose()
+
     async def _acquire(
         self,
         address: Address,
@@ -86,7 +121,10 @@
             return Err(ConnectFailed(f'{address}: {error}', is_refused=True))
         except OSError as error:
             return Err(ConnectFailed(f'{address}: {error}'))
-        return Ok(ClientConnection(address, stream, self._echo_header))
+        connection = ClientConnection(
+            address, stream, self._echo_header, self._max_answer_bytes
+        )
+        return Ok(connection)
 
     async def _exchange(
         self,
@@ -98,8 +136,8 @@
         try:
             response = await connection.exchange(request)
             is_pooled = self._release(address, connection)
-        except (h11.ProtocolError, trio.BrokenResourceError) as error:
-            return Err(NoAnswer(f'{address}: {error}'))
+        except _CONNECTION_ERRORS as error:
+            return Err(NoAnswer(f'{address}: {error_detail(error)}'))
         finally:
             if not is_pooled:
                 await connection.aclose()
--- a/src/carobwalk/http/_client_connection.py
+++ b/src/carobwalk/http/_client_connection.py
@@ -1,20 +1,18 @@
 """Client's side of one HTTP/1.1 connection."""
 
-from typing import Final
 from urllib.parse import quote, urlencode
 
 import h11
 import trio
 from result import Err, Ok, Result
 
+from carobwalk.http._answer_reader import AnswerReader, declared_length
 from carobwalk.http._failures import NoAnswer
 from carobwalk.http._h11_stream import H11Stream
 from carobwalk.http._messages import HttpRequest, HttpResponse
 from carobwalk.http._server import parse_headers
 from carobwalk.model import Address
 
-_MAX_BODY_BYTES: Final = 16_777_216
-
 
 class ClientConnection:
     """Connection that carries one request at a time.
@@ -24,6 +22,7 @@
         stream: Connected stream.
         echo_header: Header field that responses repeat from their requests,
             in lower case; ``None`` if there is none.
+        max_answer_bytes: Maximum size of the body of a response in bytes.
     """
 
     def __init__(
@@ -31,9 +30,11 @@
         address: Address,
         stream: trio.SocketStream,
         echo_header: str | None,
+        max_answer_bytes: int,
     ) -> None:
         self._address = address
         self._echo_header = echo_header
+        self._max_answer_bytes = max_answer_bytes
         self._http = H11Stream(stream, h11.CLIENT)
         self._is_used = False
         self._is_echoed = False
@@ -68,6 +69,7 @@
             request: Request to send.
 
         Raises:
+            AnswerTooLong: If the response exceeds a limit.
             h11.ProtocolError: If the server violates the protocol.
             trio.BrokenResourceError: If the connection is lost.
         """
@@ -78,8 +80,7 @@
         self._is_echoed = False
         response = await self._send_and_receive(request)
         if response is None:
-            detail = f'{self._address}: body too large or no response'
-            return Err(NoAnswer(detail))
+            return Err(NoAnswer(f'{self._address}: no response'))
         if self._echo_header is not None:
             echoed = response.headers.get(self._echo_header)
             self._is_echoed = echoed == request.headers.get(self._echo_header)
@@ -97,18 +98,15 @@
         self, request: HttpRequest
     ) -> HttpResponse | None:
         await self._http.send(*_request_events(self._address, request))
-        event = await self._http.receive()
-        while isinstance(event, h11.InformationalResponse):
-            event = await self._http.receive()
-        if not isinstance(event, h11.Response):
-            return None
-        body = await self._http.read_body(_MAX_BODY_BYTES)
-        if body is None:
+        reader = AnswerReader(self._http, self._max_answer_bytes)
+        head = await reader.read_head()
+        if head is None:
             return None
+        length = declared_length(head, request.method.encode())
         return HttpResponse(
-            status=event.status_code,
-            headers=parse_headers(event.headers),
-            body=body,
+            status=head.status_code,
+            headers=parse_headers(head.headers),
+            body=await reader.read_body(length),
         )
 
 
