Frame the answer after a skipped one by the request's own method

A HEAD request whose answer followed an extra answer of the server was not answered until its deadline, then with 504: the parser for the answer after a skipped one assumed GET and waited for a body of the stated length. No answer went to another request, as the connection was then closed.

Change: the placeholder request of that parser has the request's method.

--- a/src/carobwalk/gateway/_upstream_connection.py
+++ b/src/carobwalk/gateway/_upstream_connection.py
@@ -16,9 +16,6 @@
 from carobwalk.gateway._outcomes import AttemptOutcome, Lost
 from carobwalk.http import H11Stream
 
-_PLACEHOLDER_REQUEST: Final = h11.Request(
-    method='GET', target='/', headers=[('host', 'x')]
-)
 _MAX_ANSWER_BYTES: Final = 16_777_216
 _MAX_STRAY_ANSWERS: Final = 4
 _CONNECTION_ERRORS: Final = (
@@ -142,7 +139,7 @@
                     response.headers
                 )
                 return classify_answer(response, body, self._names)
-            self._skip_answer()
+            self._skip_answer(request.method)
             is_first = False
         return Lost('answers to other requests only')
 
@@ -152,15 +149,19 @@
             event = await self._http.receive()
         return event if isinstance(event, h11.Response) else None
 
-    def _skip_answer(self) -> None:
+    def _skip_answer(self, method: bytes) -> None:
         """Reset the parser to read a further answer to the same request.
 
         The parser accepts one answer per request, so a placeholder request is
-        registered with a new parser, which gets the data not yet parsed.
+        registered with a new parser, which gets the data not yet parsed. The
+        method tells the parser whether the answer has a body.
         """
         rest, _ = self._http.protocol.trailing_data
         protocol = h11.Connection(h11.CLIENT)
-        protocol.send(_PLACEHOLDER_REQUEST)
+        placeholder = h11.Request(
+            method=method, target='/', headers=[('host', 'x')]
+        )
+        protocol.send(placeholder)
         protocol.send(h11.EndOfMessage())
         if rest:
             protocol.receive_data(rest)
--- a/tests/gateway/test_answer_identity.py
+++ b/tests/gateway/test_answer_identity.py
@@ -116,23 +116,55 @@
     def test_answer_without_id_after_another(self, run_scenario) -> None:
         """On a new connection, only the first answer counts without an id."""
 
-        async def answer_twice(stream: trio.SocketStream) -> None:
-            await stream.receive_some(10_000)
-            await stream.send_all(
-                b'HTTP/1.1 200 OK\r\nattempt-id: other\r\n'
-                b'response-signature: 1\r\ncontent-length: 0\r\n\r\n'
-                b'HTTP/1.1 200 OK\r\n'
-                b'response-signature: 1\r\ncontent-length: 0\r\n\r\n'
-            )
-
         async def scenario(harness: GatewayHarness) -> None:
-            listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-            port = listeners[0].socket.getsockname()[1]
-            harness.nursery.start_soon(
-                trio.serve_listeners, answer_twice, listeners
+            await _add_raw_server(
+                harness,
+                b'attempt-id: other\r\ncontent-length: 0\r\n',
+                b'content-length: 0\r\n',
             )
-            harness.register('writes', 's1', port)
             answer = await harness.send_request('POST', '/writes/a', b'x')
             assert answer.status == 502
 
         run_scenario(scenario)
+
+    # The answer to HEAD was waited for as if its body followed.
+    def test_head_after_another_answer(self, run_scenario) -> None:
+        """An answer to HEAD that follows a stray answer has no body."""
+
+        async def scenario(harness: GatewayHarness) -> None:
+            await _add_raw_server(
+                harness,
+                b'attempt-id: other\r\ncontent-length: 0\r\n',
+                b'attempt-id: id1\r\ncontent-length: 9\r\n',
+            )
+            started_at = trio.current_time()
+            answer = await harness.send_request('HEAD', '/writes/a')
+            assert trio.current_time() < started_at + 0.3
+            assert answer.status == 200
+
+        run_scenario(scenario)
+
+
+async def _add_raw_server(
+    harness: GatewayHarness, *answer_fields: bytes
+) -> None:
+    """Start and register a server that sends answers to its first request.
+
+    Args:
+        harness: Gateway that forwards writes to the server.
+        answer_fields: Header fields of each answer, without a body.
+    """
+    answers = [
+        b'HTTP/1.1 200 OK\r\nresponse-signature: 1\r\n%s\r\n' % fields
+        for fields in answer_fields
+    ]
+
+    async def serve(stream: trio.SocketStream) -> None:
+        await stream.receive_some(10_000)
+        await stream.send_all(b''.join(answers))
+        await trio.sleep_forever()
+
+    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+    port = listeners[0].socket.getsockname()[1]
+    harness.nursery.start_soon(trio.serve_listeners, serve, listeners)
+    harness.register('writes', 's1', port)
