Close dispatchers' connections with bytes left after a response

Callers of dispatched services got the body of an earlier response if a server sent a second response together with the first: the bytes left in the parser were kept with the connection, where the check for a readable socket does not see them.

Change: a connection with unparsed bytes after a response is closed.

Evidence: without the change, test_surplus_response of tests/dispatch gets b'one' for the request with the body b'two'; it passes now.

--- a/src/carobwalk/dispatch/_h11_connection.py
+++ b/src/carobwalk/dispatch/_h11_connection.py
@@ -35,9 +35,16 @@
 
     @property
     def is_reusable(self) -> bool:
-        """Whether the last request and response are both complete."""
+        """Whether the last request and response are both complete.
+
+        Bytes after a response would be parsed as the next response.
+        """
+        stray, _ = self._protocol.trailing_data
         states = (self._protocol.our_state, self._protocol.their_state)
-        return states in {(h11.DONE, h11.DONE), (h11.IDLE, h11.IDLE)}
+        return not stray and states in {
+            (h11.DONE, h11.DONE),
+            (h11.IDLE, h11.IDLE),
+        }
 
     def reset(self) -> None:
         """Prepare the connection for its next request."""
--- a/tests/dispatch/test_h11_upstream.py
+++ b/tests/dispatch/test_h11_upstream.py
@@ -135,6 +135,25 @@
 
         trio.run(case)
 
+    # Bytes left after a response were parsed as the next response.
+    def test_surplus_response(self) -> None:
+        """A second response to one request is not taken for the next one's."""
+
+        async def case() -> None:
+            async with serving(_respond_twice) as server:
+                pool = DispatchPool(context_of())
+                for body in (b'one', b'two'):
+                    sink = ListSink()
+                    await pool.forward(
+                        call_of(body),
+                        placement_of(server.endpoint),
+                        sink,
+                    )
+                    assert sink.body == body
+            assert server.connections == 2
+
+        trio.run(case)
+
     def test_streams_large_bodies(self) -> None:
         """A body larger than all buffers is streamed in both directions."""
 
@@ -170,6 +189,12 @@
         trio.run(case)
 
 
+async def _respond_twice(request: Received, stream: trio.SocketStream) -> None:
+    head = http_head('HTTP/1.1 200 OK', f'content-length: {len(request.body)}')
+    response = head + request.body
+    await stream.send_all(response + response)
+
+
 async def _respond_and_close(
     request: Received,
     stream: trio.SocketStream,
