--- a/src/carobwalk/app/_build_keyspace.py
+++ b/src/carobwalk/app/_build_keyspace.py
@@ -74,9 +74,7 @@
     core.topics.register(SUCCESSION_TOPIC, succession.answer)
     owners = KeyOwnerTable(reader, core.directory)
     orders = OrderDependencies(
-        channel=PlatformGrantChannel(
-            core.grant_client, core.release_client, times
-        ),
+        channel=PlatformGrantChannel(core.grant_client, times),
         incarnations=ServerIncarnations(core.directory),
         failure_detector=FailureDetector(
             times, core.clock, collector.speeds.last_answered_at
--- a/src/carobwalk/app/_gateway_core.py
+++ b/src/carobwalk/app/_gateway_core.py
@@ -18,7 +18,7 @@
 from carobwalk.metrics import CountingEventLog, MeteredSender, Metrics
 from carobwalk.model import Address, Clock, Endpoint, SuspendAwareClock
 from carobwalk.peer import PeerHub, TopicRegistry
-from carobwalk.platform import ORDER_ID_HEADER, PlatformStore
+from carobwalk.platform import PlatformStore
 from carobwalk.routing import ActiveRoutes
 from carobwalk.settings import GatewaySettings
 
@@ -43,8 +43,7 @@
         topics: Handlers of messages from peers, by topic.
         hub: Connections to peers.
         store: Client of the platform's key-value store.
-        grant_client: HTTP client for grants of keys.
-        release_client: HTTP client for releases of keys.
+        grant_client: HTTP client for grants and releases of keys.
         directory: Registered backend servers.
         routes: Routing configuration in force.
     """
@@ -60,7 +59,6 @@
     hub: PeerHub
     store: PlatformStore
     grant_client: HttpClient
-    release_client: HttpClient
     directory: ServerDirectory
     routes: ActiveRoutes
 
@@ -99,22 +97,16 @@
             MeteredSender(HttpClient(connect=connect_with_keepalive), metrics),
             settings.store.address,
         ),
-        grant_client=_order_client(idle_limit=1),
-        release_client=_order_client(idle_limit=0),
+        grant_client=HttpClient(
+            idle_limit=1,
+            connect=_connect_for_orders,
+            max_answer_bytes=_MAX_ORDER_ANSWER_BYTES,
+        ),
         directory=ServerDirectory(clock, events),
         routes=ActiveRoutes(events),
     )
 
 
-def _order_client(idle_limit: int) -> HttpClient:
-    return HttpClient(
-        idle_limit,
-        _connect_for_orders,
-        ORDER_ID_HEADER,
-        _MAX_ORDER_ANSWER_BYTES,
-    )
-
-
 async def _connect_for_orders(address: Address) -> trio.SocketStream:
     """Open a connection that is reset on close, which discards unsent bytes.
 
--- a/src/carobwalk/http/_client.py
+++ b/src/carobwalk/http/_client.py
@@ -37,10 +37,6 @@
         idle_limit: Maximum number of idle connections per address; further
             ones are closed after use.
         connect: Opens a connection; by default, without keep-alive probes.
-        echo_header: Header field that identifies requests, in lower case,
-            if servers may repeat responses. A response with another value
-            than its request counts as none. One without a value counts only
-            on a new connection, which is then closed.
         max_answer_bytes: Maximum size of the body of a response in bytes.
     """
 
@@ -49,12 +45,10 @@
         idle_limit: int = 8,
         connect: Callable[[Address], Awaitable[trio.SocketStream]]
         | None = None,
-        echo_header: str | None = None,
         max_answer_bytes: int = _MAX_ANSWER_BYTES,
     ) -> None:
         self._idle_limit = idle_limit
         self._connect = connect or _connect
-        self._echo_header = echo_header
         self._max_answer_bytes = max_answer_bytes
         self._idle_by_address: dict[Address, list[ClientConnection]] = (
             defaultdict(list)
@@ -121,10 +115,7 @@
             return Err(ConnectFailed(f'{address}: {error}', is_refused=True))
         except OSError as error:
             return Err(ConnectFailed(f'{address}: {error}'))
-        connection = ClientConnection(
-            address, stream, self._echo_header, self._max_answer_bytes
-        )
-        return Ok(connection)
+        return Ok(ClientConnection(address, stream, self._max_answer_bytes))
 
     async def _exchange(
         self,
--- a/src/carobwalk/http/_client_connection.py
+++ b/src/carobwalk/http/_client_connection.py
@@ -20,8 +20,6 @@
     Args:
         address: Address of the server.
         stream: Connected stream.
-        echo_header: Header field that responses repeat from their requests,
-            in lower case; ``None`` if there is none.
         max_answer_bytes: Maximum size of the body of a response in bytes.
     """
 
@@ -29,15 +27,13 @@
         self,
         address: Address,
         stream: trio.SocketStream,
-        echo_header: str | None,
         max_answer_bytes: int,
     ) -> None:
         self._address = address
-        self._echo_header = echo_header
         self._max_answer_bytes = max_answer_bytes
         self._http = H11Stream(stream, h11.CLIENT)
         self._is_used = False
-        self._is_echoed = False
+        self._is_spent = False
 
     @property
     def is_open(self) -> bool:
@@ -53,12 +49,10 @@
     def is_reusable(self) -> bool:
         """Whether another request may be sent.
 
-        Bytes after a response could be taken for the next response. The same
-        holds for a late response if responses don't identify themselves.
+        Bytes after a response could be taken for the next response.
         """
         stray, _ = self._http.protocol.trailing_data
-        is_matched = self._echo_header is None or self._is_echoed
-        return is_matched and not stray and self._http.is_reusable
+        return not (self._is_spent or stray) and self._http.is_reusable
 
     async def exchange(
         self, request: HttpRequest
@@ -77,17 +71,15 @@
         if self._is_used:
             self._http.protocol.start_next_cycle()
         self._is_used = True
-        self._is_echoed = False
+        self._is_spent = bool(request.answer_field)
         response = await self._send_and_receive(request)
         if response is None:
             return Err(NoAnswer(f'{self._address}: no response'))
-        if self._echo_header is not None:
-            echoed = response.headers.get(self._echo_header)
-            self._is_echoed = echoed == request.headers.get(self._echo_header)
-            # The first response on a connection can belong to no other request.
-            if not self._is_echoed and (echoed or not is_first):
-                detail = f'{self._address}: response to another request'
-                return Err(NoAnswer(detail))
+        # The first response on a connection can belong to no other request.
+        has_field = request.answer_field in response.headers
+        if request.answer_field and not (is_first or has_field):
+            detail = f'{self._address}: response to another request'
+            return Err(NoAnswer(detail))
         return Ok(response)
 
     async def aclose(self) -> None:
--- a/src/carobwalk/http/_messages.py
+++ b/src/carobwalk/http/_messages.py
@@ -14,6 +14,10 @@
         query: Query parameters by name; of a repeated one, the last value.
         headers: Header fields by name in lower case.
         body: Complete body.
+        answer_field: Header field, in lower case, that only responses to such
+            requests have; empty if they have none. A response without it on a
+            used connection counts as none, as servers may repeat an earlier
+            one, and the connection is not used again.
     """
 
     method: str
@@ -21,6 +25,7 @@
     query: Mapping[str, str] = field(default_factory=dict)
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b''
+    answer_field: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobwalk/platform/__init__.py
+++ b/src/carobwalk/platform/__init__.py
@@ -7,11 +7,7 @@
 )
 from carobwalk.platform._configuration_reader import ConfigurationReader
 from carobwalk.platform._grant_channel import PlatformGrantChannel
-from carobwalk.platform._headers import (
-    ORDER_ID_HEADER,
-    PLATFORM_HEADERS,
-    READINESS_PATH,
-)
+from carobwalk.platform._headers import PLATFORM_HEADERS, READINESS_PATH
 from carobwalk.platform._registry import (
     REGISTRY_PREFIX,
     EntryError,
@@ -22,7 +18,6 @@
 
 __all__ = (
     'CONFIGURATION_PREFIX',
-    'ORDER_ID_HEADER',
     'PLATFORM_HEADERS',
     'READINESS_PATH',
     'REGISTRY_PREFIX',
--- a/src/carobwalk/platform/_grant_channel.py
+++ b/src/carobwalk/platform/_grant_channel.py
@@ -1,6 +1,5 @@
 """Grants and releases of keys, sent to backend servers over HTTP."""
 
-import secrets
 from http import HTTPStatus
 from typing import Final
 
@@ -23,34 +22,22 @@
     OrderUnsent,
     Release,
 )
-from carobwalk.platform._headers import ORDER_ID_HEADER
 
 _EXPECTED_SERVER_HEADER: Final = 'target-instance'
 _HANDOVER_HEADER: Final = 'handover'
-_ORDER_ID_BYTES: Final = 8
 
 
 class PlatformGrantChannel:
     """Sends grants and releases; implements ``OrderChannel``.
 
     Args:
-        grant_sender: HTTP client for grants. It must reset a connection on a
-            timeout, so that a delayed order is discarded and cannot arrive
-            later. It must match responses by ``ORDER_ID_HEADER``, as servers
-            may repeat them.
-        release_sender: HTTP client for releases, with the same properties. It
-            must use a new connection for each.
+        sender: HTTP client. It must reset a connection on a timeout, so that
+            a delayed order is discarded and cannot arrive later.
         times: Timeouts of grants and releases.
     """
 
-    def __init__(
-        self,
-        grant_sender: HttpSender,
-        release_sender: HttpSender,
-        times: KeyTimes,
-    ) -> None:
-        self._grant_sender = grant_sender
-        self._release_sender = release_sender
+    def __init__(self, sender: HttpSender, times: KeyTimes) -> None:
+        self._sender = sender
         self._times = times
 
     async def grant(
@@ -72,8 +59,7 @@
         }
         if order.handover:
             body['handover'] = order.handover
-        answered = await _call(
-            self._grant_sender,
+        answered = await self._call(
             server,
             '/grant',
             body,
@@ -95,51 +81,51 @@
         Returns:
             State to hand over to the next owner, empty for none.
         """
-        answered = await _call(
-            self._release_sender,
+        answered = await self._call(
             server,
             '/release',
             {'from': order.first, 'to': order.last, 'fence': order.fence},
             self._times.release_timeout,
+            _HANDOVER_HEADER,
         )
         return answered.map(
             lambda response: response.headers.get(_HANDOVER_HEADER, ''),
         )
 
-
-async def _call(
-    sender: HttpSender,
-    server: BackendServer,
-    path: str,
-    body: dict[str, float | int | str],
-    timeout: float,
-) -> Result[HttpResponse, OrderFailure]:
-    sent = await sender.send(
-        server.address,
-        HttpRequest(
-            method='POST',
-            path=path,
-            headers={
-                'content-type': 'application/json',
-                _EXPECTED_SERVER_HEADER: server.id,
-                ORDER_ID_HEADER: secrets.token_hex(_ORDER_ID_BYTES),
-            },
-            body=msgspec.json.encode(body),
-        ),
-        timeout,
-    )
-    if isinstance(sent, Err):
-        return Err(_order_failure(sent.err_value))
-    response = sent.ok_value
-    match response.status:
-        case HTTPStatus.OK:
-            return Ok(response)
-        case HTTPStatus.CONFLICT | HTTPStatus.BAD_REQUEST:
-            return Err(OrderRefused(f'status {response.status}'))
-        case HTTPStatus.MISDIRECTED_REQUEST:
-            detail = 'another server listens at the address'
-            return Err(OrderUnsent(detail, is_refused=True))
-    return Err(OrderUnanswered(f'status {response.status}'))
+    async def _call(
+        self,
+        server: BackendServer,
+        path: str,
+        body: dict[str, float | int | str],
+        timeout: float,
+        answer_field: str = '',
+    ) -> Result[HttpResponse, OrderFailure]:
+        sent = await self._sender.send(
+            server.address,
+            HttpRequest(
+                method='POST',
+                path=path,
+                headers={
+                    'content-type': 'application/json',
+                    _EXPECTED_SERVER_HEADER: server.id,
+                },
+                body=msgspec.json.encode(body),
+                answer_field=answer_field,
+            ),
+            timeout,
+        )
+        if isinstance(sent, Err):
+            return Err(_order_failure(sent.err_value))
+        response = sent.ok_value
+        match response.status:
+            case HTTPStatus.OK:
+                return Ok(response)
+            case HTTPStatus.CONFLICT | HTTPStatus.BAD_REQUEST:
+                return Err(OrderRefused(f'status {response.status}'))
+            case HTTPStatus.MISDIRECTED_REQUEST:
+                detail = 'another server listens at the address'
+                return Err(OrderUnsent(detail, is_refused=True))
+        return Err(OrderUnanswered(f'status {response.status}'))
 
 
 def _order_failure(failure: object) -> OrderFailure:
--- a/src/carobwalk/platform/_headers.py
+++ b/src/carobwalk/platform/_headers.py
@@ -13,5 +13,4 @@
     server=b'instance-id',
     key=b'shard-key',
 )
-ORDER_ID_HEADER: Final = 'attempt-id'
 READINESS_PATH: Final = '/readiness'
