--- a/src/carobwalk/keyspace/_sent_grants.py
+++ b/src/carobwalk/keyspace/_sent_grants.py
@@ -78,10 +78,14 @@
         self._sent_by_bounds[sent_grant.bounds].in_flight.add(sent_grant)
 
     def record_answer(self, sent_grant: SentGrant, now: float) -> None:
-        """Record that the grant was just answered: it arrived before."""
+        """Record that the grant was just answered.
+
+        Servers may repeat the answer to an earlier grant, so this one may
+        still be on its way.
+        """
         sent = self._sent_by_bounds[sent_grant.bounds]
         sent.in_flight.remove(sent_grant)
-        sent.answered = max(sent.answered, now + sent_grant.longest_hold)
+        sent.answered = max(sent.answered, sent_grant.latest_end(now))
 
     def retract(self, sent_grant: SentGrant) -> None:
         """Remove a grant that was not sent after all."""
