--- /dev/null
+++ b/tests/keyspace/grant_model/_succession.py
@@ -0,0 +1,52 @@
+"""Elections and reports of the model."""
+
+from collections.abc import Iterator
+
+from tests.keyspace.grant_model._bounds import adopt_report, assumed_inherited
+from tests.keyspace.grant_model._state import (
+    NOBODY,
+    Coordinator,
+    State,
+    Step,
+    with_coordinator,
+)
+
+
+def successions(
+    state: State, rules: frozenset[str], terms: tuple[int, ...]
+) -> Iterator[Step]:
+    """Yield elections, and reports of predecessors to their successors.
+
+    Args:
+        state: State before.
+        rules: Rules that are enabled.
+        terms: Ticks of the terms of the successive coordinators.
+    """
+    number = len(state.coordinators)
+    if number < len(terms) and not state.coordinators[-1].lease:
+        bound = assumed_inherited(rules)
+        elected = Coordinator(
+            terms[number],
+            terms[number],
+            state.recorded,
+            state.is_moving,
+            inherited=bound,
+            has_asked=True,
+        )
+        yield (
+            f'{number} is elected',
+            state._replace(coordinators=(*state.coordinators, elected)),
+        )
+    for asker, coordinator in enumerate(state.coordinators):
+        if coordinator.has_asked:
+            predecessor = state.coordinators[asker - 1]
+            informed = adopt_report(coordinator, predecessor, rules)
+            yield (
+                f'{asker} receives the report of {asker - 1}',
+                with_coordinator(state, asker, informed),
+            )
+    if state.late_write != NOBODY:
+        yield (
+            'a late write is done',
+            state._replace(recorded=state.late_write, late_write=NOBODY),
+        )
