Count a claim of a key map only if the record names its writer

What callers could see: two owners of keys after a claim whose write was not executed, or that was overtaken by another coordinator's late one.

Cause: after an unanswered or conflicting write, the record was read and its ranges compared with those to be written. A claim rewrites a map unchanged, so another coordinator's record passed for the own claim. Its coordinator sent grants, while the record named the one before; the successor asked that one, got a report without these grants, and dropped its assumed bound of 11 s.

Change: a claim counts if the write was answered, or if the record read after it names this coordinator and term. A damaged map's predecessor is not asked: its report would lift the wait for owners that the map no longer names.

--- a/src/carobwalk/keyspace/_map_claim.py
+++ b/src/carobwalk/keyspace/_map_claim.py
@@ -22,7 +22,8 @@
     Args:
         key_map: Claimed map.
         inherited: Bounds on the grants of earlier coordinators.
-        predecessor: Coordinator that wrote the map before, if known.
+        predecessor: Coordinator that wrote the map before, if known. That of a
+            damaged map is not asked: its report would not cover the keys.
     """
 
     key_map: KeyMap
@@ -51,7 +52,7 @@
     if not key_map.ranges and not key_map.revision:
         return MapClaim(key_map, InheritedBounds(holds=0, unanswered=0))
     if key_map.ranges:
-        claimed = await writer.write(key_map)
+        claimed = await writer.claim(key_map)
         if claimed is None or claimed.ranges != key_map.ranges:
             return None
         key_map = claimed
@@ -61,5 +62,5 @@
     return MapClaim(
         key_map,
         InheritedBounds(holds=times.inherited, unanswered=unanswered),
-        claimant_of(record.content) if record else None,
+        claimant_of(record.content) if record and key_map.ranges else None,
     )
--- a/src/carobwalk/keyspace/_map_writer.py
+++ b/src/carobwalk/keyspace/_map_writer.py
@@ -5,7 +5,12 @@
 
 from carobwalk.events import EventLog
 from carobwalk.keyspace._claimant import Claimant
-from carobwalk.keyspace._codec import decode_map, encode_map, map_name
+from carobwalk.keyspace._codec import (
+    claimant_of,
+    decode_map,
+    encode_map,
+    map_name,
+)
 from carobwalk.keyspace._events import KeyRecordDamaged, MapNotWritten
 from carobwalk.keyspace._key_map import KeyMap
 from carobwalk.model import ServiceName
@@ -79,6 +84,39 @@
             The map now in the store, which is another one after a conflict;
             ``None`` if it is not known.
         """
+        written = await self._write_once(key_map, is_settled=is_settled)
+        if isinstance(written, Ok):
+            return written.ok_value
+        if isinstance(written.err_value, Conflict | Unanswered):
+            return await self._reread()
+        await trio.sleep(_RETRY_SECONDS)
+        return None
+
+    async def claim(self, key_map: KeyMap) -> KeyMap | None:
+        """Write a key map to claim it, even if its content stays the same.
+
+        Args:
+            key_map: Map to write; its revision is the one to replace.
+
+        Returns:
+            The claimed map, ``None`` if the record does not name this
+            coordinator and term: another coordinator may have written it.
+        """
+        written = await self._write_once(key_map)
+        if isinstance(written, Ok):
+            return written.ok_value
+        read = await self.read()
+        record = read.ok_value if isinstance(read, Ok) else None
+        if record is None or claimant_of(record.content) != self._claimant:
+            return None
+        return self.decode(record)
+
+    async def _write_once(
+        self,
+        key_map: KeyMap,
+        *,
+        is_settled: bool = False,
+    ) -> Result[KeyMap, StoreFailure]:
         content = encode_map(
             key_map,
             is_settled=is_settled,
@@ -91,7 +129,7 @@
         )
         if isinstance(written, Ok):
             record = Versioned('', content, written.ok_value)
-            return self.decode(record)
+            return Ok(self.decode(record))
         failure = written.err_value
         self._events.emit(
             MapNotWritten(
@@ -100,10 +138,7 @@
                 str(getattr(failure, 'detail', '')),
             ),
         )
-        if isinstance(failure, Conflict | Unanswered):
-            return await self._reread()
-        await trio.sleep(_RETRY_SECONDS)
-        return None
+        return Err(failure)
 
     async def _reread(self) -> KeyMap | None:
         """Return the stored map after a conflict or an unanswered write."""
