Iterate over a copy of the coordinators while resigning

A process whose term ended while it resigned failed with RuntimeError (dictionary changed size during iteration), so a planned stop ended as a crash.

--- a/src/carobwalk/keyspace/_coordinator_role.py
+++ b/src/carobwalk/keyspace/_coordinator_role.py
@@ -85,7 +85,8 @@
         term = self._term
         if term is None or not term.is_valid:
             return
-        for coordinator in self._coordinators_by_service.values():
+        # The term may end, and the table change, during each call.
+        for coordinator in tuple(self._coordinators_by_service.values()):
             await coordinator.resign()
         term.end()
         await self._dependencies.store.end_lease(term.lease)
