Do not take a restart of a server for a release of its keys

What callers could see: two owners of keys after a server restarted under its old id.

Cause: an order names its server by id only, so the new life accepts a renewal meant for the earlier one and holds the keys. The coordinator took the new entry as proof that the earlier incarnation holds nothing, whatever grants it had sent since the restart, and it went on renewing to the old incarnation while the record could not be written. The same holds for a process's end: two refusals long ago stood as proof although a later order reached a process at the address, or was in flight.

Change: nobody is revoked by a restart any more: the release goes to the latest incarnation of the id, and without an answer its grants are waited for. No grant is sent to an incarnation that has been replaced. An unanswered order clears earlier refusals, and an order in flight keeps them from being a proof.

Found by the random runs over coordinators and by the review, independently; the stand-in refused orders by incarnation, as no real server does.

--- a/src/carobwalk/keyspace/_activation.py
+++ b/src/carobwalk/keyspace/_activation.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 import trio
-from result import Ok
+from result import Err, Ok
 
 from carobwalk.directory import ServerIncarnation
 from carobwalk.keyspace._key_range import KeyRange
@@ -68,17 +68,20 @@
         """Wait until an incarnation is certain to hold none of the keys."""
         cause = self._cause_of_revocation(incarnation)
         while cause is None:
-            released = await self._order_sender.release(
-                self.key_range, incarnation
-            )
-            if isinstance(released, Ok):
-                self.handover = released.ok_value or self.handover
-                cause = await self._wait_until_revoked(incarnation)
-                break
-            await trio.sleep(self._retry_delay(released.err_value))
-            cause = self._cause_of_revocation(incarnation)
+            cause = await self._release(incarnation)
         self._log_revocation(incarnation, cause)
 
+    async def _release(
+        self, incarnation: ServerIncarnation
+    ) -> RevocationCause | None:
+        """Release the keys; return ``None`` if the incarnation may hold any."""
+        released = await self._order_sender.release(self.key_range, incarnation)
+        if isinstance(released, Err):
+            await trio.sleep(self._retry_delay(released.err_value))
+            return self._cause_of_revocation(incarnation)
+        self.handover = released.ok_value or self.handover
+        return await self._wait_until_revoked(incarnation)
+
     def _retry_delay(self, failure: OrderFailure) -> float:
         """Return the delay before the next release attempt in seconds."""
         if isinstance(failure, OrderRefused):
@@ -105,10 +108,10 @@
         self, incarnation: ServerIncarnation
     ) -> RevocationCause | None:
         """Return why an incarnation holds no key, ``None`` if it may hold."""
-        if self._dependencies.failure_detector.is_dead(incarnation):
+        is_dead = self._dependencies.failure_detector.is_dead(incarnation)
+        # A new process at the address may accept an order in flight.
+        if is_dead and not self._order_sender.is_sending_to(incarnation):
             return RevocationCause.PROCESS_ENDED
-        if self._dependencies.incarnations.is_replaced(incarnation):
-            return RevocationCause.RESTARTED
         if self._seconds_held(incarnation) <= 0:
             return RevocationCause.EXPIRED
         return None
--- a/src/carobwalk/keyspace/_failure_detector.py
+++ b/src/carobwalk/keyspace/_failure_detector.py
@@ -49,13 +49,24 @@
         """Record an answer to an order and clear earlier failures."""
         self._evidence_by_incarnation.pop(incarnation, None)
 
-    def record_no_answer(self, incarnation: ServerIncarnation) -> None:
-        """Record that an order was not answered."""
+    def record_no_answer(
+        self, incarnation: ServerIncarnation, *, is_sent: bool = True
+    ) -> None:
+        """Record that an order was not answered.
+
+        Args:
+            incarnation: Incarnation that the order was for.
+            is_sent: Whether the connection opened: then a process listens, and
+                earlier refusals prove nothing any more.
+        """
         evidence = self._evidence_by_incarnation.setdefault(
             incarnation, _FailureEvidence()
         )
         now = self._clock.now()
         evidence.last_timeout_at = now
+        if is_sent:
+            evidence.refused_since = None
+            evidence.refusals = 0
         if evidence.unresponsive_since is None:
             evidence.unresponsive_since = now - self._times.order_timeout
 
--- a/src/carobwalk/keyspace/_order_sender.py
+++ b/src/carobwalk/keyspace/_order_sender.py
@@ -101,6 +101,8 @@
         async with self._locks_by_incarnation[incarnation]:
             if not self._may_send() or not is_needed():
                 return Err(OrderUnsent('no longer needed', is_refused=False))
+            if self._dependencies.incarnations.is_replaced(incarnation):
+                return Err(OrderUnsent('restarted since', is_refused=False))
             hold = self._hold_seconds()
             sent_grant = self.ledger.record_send(key_range, hold)
             order = Grant(
@@ -134,6 +136,9 @@
     ) -> Result[str, OrderFailure]:
         """Order an incarnation to release a range of keys.
 
+        If its server has restarted, the order goes to the latest incarnation,
+        which may have accepted grants meant for the earlier one.
+
         Args:
             key_range: Range with its new owner and fencing token.
             incarnation: Incarnation that may hold the keys.
@@ -141,7 +146,7 @@
         Returns:
             State for the new owner, empty for none.
         """
-        server = self._dependencies.incarnations.server(incarnation)
+        server = self._dependencies.incarnations.latest(incarnation)
         if server is None:
             return Err(
                 OrderUnsent('server is not registered', is_refused=False)
@@ -165,6 +170,10 @@
             self._dependencies.failure_detector.record_answer(incarnation)
         return released
 
+    def is_sending_to(self, incarnation: ServerIncarnation) -> bool:
+        """Whether an order to an incarnation is in flight."""
+        return self._locks_by_incarnation[incarnation].locked()
+
     async def close(self) -> None:
         """Send no further orders, and wait for the grants in flight.
 
@@ -209,7 +218,7 @@
                 self._dependencies.failure_detector.record_refusal(incarnation)
             else:
                 self._dependencies.failure_detector.record_no_answer(
-                    incarnation
+                    incarnation, is_sent=False
                 )
         self._dependencies.events.emit(
             OrderFailed(
--- a/src/carobwalk/keyspace/_revocation.py
+++ b/src/carobwalk/keyspace/_revocation.py
@@ -13,7 +13,6 @@
     RELEASED = 'released'
     EXPIRED = 'expired'
     PROCESS_ENDED = 'process-ended'
-    RESTARTED = 'restarted'
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobwalk/keyspace/_server_incarnations.py
+++ b/src/carobwalk/keyspace/_server_incarnations.py
@@ -33,6 +33,15 @@
         """Return the server of an incarnation, even if deregistered since."""
         return self._servers_by_incarnation.get(incarnation)
 
+    def latest(self, incarnation: ServerIncarnation) -> BackendServer | None:
+        """Return the latest known incarnation of an incarnation's server.
+
+        Orders name a server by its id only, so that a restarted server may
+        have accepted orders for its earlier life.
+        """
+        born = self._latest_by_id.get(incarnation.server, incarnation.born)
+        return self.server(ServerIncarnation(incarnation.server, born))
+
     def is_replaced(self, incarnation: ServerIncarnation) -> bool:
         """Whether the server has restarted since."""
         return (
--- a/tests/keyspace/test_successor_races.py
+++ b/tests/keyspace/test_successor_races.py
@@ -148,6 +148,35 @@
         assert trio.run(body, clock=virtual_clock).violations == []
 
 
+class TestUnwrittenMove:
+    # Guards against two owners: renewals went on to a restarted server after
+    # its new entry was seen, as the record could not be written.
+    def test_renewed_after_registration(self, virtual_clock: MockClock) -> None:
+        """A restarted server gets no grants meant for its former life."""
+
+        async def body() -> MemoryOrderChannel:
+            fleet = SimulatedFleet(4)
+            fleet.book.reach.checks_incarnation = False
+            async with trio.open_nursery() as nursery:
+                fleet.start(nursery)
+                router = fleet.add_router('a')
+                await fleet.wait_until_owned()
+                await trio.sleep(3)
+                owner = fleet.book.owner(65_535)
+                number = int(owner[1:])
+                router.link.is_cut = True
+                fleet.start_server(number, born=2)
+                fleet.register_server(number, born=2)
+                fleet.add_server(8)
+                await trio.sleep(0.9)
+                router.link.is_cut = False
+                await trio.sleep(8)
+                nursery.cancel_scope.cancel()
+            return fleet.book
+
+        assert trio.run(body, clock=virtual_clock).violations == []
+
+
 class TestResignation:
     def test_succeeded_meanwhile(self, virtual_clock: MockClock) -> None:
         """A process whose term ends while it resigns does not fail."""
