Repeat a release that was answered before the predecessor's report

What callers could see: two owners of a key just after a change of coordinator.

Cause: a successor's release is answered; then a grant of its predecessor that was still on its way arrives and is answered; then the predecessor reports that no grant is unanswered. The successor ended its wait with this report, although the grant came after its release.

Change: a release counts only if no report arrived since it was sent; otherwise it is sent again.

--- a/src/carobwalk/keyspace/_activation.py
+++ b/src/carobwalk/keyspace/_activation.py
@@ -75,12 +75,19 @@
         self, incarnation: ServerIncarnation
     ) -> RevocationCause | None:
         """Release the keys; return ``None`` if the incarnation may hold any."""
+        ledger = self._order_sender.ledger
+        reports = ledger.report_count
         released = await self._order_sender.release(self.key_range, incarnation)
         if isinstance(released, Err):
             await trio.sleep(self._retry_delay(released.err_value))
             return self._cause_of_revocation(incarnation)
         self.handover = released.ok_value or self.handover
-        return await self._wait_until_revoked(incarnation)
+        cause = await self._wait_until_revoked(incarnation)
+        # The predecessor's last grants may have arrived after the release, and
+        # have been answered before it reported.
+        if cause is RevocationCause.RELEASED and reports != ledger.report_count:
+            return None
+        return cause
 
     def _retry_delay(self, failure: OrderFailure) -> float:
         """Return the delay before the next release attempt in seconds."""
--- a/src/carobwalk/keyspace/_grant_ledger.py
+++ b/src/carobwalk/keyspace/_grant_ledger.py
@@ -69,6 +69,8 @@
     counts from its arrival all the same. Bounds are taken when an outcome is
     known, not when a grant is sent, because the host may be suspended between.
 
+    ``report_count`` is the number of predecessors' reports received.
+
     Args:
         times: Timing settings of grants.
         clock: Clock that keeps running while the host is suspended.
@@ -89,6 +91,7 @@
             defaultdict(SentGrants)
         )
         self._grant_count = 0
+        self.report_count = 0
 
     def record_send(self, key_range: KeyRange, hold: float) -> SentGrant:
         """Record that a grant is about to be sent to the owner of a range.
@@ -178,6 +181,7 @@
             state: Bounds reported by the predecessor, relative to now.
         """
         now = self._clock.now()
+        self.report_count += 1
         self._inherited_until = min(self._inherited_until, now + state.holds)
         self._inherited_unanswered = min(
             self._inherited_unanswered,
