Check the term again when the connection for an order has opened

What callers could see: two owners of a key after the coordinator's host was suspended.

Cause: the right to send was checked before the connection was opened. A host that sleeps meanwhile writes the order when it wakes, long after its lease; its successor's wait of 11 s counts from the claim and does not cover that grant.

Change: grants and releases carry the check of their term, and the HTTP client asks it with the open connection in hand, before the first byte. The order then counts as not sent.

Test: TestSuspendedHost in tests/platform/test_grant_channel.py (the field is new; on the code before, the order goes out).

--- a/src/carobwalk/http/_client.py
+++ b/src/carobwalk/http/_client.py
@@ -76,6 +76,9 @@
             acquired = await self._acquire(address)
             if isinstance(acquired, Err):
                 return acquired
+            if not request.may_send():
+                await acquired.ok_value.aclose()
+                return Err(ConnectFailed(f'{address}: open too late'))
             return await self._exchange(address, acquired.ok_value, request)
         if acquired is None:
             return Err(ConnectFailed(f'{address}: not open in {timeout} s'))
--- a/src/carobwalk/http/_messages.py
+++ b/src/carobwalk/http/_messages.py
@@ -1,9 +1,14 @@
 """HTTP messages that are held in memory."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 
+def always_send() -> bool:
+    """Return that a request may be sent at any time."""
+    return True
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A request with its complete body.
@@ -18,6 +23,9 @@
             requests have; empty if they have none. A response without it on a
             used connection counts as none, as servers may repeat an earlier
             one, and the connection is not used again.
+        may_send: Returns whether the request may still be sent; called when
+            the connection is open, which may be long after a suspension of
+            the host.
     """
 
     method: str
@@ -26,6 +34,7 @@
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b''
     answer_field: str = ''
+    may_send: Callable[[], bool] = field(default=always_send, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobwalk/keyspace/_order_sender.py
+++ b/src/carobwalk/keyspace/_order_sender.py
@@ -111,6 +111,7 @@
                 fence=key_range.fence,
                 hold=hold,
                 handover=handover,
+                may_send=self._may_send,
             )
             answered: Result[None, OrderFailure] = Err(
                 OrderUnanswered('cancelled')
@@ -160,6 +161,7 @@
                 first=key_range.first,
                 last=key_range.last,
                 fence=key_range.fence,
+                may_send=self._may_send,
             )
             released = await self._dependencies.channel.release(server, order)
         if isinstance(released, Err):
--- a/src/carobwalk/keyspace/_orders.py
+++ b/src/carobwalk/keyspace/_orders.py
@@ -1,12 +1,19 @@
 """Interface of the orders that grant and revoke keys of backend servers."""
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from result import Result
 
 from carobwalk.directory import BackendServer
 
+MaySend = Callable[[], bool]
+
+
+def _always() -> bool:
+    return True
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Grant:
@@ -18,6 +25,8 @@
         fence: Fencing token.
         hold: Duration in seconds, counted by the server from the arrival.
         handover: State that the previous owner passed on, empty for none.
+        may_send: Returns whether the order may still be sent; to be called
+            just before its first byte is written.
     """
 
     first: int
@@ -25,6 +34,7 @@
     fence: int
     hold: float
     handover: str = ''
+    may_send: MaySend = field(default=_always, compare=False)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -35,11 +45,14 @@
         first: First key.
         last: Last key, inclusive.
         fence: Fencing token of the grant that replaces the revoked one.
+        may_send: Returns whether the order may still be sent; to be called
+            just before its first byte is written.
     """
 
     first: int
     last: int
     fence: int
+    may_send: MaySend = field(default=_always, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobwalk/platform/_grant_channel.py
+++ b/src/carobwalk/platform/_grant_channel.py
@@ -1,5 +1,6 @@
 """Grants and releases of keys, sent to backend servers over HTTP."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final
 
@@ -64,6 +65,7 @@
             '/grant',
             body,
             self._times.order_timeout,
+            may_send=order.may_send,
         )
         return answered.map(lambda _: None)
 
@@ -86,7 +88,8 @@
             '/release',
             {'from': order.first, 'to': order.last, 'fence': order.fence},
             self._times.release_timeout,
-            _HANDOVER_HEADER,
+            answer_field=_HANDOVER_HEADER,
+            may_send=order.may_send,
         )
         return answered.map(
             lambda response: response.headers.get(_HANDOVER_HEADER, ''),
@@ -98,6 +101,8 @@
         path: str,
         body: dict[str, float | int | str],
         timeout: float,
+        *,
+        may_send: Callable[[], bool],
         answer_field: str = '',
     ) -> Result[HttpResponse, OrderFailure]:
         sent = await self._sender.send(
@@ -111,6 +116,7 @@
                 },
                 body=msgspec.json.encode(body),
                 answer_field=answer_field,
+                may_send=may_send,
             ),
             timeout,
         )
--- a/tests/platform/test_grant_channel.py
+++ b/tests/platform/test_grant_channel.py
@@ -1,6 +1,7 @@
 """Tests of orders about keys, sent to servers that repeat their answers."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import pytest
 import trio
@@ -8,7 +9,13 @@
 
 from carobwalk.directory import BackendServer
 from carobwalk.http import HttpClient
-from carobwalk.keyspace import Grant, KeyTimes, OrderUnanswered, Release
+from carobwalk.keyspace import (
+    Grant,
+    KeyTimes,
+    OrderUnanswered,
+    OrderUnsent,
+    Release,
+)
 from carobwalk.model import Address, DataCentreName, ServerId, ServiceName
 from carobwalk.platform import PlatformGrantChannel
 from standins.platform import KeyedBackend
@@ -106,6 +113,28 @@
         run_scenario(scenario)
 
 
+class TestSuspendedHost:
+    # Guards against two owners: an order prepared before the host was
+    # suspended went out when its connection opened, after the term.
+    @pytest.mark.parametrize('order', ['grant', 'release'])
+    def test_connection_opens_too_late(self, run_scenario, order) -> None:
+        """An order is not sent if the term ended while connecting."""
+
+        async def scenario(fleet: _Fleet) -> None:
+            prepared = replace(
+                _FIRST if order == 'grant' else _RELEASE,
+                may_send=bool,
+            )
+            send = getattr(fleet.channel, order)
+            sent = await send(fleet.server, prepared)
+            assert isinstance(sent.err(), OrderUnsent)
+            assert not sent.err().is_refused
+            assert fleet.backend.connections == 1
+            assert not fleet.backend.holder.held
+
+        run_scenario(scenario)
+
+
 class TestReleases:
     # The answer to a grant, written twice, counted for the release after it.
     def test_repeated_grant_answer(self, run_scenario) -> None:
