Soak changes of the coordinator, partial cuts and late or repeated grants

What is new - Each router has its own link to each incarnation of a server, and a gate to the store that refuses it alone (503, 429; reset and silence on the link). - Links can leave connections unopened (a listening socket with a full queue). - Stand-in servers apply grants late or twice and answer releases late; both kinds of grants go unanswered and count from their arrival. - Plan "ownership": four changes of the coordinator in series (refused by the store, others cut from servers, sometimes a router frozen, hot keys shift), beside 8 faults of all kinds. Plan "long-cuts": five with cuts of up to 8 s. The general plan and the schedules of its seeds are unchanged. - The check for double owners runs at each grant, late application, release and request, and every 20 ms; it reports fences, senders, times and requests. A grant in force must have a fence above those of all other incarnations. - soak.log holds faults and orders with the wall clock, and delays of the soak's own process; violations.txt the broken promises. - Planted bug "forgets-inherited".

Seeds 2 and 13 of ownership are regression cases.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,8 @@
 	$(BIN)/python -m demo
 
 soak: $(VENV)/.installed
-	$(BIN)/python -m soak --seeds $(or $(SEEDS),1:51)
+	$(BIN)/python -m soak --seeds $(or $(SEEDS),1:51) \
+		--plan $(or $(PLAN),general)
 
 soak-model: $(VENV)/.installed
 	$(BIN)/python -m tests.ownership.soak --seeds $(or $(SEEDS),0:2000)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,21 +2,36 @@
 
 import sys
 import time
+from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
 import click
 import trio
 
+from soak._plan import PLANS_BY_NAME, SoakPlan
 from soak._planted import PLANTED_BY_NAME
-from soak._run import SoakOutcome, SoakPlan, run_seed
+from soak._run import SoakOutcome, run_seed
 
 _DIRECTORY = Path('var') / 'soak'
 
 
+def _plan_options(function: Callable[..., None]) -> Callable[..., None]:
+    """Add the options for the plan of a seed."""
+    routers = click.option('--routers', default=3, help='Processes of a seed.')
+    plan = click.option(
+        '--plan',
+        type=click.Choice(sorted(PLANS_BY_NAME)),
+        default='general',
+        help='Faults of a seed.',
+    )
+    return routers(plan(function))
+
+
 @click.command()
 @click.option('--seeds', default='1:11', help='First seed and end, FIRST:END.')
 @click.option('--at-once', default=3, help='Seeds that run side by side.')
-@click.option('--routers', default=3, help='Processes of a seed.')
+@_plan_options
 @click.option(
     '--planted',
     type=click.Choice(sorted(PLANTED_BY_NAME)),
@@ -26,17 +41,15 @@
     seeds: str,
     at_once: int,
     routers: int,
+    plan: str,
     planted: str | None,
 ) -> None:
     """Run seeds and tell the promises that were broken."""
     first, _, end = seeds.partition(':')
     module = ('soak.planted', planted) if planted else ('carobwalk.platform',)
-    plan = SoakPlan(
-        routers=routers,
-        module=module,
-    )
+    sized_plan = replace(PLANS_BY_NAME[plan], routers=routers, module=module)
     directory = _DIRECTORY / time.strftime('%Y%m%d-%H%M%S')
-    runner = _SeedRunner(plan, directory.absolute())
+    runner = _SeedRunner(sized_plan, directory.absolute())
     numbers = range(int(first), int(end))
     sys.exit(trio.run(runner.run, numbers, at_once))
 
@@ -69,6 +82,8 @@
             directory = self._directory / str(seed)
             directory.mkdir(parents=True)
             outcome = await run_seed(seed, self._plan, directory)
+        report = '\n'.join(outcome.violations)
+        (directory / 'violations.txt').write_text(report)
         self._outcomes.append(outcome)
         click.echo(
             f'seed {seed}: faults={outcome.faults.total()} '
--- a/soak/_caller.py
+++ b/soak/_caller.py
@@ -10,8 +10,8 @@
 
 from carobwalk.http import H11Stream
 from soak._invariant_checker import InvariantChecker
+from soak._load_pattern import LoadPattern
 from soak._router import Router, RouterState
-from soak._server import SAMPLE_KEYS
 
 _DEADLINE_SECONDS: Final = 2.0
 # Slack for responses that are later than their deadline because of CPU load.
@@ -105,10 +105,14 @@
     Args:
         rng: Source of kinds and keys.
         name: Prefix of the ids.
+        pattern: Chooses the keys of lookups.
     """
 
-    def __init__(self, rng: random.Random, name: str) -> None:
+    def __init__(
+        self, rng: random.Random, name: str, pattern: LoadPattern
+    ) -> None:
         self._rng = rng
+        self._pattern = pattern
         self._name = name
         self._numbers = itertools.count(1)
 
@@ -117,7 +121,7 @@
         request_id = f'{self._name}-{next(self._numbers)}'
         kind = self._rng.choice(('lookup', 'lookup', 'claim', 'upload'))
         if kind == 'lookup':
-            return self.lookup(request_id, self._rng.choice(SAMPLE_KEYS))
+            return self.lookup(request_id, self._pattern.choose(self._rng))
         body = b'x' * _UPLOAD_BYTES if kind == 'upload' else b'claim'
         return Ask(request_id, 'POST', f'/{kind}s/{request_id}', body)
 
--- a/soak/_fault_registry.py
+++ b/soak/_fault_registry.py
@@ -3,12 +3,26 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from enum import StrEnum, unique
+from typing import TypeVar
 
 from soak._testbed import Testbed
 
 FaultFunction = Callable[[Testbed, random.Random], Awaitable[None]]
+_Function = TypeVar('_Function', bound=FaultFunction)
+
+
+@unique
+class FaultSet(StrEnum):
+    """Faults that a schedule draws from."""
+
+    GENERAL = 'general'
+    OWNERSHIP = 'ownership'
+
 
 _functions_by_kind: dict[str, FaultFunction] = {}
+# The general set is fixed, so that seeds keep their schedules.
+_general_kinds: set[str] = set()
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,25 +41,33 @@
 
     async def inject(self, testbed: Testbed) -> None:
         """Inject the fault, and end it if it has a duration."""
+        testbed.event_file.write('fault', kind=self.kind, seed=self.seed)
         await _functions_by_kind[self.kind](testbed, random.Random(self.seed))
+        testbed.event_file.write('fault-end', kind=self.kind, seed=self.seed)
 
 
 @dataclass(frozen=True, slots=True)
 class _Registration:
     kind: str
+    fault_set: FaultSet
 
-    def __call__(self, function: FaultFunction) -> FaultFunction:
+    def __call__(self, function: _Function) -> _Function:
         _functions_by_kind[self.kind] = function
+        if self.fault_set is FaultSet.GENERAL:
+            _general_kinds.add(self.kind)
         return function
 
 
-def fault(kind: str) -> Callable[[FaultFunction], FaultFunction]:
+def fault(kind: str, fault_set: FaultSet = FaultSet.GENERAL) -> _Registration:
     """Return a decorator that registers a function for a kind of fault."""
-    return _Registration(kind)
+    return _Registration(kind, fault_set)
 
 
 def make_schedule(
-    seed: int, seconds: float, count: int
+    seed: int,
+    seconds: float,
+    count: int,
+    fault_set: FaultSet = FaultSet.GENERAL,
 ) -> tuple[ScheduledFault, ...]:
     """Return the faults of a seed in order of their start.
 
@@ -53,9 +75,11 @@
         seed: Seed of the schedule.
         seconds: Time during which faults start.
         count: Number of faults.
+        fault_set: Faults to draw from; the set for ownership includes all.
     """
     rng = random.Random(seed)
-    kinds = sorted(_functions_by_kind)
+    is_general = fault_set is FaultSet.GENERAL
+    kinds = sorted(_general_kinds if is_general else _functions_by_kind)
     faults = [
         ScheduledFault(
             start_seconds=round(rng.uniform(0, seconds), 3),
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -13,7 +13,9 @@
 __all__ = ('make_schedule',)
 
 _LINK_FAULTS = tuple(
-    state for state in LinkState if state is not LinkState.PASSING
+    state
+    for state in LinkState
+    if state not in {LinkState.PASSING, LinkState.UNOPENED}
 )
 _SERVER_FAULTS = tuple(fault for fault in Fault if fault is not Fault.NONE)
 _MIN_FAULT_SECONDS = 0.3
@@ -121,7 +123,7 @@
 @fault('server-lapse')
 async def _lapse(testbed: Testbed, rng: random.Random) -> None:
     server = rng.choice(testbed.servers)
-    server.lose_registration()
+    server.registration.lose()
     await trio.sleep(_duration(rng))
     server.heal()
 
@@ -129,9 +131,9 @@
 @fault('server-link')
 async def _server_link(testbed: Testbed, rng: random.Random) -> None:
     server = rng.choice(testbed.servers)
-    server.link.switch(rng.choice(_LINK_FAULTS))
+    server.switch_links(rng.choice(_LINK_FAULTS))
     await trio.sleep(_duration(rng))
-    server.link.switch(LinkState.PASSING)
+    server.switch_links(LinkState.PASSING)
 
 
 @fault('server-bad-answers')
--- a/soak/_invariant_checker.py
+++ b/soak/_invariant_checker.py
@@ -28,6 +28,9 @@
     faults: Counter[str] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
     _owners_by_fence: dict[tuple[int, int], str] = field(default_factory=dict)
+    _fences_by_key: dict[int, dict[str, int]] = field(
+        default_factory=lambda: defaultdict(dict),
+    )
     _counts_by_kind: dict[str, int] = field(
         default_factory=lambda: defaultdict(int),
     )
@@ -60,3 +63,15 @@
         if owner != incarnation:
             detail = f'key {key} fence {fence}: {owner} and {incarnation}'
             self.record_violation('one fence for two owners', detail)
+
+    def record_taken(self, key: int, fence: int, incarnation: str) -> None:
+        """Record that a grant of a key came into force at an incarnation."""
+        fences = self._fences_by_key[key]
+        for other, highest in fences.items():
+            if other != incarnation and fence <= highest:
+                detail = (
+                    f'key {key}: fence {fence} at {incarnation}, '
+                    f'{highest} at {other} before'
+                )
+                self.record_violation('fence not above earlier owners', detail)
+        fences[incarnation] = max(fence, fences.get(incarnation, 0))
--- a/soak/_link.py
+++ b/soak/_link.py
@@ -1,4 +1,4 @@
-"""TCP proxy that delays, holds back or resets connections."""
+"""TCP proxy that delays, holds back, resets or does not open connections."""
 
 import math
 from collections.abc import Callable
@@ -8,6 +8,7 @@
 
 from carobwalk.http import reset_on_close
 from carobwalk.model import Address
+from soak._full_backlog import full_backlog
 
 _RECEIVE_BYTES = 65_536
 _DELAY_SECONDS = 0.15
@@ -23,17 +24,24 @@
     CUT_THERE = 'cut-there'
     CUT_BACK = 'cut-back'
     SILENT = 'silent'
+    UNOPENED = 'unopened'
 
 
-_BLOCKING_UPSTREAM = frozenset((LinkState.CUT_THERE, LinkState.SILENT))
-_BLOCKING_DOWNSTREAM = frozenset((LinkState.CUT_BACK, LinkState.SILENT))
+_BLOCKING_UPSTREAM = frozenset(
+    (LinkState.CUT_THERE, LinkState.SILENT, LinkState.UNOPENED)
+)
+_BLOCKING_DOWNSTREAM = frozenset(
+    (LinkState.CUT_BACK, LinkState.SILENT, LinkState.UNOPENED)
+)
 
 
 class Link:
     """Forwards connections to its address to a target.
 
     Data that is held back is delivered once the link is passing again, unless
-    the sender has reset the connection by then.
+    the sender has reset the connection by then. While it is unopened, new
+    connections are not established and open ones are silent; the kernel
+    retries a pending one 1 s after its start and then at growing intervals.
 
     Args:
         target: Address to which connections are forwarded.
@@ -45,10 +53,12 @@
         self._state = LinkState.PASSING
         self._changed = trio.Event()
         self._scopes: set[trio.CancelScope] = set()
+        self._accept_scope = trio.CancelScope()
 
     def switch(self, state: LinkState) -> None:
         """Change the state, also for open connections."""
         self._state = state
+        self._accept_scope.cancel()
         self._changed.set()
         self._changed = trio.Event()
         if state is LinkState.RESET:
@@ -68,7 +78,23 @@
         port = listeners[0].socket.getsockname()[1]
         self.address = Address('127.0.0.1', port)
         task_status.started(self.address)
-        await trio.serve_listeners(self._serve, listeners)
+        async with listeners[0] as listener, trio.open_nursery() as nursery:
+            while True:
+                await self._accept(listener, nursery)
+
+    async def _accept(
+        self, listener: trio.SocketListener, nursery: trio.Nursery
+    ) -> None:
+        """Accept connections until the state changes."""
+        self._accept_scope = trio.CancelScope()
+        changed = self._changed
+        if self._state is LinkState.UNOPENED:
+            with full_backlog(listener):
+                await changed.wait()
+            return
+        with self._accept_scope:
+            while True:
+                nursery.start_soon(self._serve, await listener.accept())
 
     async def _serve(self, downstream: trio.SocketStream) -> None:
         reset_on_close(downstream)
--- a/soak/_planted.py
+++ b/soak/_planted.py
@@ -12,6 +12,7 @@
 from carobwalk.gateway import _forwarder as forwarder_module
 from carobwalk.gateway import _refusals as refusals
 from carobwalk.keyspace import KeyTimes
+from carobwalk.keyspace._grant_ledger import GrantLedger, LedgerState
 from carobwalk.routing import ActiveRoutes, RouteTable
 
 
@@ -54,12 +55,20 @@
     routes.table = RouteTable(configuration)
 
 
+def _forget_inherited(ledger: GrantLedger, _reported: LedgerState) -> None:
+    ledger._inherited_until = 0
+    ledger._inherited_unanswered = 0
+
+
 PLANTED_BY_NAME: Final[Mapping[str, PlantedBug]] = MappingProxyType(
     {
         'cuts-on-stop': PlantedBug(GatewayServer, 'close', _close_immediately),
         'false-refusals': PlantedBug(
             forwarder_module, '_final_reply', _always_not_run
         ),
+        'forgets-inherited': PlantedBug(
+            GrantLedger, 'inherit', _forget_inherited
+        ),
         'forgets-grants': PlantedBug(KeyTimes, 'latest_end', _zero_end),
         'repeats-all': PlantedBug(Forwarder, '_may_repeat', _always_may_repeat),
         'versions-fall': PlantedBug(ActiveRoutes, 'offer', _accept_any),
--- a/soak/_recovery.py
+++ b/soak/_recovery.py
@@ -6,8 +6,8 @@
 import trio
 
 from soak._caller import Ask, Caller
+from soak._observed_servers import SAMPLE_KEYS
 from soak._router import Router
-from soak._server import SAMPLE_KEYS
 from soak._testbed import Testbed
 
 _POLL_INTERVAL_SECONDS: Final = 0.2
--- a/soak/_router.py
+++ b/soak/_router.py
@@ -8,15 +8,17 @@
 
 import trio
 
-from carobwalk.http import HttpClient, HttpRequest
+from carobwalk.http import HttpClient, HttpRequest, serve_http
 from carobwalk.model import Address
 from soak._link import Link
+from soak._store_gate import StoreGate
 from standins.platform import RouterAddresses, fill_settings
 from standins.processes import Processes, find_free_addresses
 
 _BALANCER_LAG_SECONDS = 2.0
 _POLL_INTERVAL_SECONDS = 0.1
 _OK = 200
+_UNKNOWN_ADDRESS = Address('127.0.0.1', 1)
 
 
 @unique
@@ -50,7 +52,7 @@
         name: Name of the process.
         launch: Files and program.
         processes: Starts and signals processes.
-        store: Address of the store.
+        gate: Handles its store calls.
     """
 
     def __init__(
@@ -58,10 +60,11 @@
         name: str,
         launch: RouterLaunch,
         processes: Processes,
-        store: Address,
+        gate: StoreGate,
     ) -> None:
         self.name = name
-        self.link = Link(store)
+        self.gate = gate
+        self.link = Link(_UNKNOWN_ADDRESS)
         self.state = RouterState.GONE
         self.incarnation = 0
         self.stop_started_at = -math.inf
@@ -87,6 +90,14 @@
             return age < _BALANCER_LAG_SECONDS
         return self.state is not RouterState.GONE
 
+    async def serve_store(self, nursery: trio.Nursery) -> None:
+        """Serve the store to this router, behind its link."""
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        port = listeners[0].socket.getsockname()[1]
+        self.link.target = Address('127.0.0.1', port)
+        nursery.start_soon(serve_http, self.gate, listeners)
+        await nursery.start(self.link.run)
+
     async def start(self) -> None:
         """Start the process as a new incarnation."""
         path = self._launch.directory / f'{self.name}.json5'
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -8,16 +8,16 @@
 
 import trio
 
-from carobwalk.http import serve_http
-from carobwalk.model import Address
 from soak._caller import Caller, RequestGenerator
-from soak._fault_registry import ScheduledFault
-from soak._faults import make_schedule
+from soak._event_file import EventFile
+from soak._injector import Injector
 from soak._invariant_checker import InvariantChecker
 from soak._operator import Operator, VersionProbe
+from soak._plan import SoakPlan
 from soak._recovery import wait_until_served
 from soak._router import Router, RouterLaunch
 from soak._server import KEYED_SERVICE, UNKEYED_SERVICE, SoakServer
+from soak._store_gate import StoreGate
 from soak._testbed import Testbed
 from standins.platform import KvHandler, KvStore
 from standins.processes import Processes
@@ -30,23 +30,6 @@
 _PAGE_SIZE: Final = 100
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class SoakPlan:
-    """Size and duration of a run.
-
-    Args:
-        routers: Number of processes.
-        seconds: Time during which faults start.
-        faults: Number of faults.
-        module: Module and arguments of a router, as after ``python -m``.
-    """
-
-    routers: int = 3
-    seconds: float = 8
-    faults: int = 12
-    module: tuple[str, ...] = ('carobwalk.platform',)
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SoakOutcome:
     """Result of a run.
@@ -91,7 +74,12 @@
         self._rng = random.Random(seed)
         store = KvStore()
         self._checker = InvariantChecker()
-        self._testbed = Testbed(store, Operator(store), self._checker)
+        self._testbed = Testbed(
+            store,
+            Operator(store),
+            self._checker,
+            EventFile(directory / 'soak.log'),
+        )
         self._recovery: float = 0
 
     def outcome(self) -> SoakOutcome:
@@ -112,7 +100,7 @@
                 self._testbed, 'start', _START_TIMEOUT_SECONDS
             )
             self._start_callers(nursery)
-            await self._inject()
+            await Injector(self._seed, self._plan, self._testbed).run()
             self._testbed.heal()
             self._recovery = await wait_until_served(
                 self._testbed,
@@ -120,7 +108,9 @@
                 _RECOVERY_TIMEOUT_SECONDS,
             )
             await self._stop_all()
+            self._testbed.monitor.finish()
             nursery.cancel_scope.cancel()
+        self._testbed.event_file.close()
 
     async def _start(
         self,
@@ -128,17 +118,22 @@
         nursery: trio.Nursery,
     ) -> None:
         testbed = self._testbed
-        address = await _serve_store(testbed.store, nursery)
         testbed.operator.write_next()
+        nursery.start_soon(testbed.monitor.run, testbed.event_file)
+        names = tuple(
+            f'router-{number}' for number in range(self._plan.routers)
+        )
         for number, service in enumerate(_SERVICES):
             name = f'{service}-{number}'
-            server = SoakServer(name, service, testbed.store, testbed)
+            server = SoakServer(name, service, testbed.store, testbed, names)
             await nursery.start(server.run)
             testbed.servers.append(server)
         launch = RouterLaunch(self._directory, self._plan.module)
-        for number in range(self._plan.routers):
-            router = Router(f'router-{number}', launch, processes, address)
-            await nursery.start(router.link.run)
+        handler = KvHandler(testbed.store, _PAGE_SIZE)
+        for name in names:
+            gate = StoreGate(handler, testbed.address_book.of_router(name))
+            router = Router(name, launch, processes, gate)
+            await router.serve_store(nursery)
             testbed.routers.append(router)
             nursery.start_soon(router.start)
 
@@ -146,24 +141,14 @@
         for router in self._testbed.routers:
             for number in range(_CALLERS_PER_ROUTER):
                 rng = random.Random(self._rng.random())
-                generator = RequestGenerator(rng, f'{router.name}-{number}')
+                generator = RequestGenerator(
+                    rng, f'{router.name}-{number}', self._testbed.pattern
+                )
                 caller = Caller(router, self._checker)
                 nursery.start_soon(caller.run, generator)
             probe = VersionProbe(router, self._testbed.operator, self._checker)
             nursery.start_soon(probe.run)
 
-    async def _inject(self) -> None:
-        plan = self._plan
-        began = trio.current_time()
-        async with trio.open_nursery() as nursery:
-            for fault in make_schedule(self._seed, plan.seconds, plan.faults):
-                await trio.sleep_until(began + fault.start_seconds)
-                nursery.start_soon(self._inject_one, fault)
-
-    async def _inject_one(self, fault: ScheduledFault) -> None:
-        self._checker.faults[fault.kind] += 1
-        await fault.inject(self._testbed)
-
     async def _stop_all(self) -> None:
         """Stop all routers gracefully; no request in flight may be lost."""
         async with trio.open_nursery() as nursery:
@@ -175,10 +160,3 @@
         if status:
             detail = f'{router.name}: exit status {status}'
             self._checker.record_violation('no graceful end', detail)
-
-
-async def _serve_store(store: KvStore, nursery: trio.Nursery) -> Address:
-    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-    port = listeners[0].socket.getsockname()[1]
-    nursery.start_soon(serve_http, KvHandler(store, _PAGE_SIZE), listeners)
-    return Address('127.0.0.1', port)
--- a/soak/_server.py
+++ b/soak/_server.py
@@ -1,68 +1,29 @@
-"""Backend server of the soak, with restarts, link and registration."""
+"""Backend server of the soak, with restarts, links and registration."""
 
-import json
-import zlib
-from collections.abc import Callable
-from typing import Protocol
+from collections.abc import Callable, Iterable
+from functools import partial
 
 import trio
 
 from carobwalk.model import Address, ServerId
-from soak._invariant_checker import InvariantChecker
 from soak._link import Link, LinkState
-from standins.platform import (
-    KeyedBackend,
-    KeyHolder,
-    KvStore,
-    PlatformBackend,
-    find_double_owners,
+from soak._observed_servers import (
+    CHECKED_KEYS,
+    ObservedKeyedServer,
+    ObservedServer,
+    Observer,
+    serve_for,
 )
+from soak._registration import Registration
+from standins.platform import KeyedBackend, KvStore, PlatformBackend
 
 KEYED_SERVICE = 'registry'
 UNKEYED_SERVICE = 'ledger'
-SAMPLE_KEYS = tuple(range(100, 65_536, 4_096))
 _WORK_SECONDS = 0.02
-# Some requests are long enough to be in flight when a process ends.
-_REQUESTS_PER_SLOW_REQUEST = 8
-_SLOW_SECONDS = 1.0
 _DRAIN_SECONDS = 1.5
 _DOWNTIME_SECONDS = 0.3
 
 
-class Observer(Protocol):
-    """Receives the runs and grants of servers."""
-
-    checker: InvariantChecker
-    holders_by_id: dict[ServerId, KeyHolder]
-
-
-class _ObservedServer(PlatformBackend):
-    """Backend server that reports its runs to the observer."""
-
-    observer: Observer
-
-    async def _work(self, http: object, request_id: bytes) -> bool:
-        self.observer.checker.record_run(request_id.decode(), self.name)
-        is_slow = zlib.crc32(request_id) % _REQUESTS_PER_SLOW_REQUEST == 0
-        self.seconds = _SLOW_SECONDS if is_slow else _WORK_SECONDS
-        return await super()._work(http, request_id)  # type: ignore[arg-type]
-
-
-class _ObservedKeyedServer(_ObservedServer, KeyedBackend):
-    """Keyed backend server that reports its grants to the observer."""
-
-    async def _grant(self, body: bytes) -> object:  # type: ignore[override]
-        answer = await super()._grant(body)
-        checker = self.observer.checker
-        holders = self.observer.holders_by_id
-        now = trio.current_time()
-        for line in find_double_owners(holders, SAMPLE_KEYS, now):
-            checker.record_violation('two owners', line)
-        for key, fence in self.holder.fences_by_key.items():
-            checker.record_fence(key, fence, f'{self.name}@{self.holder.born}')
-        return answer
-
-
 class SoakServer:
     """A backend server that can be restarted as a new incarnation.
 
@@ -71,6 +32,7 @@
         service: Service that it belongs to.
         store: Store that it registers in.
         observer: Receives its runs and grants.
+        routers: Names of the routers, each of which has a link of its own.
     """
 
     def __init__(
@@ -79,16 +41,17 @@
         service: str,
         store: KvStore,
         observer: Observer,
+        routers: tuple[str, ...],
     ) -> None:
         self.name = name
-        self.link = Link(Address('127.0.0.1', 1))
+        self.links_by_router: dict[str, Link] = {}
         self.backend: PlatformBackend | None = None
-        self._service = service
-        self._store = store
+        self.holds_keys = service == KEYED_SERVICE
+        self.registration = Registration(name, service, store)
         self._observer = observer
+        self._routers = routers
         self._incarnations = 0
         self._scope = trio.CancelScope()
-        self._is_registered = True
 
     async def run(
         self,
@@ -110,68 +73,82 @@
 
     async def leave(self) -> None:
         """Register as draining, wait, and restart."""
-        self._register(state='draining')
+        self.registration.drain()
         await trio.sleep(_DRAIN_SECONDS)
-        self._store.records.remove(f'servers/{self.name}')
+        self.registration.remove()
         self.restart()
 
-    def lose_registration(self) -> None:
-        """Remove the registration although the server keeps running."""
-        self._is_registered = False
-        self._store.records.remove(f'servers/{self.name}')
-
     def heal(self) -> None:
         """End the faults of this server."""
-        self.link.switch(LinkState.PASSING)
+        self.switch_links(LinkState.PASSING)
         if self.backend is not None:
             self.backend.remaining_faults = 0
-            if isinstance(self.backend, KeyedBackend):
-                self.backend.holder.apply_delay = None
-        if not self._is_registered:
-            self._is_registered = True
-            self._register()
+        self.order_in_time()
+        self.registration.regain()
+
+    def order_in_time(self) -> None:
+        """Apply and answer further orders at once."""
+        if isinstance(self.backend, KeyedBackend):
+            self.backend.holder.apply_delay = None
+            self.backend.holder.repeat_delay = None
+            self.backend.holder.release_delay = 0
+
+    def switch_links(
+        self, state: LinkState, routers: Iterable[str] | None = None
+    ) -> None:
+        """Change the state of the links of some routers, of all by default."""
+        for router in self._routers if routers is None else routers:
+            self.links_by_router[router].switch(state)
 
     async def _run_incarnation(self, started: Callable[[], None]) -> None:
         self._incarnations += 1
         backend = self._make_backend()
         async with trio.open_nursery() as nursery:
-            listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-            port = listeners[0].socket.getsockname()[1]
             # Each incarnation has its own address, as on the platform.
-            self.link = Link(Address('127.0.0.1', port))
-            await nursery.start(self.link.run)
-            nursery.start_soon(trio.serve_listeners, backend.serve, listeners)
+            self.links_by_router = {
+                router: await _open_link(backend, router, nursery)
+                for router in self._routers
+            }
             self.backend = backend
-            self._register()
+            self.registration.register(
+                self._incarnations, self._record_addresses()
+            )
             started()
             await trio.sleep_forever()
 
+    def _record_addresses(self) -> str:
+        """Return the first link's address, which stands for all of them."""
+        links = self.links_by_router
+        registered = str(links[self._routers[0]].address)
+        for router, link in links.items():
+            self._observer.address_book.record(
+                registered, router, str(link.address)
+            )
+        return registered
+
     def _make_backend(self) -> PlatformBackend:
-        if self._service != KEYED_SERVICE:
-            plain = _ObservedServer(self.name, _WORK_SECONDS)
+        if not self.holds_keys:
+            plain = ObservedServer(self.name, _WORK_SECONDS)
             plain.observer = self._observer
             return plain
-        keyed = _ObservedKeyedServer(self.name, _WORK_SECONDS, SAMPLE_KEYS)
+        keyed = ObservedKeyedServer(self.name, _WORK_SECONDS, CHECKED_KEYS)
         keyed.observer = self._observer
         keyed.holder.born = self._incarnations
         self._observer.holders_by_id[ServerId(self.name)] = keyed.holder
         return keyed
 
-    def _register(self, state: str = 'ready') -> None:
-        if not self._is_registered:
-            return
-        entry = {
-            'service': self._service,
-            'address': str(self.link.address),
-            'zone': 'dc1',
-            'slots': 4,
-            'state': state,
-            'born': self._incarnations,
-        }
-        self._store.records.put(
-            f'servers/{self.name}',
-            json.dumps(entry).encode(),
-        )
+
+async def _open_link(
+    backend: PlatformBackend, router: str, nursery: trio.Nursery
+) -> Link:
+    """Serve a backend server for one router; return the link to it."""
+    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+    port = listeners[0].socket.getsockname()[1]
+    serve = partial(serve_for, backend, router)
+    nursery.start_soon(trio.serve_listeners, serve, listeners)
+    link = Link(Address('127.0.0.1', port))
+    await nursery.start(link.run)
+    return link
 
 
 def _no_op() -> None:
--- a/standins/platform/_key_holder.py
+++ b/standins/platform/_key_holder.py
@@ -26,6 +26,9 @@
             not finish.
         apply_delay: Seconds after which it applies a grant that goes
             unanswered; ``None`` to apply and answer grants at once.
+        repeat_delay: Seconds after which it applies a grant once more, and
+            answers only then; ``None`` to apply grants once.
+        release_delay: Seconds by which the answer to a release is delayed.
         held: Ranges of keys that it holds, expired ones included.
         fences_by_key: Highest fence accepted, by tracked key.
     """
@@ -36,6 +39,8 @@
     refuses_releases: bool = False
     stalls_releases: bool = False
     apply_delay: float | None = None
+    repeat_delay: float | None = None
+    release_delay: float = 0
     held: list[_HeldRange] = field(default_factory=list)
     fences_by_key: dict[int, int] = field(default_factory=dict)
 
@@ -75,10 +80,21 @@
         ]
         if matching:
             matching[0].expires_at = max(matching[0].expires_at, expires_at)
+            matching[0].fence = fence
         else:
             self.held.append(_HeldRange(first, last, fence, expires_at))
         return True
 
+    def bounds_held(self, now: float) -> list[tuple[int, int]]:
+        """Return first and last key of each range that it holds at a time."""
+        if self.refuses_connections:
+            return []
+        return [
+            (held_range.first, held_range.last)
+            for held_range in self.held
+            if now < held_range.expires_at
+        ]
+
     def release(self, first: int, last: int) -> None:
         """Give up the keys of a range."""
         kept = []
--- a/standins/platform/_keyed_backend.py
+++ b/standins/platform/_keyed_backend.py
@@ -17,7 +17,16 @@
 _POLL_SECONDS = 0.005
 
 
-class _Order(msgspec.Struct, rename={'first': 'from', 'last': 'to'}):
+class Order(msgspec.Struct, rename={'first': 'from', 'last': 'to'}):
+    """Grant or release of a range of keys, as sent.
+
+    Args:
+        first: First key.
+        last: Last key.
+        fence: Fence of the range.
+        hold_s: Duration of a grant in seconds.
+    """
+
     first: int
     last: int
     fence: int
@@ -60,26 +69,37 @@
             self._running_by_key[key] -= 1
 
     async def _grant(self, body: bytes) -> OrderResponse:
-        order = msgspec.json.decode(body, type=_Order)
+        order = msgspec.json.decode(body, type=Order)
         expires_at = trio.current_time() + order.hold_s / SLOW_CLOCK_RATE
         if self.holder.apply_delay is not None:
             await trio.sleep(self.holder.apply_delay)
+        is_accepted = self._apply_grant(order, expires_at)
+        if self.holder.repeat_delay is not None:
+            await trio.sleep(self.holder.repeat_delay)
+            is_accepted = self._apply_grant(order, expires_at)
+        return OrderResponse() if is_accepted else _STALE_FENCE
+
+    def _apply_grant(self, order: Order, expires_at: float) -> bool:
+        """Apply a grant; return whether it was accepted."""
         bounds = (order.first, order.last)
-        if self.holder.grant(
+        return self.holder.grant(
             bounds, order.fence, expires_at, self._tracked_keys
-        ):
-            return OrderResponse()
-        return _STALE_FENCE
+        )
 
-    async def _release(self, body: bytes) -> OrderResponse:
-        order = msgspec.json.decode(body, type=_Order)
+    def _apply_release(self, order: Order) -> None:
+        """Give up the keys of a release."""
         self.holder.release(order.first, order.last)
+
+    async def _release(self, body: bytes) -> OrderResponse:
+        order = msgspec.json.decode(body, type=Order)
+        self._apply_release(order)
+        await trio.sleep(self.holder.release_delay)
         while self._has_running(order):
             await trio.sleep(_POLL_SECONDS)
         state = f'state of {self.name}'.encode()
         return OrderResponse(headers=((b'handover', state),))
 
-    def _has_running(self, order: _Order) -> bool:
+    def _has_running(self, order: Order) -> bool:
         return any(
             count and order.first <= key <= order.last
             for key, count in self._running_by_key.items()
--- a/standins/platform/_memory_order_channel.py
+++ b/standins/platform/_memory_order_channel.py
@@ -137,13 +137,26 @@
     now: float,
 ) -> list[str]:
     """Return a line for each key that several servers hold."""
-    lines = []
+    doubles = find_double_keys(holders_by_id, keys, now)
+    return [
+        f'{now:.3f} key {key}: {list(owners)}'
+        for key, owners in doubles.items()
+    ]
+
+
+def find_double_keys(
+    holders_by_id: Mapping[ServerId, KeyHolder],
+    keys: tuple[int, ...],
+    now: float,
+) -> dict[int, tuple[ServerId, ...]]:
+    """Return the owners of each key that several servers hold."""
+    doubles = {}
     for key in keys:
-        owners = [
+        owners = tuple(
             server
             for server, holder in holders_by_id.items()
             if holder.holds(key, now)
-        ]
+        )
         if len(owners) > 1:
-            lines.append(f'{now:.3f} key {key}: {owners}')
-    return lines
+            doubles[key] = owners
+    return doubles
--- a/tests/fault_soak/test_link.py
+++ b/tests/fault_soak/test_link.py
@@ -7,6 +7,8 @@
 from soak._link import Link, LinkState
 
 _SHORT_SECONDS = 0.2
+# Timeout of grants in the routers, connection set-up included.
+ORDER_TIMEOUT_SECONDS = 0.4
 
 
 async def _echo(stream: trio.SocketStream) -> None:
@@ -81,3 +83,19 @@
                 await stream.receive_some(100)
 
         _run_scenario(scenario)
+
+    def test_unopened(self) -> None:
+        """Connections do not open, and open ones are silent until healed."""
+
+        async def scenario(link: Link, stream: trio.SocketStream) -> None:
+            link.switch(LinkState.UNOPENED)
+            assert not await _exchange(stream, b'one')
+            with trio.move_on_after(ORDER_TIMEOUT_SECONDS) as waiting:
+                await trio.open_tcp_stream('127.0.0.1', link.address.port)
+            assert waiting.cancelled_caught
+            link.switch(LinkState.PASSING)
+            assert await stream.receive_some(100) == b'one'
+            late = await trio.open_tcp_stream('127.0.0.1', link.address.port)
+            assert await _exchange(late, b'two') == b'two'
+
+        _run_scenario(scenario)
--- a/tests/fault_soak/test_soak.py
+++ b/tests/fault_soak/test_soak.py
@@ -1,12 +1,14 @@
 """Tests of the soak: short runs with real processes, and the schedule."""
 
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 import trio
 
 from soak._faults import make_schedule
-from soak._run import SoakPlan, run_seed
+from soak._plan import PLANS_BY_NAME, SoakPlan
+from soak._run import run_seed
 
 # Regression seeds, each with the fault that it revealed.
 FAILED_SEEDS = (
@@ -20,6 +22,11 @@
 FAILED_FULL_SEEDS = (
     77203,  # a 503 before the first configuration counted as a version
 )
+FAILED_OWNERSHIP_SEEDS = (
+    2,  # the undo of an unsent grant wiped out reported bounds
+    13,  # the same, with a successor that passed the wiped bounds on
+)
+PLANTED_SEED = 4
 
 
 class TestSoak:
@@ -40,6 +47,25 @@
         assert outcome.violations == ()
         assert outcome.faults.total() == FULL.faults
 
+    @pytest.mark.parametrize('seed', FAILED_OWNERSHIP_SEEDS)
+    def test_no_key_has_two_owners(self, seed: int, tmp_path: Path) -> None:
+        """No guarantee is violated while coordinators change and paths fail."""
+        plan = PLANS_BY_NAME['ownership']
+        outcome = trio.run(run_seed, seed, plan, tmp_path)
+        assert outcome.violations == ()
+        assert outcome.faults.total() == plan.faults
+
+    def test_forgotten_grants_of_the_predecessor_are_found(
+        self, tmp_path: Path
+    ) -> None:
+        """Coordinators that ignore their predecessor's grants are detected."""
+        plan = replace(
+            PLANS_BY_NAME['long-cuts'],
+            module=('soak.planted', 'forgets-inherited'),
+        )
+        outcome = trio.run(run_seed, PLANTED_SEED, plan, tmp_path)
+        assert any('two owners' in line for line in outcome.violations)
+
 
 class TestSchedule:
     def test_depends_on_the_seed_alone(self) -> None:
