--- a/soak/_recovery.py
+++ b/soak/_recovery.py
@@ -6,8 +6,8 @@
 import trio
 
 from soak._caller import Ask, Caller
+from soak._observed_servers import SAMPLE_KEYS
 from soak._router import Router
-from soak._server import SAMPLE_KEYS
 from soak._testbed import Testbed
 
 _POLL_INTERVAL_SECONDS: Final = 0.2
@@ -50,10 +50,10 @@
             fresh = replace(
                 request, id=f'{request.id}-{trio.current_time():.6f}'
             )
-            status = await caller.send(fresh)
-            if status == _OK:
+            reply = await caller.send(fresh)
+            if reply.status == _OK:
                 break
-            failures.append(f'{router.name} {request.path} {status}')
+            failures.append(f'{router.name} {request.path} {reply.status}')
             await trio.sleep(_POLL_INTERVAL_SECONDS)
     await caller.close()
 
