Give the longest validity of a grant a name of its own

KeyTimes.latest_end returned a duration, while SentGrant.latest_end returns a time. And "longest hold" meant two things: KeyTimes.longest_hold is the setting, counted on the server's clock; SentGrant.longest_hold was that duration in this process's seconds, for the slowest clock.

Weighed: longest_duration (every hold is a duration) and longest_hold_here. The duration in force is now called validity: KeyTimes.longest_validity and SentGrant.longest_validity. The pair longest_delay and longest_validity of SentGrant adds up to latest_end, which keeps its name.

The planted bug 'forgets-grants' of the soak names the method by a text, and three lines of test_predecessor_report.py call it: only the name changes there.

Tests, with this change: - tests/keyspace/test_predecessor_report.py, test_succession.py and test_successor_races.py: passed. tests/keyspace whole passed before it. - tests/fault_soak, run twice while other work used the machine (load 18): test_no_promise_is_broken[34] failed both times ('not served again: recovery in 15.0 s'), test_no_key_has_two_owners[2] failed in one of two ('no answer by the deadline'); the others passed. These two tests alone then passed once each on the commit before and once each with this change.

--- a/soak/_planted.py
+++ b/soak/_planted.py
@@ -69,7 +69,7 @@
         'forgets-inherited': PlantedBug(
             GrantLedger, 'inherit', _forget_inherited
         ),
-        'forgets-grants': PlantedBug(KeyTimes, 'latest_end', _zero_end),
+        'forgets-grants': PlantedBug(KeyTimes, 'longest_validity', _zero_end),
         'repeats-all': PlantedBug(Forwarder, '_may_repeat', _always_may_repeat),
         'versions-fall': PlantedBug(ActiveRoutes, 'offer', _accept_any),
     },
--- a/src/carobwalk/keyspace/_grant_ledger.py
+++ b/src/carobwalk/keyspace/_grant_ledger.py
@@ -110,7 +110,7 @@
             bounds=key_range.bounds,
             number=self._grant_count,
             longest_delay=times.order_timeout + times.arrival_slack,
-            longest_hold=times.latest_end(hold),
+            longest_validity=times.longest_validity(hold),
         )
         sent = self._sent_by_incarnation[key_range.owner]
         sent.drop_expired(self._clock.now())
@@ -131,7 +131,7 @@
         """Record that the wait for the answer to a grant just ended."""
         arrival = self._clock.now() + self._times.arrival_slack
         sent = self._sent_by_incarnation[sent_grant.incarnation]
-        sent.record_no_answer(sent_grant, arrival + sent_grant.longest_hold)
+        sent.record_no_answer(sent_grant, arrival + sent_grant.longest_validity)
 
     def holds_until(
         self,
--- a/src/carobwalk/keyspace/_sent_grants.py
+++ b/src/carobwalk/keyspace/_sent_grants.py
@@ -18,7 +18,7 @@
         bounds: First and last key of the granted range.
         number: Number that distinguishes it from other grants of the range.
         longest_delay: Longest time until it arrives, in seconds.
-        longest_hold: Longest time from its arrival until it expires, in
+        longest_validity: Longest time from its arrival until it expires, in
             seconds.
     """
 
@@ -26,11 +26,11 @@
     bounds: KeyBounds
     number: int
     longest_delay: float
-    longest_hold: float
+    longest_validity: float
 
     def latest_end(self, now: float) -> float:
         """Return when the grant expires at the latest if it is still sent."""
-        return now + self.longest_delay + self.longest_hold
+        return now + self.longest_delay + self.longest_validity
 
 
 @dataclass(slots=True)
--- a/src/carobwalk/keyspace/_times.py
+++ b/src/carobwalk/keyspace/_times.py
@@ -46,12 +46,16 @@
     detection_timeout: float = 0.9
     tick: float = 0.1
 
-    def latest_end(self, hold: float) -> float:
-        """Return how long a grant may be in force, counted from its arrival."""
+    def longest_validity(self, hold: float) -> float:
+        """Return how long a grant may be in force, counted from its arrival.
+
+        Args:
+            hold: Duration of the grant in seconds, on the server's clock.
+        """
         return hold / SLOWEST_CLOCK_RATE
 
     @property
     def inherited(self) -> float:
         """Longest time that an earlier coordinator's grants may be in force."""
         arrival = self.order_timeout + self.arrival_slack
-        return arrival + self.latest_end(self.longest_hold)
+        return arrival + self.longest_validity(self.longest_hold)
--- a/tests/keyspace/test_predecessor_report.py
+++ b/tests/keyspace/test_predecessor_report.py
@@ -221,10 +221,10 @@
             ledger.record_answer(sent)
         if outcome == 'no-answer':
             ledger.record_no_answer(sent)
-        end = clock.seconds + TIMES.latest_end(TIMES.longest_hold)
+        end = clock.seconds + TIMES.longest_validity(TIMES.longest_hold)
         assert ledger.holds_until(OLD_OWNER) >= end
         reported = [grant.holds for grant in ledger.state().grants]
-        assert reported[0] >= TIMES.latest_end(TIMES.longest_hold)
+        assert reported[0] >= TIMES.longest_validity(TIMES.longest_hold)
 
     def test_cancelled_grant_is_unanswered(
         self, virtual_clock: MockClock
@@ -237,7 +237,7 @@
             ledger = sender.ledger
             with trio.move_on_after(0.1):
                 await sender.grant(RECORDED, '', lambda: True)
-            end = trio.current_time() + TIMES.latest_end(TIMES.hold)
+            end = trio.current_time() + TIMES.longest_validity(TIMES.hold)
             assert end <= ledger.free_after_release(OLD_OWNER) < end + 1
             await trio.sleep(5)
             assert ledger.is_settled
