Read the clock once when a grant ledger is made

The constructor of GrantLedger read the clock for each of the two bounds on inherited grants, so they were counted from two moments. Both bounds now count from the first of these readings, as in GrantLedger.inherit.

--- a/src/carobwalk/keyspace/_grant_ledger.py
+++ b/src/carobwalk/keyspace/_grant_ledger.py
@@ -85,8 +85,9 @@
     ) -> None:
         self._times = times
         self._clock = clock
-        self._inherited_until = clock.now() + inherited.holds
-        self._inherited_unanswered = clock.now() + inherited.unanswered
+        now = clock.now()
+        self._inherited_until = now + inherited.holds
+        self._inherited_unanswered = now + inherited.unanswered
         self._sent_by_incarnation: dict[ServerIncarnation, SentGrants] = (
             defaultdict(SentGrants)
         )
