Compute the longest delay of a grant in one place

KeyTimes.inherited and GrantLedger.record_send each added order_timeout and arrival_slack: the longest time between the sending of a grant and its arrival. It is now KeyTimes.longest_delay, named as the field of SentGrant that holds it.

--- a/src/carobwalk/keyspace/_grant_ledger.py
+++ b/src/carobwalk/keyspace/_grant_ledger.py
@@ -110,7 +110,7 @@
             incarnation=key_range.owner,
             bounds=key_range.bounds,
             number=self._grant_count,
-            longest_delay=times.order_timeout + times.arrival_slack,
+            longest_delay=times.longest_delay,
             longest_validity=times.longest_validity(hold),
         )
         sent = self._sent_by_incarnation[key_range.owner]
--- a/src/carobwalk/keyspace/_times.py
+++ b/src/carobwalk/keyspace/_times.py
@@ -46,6 +46,11 @@
     detection_timeout: float = 0.9
     tick: float = 0.1
 
+    @property
+    def longest_delay(self) -> float:
+        """Longest time between the sending of a grant and its arrival."""
+        return self.order_timeout + self.arrival_slack
+
     def longest_validity(self, hold: float) -> float:
         """Return how long a grant may be in force, counted from its arrival.
 
@@ -57,5 +62,4 @@
     @property
     def inherited(self) -> float:
         """Longest time that an earlier coordinator's grants may be in force."""
-        arrival = self.order_timeout + self.arrival_slack
-        return arrival + self.longest_validity(self.longest_hold)
+        return self.longest_delay + self.longest_validity(self.longest_hold)
