Name the incarnations in the record of a key map

The field `lives` of a key map's record lists the incarnations that its ranges refer to; all other code, and the variable that it is read into, say incarnations. The field keeps `lives` as its name in the record, so records of earlier versions stay readable and the other way round.

--- a/src/carobwalk/keyspace/_codec.py
+++ b/src/carobwalk/keyspace/_codec.py
@@ -31,7 +31,8 @@
 
 
 class _Map(msgspec.Struct):
-    lives: tuple[tuple[str, int], ...]
+    # Identity and start of each server that the ranges refer to by position.
+    incarnations: tuple[tuple[str, int], ...] = msgspec.field(name='lives')
     ranges: tuple[_Range, ...]
     # Whether the coordinator resigned with no unanswered grant outstanding.
     settled: bool = False
@@ -71,7 +72,7 @@
     }
     return msgspec.json.encode(
         _Map(
-            lives=tuple(
+            incarnations=tuple(
                 (incarnation.server, incarnation.born)
                 for incarnation in incarnations
             ),
@@ -146,7 +147,8 @@
     try:
         raw = msgspec.json.decode(content, type=_Map)
         incarnations = [
-            ServerIncarnation(ServerId(name), born) for name, born in raw.lives
+            ServerIncarnation(ServerId(name), born)
+            for name, born in raw.incarnations
         ]
         return Ok(
             tuple(
