Claim a key map only if the term still ran when it was read

Callers saw: two backend servers ran requests on the same keys for seconds, in the simulated fleet.

Cause: a process that was suspended between its election and its claim went on after its lease had lapsed. It read the record of its successor and wrote its own claim over it; its lease was checked for orders, not for claims. The record then named a process that had sent none of the grants in force. The next coordinator asked that process, was told of no grants, and gave the keys of a server that it could not reach to another one at once.

Why it works: the term is checked after the read. If it still runs then, no successor had claimed the record that was read, and a later claim changes the revision, so the conditional write fails.

tests/keyspace/test_claims.py passes a running term to claim_map; what it checks is unchanged.

--- a/src/carobwalk/keyspace/_coordinator_role.py
+++ b/src/carobwalk/keyspace/_coordinator_role.py
@@ -184,7 +184,7 @@
             coordination.events,
             Claimant(self._dependencies.own, term.lease),
         )
-        claim = await claim_map(writer, coordination.orders.times)
+        claim = await claim_map(writer, coordination.orders.times, term)
         if claim is None:
             return
         unanswered = claim.inherited.unanswered
--- a/src/carobwalk/keyspace/_map_claim.py
+++ b/src/carobwalk/keyspace/_map_claim.py
@@ -10,6 +10,7 @@
 from carobwalk.keyspace._grant_ledger import InheritedBounds
 from carobwalk.keyspace._key_map import KeyMap
 from carobwalk.keyspace._map_writer import MapWriter
+from carobwalk.keyspace._term import Term
 from carobwalk.keyspace._times import KeyTimes
 
 _SETTLED_SLACK_SECONDS: Final = 0.1
@@ -31,7 +32,11 @@
     predecessor: Claimant | None = None
 
 
-async def claim_map(writer: MapWriter, times: KeyTimes) -> MapClaim | None:
+async def claim_map(
+    writer: MapWriter,
+    times: KeyTimes,
+    term: Term,
+) -> MapClaim | None:
     """Rewrite a key map unchanged to fence off earlier coordinators.
 
     The new revision makes conditional writes of earlier coordinators fail.
@@ -39,13 +44,16 @@
     Args:
         writer: Reads and writes the map.
         times: Timing settings of grants.
+        term: Term of this process.
 
     Returns:
-        The claim, ``None`` if the store failed or another coordinator wrote
-        the map.
+        The claim, ``None`` if the store failed, another coordinator wrote
+        the map, or the term may be over.
     """
     read = await writer.read()
-    if isinstance(read, Err):
+    # A record read after the term may be that of the next coordinator. One
+    # read during the term is not, and the write fails if it changed since.
+    if isinstance(read, Err) or not term.is_valid:
         return None
     record = read.ok_value
     key_map = writer.decode(record)
--- a/tests/keyspace/test_claims.py
+++ b/tests/keyspace/test_claims.py
@@ -12,6 +12,8 @@
 from carobwalk.keyspace._key_range import KeyRange
 from carobwalk.keyspace._map_claim import MapClaim, claim_map
 from carobwalk.keyspace._map_writer import MapWriter
+from carobwalk.keyspace._term import Term
+from carobwalk.model import TrioClock
 from carobwalk.store import LeaseId, StoreFailure, Unanswered
 from standins.platform import KvStore
 from tests.keyspace.simulated_fleet import SERVICE, make_endpoint, make_server
@@ -59,7 +61,10 @@
 
 async def _claim(store: object, claimant: Claimant) -> MapClaim | None:
     writer = MapWriter(store, SERVICE, NullEventLog(), claimant)
-    return await claim_map(writer, KeyTimes())
+    clock = TrioClock()
+    times = KeyTimes()
+    term = Term(claimant.lease, clock.now(), times, clock)
+    return await claim_map(writer, times, term)
 
 
 def _store_claimed_by(claimant: Claimant) -> KvStore:
