Drop evidence about servers at the start of a term

Cause: a process keeps its failure detector over its terms, and refused connections count until an order is answered. A coordinator saw two refusals of a server that restarted under its id, and lost the role before it could record a move. The next one renewed the grants; the new process accepted them, as orders name only the id. When the first process had the role again, its refusals still said that the owner had ended, so nobody waited for these grants and no release was sent.

Why it works: refusals seen within a term are later than all orders of earlier coordinators, so they prove that what those granted has ended. Older refusals prove nothing, and are dropped.

--- a/src/carobwalk/keyspace/_coordinator_role.py
+++ b/src/carobwalk/keyspace/_coordinator_role.py
@@ -139,6 +139,8 @@
 
     async def _serve_term(self, term: Term) -> None:
         self._term = term
+        orders = self._dependencies.coordination.orders
+        orders.failure_detector.clear()
         self._set_coordinating(is_coordinator=True)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
--- a/src/carobwalk/keyspace/_failure_detector.py
+++ b/src/carobwalk/keyspace/_failure_detector.py
@@ -45,6 +45,14 @@
             ServerIncarnation, _FailureEvidence
         ] = {}
 
+    def clear(self) -> None:
+        """Drop all evidence when a term begins.
+
+        Since an earlier term of this process, another coordinator may have
+        sent grants to a new process at an address that refused connections.
+        """
+        self._evidence_by_incarnation.clear()
+
     def record_answer(self, incarnation: ServerIncarnation) -> None:
         """Record an answer to an order and clear earlier failures."""
         self._evidence_by_incarnation.pop(incarnation, None)
