Keep no connection on which an order was refused

Callers could see two backend servers that hold the same keys.

Cause: servers may repeat an answer. After an order for a former server, the server that now has its address answers 421, and the connection was kept. If it repeated that answer, the next grant, to this server itself, counted as never sent: its bound was removed from the ledger though the server held the keys, and two such answers counted as the end of its process, so that nobody would have waited for its grants.

Why it works: the connection is closed after any answer to an order that is not a success, so a 421 on a used connection can't be a repeated one. Renewed grants, which succeed, keep their connections.

--- a/src/carobwalk/http/_client_connection.py
+++ b/src/carobwalk/http/_client_connection.py
@@ -1,5 +1,6 @@
 """Client's side of one HTTP/1.1 connection."""
 
+from http import HTTPStatus
 from urllib.parse import quote, urlencode
 
 import h11
@@ -75,6 +76,8 @@
         response = await self._send_and_receive(request)
         if response is None:
             return Err(NoAnswer(f'{self._address}: no response'))
+        if response.status >= HTTPStatus.MULTIPLE_CHOICES:
+            self._is_spent |= not request.is_reused_after_failure
         # The first response on a connection can belong to no other request.
         has_field = request.answer_field in response.headers
         if request.answer_field and not (is_first or has_field):
--- a/src/carobwalk/http/_messages.py
+++ b/src/carobwalk/http/_messages.py
@@ -23,6 +23,9 @@
             requests have; empty if they have none. A response without it on a
             used connection counts as none, as servers may repeat an earlier
             one, and the connection is not used again.
+        is_reused_after_failure: Whether the connection may carry another
+            request after a response that is not a success. Servers may repeat
+            such a response, so that it is taken for that of the next request.
         may_send: Returns whether the request may still be sent; called when
             the connection is open, which may be long after a suspension of
             the host.
@@ -34,6 +37,7 @@
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b''
     answer_field: str = ''
+    is_reused_after_failure: bool = True
     may_send: Callable[[], bool] = field(default=always_send, compare=False)
 
 
--- a/src/carobwalk/platform/_grant_channel.py
+++ b/src/carobwalk/platform/_grant_channel.py
@@ -116,6 +116,7 @@
                 },
                 body=msgspec.json.encode(body),
                 answer_field=answer_field,
+                is_reused_after_failure=False,
                 may_send=may_send,
             ),
             timeout,
--- a/tests/platform/test_grant_channel.py
+++ b/tests/platform/test_grant_channel.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from http import HTTPStatus
 
 import pytest
 import trio
 from result import Err, Ok
 
 from carobwalk.directory import BackendServer
-from carobwalk.http import HttpClient
+from carobwalk.http import H11Stream, HttpClient
 from carobwalk.keyspace import (
     Grant,
     KeyTimes,
@@ -34,8 +35,10 @@
 class _Fleet:
     """One keyed server on loopback and the channel that orders it."""
 
-    def __init__(self, nursery: trio.Nursery) -> None:
-        self.backend = KeyedBackend('s1', _WORK_SECONDS)
+    def __init__(
+        self, nursery: trio.Nursery, backend: type[KeyedBackend]
+    ) -> None:
+        self.backend = backend('s1', _WORK_SECONDS)
         self.channel = PlatformGrantChannel(
             HttpClient(idle_limit=1),
             _TIMES,
@@ -69,13 +72,15 @@
 
 
 @pytest.fixture
-def run_scenario() -> Callable[[Scenario], None]:
+def run_scenario() -> Callable[..., None]:
     """Return a function that runs a scenario with a started server."""
 
-    def run(scenario: Scenario) -> None:
+    def run(
+        scenario: Scenario, backend: type[KeyedBackend] = KeyedBackend
+    ) -> None:
         async def body() -> None:
             async with trio.open_nursery() as nursery:
-                fleet = _Fleet(nursery)
+                fleet = _Fleet(nursery, backend)
                 await fleet.start()
                 await scenario(fleet)
                 nursery.cancel_scope.cancel()
@@ -172,3 +177,35 @@
             assert fleet.backend.connections == 2
 
         run_scenario(scenario)
+
+
+class _RepeatingBackend(KeyedBackend):
+    """Server that repeats its refusals of orders for other servers."""
+
+    async def _send(
+        self,
+        http: H11Stream,
+        status: int,
+        request_id: bytes,
+        headers: list[tuple[bytes, bytes]],
+        is_repeated: bool = False,
+    ) -> None:
+        is_misdirected = status == HTTPStatus.MISDIRECTED_REQUEST
+        await super()._send(http, status, b'', headers, is_misdirected)
+
+
+class TestReusedAddress:
+    # Guards against two owners: a grant that was applied counted as never
+    # sent, and its server as ended.
+    def test_repeated_refusal(self, run_scenario) -> None:
+        """A refusal of an order for another server is not taken twice."""
+
+        async def scenario(fleet: _Fleet) -> None:
+            former = replace(fleet.server, id=ServerId('s0'))
+            sent = await fleet.channel.grant(former, _FIRST)
+            assert isinstance(sent.err(), OrderUnsent)
+            sent = await fleet.channel.grant(fleet.server, _SECOND)
+            assert sent == Ok(None)
+            assert fleet.backend.holder.held
+
+        run_scenario(scenario, _RepeatingBackend)
