Send no releases for a move that has been superseded

Callers saw: keys without a server for up to the 0.7 s to the next renewal.

Cause: a move went on to release its keys from the previous owner until that one answered, even if the move was no longer in force. If the keys had come back to that owner meanwhile (its successor ended, say), a release reached it after its new grant. Releases are never refused, so it lost the keys, which the coordinator took for granted. No second owner.

Evidence: TestSupersededMove in tests/keyspace/test_successor_races.py failed before the change (held=[] 1 s after the new grant) and passes with it; tests/keyspace, tests/platform and tests/http pass.

Why it works: as for grants, it is checked just before a release is sent, with the lock of the server held, whether the move is still in force. A move that was found superseded once ends, so that it can't grant keys unreleased.

--- a/src/carobwalk/keyspace/_activation.py
+++ b/src/carobwalk/keyspace/_activation.py
@@ -39,6 +39,7 @@
         self.key_range = key_range
         self.is_refused = False
         self.handover = ''
+        self._is_superseded = False
         self._order_sender = order_sender
         self._dependencies = dependencies
         self._clock = clock
@@ -50,11 +51,11 @@
             for incarnation in self.key_range.previous:
                 nursery.start_soon(self._revoke, incarnation)
         retry = self._dependencies.times.retry
-        while self._is_needed():
+        while self._may_go_on():
             answered = await self._order_sender.grant(
                 self.key_range,
                 self.handover,
-                self._is_needed,
+                self._may_go_on,
             )
             if isinstance(answered, Ok):
                 return True
@@ -65,19 +66,32 @@
         return False
 
     async def _revoke(self, incarnation: ServerIncarnation) -> None:
-        """Wait until an incarnation is certain to hold none of the keys."""
+        """Wait until an incarnation is certain to hold none of the keys.
+
+        Stop when the assignment is superseded, because the keys may have been
+        granted to the incarnation anew.
+        """
         cause = self._cause_of_revocation(incarnation)
         while cause is None:
+            if not self._may_go_on():
+                return
             cause = await self._release(incarnation)
         self._log_revocation(incarnation, cause)
 
+    def _may_go_on(self) -> bool:
+        """Whether the assignment has been in force at each check so far."""
+        self._is_superseded = self._is_superseded or not self._is_needed()
+        return not self._is_superseded
+
     async def _release(
         self, incarnation: ServerIncarnation
     ) -> RevocationCause | None:
         """Release the keys; return ``None`` if the incarnation may hold any."""
         ledger = self._order_sender.ledger
         reports = ledger.report_count
-        released = await self._order_sender.release(self.key_range, incarnation)
+        released = await self._order_sender.release(
+            self.key_range, incarnation, self._may_go_on
+        )
         if isinstance(released, Err):
             await trio.sleep(self._retry_delay(released.err_value))
             return self._cause_of_revocation(incarnation)
--- a/src/carobwalk/keyspace/_order_sender.py
+++ b/src/carobwalk/keyspace/_order_sender.py
@@ -134,6 +134,7 @@
         self,
         key_range: KeyRange,
         incarnation: ServerIncarnation,
+        is_needed: Callable[[], bool],
     ) -> Result[str, OrderFailure]:
         """Order an incarnation to release a range of keys.
 
@@ -143,6 +144,8 @@
         Args:
             key_range: Range with its new owner and fencing token.
             incarnation: Incarnation that may hold the keys.
+            is_needed: Returns whether the release is still needed; called just
+                before it is sent.
 
         Returns:
             State for the new owner, empty for none.
@@ -153,10 +156,8 @@
                 OrderUnsent('server is not registered', is_refused=False)
             )
         async with self._locks_by_incarnation[incarnation]:
-            if not self._may_send():
-                return Err(
-                    OrderUnsent('the term may be over', is_refused=False)
-                )
+            if not self._may_send() or not is_needed():
+                return Err(OrderUnsent('no longer needed', is_refused=False))
             order = Release(
                 first=key_range.first,
                 last=key_range.last,
--- a/tests/keyspace/test_successor_races.py
+++ b/tests/keyspace/test_successor_races.py
@@ -1,5 +1,7 @@
 """Races between a coordinator, its successor and their orders."""
 
+from dataclasses import replace
+
 import trio
 from trio.testing import MockClock
 
@@ -197,3 +199,38 @@
                 nursery.cancel_scope.cancel()
 
         trio.run(body, clock=virtual_clock)
+
+
+class TestSupersededMove:
+    # Guards against keys that nobody serves: the owner lost keys that had come
+    # back to it, and was taken to hold them until the next renewal.
+    def test_no_release_of_returned_keys(
+        self, virtual_clock: MockClock
+    ) -> None:
+        """A move that is no longer in force releases no keys."""
+
+        async def body() -> None:
+            orders = _Orders()
+            sender = orders.sender('1', NOTHING)
+            await sender.grant(GRANTED, '', lambda: True)
+            holder = orders.book.holders_by_id[OLD_OWNER.server]
+            holder.stalls_releases = True
+            superseded = trio.Event()
+            activation = Activation(
+                MOVED,
+                sender,
+                orders.dependencies,
+                orders.clock,
+                lambda: not superseded.is_set(),
+            )
+            returned = replace(GRANTED, fence=3)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(activation.run)
+                await trio.sleep(1)
+                superseded.set()
+                holder.stalls_releases = False
+                await sender.grant(returned, '', lambda: True)
+                await trio.sleep(1)
+                assert holder.holds(0, trio.current_time())
+
+        trio.run(body, clock=virtual_clock)
