Do not take a refusal at a server's former address for its end

What callers could see: two owners of keys after a server had restarted under its old id at another address, if the new coordinator's view of the registry was older than the record.

Cause: a release goes to the latest known incarnation of the previous owner's id. If the registry of this process still showed only a former one, "latest" was that former one: the release went to its address, was refused there (nothing listens, or the address belongs to another server, which answers 421), and two refusals 0.1 s apart counted as the end of the incarnation that holds the keys elsewhere. The keys were granted anew 0.3 s later, whatever the ledger said.

Ruled out: the same with the restart at the old address (the release reaches the new life there), and with an id that is unknown altogether (no order is sent, the grants are waited for); both as before.

Change: former incarnations are not asked for a later one. Without an entry no order is sent; the keys wait for the entry or for the end of the grants. The stand-in of servers knows the address that a server listens at.

Test: test_registry_lag.py; before, ['s1', 's2'] at 0.306 s, grant of s1 until 5 s; passes now.

--- a/src/carobwalk/keyspace/_server_incarnations.py
+++ b/src/carobwalk/keyspace/_server_incarnations.py
@@ -37,9 +37,11 @@
         """Return the latest known incarnation of an incarnation's server.
 
         Orders name a server by its id only, so that a restarted server may
-        have accepted orders for its earlier life.
+        have accepted orders for its earlier life. Former incarnations don't
+        count: they may have listened at another address.
         """
-        born = self._latest_by_id.get(incarnation.server, incarnation.born)
+        known = self._latest_by_id.get(incarnation.server, incarnation.born)
+        born = max(known, incarnation.born)
         return self.server(ServerIncarnation(incarnation.server, born))
 
     def is_replaced(self, incarnation: ServerIncarnation) -> bool:
--- a/standins/platform/_server_reach.py
+++ b/standins/platform/_server_reach.py
@@ -6,7 +6,7 @@
 
 from carobwalk.directory import BackendServer
 from carobwalk.keyspace import OrderFailure, OrderUnanswered, OrderUnsent
-from carobwalk.model import ServerId
+from carobwalk.model import Address, ServerId
 from standins.platform._key_holder import KeyHolder
 from standins.platform._order_faults import OrderFaults
 
@@ -21,12 +21,16 @@
     refuses orders meant for its former incarnation. Those of the platform
     accept them, because they compare only the id.
 
+    ``addresses_by_id`` holds the addresses that servers listen at, if known;
+    orders to another address are refused.
+
     Args:
         holders_by_id: Keys of the running servers.
     """
 
     def __init__(self, holders_by_id: Mapping[ServerId, KeyHolder]) -> None:
         self.faults_by_id: dict[ServerId, OrderFaults] = {}
+        self.addresses_by_id: dict[ServerId, Address] = {}
         self.checks_incarnation = True
         self._holders_by_id = holders_by_id
 
@@ -39,6 +43,11 @@
         holder = self._holders_by_id[server.id]
         if holder.refuses_connections:
             return False
+        if (
+            self.addresses_by_id.get(server.id, server.address)
+            != server.address
+        ):
+            return False
         return holder.born == server.born or not self.checks_incarnation
 
     async def connect(self, server: BackendServer) -> OrderFailure | None:
--- /dev/null
+++ b/tests/keyspace/test_registry_lag.py
@@ -0,0 +1,82 @@
+"""Ownership while processes see different states of the registry."""
+
+import trio
+from trio.testing import MockClock
+
+from carobwalk.directory import ServerDirectory
+from carobwalk.events import NullEventLog
+from carobwalk.keyspace import (
+    FailureDetector,
+    KeyTimes,
+    OrderDependencies,
+    ServerIncarnations,
+)
+from carobwalk.keyspace._activation import Activation
+from carobwalk.keyspace._grant_ledger import GrantLedger, InheritedBounds
+from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
+from carobwalk.keyspace._order_sender import OrderSender
+from carobwalk.keyspace._term import Term
+from carobwalk.model import Address, ServerId, TrioClock
+from carobwalk.store import LeaseId
+from standins.platform import KeyHolder, MemoryOrderChannel
+from tests.keyspace.simulated_fleet import make_server
+
+RESTARTED = ServerIncarnation(ServerId('s1'), 2)
+NEW_OWNER = ServerIncarnation(ServerId('s2'), 1)
+MOVED = KeyRange(
+    first=0, last=99, owner=NEW_OWNER, fence=2, previous=(RESTARTED,)
+)
+HELD_SECONDS = 5.0
+
+
+class TestUnknownIncarnation:
+    # Guards against two owners: the release went to the former incarnation,
+    # at an address where nothing listened any more, and the refusals proved
+    # the end of the incarnation that held the keys elsewhere.
+    def test_refused_at_former_address(self, virtual_clock: MockClock) -> None:
+        """An incarnation that isn't in the registry yet keeps its keys.
+
+        A former one of its id, at another address, says nothing about it.
+        """
+
+        async def body() -> MemoryOrderChannel:
+            clock = TrioClock()
+            times = KeyTimes()
+            book = MemoryOrderChannel((0,))
+            held = KeyHolder(born=2)
+            held.grant((0, 99), 1, HELD_SECONDS, (0,))
+            book.holders_by_id[RESTARTED.server] = held
+            book.holders_by_id[NEW_OWNER.server] = KeyHolder()
+            book.reach.addresses_by_id[RESTARTED.server] = Address(
+                '127.0.0.1', 2001
+            )
+            directory = ServerDirectory(clock, NullEventLog())
+            for number in (1, 2):
+                directory.put(make_server(number), 1)
+            incarnations = ServerIncarnations(directory)
+            incarnations.refresh()
+            dependencies = OrderDependencies(
+                channel=book,
+                incarnations=incarnations,
+                failure_detector=FailureDetector(
+                    times, clock, lambda incarnation: 0
+                ),
+                times=times,
+                events=NullEventLog(),
+            )
+            sender = OrderSender(
+                dependencies,
+                Term(LeaseId('1'), clock.now() + 100, times, clock),
+                GrantLedger(
+                    times,
+                    clock,
+                    InheritedBounds(holds=HELD_SECONDS, unanswered=0),
+                ),
+            )
+            activation = Activation(
+                MOVED, sender, dependencies, clock, lambda: True
+            )
+            assert await activation.run()
+            return book
+
+        assert trio.run(body, clock=virtual_clock).violations == []
