Publish no record that was read after the term

What callers could see: keys refused at one process for as long as its map got only changes.

Cause: a coordinator that was suspended while it wrote found a conflict when it woke, read its successor's record, adopted and published it. Versions of maps (revision and number) don't name their publisher: the successor had published another map under the same version, with grants accepted while the record was written. A process that got the first one was then sent only changes relative to the second.

Found by the review of the incident; the class is the incident's: the right to act was checked before an await and relied on after it.

Change: the term is checked again after the write.

Test: tests/keyspace/test_lapsed_publication.py; before, revision 5 of the successor was published by the process whose own was 4. That a process keeps such a map was tried by the reviewer's throw-away script, and is not in a test.

--- a/src/carobwalk/keyspace/_service_coordinator.py
+++ b/src/carobwalk/keyspace/_service_coordinator.py
@@ -123,7 +123,8 @@
             replace(key_range, fence=0) for key_range in self._refused
         )
         written = await self._writer.write(current.assign(changed))
-        if written is None:
+        # After the term, the record may be another coordinator's.
+        if written is None or not self._term.is_valid:
             return
         self._refused.clear()
         self._map.replace_written(written)
