Name the process count that is assumed before the first report

LoadTable and RetryBudgets each started with 12 processes as a bare number, and both take the reported number from the same receipt. One constant serves both.

--- a/src/carobwalk/gateway/_load_table.py
+++ b/src/carobwalk/gateway/_load_table.py
@@ -9,6 +9,7 @@
     ServerIncarnation,
 )
 from carobwalk.gateway._priority_queue import PriorityQueue
+from carobwalk.gateway._process_count import INITIAL_PROCESS_COUNT
 from carobwalk.gateway._request_totals_table import RequestTotalsTable
 from carobwalk.gateway._server_load import ServerLoad
 from carobwalk.model import ServiceName
@@ -40,7 +41,7 @@
             PriorityQueue,
         )
         self.totals = RequestTotalsTable()
-        self.process_count = 12
+        self.process_count = INITIAL_PROCESS_COUNT
 
     def of(self, server: BackendServer) -> ServerLoad:
         """Return the load of a server, a new one if it is unknown."""
--- a/src/carobwalk/gateway/_retry_budgets.py
+++ b/src/carobwalk/gateway/_retry_budgets.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from carobwalk.gateway._process_count import INITIAL_PROCESS_COUNT
 from carobwalk.gateway._sliding_window_retry_budget import (
     RetryRules,
     SlidingWindowRetryBudget,
@@ -18,7 +19,7 @@
 
     def __init__(self, rules: RetryRules) -> None:
         self.rules = rules
-        self.process_count = 12
+        self.process_count = INITIAL_PROCESS_COUNT
         self._started: float | None = None
         self._budgets_by_service: dict[
             ServiceName, SlidingWindowRetryBudget
