Ask the preceding coordinator again until it answers

Cause: the new coordinator asked once and waited 0.5 s. A predecessor that was frozen or cut off at that moment was not asked again.

Change: it is asked each 0.5 s until it answers, the term is over or the assumed bounds have expired. A process that doesn't know its term ends the questions. PredecessorAsked has `outcome` and `attempts` in place of `is_answered`, and is logged at most twice a term: first question unanswered, end of the questions.

Reports may be merged late, repeatedly and in any order: the lower inherited bound comes with the grants of its report, bounds of grants only rise, releases are repeated after each report.

The test of the model that disables a rule is split by the number of terms; no rule or limit was lowered. soak/_planted.py follows the moved fields.

--- a/soak/_planted.py
+++ b/soak/_planted.py
@@ -56,8 +56,8 @@
 
 
 def _forget_inherited(ledger: GrantLedger, _reported: LedgerState) -> None:
-    ledger._inherited_until = 0
-    ledger._inherited_unanswered = 0
+    ledger.inherited.held_until = 0
+    ledger.inherited.unanswered_until = 0
 
 
 PLANTED_BY_NAME: Final[Mapping[str, PlantedBug]] = MappingProxyType(
--- a/src/carobwalk/keyspace/__init__.py
+++ b/src/carobwalk/keyspace/__init__.py
@@ -27,7 +27,8 @@
     Release,
 )
 from carobwalk.keyspace._server_incarnations import ServerIncarnations
-from carobwalk.keyspace._succession import SUCCESSION_TOPIC, Succession
+from carobwalk.keyspace._succession import Succession
+from carobwalk.keyspace._succession_messages import SUCCESSION_TOPIC
 from carobwalk.keyspace._times import KeyTimes
 
 __all__ = (
--- a/src/carobwalk/keyspace/_coordinator_role.py
+++ b/src/carobwalk/keyspace/_coordinator_role.py
@@ -200,6 +200,7 @@
                 coordination.succession.ask_predecessor,
                 claim.predecessor,
                 service,
+                term,
                 ledger,
             )
         order_sender = OrderSender(coordination.orders, term, ledger)
--- a/src/carobwalk/keyspace/_grant_ledger.py
+++ b/src/carobwalk/keyspace/_grant_ledger.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from carobwalk.directory import ServerIncarnation
+from carobwalk.keyspace._inherited_grants import InheritedGrants
 from carobwalk.keyspace._key_range import MAX_KEY, KeyBounds, KeyRange
 from carobwalk.keyspace._sent_grants import SentGrant, SentGrants
 from carobwalk.keyspace._times import KeyTimes
@@ -69,7 +70,8 @@
     counts from its arrival all the same. Bounds are taken when an outcome is
     known, not when a grant is sent, because the host may be suspended between.
 
-    ``report_count`` is the number of predecessors' reports received.
+    ``report_count`` is the number of predecessors' reports received, and
+    ``inherited`` bounds the grants that neither they nor this term know of.
 
     Args:
         times: Timing settings of grants.
@@ -85,8 +87,9 @@
     ) -> None:
         self._times = times
         self._clock = clock
-        self._inherited_until = clock.now() + inherited.holds
-        self._inherited_unanswered = clock.now() + inherited.unanswered
+        self.inherited = InheritedGrants(
+            clock, inherited.holds, inherited.unanswered
+        )
         self._sent_by_incarnation: dict[ServerIncarnation, SentGrants] = (
             defaultdict(SentGrants)
         )
@@ -141,7 +144,7 @@
         """Return when an incarnation's grants of some keys have expired."""
         sent = self._sent_by_incarnation[incarnation]
         end = sent.holds_until(keys, self._clock.now())
-        return max(end, self._inherited_until)
+        return max(end, self.inherited.held_until)
 
     def free_after_release(
         self,
@@ -151,7 +154,7 @@
         """Return when no unanswered grant can follow a release any more."""
         sent = self._sent_by_incarnation[incarnation]
         end = sent.unanswered_until(keys, self._clock.now())
-        return max(end, self._inherited_unanswered)
+        return max(end, self.inherited.unanswered_until)
 
     def state(self) -> LedgerState:
         """Return the bounds that a successor has to wait for."""
@@ -169,8 +172,8 @@
             if holds > now
         )
         return LedgerState(
-            max(self._inherited_until - now, 0),
-            max(self._inherited_unanswered - now, 0),
+            max(self.inherited.held_until - now, 0),
+            max(self.inherited.unanswered_until - now, 0),
             grants,
         )
 
@@ -182,11 +185,7 @@
         """
         now = self._clock.now()
         self.report_count += 1
-        self._inherited_until = min(self._inherited_until, now + state.holds)
-        self._inherited_unanswered = min(
-            self._inherited_unanswered,
-            now + state.unanswered,
-        )
+        self.inherited.lower(state.holds, state.unanswered)
         for row in state.grants:
             incarnation = ServerIncarnation(ServerId(row.server), row.born)
             self._sent_by_incarnation[incarnation].inherit(
@@ -206,4 +205,4 @@
             ),
             default=-math.inf,
         )
-        return max(latest, self._inherited_unanswered) <= now
+        return max(latest, self.inherited.unanswered_until) <= now
--- a/tests/keyspace/grant_model/__init__.py
+++ b/tests/keyspace/grant_model/__init__.py
@@ -8,10 +8,18 @@
 
 from tests.keyspace.grant_model._rules import RULES
 from tests.keyspace.grant_model._search import (
+    SHORT_SECOND_TERM,
     THREE_TERMS,
     TWO_TERMS,
     Found,
     search,
 )
 
-__all__ = ('RULES', 'THREE_TERMS', 'TWO_TERMS', 'Found', 'search')
+__all__ = (
+    'RULES',
+    'SHORT_SECOND_TERM',
+    'THREE_TERMS',
+    'TWO_TERMS',
+    'Found',
+    'search',
+)
--- a/tests/keyspace/grant_model/_bounds.py
+++ b/tests/keyspace/grant_model/_bounds.py
@@ -1,6 +1,7 @@
 """What a coordinator knows about the grants in force."""
 
 from tests.keyspace.grant_model._state import (
+    MOST_REPORTS,
     TIMEOUT,
     Coordinator,
     Ticks,
@@ -38,21 +39,31 @@
     rules: frozenset[str],
 ) -> Coordinator:
     """Return a successor that received its predecessor's bounds."""
-    holds, unanswered = reported(predecessor, rules)
+    is_first = successor.reports == MOST_REPORTS
     inherited = 0
     if 'report-inherited' in rules:
         inherited = predecessor.inherited
-    if 'release-after-report' in rules:
-        flight = successor.flight
+    repeats = 'release-after-each-report' in rules or is_first
+    if repeats and 'release-after-report' in rules:
+        successor = without_release(successor)
+    if is_first or 'each-report-whole' in rules:
+        holds, unanswered = reported(predecessor, rules)
         successor = successor._replace(
-            is_released=False,
-            flight=flight and flight._replace(is_outdated=not flight.is_grant),
+            holds=larger(successor.holds, holds),
+            unanswered=larger(successor.unanswered, unanswered),
         )
     return successor._replace(
-        holds=larger(successor.holds, holds),
-        unanswered=larger(successor.unanswered, unanswered),
         inherited=min(successor.inherited, inherited),
-        has_asked=False,
+        reports=successor.reports - 1,
+    )
+
+
+def without_release(successor: Coordinator) -> Coordinator:
+    """Return a successor to which no release sent before counts."""
+    flight = successor.flight
+    return successor._replace(
+        is_released=False,
+        flight=flight and flight._replace(is_outdated=not flight.is_grant),
     )
 
 
--- a/tests/keyspace/grant_model/_rules.py
+++ b/tests/keyspace/grant_model/_rules.py
@@ -29,6 +29,11 @@
         # A release that was sent before the report is repeated after it: a
         # reported grant may have been applied and answered after the release.
         'release-after-report',
+        # It is repeated after a second report as well, which may name grants
+        # that the predecessor itself learned of after the first.
+        'release-after-each-report',
+        # A second report lowers the inherited bound only with its grants.
+        'each-report-whole',
         # The undoing of an unsent grant keeps bounds reported meanwhile.
         'retract-keeps-inherited',
         # An assignment is written to the store before its first grant.
--- a/tests/keyspace/grant_model/_search.py
+++ b/tests/keyspace/grant_model/_search.py
@@ -15,6 +15,9 @@
 # grants, and to send grants itself.
 TWO_TERMS = (1, 5)
 THREE_TERMS = (1, 1, 5)
+# The second coordinator's lease ends at once, so that grants of the first one
+# may arrive after the third has been elected.
+SHORT_SECOND_TERM = (1, 0, 5)
 
 
 class Found(NamedTuple):
--- a/tests/keyspace/grant_model/_state.py
+++ b/tests/keyspace/grant_model/_state.py
@@ -11,6 +11,8 @@
 # Longest time from the arrival of an unanswered order to its application. A
 # grant that is applied later has expired.
 LATE = 2
+# Reports that a coordinator may receive from its predecessor, at any time.
+MOST_REPORTS = 2
 
 NOBODY = -1
 
@@ -73,7 +75,7 @@
         inherited: The same bound for unknown grants of earlier coordinators.
         is_released: Whether the previous owner answered a release.
         flight: Order that waits for its answer.
-        has_asked: Whether the report of its predecessor may still arrive.
+        reports: Reports of its predecessor that may still arrive.
         prepared: Server that a grant is prepared for; used without the rule
             'freeze-check-before-send'.
     """
@@ -87,7 +89,7 @@
     inherited: int = 0
     is_released: bool = False
     flight: Flight | None = None
-    has_asked: bool = False
+    reports: int = 0
     prepared: int = NOBODY
 
 
--- a/tests/keyspace/grant_model/_succession.py
+++ b/tests/keyspace/grant_model/_succession.py
@@ -4,6 +4,7 @@
 
 from tests.keyspace.grant_model._bounds import adopt_report, assumed_inherited
 from tests.keyspace.grant_model._state import (
+    MOST_REPORTS,
     NOBODY,
     Coordinator,
     State,
@@ -31,14 +32,14 @@
             state.recorded,
             state.is_moving,
             inherited=bound,
-            has_asked=True,
+            reports=MOST_REPORTS,
         )
         yield (
             f'{number} is elected',
             state._replace(coordinators=(*state.coordinators, elected)),
         )
     for asker, coordinator in enumerate(state.coordinators):
-        if coordinator.has_asked:
+        if coordinator.reports:
             predecessor = state.coordinators[asker - 1]
             informed = adopt_report(coordinator, predecessor, rules)
             yield (
--- a/tests/keyspace/test_succession.py
+++ b/tests/keyspace/test_succession.py
@@ -19,6 +19,7 @@
 from tests.keyspace.simulated_fleet import (
     SERVICE,
     PeerLinks,
+    Router,
     SimulatedFleet,
     make_endpoint,
 )
@@ -174,6 +175,49 @@
         run_scenario(scenario)
 
 
+class TestFrozenPredecessor:
+    # Guards against keys without an owner: a predecessor that did not answer
+    # the first question for its grants was not asked again.
+    def test_thawed_after_takeover(self, run_scenario) -> None:
+        """Released keys move when a frozen predecessor runs again."""
+
+        async def scenario(fleet: SimulatedFleet) -> None:
+            first = fleet.add_router('a')
+            await fleet.wait_until_owned()
+            second = fleet.add_router('b')
+            await trio.sleep(0.5)
+            first.gate.freeze()
+            while not second.is_coordinating:
+                await trio.sleep(0.02)
+            fleet.nursery.start_soon(_thaw_after, first, 0.8)
+            assert await _seconds_to_move(fleet) < 5
+
+        run_scenario(scenario)
+
+    def test_reachable_after_takeover(self, run_scenario) -> None:
+        """Released keys move when a cut link to the predecessor is back."""
+
+        async def scenario(fleet: SimulatedFleet) -> None:
+            first = fleet.add_router('a')
+            await fleet.wait_until_owned()
+            answer = fleet.peers.answers_by_name.pop('a')
+            second = fleet.add_router('b')
+            await trio.sleep(0.5)
+            first.link.is_cut = True
+            while not second.is_coordinating:
+                await trio.sleep(0.02)
+            await trio.sleep(2)
+            fleet.peers.answers_by_name['a'] = answer
+            assert await _seconds_to_move(fleet) < 2
+
+        run_scenario(scenario)
+
+
+async def _thaw_after(router: Router, seconds: float) -> None:
+    await trio.sleep(seconds)
+    router.gate.thaw()
+
+
 class TestSuccession:
     def test_own_claim(self, virtual_clock: MockClock) -> None:
         """A claim whose answer was lost does not end its own term."""
@@ -190,11 +234,12 @@
             ledger = GrantLedger(times, clock, nothing)
             succession.register(SERVICE, term, ledger)
             claimant = Claimant(make_endpoint('a'), LeaseId('7'))
-            await succession.ask_predecessor(claimant, SERVICE, ledger)
+            await succession.ask_predecessor(claimant, SERVICE, term, ledger)
             assert term.is_valid
             await succession.ask_predecessor(
                 claimant,
                 SERVICE,
+                Term(LeaseId('8'), clock.now(), times, clock),
                 GrantLedger(times, clock, nothing),
             )
             assert term.is_over
