--- a/src/carobwalk/keyspace/_coordinator_role.py
+++ b/src/carobwalk/keyspace/_coordinator_role.py
@@ -202,6 +202,7 @@
                 coordination.succession.ask_predecessor,
                 claim.predecessor,
                 service,
+                term,
                 ledger,
             )
         order_sender = OrderSender(coordination.orders, term, ledger)
