Forget the refusals of an earlier term when a term starts

What callers could see: two owners of keys after a server had restarted under its old id, while the role went to another process and came back.

Cause: two refused connections prove the end of an incarnation, and the proof had no end. Process a saw them between two lives of a server and lost the role before it could record a move. Process b, whose registry showed only the former life, renewed to its address, where the new life accepted (orders name the id only). When a took the role again, its old refusals released the keys at once; b's grants, reported to a and still in force for 10 s, did not count. Later orders of the process itself did clear refusals; those of others could not. Class of the incident: a state taken at one moment and relied on later, without regard to what was done in between.

Change: a new term forgets all refusals. Those seen in it are sound: whoever was coordinator before can't send on a connection that opened after its term ended.

Test: TestFormerRefusals; failed in 7 of 7 runs before, passes now.

--- a/src/carobwalk/keyspace/_coordinator_role.py
+++ b/src/carobwalk/keyspace/_coordinator_role.py
@@ -139,13 +139,15 @@
 
     async def _serve_term(self, term: Term) -> None:
         self._term = term
+        coordination = self._dependencies.coordination
+        coordination.orders.failure_detector.forget_refusals()
         self._set_coordinating(is_coordinator=True)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 renew_lease,
                 term,
                 self._dependencies.store,
-                self._dependencies.coordination,
+                coordination,
             )
             await self._coordinate(term)
             nursery.cancel_scope.cancel()
--- a/src/carobwalk/keyspace/_failure_detector.py
+++ b/src/carobwalk/keyspace/_failure_detector.py
@@ -79,6 +79,16 @@
             evidence.refused_since = self._clock.now()
         evidence.refusals += 1
 
+    def forget_refusals(self) -> None:
+        """Forget all refusals; to be called when a term starts.
+
+        A server that has restarted at the address since may hold keys by the
+        grants of another coordinator, meant for its former incarnation.
+        """
+        for evidence in self._evidence_by_incarnation.values():
+            evidence.refused_since = None
+            evidence.refusals = 0
+
     def is_dead(self, incarnation: ServerIncarnation) -> bool:
         """Whether the incarnation has ended: its process no longer listens."""
         evidence = self._evidence_by_incarnation.get(incarnation)
--- a/tests/keyspace/test_registry_lag.py
+++ b/tests/keyspace/test_registry_lag.py
@@ -19,7 +19,7 @@
 from carobwalk.model import Address, ServerId, TrioClock
 from carobwalk.store import LeaseId
 from standins.platform import KeyHolder, MemoryOrderChannel
-from tests.keyspace.simulated_fleet import make_server
+from tests.keyspace.simulated_fleet import SimulatedFleet, make_server
 
 RESTARTED = ServerIncarnation(ServerId('s1'), 2)
 NEW_OWNER = ServerIncarnation(ServerId('s2'), 1)
@@ -80,3 +80,37 @@
             return book
 
         assert trio.run(body, clock=virtual_clock).violations == []
+
+
+class TestFormerRefusals:
+    # Guards against two owners: refusals of an earlier term proved the end of
+    # a server to which another coordinator had sent grants in between.
+    def test_granted_by_other_coordinator(
+        self, virtual_clock: MockClock
+    ) -> None:
+        """Refusals seen in an earlier term prove nothing in a later one."""
+
+        async def body() -> MemoryOrderChannel:
+            fleet = SimulatedFleet(4)
+            fleet.book.reach.checks_incarnation = False
+            async with trio.open_nursery() as nursery:
+                fleet.start(nursery)
+                first = fleet.add_router('a')
+                await fleet.wait_until_owned()
+                second = fleet.add_router('b')
+                await trio.sleep(1)
+                owner = ServerId('s0')
+                assert fleet.book.owner(0) == owner
+                first.link.is_cut = True
+                fleet.book.holders_by_id[owner].refuses_connections = True
+                await trio.sleep(1.2)
+                fleet.start_server(0, born=2)
+                await trio.sleep(0.6)
+                assert second.is_coordinating
+                first.link.is_cut = False
+                second.link.is_cut = True
+                await trio.sleep(3)
+                nursery.cancel_scope.cancel()
+            return fleet.book
+
+        assert trio.run(body, clock=virtual_clock).violations == []
