Wait for the grants of all servers when a record is damaged

What callers could see: two owners of keys if the record of a service's keys was damaged during a term, while its owners drained and new servers were registered.

Cause: keys without a record are assigned when "all servers" hold nothing, but only the servers that may be given keys were asked. Owners that leave, are silent or are missing in the registry of the coordinator did not count, although the ledger knows their grants.

Ruled out: a coordinator that claims a damaged record; the bound that it inherits counts for every server.

Change: the whole ledger must be empty. It is read only while there is no map.

Found by reading. Test: TestDamagedRecord; failed before, 15 keys and times with two owners from 2.215 s on, passes now.

--- a/src/carobwalk/keyspace/_view_builder.py
+++ b/src/carobwalk/keyspace/_view_builder.py
@@ -71,16 +71,15 @@
 
         Keys that are assigned while servers are still starting would move
         again with each server that registers. Grants of a record that was
-        damaged may still be in force.
+        damaged may still be in force, also at servers that are leaving, silent
+        or not registered.
         """
-        return self._are_servers_settled(view) and self._hold_nothing(view)
+        are_settled = self._are_servers_settled(view)
+        return are_settled and not view.key_map.ranges and self._hold_nothing()
 
-    def _hold_nothing(self, view: PlannerView) -> bool:
-        now = self._dependencies.clock.now()
-        ends = (
-            self._ledger.holds_until(incarnation) for incarnation in view.usable
-        )
-        return all(end <= now for end in ends)
+    def _hold_nothing(self) -> bool:
+        state = self._ledger.state()
+        return not state.grants and state.holds <= 0
 
     def _are_servers_settled(self, view: PlannerView) -> bool:
         now = self._dependencies.clock.now()
--- a/tests/keyspace/test_registry_lag.py
+++ b/tests/keyspace/test_registry_lag.py
@@ -12,6 +12,7 @@
     ServerIncarnations,
 )
 from carobwalk.keyspace._activation import Activation
+from carobwalk.keyspace._codec import map_name
 from carobwalk.keyspace._grant_ledger import GrantLedger, InheritedBounds
 from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
 from carobwalk.keyspace._order_sender import OrderSender
@@ -19,7 +20,11 @@
 from carobwalk.model import Address, ServerId, TrioClock
 from carobwalk.store import LeaseId
 from standins.platform import KeyHolder, MemoryOrderChannel
-from tests.keyspace.simulated_fleet import SimulatedFleet, make_server
+from tests.keyspace.simulated_fleet import (
+    SERVICE,
+    SimulatedFleet,
+    make_server,
+)
 
 RESTARTED = ServerIncarnation(ServerId('s1'), 2)
 NEW_OWNER = ServerIncarnation(ServerId('s2'), 1)
@@ -114,3 +119,27 @@
             return fleet.book
 
         assert trio.run(body, clock=virtual_clock).violations == []
+
+
+class TestDamagedRecord:
+    # Guards against two owners: only servers that may be given keys were asked
+    # whether they still hold some.
+    def test_owners_are_leaving(self, virtual_clock: MockClock) -> None:
+        """Keys of a damaged record also wait for servers that are leaving."""
+
+        async def body() -> MemoryOrderChannel:
+            fleet = SimulatedFleet(2)
+            async with trio.open_nursery() as nursery:
+                fleet.start(nursery)
+                fleet.add_router('a')
+                await fleet.wait_until_owned()
+                fleet.store.records.put(map_name(SERVICE), b'?')
+                fleet.leave(0)
+                fleet.leave(1)
+                fleet.add_server(2)
+                await trio.sleep(8)
+                assert fleet.book.owner(0) == 's2'
+                nursery.cancel_scope.cancel()
+            return fleet.book
+
+        assert trio.run(body, clock=virtual_clock).violations == []
