--- a/tests/dispatch/loopback.py
+++ b/tests/dispatch/loopback.py
@@ -1,6 +1,7 @@
 """Scripted backend server on the loopback interface."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 import h11
@@ -106,3 +107,18 @@
     size = len(request.body)
     head = f'HTTP/1.1 200 OK\r\ncontent-length: {size}\r\n\r\n'.encode()
     await stream.send_all(head + request.body)
+
+
+@asynccontextmanager
+async def serving(script: Script = respond_ok) -> AsyncIterator[LoopbackServer]:
+    """Run a server within the block."""
+    server = LoopbackServer(script)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(server.serve)
+        yield server
+        nursery.cancel_scope.cancel()
+
+
+def http_head(*lines: str) -> bytes:
+    """Return an HTTP head."""
+    return '\r\n'.join((*lines, '', '')).encode()
