Split the tests of replication by concern

tests/profiles/test_replication.py had 372 lines with three classes of tests for the package carobwalk.profiles.replication. They are now in a folder of that name: follower, store_watch (load on the store), neighbours.

The classes moved whole: their syntax trees are equal to those before but for these names. Collected in tests/profiles: 70 before, 70 after, with the same names. Tests: tests/profiles: 70 passed.

--- a/tests/profiles/test_replication.py
+++ b/tests/profiles/replication/test_follower.py
@@ -1,13 +1,10 @@
-"""Replication of the configuration to all processes."""
-
-from collections.abc import Awaitable, Callable
+"""Tests of the replication of the configuration to all processes."""
 
 import pytest
 import trio
 from trio.testing import MockClock
 
-from benchmarks._config_fleet import Fleet, Process, make_endpoints
-from carobwalk.events import Event
+from benchmarks._config_fleet import Fleet, Process
 from carobwalk.profiles import Configuration, Entity, HeadRecord
 from carobwalk.profiles._codec import encode
 from carobwalk.profiles.replication import (
@@ -15,62 +12,23 @@
     ConfigurationStoreBehind,
     ConfigurationStoreLost,
 )
-from carobwalk.profiles.replication._neighbours import choose_neighbours
 from carobwalk.profiles.writing._head_store import HEAD_NAME
 from standins.memory_store import StoreFaults
 from tests.profiles._proposals import PROFILE, propose
-
-_REPLICATION_LIMIT_SECONDS = 4
-_COUNT = 12
-_DOWN = StoreFaults(down=True)
-
-Test = Callable[[Fleet], Awaitable[None]]
-
-
-class _RecordedEvents:
-    def __init__(self) -> None:
-        self.events: list[tuple[str, Event]] = []
-
-    def record(self, process: Process, event: Event) -> None:
-        self.events.append((process.own.name, event))
-
-    def count(self, kind: type[Event]) -> int:
-        return sum(isinstance(event, kind) for _, event in self.events)
-
-
-def _run(clock: MockClock, test: Test, count: int = _COUNT) -> _RecordedEvents:
-    events = _RecordedEvents()
-
-    async def main() -> None:
-        async with trio.open_nursery() as nursery:
-            fleet = Fleet(count, 1, nursery, events.record)
-            fleet.watchers = frozenset(('entry-000', 'entry-001'))
-            for endpoint in fleet.endpoints:
-                fleet.start(endpoint)
-            await trio.sleep(2)
-            await test(fleet)
-            nursery.cancel_scope.cancel()
-
-    trio.run(main, clock=clock)
-    return events
-
-
-async def _write(process: Process, slots: int, base: int) -> int:
-    write = propose(PROFILE, 'a', {'slots': slots}, base)
-    return (await process.repository.write(write)).unwrap().revision
-
-
-def _revisions(fleet: Fleet) -> set[int]:
-    return {
-        process.follower.current().revision
-        for process in fleet.processes.values()
-    }
+from tests.profiles.replication._harness import (
+    COUNT,
+    DOWN,
+    REPLICATION_LIMIT_SECONDS,
+    revisions_of,
+    run,
+    write_slots,
+)
 
 
 async def _sample_revisions(process: Process) -> list[int]:
     """Sample the active revision of a process for the time limit."""
     revisions = []
-    for _ in range(_REPLICATION_LIMIT_SECONDS * 10):
+    for _ in range(REPLICATION_LIMIT_SECONDS * 10):
         revisions.append(process.follower.current().revision)
         await trio.sleep(0.1)
     return revisions
@@ -83,11 +41,11 @@
         """Two watchers suffice for all processes."""
 
         async def test(fleet: Fleet) -> None:
-            await _write(fleet.processes['entry-005'], 1, 0)
-            await trio.sleep(_REPLICATION_LIMIT_SECONDS)
-            assert _revisions(fleet) == {1}
+            await write_slots(fleet.processes['entry-005'], 1, 0)
+            await trio.sleep(REPLICATION_LIMIT_SECONDS)
+            assert revisions_of(fleet) == {1}
 
-        _run(virtual_clock, test)
+        run(virtual_clock, test)
 
     def test_without_watchers(self, virtual_clock: MockClock) -> None:
         """Shared polling detects a change that no watcher reported."""
@@ -95,11 +53,11 @@
         async def test(fleet: Fleet) -> None:
             fleet.watchers = frozenset()
             await trio.sleep(11)
-            await _write(fleet.processes['entry-005'], 1, 0)
-            await trio.sleep(_REPLICATION_LIMIT_SECONDS)
-            assert _revisions(fleet) == {1}
+            await write_slots(fleet.processes['entry-005'], 1, 0)
+            await trio.sleep(REPLICATION_LIMIT_SECONDS)
+            assert revisions_of(fleet) == {1}
 
-        _run(virtual_clock, test)
+        run(virtual_clock, test)
 
     def test_store_down_after_acceptance(
         self,
@@ -113,12 +71,12 @@
             process = fleet.processes['entry-005']
             write = propose(PROFILE, 'a', {'slots': 1}, 0)
             accepted = (await process.repository.write(write)).unwrap()
-            fleet.store.inject(_DOWN)
+            fleet.store.inject(DOWN)
             process.follower.adopt(accepted.configuration)
-            await trio.sleep(_REPLICATION_LIMIT_SECONDS)
-            assert _revisions(fleet) == {1}
+            await trio.sleep(REPLICATION_LIMIT_SECONDS)
+            assert revisions_of(fleet) == {1}
 
-        events = _run(virtual_clock, test)
+        events = run(virtual_clock, test)
         assert events.count(ConfigurationStoreLost) > 0
 
     def test_start_while_the_store_is_down(
@@ -128,17 +86,17 @@
         """A starting process gets the revision from its peers."""
 
         async def test(fleet: Fleet) -> None:
-            await _write(fleet.processes['entry-005'], 1, 0)
-            await trio.sleep(_REPLICATION_LIMIT_SECONDS)
-            fleet.store.inject(_DOWN)
+            await write_slots(fleet.processes['entry-005'], 1, 0)
+            await trio.sleep(REPLICATION_LIMIT_SECONDS)
+            fleet.store.inject(DOWN)
             process = fleet.processes['entry-007']
             fleet.stop(process)
             started = fleet.start(process.own)
-            started.store.inject(_DOWN)
+            started.store.inject(DOWN)
             await trio.sleep(2)
             assert started.follower.current().revision == 1
 
-        _run(virtual_clock, test)
+        run(virtual_clock, test)
 
     def test_restart_with_only_stale_peers(
         self,
@@ -147,15 +105,15 @@
         """It waits for a revision that a peer announces but does not hold."""
 
         async def test(fleet: Fleet) -> None:
-            await _write(fleet.processes['entry-000'], 1, 0)
-            await trio.sleep(_REPLICATION_LIMIT_SECONDS)
-            fleet.store.inject(_DOWN)
+            await write_slots(fleet.processes['entry-000'], 1, 0)
+            await trio.sleep(REPLICATION_LIMIT_SECONDS)
+            fleet.store.inject(DOWN)
             # A peer that announces revision 2 holds only revision 1.
             fleet.processes['entry-003'].follower._local.note_revision(2)
             own = fleet.endpoints[6]
             fleet.stop(fleet.processes[own.name])
             started = fleet.start(own)
-            started.store.inject(_DOWN)
+            started.store.inject(DOWN)
             await trio.sleep(1)
             assert started.follower.current().revision == 0
             assert started.follower.configuration().revision == 0
@@ -163,7 +121,7 @@
             await trio.sleep(2)
             assert started.follower.current().revision == 1
 
-        _run(virtual_clock, test)
+        run(virtual_clock, test)
 
     def test_start_while_most_peers_are_partitioned(
         self,
@@ -172,18 +130,18 @@
         """Unreachable peers do not delay the start past the time limit."""
 
         async def test(fleet: Fleet) -> None:
-            await _write(fleet.processes['entry-000'], 1, 0)
-            await trio.sleep(_REPLICATION_LIMIT_SECONDS)
-            fleet.store_faults = _DOWN
+            await write_slots(fleet.processes['entry-000'], 1, 0)
+            await trio.sleep(REPLICATION_LIMIT_SECONDS)
+            fleet.store_faults = DOWN
             fleet.cut('region-1')
             fleet.cut('region-2')
             process = fleet.processes['entry-003']
             fleet.stop(process)
             started = fleet.start(process.own)
-            await trio.sleep(_REPLICATION_LIMIT_SECONDS - 1)
+            await trio.sleep(REPLICATION_LIMIT_SECONDS - 1)
             assert started.follower.current().revision == 1
 
-        _run(virtual_clock, test)
+        run(virtual_clock, test)
 
     def test_restart_of_the_only_process_with_a_revision(
         self,
@@ -199,14 +157,14 @@
 
         async def test(fleet: Fleet) -> None:
             fleet.watchers = frozenset()
-            await _write(fleet.processes['entry-000'], 1, 0)
-            await trio.sleep(11 + _REPLICATION_LIMIT_SECONDS)
+            await write_slots(fleet.processes['entry-000'], 1, 0)
+            await trio.sleep(11 + REPLICATION_LIMIT_SECONDS)
             process = fleet.processes['entry-003']
             write = propose(PROFILE, 'a', {'slots': 2}, 1)
             accepted = (await process.repository.write(write)).unwrap()
             process.follower.adopt(accepted.configuration)
             assert process.follower.current().revision == 2
-            fleet.store_faults = _DOWN
+            fleet.store_faults = DOWN
             fleet.stop(process)
             started = fleet.start(process.own)
             revisions = await _sample_revisions(started)
@@ -218,9 +176,9 @@
             revisions.extend(await _sample_revisions(started))
             assert revisions[-1] == 2
             assert revisions == sorted(revisions)
-            assert _revisions(fleet) == {2}
+            assert revisions_of(fleet) == {2}
 
-        _run(virtual_clock, test)
+        run(virtual_clock, test)
 
     def test_partition(self, virtual_clock: MockClock) -> None:
         """A partitioned region catches up once the partition heals."""
@@ -229,26 +187,26 @@
             fleet.cut('region-2')
             for process in fleet.processes.values():
                 if process.own.region == 'region-2':
-                    process.store.inject(_DOWN)
-            await _write(fleet.processes['entry-000'], 1, 0)
-            await trio.sleep(_REPLICATION_LIMIT_SECONDS)
-            assert _revisions(fleet) == {0, 1}
+                    process.store.inject(DOWN)
+            await write_slots(fleet.processes['entry-000'], 1, 0)
+            await trio.sleep(REPLICATION_LIMIT_SECONDS)
+            assert revisions_of(fleet) == {0, 1}
             fleet.heal()
-            await trio.sleep(_REPLICATION_LIMIT_SECONDS)
-            assert _revisions(fleet) == {1}
+            await trio.sleep(REPLICATION_LIMIT_SECONDS)
+            assert revisions_of(fleet) == {1}
 
-        _run(virtual_clock, test)
+        run(virtual_clock, test)
 
     def test_store_that_lost_writes(self, virtual_clock: MockClock) -> None:
         """An older revision in the store is reported and not applied."""
 
         async def test(fleet: Fleet) -> None:
             process = fleet.processes['entry-000']
-            await _write(process, 1, 0)
+            await write_slots(process, 1, 0)
             held = (await process.store.read(HEAD_NAME)).unwrap()
             assert held is not None
-            await _write(process, 2, 1)
-            await trio.sleep(_REPLICATION_LIMIT_SECONDS)
+            await write_slots(process, 2, 1)
+            await trio.sleep(REPLICATION_LIMIT_SECONDS)
             present = (await process.store.read(HEAD_NAME)).unwrap()
             assert present is not None
             await process.store.write(
@@ -256,13 +214,13 @@
                 held.content,
                 present.revision,
             )
-            await trio.sleep(_REPLICATION_LIMIT_SECONDS)
-            assert _revisions(fleet) == {2}
+            await trio.sleep(REPLICATION_LIMIT_SECONDS)
+            assert revisions_of(fleet) == {2}
             write = propose(PROFILE, 'a', {'slots': 3}, 1)
             refused = await process.repository.write(write)
             assert refused.is_err()
 
-        events = _run(virtual_clock, test)
+        events = run(virtual_clock, test)
         assert events.count(ConfigurationStoreBehind) > 0
 
     @pytest.mark.parametrize(
@@ -289,84 +247,34 @@
 
         async def test(fleet: Fleet) -> None:
             process = fleet.processes['entry-000']
-            await _write(process, 1, 0)
+            await write_slots(process, 1, 0)
             await trio.sleep(1)
             head = (await process.store.read(HEAD_NAME)).unwrap()
             assert head is not None
             await process.store.write(HEAD_NAME, content, head.revision)
-            await trio.sleep(_REPLICATION_LIMIT_SECONDS)
-            assert _revisions(fleet) == {1}
+            await trio.sleep(REPLICATION_LIMIT_SECONDS)
+            assert revisions_of(fleet) == {1}
             write = propose(PROFILE, 'a', {'slots': 3}, 1)
             refused = await process.repository.write(write)
             assert refused.is_err()
 
-        events = _run(virtual_clock, test)
+        events = run(virtual_clock, test)
         assert events.count(ConfigurationDamaged) > 0
 
     def test_collect_status(self, virtual_clock: MockClock) -> None:
         """The status lists the processes that lag or do not answer."""
 
         async def test(fleet: Fleet) -> None:
-            await _write(fleet.processes['entry-000'], 1, 0)
-            await trio.sleep(_REPLICATION_LIMIT_SECONDS)
+            await write_slots(fleet.processes['entry-000'], 1, 0)
+            await trio.sleep(REPLICATION_LIMIT_SECONDS)
             fleet.stop(fleet.processes['entry-004'])
             status = await fleet.processes[
                 'entry-001'
             ].follower.collect_status()
             assert status.revision == 1
-            assert len(status.processes) == _COUNT
+            assert len(status.processes) == COUNT
             lagging = status.lagging(1)
             assert [process.process for process in lagging] == ['entry-004']
             assert lagging[0].detail == 'connection refused'
 
-        _run(virtual_clock, test)
-
-
-class TestStoreCalls:
-    """The load on the store is independent of the size of the fleet."""
-
-    def test_outage_causes_no_thundering_herd(
-        self, virtual_clock: MockClock
-    ) -> None:
-        """During and after an outage the total call rate stays low."""
-        totals: dict[int, float] = {}
-
-        def make(count: int) -> Test:
-            async def test(fleet: Fleet) -> None:
-                fleet.store.inject(_DOWN)
-                await trio.sleep(30)
-                before = fleet.spread_calls()
-                await trio.sleep(10)
-                fleet.store.inject(StoreFaults())
-                await trio.sleep(10)
-                totals[count] = (fleet.spread_calls() - before) / 20
-
-            return test
-
-        _run(virtual_clock, make(12), 12)
-        _run(MockClock(autojump_threshold=0), make(72), 72)
-        # Four polls, and two watchers that each retry twice a second.
-        assert totals[12] < 10
-        assert totals[72] < 10
-
-
-class TestNeighbours:
-    """Selection of neighbours."""
-
-    def test_all_processes_are_reached_in_ten_hops(self) -> None:
-        """A change reaches 740 processes within ten hops."""
-        endpoints = make_endpoints(740)
-        by_name = {
-            endpoint.name: choose_neighbours(endpoint, endpoints)
-            for endpoint in endpoints
-        }
-        assert max(map(len, by_name.values())) == 10
-        reached = {endpoints[0].name}
-        for _ in range(10):
-            reached |= {peer.name for name in reached for peer in by_name[name]}
-        assert len(reached) == 740
-
-    def test_single_process(self) -> None:
-        """A process without peers has no neighbours."""
-        own = make_endpoints(1)
-        assert not choose_neighbours(own[0], own)
+        run(virtual_clock, test)
