Share the HTTP senders of the tests of the store's clients

test_http_store.py and test_http_host_list.py each had a FixedSender, the same to the letter, and a HandlerSender; that of the store enforces the timeout, that of the host list ignored it. Both now use the stricter one of tests/store/_senders.py. The tests themselves are unchanged.

Weighed: carobwalk.http.HttpClient.send has the same signature and other contents; the constant ADDRESS is one line.

--- a/tests/store/test_http_host_list.py
+++ b/tests/store/test_http_host_list.py
@@ -17,6 +17,7 @@
 from carobwalk.store import Host, HttpHostList
 from standins.host_list_handler import HostListHandler
 from standins.memory_host_list import MemoryHostList
+from tests.store._senders import FixedSender, HandlerSender
 
 ADDRESS = Address('127.0.0.1', 1)
 HOST = Host(
@@ -31,38 +32,6 @@
 )
 
 
-class HandlerSender:
-    """Sender that passes requests to the stand-in's handler."""
-
-    def __init__(self, handler: HostListHandler) -> None:
-        self._handler = handler
-
-    async def send(
-        self,
-        address: Address,
-        request: HttpRequest,
-        timeout: float,
-    ) -> Result[HttpResponse, HttpFailure]:
-        """Return the handler's response."""
-        return Ok(await self._handler(request))
-
-
-class FixedSender:
-    """Sender that returns the same result for all requests."""
-
-    def __init__(self, result: Result[HttpResponse, HttpFailure]) -> None:
-        self._result = result
-
-    async def send(
-        self,
-        address: Address,
-        request: HttpRequest,
-        timeout: float,
-    ) -> Result[HttpResponse, HttpFailure]:
-        """Return the fixed result."""
-        return self._result
-
-
 class TestHttpHostList:
     def test_read(self, virtual_clock: MockClock) -> None:
         """Reads reflect hosts that are added, marked as leaving and removed."""
--- a/tests/store/test_http_store.py
+++ b/tests/store/test_http_store.py
@@ -29,6 +29,7 @@
     Versioned,
 )
 from standins.store_handler import StoreHandler
+from tests.store._senders import FixedSender, HandlerSender
 
 ADDRESS = Address('127.0.0.1', 1)
 PendingResult = Awaitable[Result[Any, Any]]
@@ -44,40 +45,6 @@
 )
 
 
-class FixedSender:
-    """Sender that returns the same result for all requests."""
-
-    def __init__(self, result: Result[HttpResponse, HttpFailure]) -> None:
-        self._result = result
-
-    async def send(
-        self,
-        address: Address,
-        request: HttpRequest,
-        timeout: float,
-    ) -> Result[HttpResponse, HttpFailure]:
-        """Return the fixed result."""
-        return self._result
-
-
-class HandlerSender:
-    """Sender that passes requests to a handler and enforces the timeout."""
-
-    def __init__(self, handler: StoreHandler) -> None:
-        self._handler = handler
-
-    async def send(
-        self,
-        address: Address,
-        request: HttpRequest,
-        timeout: float,
-    ) -> Result[HttpResponse, HttpFailure]:
-        """Return the handler's response, or ``NoAnswer`` after the timeout."""
-        with trio.move_on_after(timeout):
-            return Ok(await self._handler(request))
-        return Err(NoAnswer('timeout'))
-
-
 def control(method: str, path: str, body: bytes = b'') -> HttpRequest:
     """Return a control request for the stand-in."""
     return HttpRequest(method, f'/_control/{path}', body=body)
