Answer a malformed write in one place

Each route of the administration that writes decoded its body, answered a failure and built a Statement; profiles and tokens also built the same Statement for a deletion. handle_write now takes the Result and answers its failure, and handle_deletion serves both deletions. The order of checks stays: body, then If-Match. The issue of a token and the revert of a change still decode first, since they do work of their own with the body.

Weighed and left, alike in shape only: - the Route declarations: each states in full what the OpenAPI document shows; - profiles/_failures.py and _store_failures.py: one type a failure, with a text and a way out of its own; - store/wire.py: one type a message, with a path and fields of its own.

--- a/src/carobwalk/admin/_writes.py
+++ b/src/carobwalk/admin/_writes.py
@@ -2,9 +2,10 @@
 
 from dataclasses import dataclass
 
-from result import Err
+from result import Err, Result
 
-from carobwalk.admin._error_view import error_response
+from carobwalk.admin._bodies import Deletion
+from carobwalk.admin._error_view import DescribedFailure, error_response
 from carobwalk.admin._exchange import Exchange
 from carobwalk.admin._responses import ok_response, redact_secrets
 from carobwalk.admin._views import PreviewView, WriteView
@@ -44,14 +45,17 @@
 
 async def handle_write(
     exchange: Exchange,
-    statement: Statement,
+    stated: Result[Statement, DescribedFailure],
 ) -> HttpResponse:
     """Make a write, or evaluate it on a dry run, and return the response.
 
     Args:
         exchange: Context of the request.
-        statement: The requested write.
+        stated: The requested write, or why the request states none.
     """
+    if isinstance(stated, Err):
+        return error_response(stated.err_value)
+    statement = stated.ok_value
     base_revision = statement.base_revision
     if base_revision is None:
         header_revision = exchange.base_revision()
@@ -73,6 +77,25 @@
     return await _handle_commit(exchange, proposal)
 
 
+async def handle_deletion(exchange: Exchange, subject: Subject) -> HttpResponse:
+    """Delete a subject for the reason in the request's body.
+
+    Args:
+        exchange: Context of the request.
+        subject: Subject to delete.
+    """
+    stated = exchange.body(Deletion).map(
+        lambda body: Statement(
+            subject=subject,
+            action=Action.DELETE,
+            fields={},
+            reason=body.reason,
+            reverting=body.reverting,
+        ),
+    )
+    return await handle_write(exchange, stated)
+
+
 async def _handle_preview(
     exchange: Exchange,
     proposal: Proposal,
--- a/src/carobwalk/admin/routes/_profile_writes.py
+++ b/src/carobwalk/admin/routes/_profile_writes.py
@@ -13,7 +13,7 @@
 from carobwalk.admin._revert import build_revert
 from carobwalk.admin._route import DRY_RUN, Route, register_route
 from carobwalk.admin._views import PreviewView, WriteView
-from carobwalk.admin._writes import Statement, handle_write
+from carobwalk.admin._writes import Statement, handle_deletion, handle_write
 from carobwalk.http import HttpResponse
 from carobwalk.profiles import Action, Role, Subject, SubjectKind
 
@@ -35,18 +35,16 @@
 )
 async def create_profile(exchange: Exchange) -> HttpResponse:
     """Create a profile, based on a revision of the configuration."""
-    decoded = exchange.body(NewProfile)
-    if isinstance(decoded, Err):
-        return error_response(decoded.err_value)
-    body = decoded.ok_value
-    statement = Statement(
-        subject=Subject(SubjectKind.PROFILE, body.name),
-        action=Action.CREATE,
-        fields=body.fields,
-        reason=body.reason,
-        reverting=body.reverting,
+    stated = exchange.body(NewProfile).map(
+        lambda body: Statement(
+            subject=Subject(SubjectKind.PROFILE, body.name),
+            action=Action.CREATE,
+            fields=body.fields,
+            reason=body.reason,
+            reverting=body.reverting,
+        ),
     )
-    return await handle_write(exchange, statement)
+    return await handle_write(exchange, stated)
 
 
 @register_route(
@@ -62,18 +60,16 @@
 )
 async def edit_profile(exchange: Exchange) -> HttpResponse:
     """Replace the fields that a profile sets itself."""
-    decoded = exchange.body(ProfileFields)
-    if isinstance(decoded, Err):
-        return error_response(decoded.err_value)
-    body = decoded.ok_value
-    statement = Statement(
-        subject=_subject(exchange),
-        action=Action.EDIT,
-        fields=body.fields,
-        reason=body.reason,
-        reverting=body.reverting,
+    stated = exchange.body(ProfileFields).map(
+        lambda body: Statement(
+            subject=_subject(exchange),
+            action=Action.EDIT,
+            fields=body.fields,
+            reason=body.reason,
+            reverting=body.reverting,
+        ),
     )
-    return await handle_write(exchange, statement)
+    return await handle_write(exchange, stated)
 
 
 @register_route(
@@ -89,18 +85,7 @@
 )
 async def delete_profile(exchange: Exchange) -> HttpResponse:
     """Delete a profile that nothing uses."""
-    decoded = exchange.body(Deletion)
-    if isinstance(decoded, Err):
-        return error_response(decoded.err_value)
-    body = decoded.ok_value
-    statement = Statement(
-        subject=_subject(exchange),
-        action=Action.DELETE,
-        fields={},
-        reason=body.reason,
-        reverting=body.reverting,
-    )
-    return await handle_write(exchange, statement)
+    return await handle_deletion(exchange, _subject(exchange))
 
 
 @register_route(
@@ -118,11 +103,9 @@
     decoded = exchange.body(Reversal)
     if isinstance(decoded, Err):
         return error_response(decoded.err_value)
-    statement = await build_revert(
+    stated = await build_revert(
         exchange.parts,
         _subject(exchange),
         decoded.ok_value,
     )
-    if isinstance(statement, Err):
-        return error_response(statement.err_value)
-    return await handle_write(exchange, statement.ok_value)
+    return await handle_write(exchange, stated)
--- a/src/carobwalk/admin/routes/_services.py
+++ b/src/carobwalk/admin/routes/_services.py
@@ -1,7 +1,5 @@
 """Routes of services and their assignment to profiles."""
 
-from result import Err
-
 from carobwalk.admin._bodies import Assignment
 from carobwalk.admin._error_view import error_response
 from carobwalk.admin._exchange import Exchange
@@ -82,15 +80,13 @@
 )
 async def assign_service(exchange: Exchange) -> HttpResponse:
     """Assign a service, known or new, to a profile."""
-    decoded = exchange.body(Assignment)
-    if isinstance(decoded, Err):
-        return error_response(decoded.err_value)
-    body = decoded.ok_value
-    statement = Statement(
-        subject=Subject(SubjectKind.SERVICE, exchange.path['name']),
-        action=Action.PUT,
-        fields={_PROFILE_FIELD: body.profile},
-        reason=body.reason,
-        reverting=body.reverting,
+    stated = exchange.body(Assignment).map(
+        lambda body: Statement(
+            subject=Subject(SubjectKind.SERVICE, exchange.path['name']),
+            action=Action.PUT,
+            fields={_PROFILE_FIELD: body.profile},
+            reason=body.reason,
+            reverting=body.reverting,
+        ),
     )
-    return await handle_write(exchange, statement)
+    return await handle_write(exchange, stated)
--- a/src/carobwalk/admin/routes/_tokens.py
+++ b/src/carobwalk/admin/routes/_tokens.py
@@ -1,7 +1,7 @@
 """Routes that issue and revoke tokens of operators."""
 
 import trio
-from result import Err
+from result import Err, Ok
 
 from carobwalk.admin._bodies import Deletion, NewToken
 from carobwalk.admin._error_view import error_response
@@ -11,7 +11,7 @@
 from carobwalk.admin._state_views import TokenView
 from carobwalk.admin._tokens import hash_secret, issue_token
 from carobwalk.admin._views import PreviewView, WriteView
-from carobwalk.admin._writes import Statement, handle_write
+from carobwalk.admin._writes import Statement, handle_deletion, handle_write
 from carobwalk.http import HttpResponse
 from carobwalk.profiles import Action, Role, Subject, SubjectKind
 
@@ -48,7 +48,7 @@
         reason=body.reason,
         reverting=body.reverting,
     )
-    response = await handle_write(exchange, statement)
+    response = await handle_write(exchange, Ok(statement))
     if exchange.is_dry_run or response.status != _STATUS_OK:
         return response
     revision = int(response.headers['etag'].strip('"'))
@@ -71,15 +71,5 @@
 )
 async def delete_token(exchange: Exchange) -> HttpResponse:
     """End the token of an operator."""
-    decoded = exchange.body(Deletion)
-    if isinstance(decoded, Err):
-        return error_response(decoded.err_value)
-    body = decoded.ok_value
-    statement = Statement(
-        subject=Subject(SubjectKind.OPERATOR, exchange.path['operator']),
-        action=Action.DELETE,
-        fields={},
-        reason=body.reason,
-        reverting=body.reverting,
-    )
-    return await handle_write(exchange, statement)
+    subject = Subject(SubjectKind.OPERATOR, exchange.path['operator'])
+    return await handle_deletion(exchange, subject)
