--- a/src/carobwalk/profiles/replication/_store_watch.py
+++ b/src/carobwalk/profiles/replication/_store_watch.py
@@ -16,7 +16,7 @@
 from carobwalk.profiles.replication._peer_exchange import PeerExchange
 from carobwalk.profiles.writing._head_store import (
     HEAD_NAME,
-    HeldHead,
+    StoredHead,
     decode_head,
 )
 from carobwalk.store import StoreFailure, Unanswered, Versioned
@@ -118,7 +118,7 @@
             return
         self._apply_head(head)
 
-    def _apply_head(self, head: HeldHead) -> None:
+    def _apply_head(self, head: StoredHead) -> None:
         configuration = head.record.configuration
         if configuration.revision < self._local.revision:
             behind = ConfigurationStoreBehind(
--- a/src/carobwalk/profiles/writing/_head_store.py
+++ b/src/carobwalk/profiles/writing/_head_store.py
@@ -19,7 +19,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HeldHead:
+class StoredHead:
     """A head record as read from the store.
 
     Args:
@@ -32,7 +32,7 @@
     store_revision: int
 
 
-def decode_head(stored: Versioned | None) -> HeldHead:
+def decode_head(stored: Versioned | None) -> StoredHead:
     """Decode the head record; returns an empty one if none is stored.
 
     Raises:
@@ -40,10 +40,10 @@
         InvariantError: If its history has gaps.
     """
     if stored is None:
-        return HeldHead(HeadRecord(), 0)
+        return StoredHead(HeadRecord(), 0)
     record = decode(stored.content, HeadRecord)
     record.check()
-    return HeldHead(record, stored.revision)
+    return StoredHead(record, stored.revision)
 
 
 class HeadStore:
@@ -57,7 +57,7 @@
         self.pages = HistoryPages(store)
         self._store = store
 
-    async def read(self) -> Result[HeldHead, StoreFailure]:
+    async def read(self) -> Result[StoredHead, StoreFailure]:
         """Return the current record.
 
         A record that can't be decoded, because it is corrupt or in a newer
--- a/src/carobwalk/profiles/writing/_repository.py
+++ b/src/carobwalk/profiles/writing/_repository.py
@@ -19,7 +19,7 @@
 )
 from carobwalk.profiles.writing._decision import Decision, decide
 from carobwalk.profiles.writing._head_record import HeadRecord
-from carobwalk.profiles.writing._head_store import HeadStore, HeldHead
+from carobwalk.profiles.writing._head_store import HeadStore, StoredHead
 from carobwalk.profiles.writing._preview import Acceptance, Preview
 from carobwalk.profiles.writing._proposal import Proposal
 from carobwalk.profiles.writing._transition_check import check_transition
@@ -152,7 +152,7 @@
 
     async def _write_decision(
         self,
-        stored_head: HeldHead,
+        stored_head: StoredHead,
         decision: Decision,
         attempt: WriteAttempt,
     ) -> Result[Acceptance, ConfigurationFailure] | None:
