Say highest known revision for what a peer has heard of

PeerState.heard is the sender's highest_known_revision, as its source in LocalConfiguration is named; both now have that name.

--- a/src/carobwalk/profiles/replication/_peer_exchange.py
+++ b/src/carobwalk/profiles/replication/_peer_exchange.py
@@ -131,7 +131,9 @@
         # The latest report replaces earlier ones: a restarted process may
         # report a lower revision than before.
         self._revisions_by_process[sender] = state.revision
-        self._local.note_revision(max(state.heard, state.revision))
+        self._local.note_revision(
+            max(state.highest_known_revision, state.revision)
+        )
         if not state.content:
             return
         try:
--- a/src/carobwalk/profiles/replication/_peer_state.py
+++ b/src/carobwalk/profiles/replication/_peer_state.py
@@ -21,14 +21,14 @@
 
     Args:
         revision: Active revision of the sender; 0 if there is none.
-        heard: Highest revision that the sender knows of.
+        highest_known_revision: Highest revision that the sender knows of.
         wants_content: Whether the receiver should send its configuration if
             that is newer.
         content: Encoded configuration of ``revision``; empty if not sent.
     """
 
     revision: int
-    heard: int
+    highest_known_revision: int
     wants_content: bool = False
     content: bytes = b''
 
@@ -37,7 +37,7 @@
     """Serialise a state to a Cap'n Proto message."""
     message = _schema.ConfigurationState.new_message(
         revision=state.revision,
-        heard=state.heard,
+        heard=state.highest_known_revision,
         wantsContent=state.wants_content,
         content=state.content,
     )
