Check in the soak that routers log all their answers by id

The soak now records each answer that a caller received and, once the routers have ended, looks for a RequestAnswered line with its id and status.

Lines that the rate limit left out are accounted for by LinesLeftOut: at most as many answers, received in the time in which they were left out, may lack a line. Answers of servers count as well, because they use the same limit. Not checked are answers without a line less than 1.5 s of running time before SIGKILL: lines are written every 0.05 s, the number of those left out after a second. No answer is excused for lack of an id: callers send whole heads.

--- a/soak/_caller.py
+++ b/soak/_caller.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+import time
 from dataclasses import dataclass
 from typing import Final
 
@@ -9,6 +10,7 @@
 import trio
 
 from carobwalk.http import H11Stream
+from soak._answer_record import AnswerRecord
 from soak._invariant_checker import InvariantChecker
 from soak._load_pattern import LoadPattern
 from soak._router import Router, RouterState
@@ -156,6 +158,7 @@
         if request.is_at_most_once:
             self._checker.at_most_once_ids.add(request.id)
         incarnation = self._router.incarnation
+        sent_at = time.time()
         scope = trio.CancelScope(
             deadline=trio.current_time() + _MAX_WAIT_SECONDS
         )
@@ -165,7 +168,7 @@
         if scope.cancelled_caught:
             await self.close()
         if reply.status:
-            self._checker.answers_by_status[str(reply.status)] += 1
+            self._record_answer(request, reply, incarnation, sent_at)
         else:
             self._check_missing_answer(
                 request, incarnation, timed_out=scope.cancelled_caught
@@ -224,6 +227,21 @@
             detail = f'{request.id} by {self._router.name}'
             self._checker.record_violation('success without the answer', detail)
 
+    def _record_answer(
+        self, request: Ask, reply: Reply, incarnation: int, sent_at: float
+    ) -> None:
+        self._checker.record_answer(
+            AnswerRecord(
+                request=request.id,
+                status=reply.status,
+                router=self._router.name,
+                incarnation=incarnation,
+                sent_at=sent_at,
+                received_at=time.time(),
+                is_from_server=reply.is_from_server,
+            )
+        )
+
     def _check_missing_answer(
         self, request: Ask, incarnation: int, *, timed_out: bool
     ) -> None:
--- a/soak/_invariant_checker.py
+++ b/soak/_invariant_checker.py
@@ -5,6 +5,8 @@
 
 import trio
 
+from soak._answer_record import AnswerRecord
+
 _MAX_REPORTS_PER_KIND = 3
 
 
@@ -17,6 +19,7 @@
         refused_ids: Requests reported to their callers as not run.
         at_most_once_ids: Requests that must not run more than once.
         answers_by_status: Responses to callers by status.
+        answers_by_router: Responses to callers by the name of the router.
         faults: Injected faults by kind.
         violations: A line for each reported violation.
     """
@@ -25,6 +28,9 @@
     refused_ids: set[str] = field(default_factory=set)
     at_most_once_ids: set[str] = field(default_factory=set)
     answers_by_status: Counter[str] = field(default_factory=Counter)
+    answers_by_router: dict[str, list[AnswerRecord]] = field(
+        default_factory=lambda: defaultdict(list),
+    )
     faults: Counter[str] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
     _owners_by_fence: dict[tuple[int, int], str] = field(default_factory=dict)
@@ -42,6 +48,11 @@
             now = trio.current_time()
             self.violations.append(f'{now:.3f} {guarantee}: {detail}')
 
+    def record_answer(self, answer: AnswerRecord) -> None:
+        """Record a response that a caller received."""
+        self.answers_by_status[str(answer.status)] += 1
+        self.answers_by_router[answer.router].append(answer)
+
     def record_run(self, request: str, server: str) -> None:
         """Record that a server starts to run a request."""
         self.runs_by_id[request] += 1
--- a/soak/_planted.py
+++ b/soak/_planted.py
@@ -11,6 +11,7 @@
 from carobwalk.gateway import Forwarder, GatewayServer
 from carobwalk.gateway import _forwarder as forwarder_module
 from carobwalk.gateway import _refusals as refusals
+from carobwalk.gateway._request_handler import RequestHandler
 from carobwalk.keyspace import KeyTimes
 from carobwalk.keyspace._grant_ledger import GrantLedger, LedgerState
 from carobwalk.routing import ActiveRoutes, RouteTable
@@ -55,6 +56,10 @@
     routes.table = RouteTable(configuration)
 
 
+def _log_nothing(*_arguments: object) -> None:
+    """Log nothing."""
+
+
 def _forget_inherited(ledger: GrantLedger, _reported: LedgerState) -> None:
     ledger._inherited_until = 0
     ledger._inherited_unanswered = 0
@@ -71,6 +76,7 @@
         ),
         'forgets-grants': PlantedBug(KeyTimes, 'latest_end', _zero_end),
         'repeats-all': PlantedBug(Forwarder, '_may_repeat', _always_may_repeat),
+        'silent-answers': PlantedBug(RequestHandler, 'log', _log_nothing),
         'versions-fall': PlantedBug(ActiveRoutes, 'offer', _accept_any),
     },
 )
--- a/soak/_router.py
+++ b/soak/_router.py
@@ -2,6 +2,7 @@
 
 import math
 import signal
+import time
 from dataclasses import dataclass, replace
 from enum import StrEnum, unique
 from pathlib import Path
@@ -11,6 +12,7 @@
 from carobwalk.http import HttpClient, HttpRequest, serve_http
 from carobwalk.model import Address
 from soak._link import Link
+from soak._process_times import ProcessTimes
 from soak._store_gate import StoreGate
 from standins.platform import RouterAddresses, fill_settings
 from standins.processes import Processes, find_free_addresses
@@ -70,6 +72,7 @@
         self.stop_started_at = -math.inf
         self.resumed_at = -math.inf
         self.graceful_stops: set[int] = set()
+        self.times = ProcessTimes()
         self._launch = launch
         self._processes = processes
         self._addresses = _free_addresses(self.link)
@@ -115,6 +118,7 @@
         """Kill the process."""
         self.graceful_stops.discard(self.incarnation)
         self.state = RouterState.GONE
+        self.times.record_kill(self.incarnation, time.time())
         await self._processes.kill(self.name)
 
     async def stop(self) -> int:
@@ -131,6 +135,7 @@
         """Suspend the process for some seconds, as a frozen host does."""
         incarnation = self.incarnation
         self.state = RouterState.PAUSED
+        self.times.begin_pause(time.time())
         self._processes.send(self.name, signal.SIGSTOP)
         await trio.sleep(seconds)
         if (
@@ -139,6 +144,7 @@
         ):
             return
         self._processes.send(self.name, signal.SIGCONT)
+        self.times.end_pause(time.time())
         self.resumed_at = trio.current_time()
         self.state = RouterState.RUNNING
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from soak._answer_log_check import check_logs
 from soak._caller import Caller, RequestGenerator
 from soak._event_file import EventFile
 from soak._injector import Injector
@@ -40,6 +41,7 @@
         faults: Injected faults by kind.
         answers_by_status: Responses to callers by status.
         recovery: Seconds from the end of the faults until all was served.
+        refusals: Number of the routers' refusals by what their logs tell.
     """
 
     seed: int
@@ -47,6 +49,7 @@
     faults: Counter[str]
     answers_by_status: Counter[str]
     recovery: float
+    refusals: Counter[str]
 
 
 async def run_seed(seed: int, plan: SoakPlan, directory: Path) -> SoakOutcome:
@@ -81,6 +84,7 @@
             EventFile(directory / 'soak.log'),
         )
         self._recovery: float = 0
+        self._refusals: Counter[str] = Counter()
 
     def outcome(self) -> SoakOutcome:
         """Return the result."""
@@ -90,6 +94,7 @@
             faults=self._checker.faults,
             answers_by_status=self._checker.answers_by_status,
             recovery=round(self._recovery, 2),
+            refusals=self._refusals,
         )
 
     async def execute(self, processes: Processes) -> None:
@@ -109,6 +114,7 @@
             )
             await self._stop_all()
             self._testbed.monitor.finish()
+            self._refusals = await check_logs(self._testbed, self._directory)
             nursery.cancel_scope.cancel()
         self._testbed.event_file.close()
 
--- a/tests/fault_soak/test_soak.py
+++ b/tests/fault_soak/test_soak.py
@@ -66,6 +66,18 @@
         outcome = trio.run(run_seed, PLANTED_SEED, plan, tmp_path)
         assert any('two owners' in line for line in outcome.violations)
 
+    def test_answers_without_a_line_are_found(self, tmp_path: Path) -> None:
+        """Routers that do not log their answers are detected."""
+        plan = SoakPlan(
+            routers=1,
+            seconds=1,
+            faults=0,
+            module=('soak.planted', 'silent-answers'),
+        )
+        outcome = trio.run(run_seed, PLANTED_SEED, plan, tmp_path)
+        lines = outcome.violations
+        assert any('answer not in the log' in line for line in lines)
+
 
 class TestSchedule:
     def test_depends_on_the_seed_alone(self) -> None:
