Add grants of two lengths and resignations to the model

Change: abilities of coordinators. With "long-grants" a coordinator also sends a longer grant (4 ticks, not 2) when its term is in doubt; with "resignation" it may write a record that declares all grants answered, and end its term. Bounds that are inherited for all grants and for unanswered ones are told apart. Eight rules: bound-by-length, inherited-longest, longest-bound; settled-unanswered, settled-in-flight, settled-inherited, closed-before-record, claim-unsettles.

--- a/tests/keyspace/grant_model/__init__.py
+++ b/tests/keyspace/grant_model/__init__.py
@@ -3,15 +3,40 @@
 The model has one range of keys, two backend servers and up to three successive
 coordinators. Time passes in ticks. Each order is sent in one step and has its
 outcome in later ones; a coordinator may stop for any time, which the search
-covers by letting it skip steps.
+covers by letting it skip steps. With abilities, coordinators also send longer
+grants when their lease is in doubt, or resign.
 """
 
-from tests.keyspace.grant_model._rules import RULES
+from tests.keyspace.grant_model._rules import (
+    ALL_RULES,
+    CALM,
+    LONG_GRANT_RULES,
+    LONG_GRANTS,
+    RESIGNATION,
+    RESIGNATION_RULES,
+    RULES,
+)
 from tests.keyspace.grant_model._search import (
+    LONG_TERMS,
+    RESIGNATION_TERMS,
     THREE_TERMS,
     TWO_TERMS,
     Found,
     search,
 )
 
-__all__ = ('RULES', 'THREE_TERMS', 'TWO_TERMS', 'Found', 'search')
+__all__ = (
+    'ALL_RULES',
+    'CALM',
+    'LONG_GRANTS',
+    'LONG_GRANT_RULES',
+    'LONG_TERMS',
+    'RESIGNATION',
+    'RESIGNATION_RULES',
+    'RESIGNATION_TERMS',
+    'RULES',
+    'THREE_TERMS',
+    'TWO_TERMS',
+    'Found',
+    'search',
+)
--- a/tests/keyspace/grant_model/__main__.py
+++ b/tests/keyspace/grant_model/__main__.py
@@ -5,18 +5,23 @@
 
 import click
 
-from tests.keyspace.grant_model import RULES, search
+from tests.keyspace.grant_model import ALL_RULES, search
 
 
 @click.command()
 @click.option('--limit', default=3_000_000, help='Most states to see.')
 @click.option('--terms', default='1,5', help='Ticks of successive terms.')
+@click.option('--ability', multiple=True, help='Ability of coordinators.')
 @click.option('--without', multiple=True, help='Rule to disable.')
-def main(limit: int, terms: str, without: tuple[str, ...]) -> None:
+def main(
+    limit: int, terms: str, ability: tuple[str, ...], without: tuple[str, ...]
+) -> None:
     """Search and print the number of states and the trace that was found."""
     started = time.process_time()
     ticks = tuple(map(int, terms.split(',')))
-    found = search(RULES - frozenset(without), limit, ticks)
+    found = search(
+        (ALL_RULES - frozenset(without)) | frozenset(ability), limit, ticks
+    )
     for step in found.trace or ():
         click.echo(step)
     seconds = time.process_time() - started
--- a/tests/keyspace/grant_model/_bounds.py
+++ b/tests/keyspace/grant_model/_bounds.py
@@ -1,6 +1,8 @@
 """What a coordinator knows about the grants in force."""
 
+from tests.keyspace.grant_model._rules import LONG_GRANTS
 from tests.keyspace.grant_model._state import (
+    EXTENSION,
     TIMEOUT,
     Coordinator,
     Ticks,
@@ -19,7 +21,7 @@
         if 'wait-unanswered' not in rules:
             return True
         unanswered = coordinator.unanswered[holder]
-        return not max(unanswered, coordinator.inherited)
+        return not max(unanswered, coordinator.inherited_unanswered)
     if 'wait-hold' not in rules:
         return True
     return not max(coordinator.holds[holder], coordinator.inherited)
@@ -29,7 +31,8 @@
     """Return the bound of unknown grants of a preceding coordinator."""
     if 'inherited' not in rules:
         return 0
-    return TIMEOUT + assumed_hold(rules)
+    may_be_long = LONG_GRANTS in rules and 'inherited-longest' in rules
+    return TIMEOUT + assumed_hold(rules) + may_be_long * EXTENSION
 
 
 def adopt_report(
@@ -39,9 +42,10 @@
 ) -> Coordinator:
     """Return a successor that received its predecessor's bounds."""
     holds, unanswered = reported(predecessor, rules)
-    inherited = 0
+    inherited, inherited_unanswered = 0, 0
     if 'report-inherited' in rules:
         inherited = predecessor.inherited
+        inherited_unanswered = predecessor.inherited_unanswered
     if 'release-after-report' in rules:
         flight = successor.flight
         successor = successor._replace(
@@ -52,6 +56,9 @@
         holds=larger(successor.holds, holds),
         unanswered=larger(successor.unanswered, unanswered),
         inherited=min(successor.inherited, inherited),
+        inherited_unanswered=min(
+            successor.inherited_unanswered, inherited_unanswered
+        ),
         has_asked=False,
     )
 
--- a/tests/keyspace/grant_model/_orders.py
+++ b/tests/keyspace/grant_model/_orders.py
@@ -3,7 +3,10 @@
 from collections.abc import Iterator
 
 from tests.keyspace.grant_model._bounds import is_free
+from tests.keyspace.grant_model._rules import LONG_GRANTS
 from tests.keyspace.grant_model._state import (
+    DOUBTFUL_TERM,
+    EXTENSION,
     NOBODY,
     TIMEOUT,
     Coordinator,
@@ -48,6 +51,11 @@
         send_grant(state, number, target, rules),
     )
     coordinator = state.coordinators[number]
+    if LONG_GRANTS in rules and coordinator.term <= DOUBTFUL_TERM:
+        yield (
+            f'{number} sends a long grant to {target}',
+            send_grant(state, number, target, rules, EXTENSION),
+        )
     is_idle = coordinator.prepared == NOBODY
     if is_idle and 'freeze-check-before-send' not in rules:
         yield (
@@ -59,17 +67,21 @@
 
 
 def send_grant(
-    state: State, number: int, target: int, rules: frozenset[str]
+    state: State,
+    number: int,
+    target: int,
+    rules: frozenset[str],
+    extra: int = 0,
 ) -> State:
     """Return the state after a grant was sent."""
     coordinator = state.coordinators[number]
-    bound = sent_bound(rules)
+    bound = sent_bound(rules, extra)
     if 'retract-keeps-inherited' in rules:
-        flight = Flight(target, True, TIMEOUT, bound)
+        flight = Flight(target, True, TIMEOUT, bound, extra=extra)
         sent = coordinator._replace(flight=flight, prepared=NOBODY)
         return with_coordinator(state, number, sent)
     saved = coordinator.holds[target]
-    flight = Flight(target, True, TIMEOUT, bound, saved)
+    flight = Flight(target, True, TIMEOUT, bound, saved, extra)
     sent = coordinator._replace(
         flight=flight,
         prepared=NOBODY,
--- a/tests/keyspace/grant_model/_outcomes.py
+++ b/tests/keyspace/grant_model/_outcomes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from tests.keyspace.grant_model._rules import CALM
 from tests.keyspace.grant_model._state import (
     LATE,
     Coordinator,
@@ -28,15 +29,17 @@
     order = 'grant' if flight.is_grant else 'release'
     name = f'the {order} of {number} to {flight.target}'
     if not flight.is_arrived:
-        yield from arrivals(state, number, name)
-        yield (
-            f'{name} is not sent',
-            with_coordinator(state, number, retracted(coordinator, rules)),
-        )
+        yield from arrivals(state, number, name, rules)
+        if CALM not in rules:
+            undone = retracted(coordinator, rules)
+            yield (
+                f'{name} is not sent',
+                with_coordinator(state, number, undone),
+            )
     elif flight.is_answerable:
         yield (
             f'{name} is answered',
-            with_coordinator(state, number, confirmed(coordinator)),
+            with_coordinator(state, number, confirmed(coordinator, rules)),
         )
     if not flight.left:
         yield (
@@ -45,16 +48,18 @@
         )
 
 
-def arrivals(state: State, number: int, name: str) -> Iterator[Step]:
+def arrivals(
+    state: State, number: int, name: str, rules: frozenset[str]
+) -> Iterator[Step]:
     """Yield the possible arrivals of an order."""
     coordinator = state.coordinators[number]
     flight = coordinator.flight
     server = state.servers[flight.target]
     answerable = flight._replace(is_arrived=True, is_answerable=True)
-    for flight_after, how, server_after in (
-        (answerable, 'is applied', applied(server, flight)),
-        *late_effects(server, flight),
-    ):
+    effects = [(answerable, 'is applied', applied(server, flight))]
+    if CALM not in rules:
+        effects.extend(late_effects(server, flight))
+    for flight_after, how, server_after in effects:
         arrived = coordinator._replace(flight=flight_after)
         yield (
             f'{name} {how}',
@@ -71,10 +76,10 @@
 ) -> Iterator[tuple[Flight, str, Server]]:
     """Yield the effects of an unanswered order that is applied later."""
     unanswered = flight._replace(is_arrived=True)
-    for apply_in in range(1, LATE + 1):
+    for apply_in in range(1, LATE + flight.extra + 1):
         when = f'{apply_in} ticks later'
         if flight.is_grant and not server.late:
-            late = ((apply_in, server_hold(flight.target)),)
+            late = ((apply_in, server_hold(flight)),)
             yield (
                 unanswered,
                 f'will be applied {when}',
@@ -94,10 +99,10 @@
     """Return a server that has applied an order."""
     if not flight.is_grant:
         return server._replace(left=0)
-    return server._replace(left=max(server.left, server_hold(flight.target)))
+    return server._replace(left=max(server.left, server_hold(flight)))
 
 
-def confirmed(coordinator: Coordinator) -> Coordinator:
+def confirmed(coordinator: Coordinator, rules: frozenset[str]) -> Coordinator:
     """Return a coordinator whose order was answered."""
     flight = coordinator.flight
     if not flight.is_grant:
@@ -107,7 +112,7 @@
     return coordinator._replace(
         flight=None,
         is_moving=coordinator.is_moving and not is_first,
-        holds=raised(coordinator.holds, flight),
+        holds=raised(coordinator.holds, flight, rules),
     )
 
 
@@ -119,8 +124,8 @@
         return coordinator._replace(flight=None, is_released=is_released)
     return coordinator._replace(
         flight=None,
-        holds=raised(coordinator.holds, flight),
-        unanswered=raised(coordinator.unanswered, flight),
+        holds=raised(coordinator.holds, flight, rules),
+        unanswered=raised(coordinator.unanswered, flight, rules),
     )
 
 
@@ -134,7 +139,7 @@
     return undone._replace(holds=holds)
 
 
-def raised(bounds: Ticks, flight: Flight) -> Ticks:
+def raised(bounds: Ticks, flight: Flight, rules: frozenset[str]) -> Ticks:
     """Return the bounds with that of a sent grant."""
-    known = bounds[flight.target]
+    known = bounds[flight.target] if 'longest-bound' in rules else 0
     return at_index(bounds, flight.target, max(known, flight.bound))
--- a/tests/keyspace/grant_model/_rules.py
+++ b/tests/keyspace/grant_model/_rules.py
@@ -1,4 +1,12 @@
-"""Rules of the model, each of which may be disabled."""
+"""Rules of the model, each of which may be disabled, and its abilities."""
+
+# Abilities of coordinators: without them they have one length of grants and
+# never resign.
+LONG_GRANTS = 'long-grants'
+RESIGNATION = 'resignation'
+# Restricts the events: no server restarts, and all orders are sent and applied
+# at once on arrival. Short traces of broken rules are found sooner.
+CALM = 'calm'
 
 RULES = frozenset(
     (
@@ -42,3 +50,31 @@
         'restart-is-no-release',
     ),
 )
+# Rules that matter only with grants of two lengths.
+LONG_GRANT_RULES = frozenset(
+    (
+        # The bound of a grant follows its own length.
+        'bound-by-length',
+        # Unknown grants of a preceding coordinator count as long ones.
+        'inherited-longest',
+        # A shorter grant leaves the bound of a longer one before it in force.
+        'longest-bound',
+    ),
+)
+# Rules that matter only with resignations.
+RESIGNATION_RULES = frozenset(
+    (
+        # A record declares all grants answered only if the unanswered ones have
+        # expired.
+        'settled-unanswered',
+        # The same for grants that wait for their answers,
+        'settled-in-flight',
+        # and for grants that the resigning coordinator inherited.
+        'settled-inherited',
+        # A resigning coordinator sends nothing after that record.
+        'closed-before-record',
+        # The claim of a successor takes the declaration back.
+        'claim-unsettles',
+    ),
+)
+ALL_RULES = RULES | LONG_GRANT_RULES | RESIGNATION_RULES
--- a/tests/keyspace/grant_model/_search.py
+++ b/tests/keyspace/grant_model/_search.py
@@ -6,6 +6,7 @@
 
 from tests.keyspace.grant_model._orders import decisions
 from tests.keyspace.grant_model._outcomes import outcomes
+from tests.keyspace.grant_model._resignation import resignations
 from tests.keyspace.grant_model._restarts import restarts
 from tests.keyspace.grant_model._state import State, Step, initial_state
 from tests.keyspace.grant_model._succession import successions
@@ -15,6 +16,10 @@
 # grants, and to send grants itself.
 TWO_TERMS = (1, 5)
 THREE_TERMS = (1, 1, 5)
+# Long grants take longer to wait for.
+LONG_TERMS = (1, 7)
+# The first coordinator may give up a grant before it resigns.
+RESIGNATION_TERMS = (2, 5)
 
 
 class Found(NamedTuple):
@@ -38,6 +43,7 @@
     yield from ticks(state, rules)
     yield from successions(state, rules, terms)
     yield from restarts(state, rules)
+    yield from resignations(state, rules)
     for number, _ in enumerate(state.coordinators):
         yield from outcomes(state, number, rules)
         yield from decisions(state, number, rules)
--- a/tests/keyspace/grant_model/_state.py
+++ b/tests/keyspace/grant_model/_state.py
@@ -4,6 +4,10 @@
 
 # Nominal duration of a grant, in ticks as all times here.
 HOLD = 2
+# What a grant lasts longer that is sent while the lease is in doubt.
+EXTENSION = 2
+# Longest rest of a term, by its coordinator's clock, that puts it in doubt.
+DOUBTFUL_TERM = 1
 # Server 0 has the slowest clock and counts a grant this much longer.
 SLOWNESS = 1
 # Longest time from the sending of an order to its arrival.
@@ -45,6 +49,7 @@
         bound: Ticks until the grant has certainly expired.
         saved: Ticks of the target's bound before it was sent; used without
             the rule 'retract-keeps-inherited'.
+        extra: Ticks by which the grant lasts longer than usual.
         is_arrived: Whether it has arrived or was lost.
         is_answerable: Whether it has arrived and may still be answered.
         is_outdated: Whether its answer no longer counts.
@@ -55,6 +60,7 @@
     left: int
     bound: int = 0
     saved: int = 0
+    extra: int = 0
     is_arrived: bool = False
     is_answerable: bool = False
     is_outdated: bool = False
@@ -71,6 +77,7 @@
         holds: Ticks until the grants to each server have certainly expired.
         unanswered: The same bounds for unanswered grants only.
         inherited: The same bound for unknown grants of earlier coordinators.
+        inherited_unanswered: The same bound for unanswered ones of those.
         is_released: Whether the previous owner answered a release.
         flight: Order that waits for its answer.
         has_asked: Whether the report of its predecessor may still arrive.
@@ -85,6 +92,7 @@
     holds: Ticks = (0, 0)
     unanswered: Ticks = (0, 0)
     inherited: int = 0
+    inherited_unanswered: int = 0
     is_released: bool = False
     flight: Flight | None = None
     has_asked: bool = False
@@ -99,6 +107,8 @@
         coordinators: Coordinators elected so far.
         recorded: Owner of the keys in the store.
         is_moving: Whether the record names a previous owner.
+        is_settled: Whether the record declares that a coordinator resigned
+            with all grants answered.
         late_write: Owner in a write that is not yet done; used without the
             rule 'guarded-write'.
     """
@@ -107,6 +117,7 @@
     coordinators: tuple[Coordinator, ...]
     recorded: int = 0
     is_moving: bool = False
+    is_settled: bool = False
     late_write: int = NOBODY
 
 
@@ -143,9 +154,10 @@
     )
 
 
-def server_hold(server: int) -> int:
-    """Return how long a grant is in force at a server from its arrival."""
-    return HOLD + SLOWNESS if server == 0 else HOLD
+def server_hold(flight: Flight) -> int:
+    """Return how long a grant is in force at its server from its arrival."""
+    slowness = SLOWNESS if flight.target == 0 else 0
+    return HOLD + slowness + flight.extra
 
 
 def assumed_hold(rules: frozenset[str]) -> int:
@@ -153,7 +165,8 @@
     return HOLD + SLOWNESS if 'slow-clock' in rules else HOLD
 
 
-def sent_bound(rules: frozenset[str]) -> int:
+def sent_bound(rules: frozenset[str], extra: int) -> int:
     """Return the bound of a grant that is being sent."""
     delay = TIMEOUT if 'arrival-delay' in rules else 0
-    return delay + assumed_hold(rules)
+    length = extra if 'bound-by-length' in rules else 0
+    return delay + assumed_hold(rules) + length
--- a/tests/keyspace/grant_model/_succession.py
+++ b/tests/keyspace/grant_model/_succession.py
@@ -31,11 +31,15 @@
             state.recorded,
             state.is_moving,
             inherited=bound,
+            inherited_unanswered=0 if state.is_settled else bound,
             has_asked=True,
         )
         yield (
             f'{number} is elected',
-            state._replace(coordinators=(*state.coordinators, elected)),
+            state._replace(
+                coordinators=(*state.coordinators, elected),
+                is_settled=state.is_settled and 'claim-unsettles' not in rules,
+            ),
         )
     for asker, coordinator in enumerate(state.coordinators):
         if coordinator.has_asked:
--- a/tests/keyspace/grant_model/_time.py
+++ b/tests/keyspace/grant_model/_time.py
@@ -69,6 +69,7 @@
         holds=tuple(map(less, coordinator.holds)),
         unanswered=tuple(map(less, coordinator.unanswered)),
         inherited=less(coordinator.inherited),
+        inherited_unanswered=less(coordinator.inherited_unanswered),
         flight=flight and advance_flight(flight),
     )
 
