End the term when another coordinator's key map is found

What callers could see: two backend servers ran requests on the same keys, in the simulated fleet.

A new coordinator that reads "no record" claims nothing: there is nothing to rewrite. If its predecessor's unanswered first write was done late, the coordinator's own first write conflicted, and it went on with the record that it then read, although that named the predecessor. The next coordinator asked that process, was truly told of no grants, dropped the assumed 11 s and gave keys of a server that it could not reach to another one.

Why it works: a map that is read after a conflict or an unanswered write is used only if the record names this coordinator and term, as a claim already did. Any other one ends the term, and the next term claims the record as it is then. Claiming it on the spot was weighed: it could be the record of a successor. Records without ranges (missing or damaged) are as before.

--- a/src/carobwalk/keyspace/_map_writer.py
+++ b/src/carobwalk/keyspace/_map_writer.py
@@ -1,5 +1,7 @@
 """Conditional writes of a service's key map by its coordinator."""
 
+from dataclasses import dataclass
+
 import trio
 from result import Err, Ok, Result
 
@@ -25,6 +27,23 @@
 _RETRY_SECONDS = 0.1
 
 
+@dataclass(frozen=True, slots=True)
+class Overtaken:
+    """The stored key map was written by another coordinator or term.
+
+    Args:
+        writer: Coordinator that wrote it, ``None`` if the record names none.
+    """
+
+    writer: Claimant | None
+
+    def __str__(self) -> str:
+        """Return a description for logs."""
+        if self.writer is None:
+            return 'written by an unknown process'
+        return f'written by {self.writer.coordinator.name}'
+
+
 class MapWriter:
     """Writes a key map on condition that its revision is unchanged.
 
@@ -72,7 +91,7 @@
         key_map: KeyMap,
         *,
         is_settled: bool = False,
-    ) -> KeyMap | None:
+    ) -> KeyMap | Overtaken | None:
         """Write a key map if its base revision is still current.
 
         Args:
@@ -81,8 +100,10 @@
                 has no unanswered grant outstanding.
 
         Returns:
-            The map now in the store, which is another one after a conflict;
-            ``None`` if it is not known.
+            The map now in the store, which may be that of an earlier write of
+            this term, or empty if the record is missing or damaged;
+            ``Overtaken`` if another coordinator wrote it; ``None`` if it is
+            not known.
         """
         written = await self._write_once(key_map, is_settled=is_settled)
         if isinstance(written, Ok):
@@ -105,11 +126,8 @@
         written = await self._write_once(key_map)
         if isinstance(written, Ok):
             return written.ok_value
-        read = await self.read()
-        record = read.ok_value if isinstance(read, Ok) else None
-        if record is None or claimant_of(record.content) != self._claimant:
-            return None
-        return self.decode(record)
+        stored = await self._reread()
+        return stored if isinstance(stored, KeyMap) else None
 
     async def _write_once(
         self,
@@ -140,10 +158,19 @@
         )
         return Err(failure)
 
-    async def _reread(self) -> KeyMap | None:
-        """Return the stored map after a conflict or an unanswered write."""
+    async def _reread(self) -> KeyMap | Overtaken | None:
+        """Return the stored map after a conflict or an unanswered write.
+
+        A map of another coordinator must not be used: the next one asks the
+        process that the record names for the grants in force.
+        """
         read = await self.read()
-        if isinstance(read, Ok):
-            return self.decode(read.ok_value)
-        await trio.sleep(_RETRY_SECONDS)
-        return None
+        if isinstance(read, Err):
+            await trio.sleep(_RETRY_SECONDS)
+            return None
+        record = read.ok_value
+        key_map = self.decode(record)
+        writer = claimant_of(record.content) if record else None
+        if key_map.ranges and writer != self._claimant:
+            return Overtaken(writer)
+        return key_map
--- a/src/carobwalk/keyspace/_service_coordinator.py
+++ b/src/carobwalk/keyspace/_service_coordinator.py
@@ -13,11 +13,12 @@
 from carobwalk.keyspace._grant_renewer import GrantRenewer
 from carobwalk.keyspace._key_map import KeyMap
 from carobwalk.keyspace._key_range import KeyRange
-from carobwalk.keyspace._map_writer import MapWriter
+from carobwalk.keyspace._map_writer import MapWriter, Overtaken
 from carobwalk.keyspace._move import BALANCING, Move
 from carobwalk.keyspace._order_sender import OrderSender
 from carobwalk.keyspace._planner import Planner
 from carobwalk.keyspace._term import Term
+from carobwalk.keyspace._term_events import TermEnded
 from carobwalk.keyspace._view_builder import ViewBuilder
 from carobwalk.model import ServiceName
 
@@ -123,6 +124,12 @@
             replace(key_range, fence=0) for key_range in self._refused
         )
         written = await self._writer.write(current.assign(changed))
+        if isinstance(written, Overtaken):
+            # The next term claims the map as it is now.
+            self._term.end()
+            cause = f'keys of {self._service} {written}'
+            self._dependencies.events.emit(TermEnded(self._term.lease, cause))
+            return
         # After the term, the record may be another coordinator's.
         if written is None or not self._term.is_valid:
             return
