Count refusals of a server anew after a report of its answers

The first refused connection sets a time, and a report of answers after it disproves the end of the server for good. Reports are dated by their arrival, each process reports every 0.25 s, so answers from before the crash regularly arrive after the first refusal. Further refusals never moved that time.

Change: refusals are counted anew after a later report. As this makes an end provable again and again for a server that answers and refuses connections, it also asks for 0.3 s without a report of its answers, the interval of the reports and a delay; before, two refusals 0.1 s apart between two reports were enough. Keys of a crashed server move up to 0.3 s after its last report.

--- a/src/carobwalk/keyspace/_failure_detector.py
+++ b/src/carobwalk/keyspace/_failure_detector.py
@@ -5,11 +5,16 @@
 from typing import Final
 
 from carobwalk.directory import ServerIncarnation
+from carobwalk.keyspace._load_report import REPORT_INTERVAL_SECONDS
 from carobwalk.keyspace._times import KeyTimes
 from carobwalk.model import Clock
 
 _MIN_REFUSALS: Final = 2
 _MIN_REFUSAL_SECONDS: Final = 0.1
+# Longest time that a load report takes to arrive.
+_REPORT_DELAY_SECONDS: Final = 0.05
+# A server that answers is reported on by some process within this time.
+_MIN_SILENCE_SECONDS: Final = REPORT_INTERVAL_SECONDS + _REPORT_DELAY_SECONDS
 # How long after its last unanswered order a server is given no keys.
 _EXCLUSION_SECONDS: Final = 3.0
 
@@ -79,12 +84,18 @@
             evidence.unresponsive_since = now - self._times.order_timeout
 
     def record_refusal(self, incarnation: ServerIncarnation) -> None:
-        """Record that nothing listens at the server's address."""
+        """Record that nothing listens at the server's address.
+
+        Answers that are reported after a refusal may have been given before
+        it, so refusals are counted anew from there.
+        """
         evidence = self._evidence_by_incarnation.setdefault(
             incarnation, _FailureEvidence()
         )
-        if evidence.refused_since is None:
+        since = evidence.refused_since
+        if since is None or self._last_answered_at(incarnation) > since:
             evidence.refused_since = self._clock.now()
+            evidence.refusals = 0
         evidence.refusals += 1
 
     def is_dead(self, incarnation: ServerIncarnation) -> bool:
@@ -92,11 +103,14 @@
         evidence = self._evidence_by_incarnation.get(incarnation)
         if evidence is None or evidence.refused_since is None:
             return False
-        if self._last_answered_at(incarnation) > evidence.refused_since:
+        now = self._clock.now()
+        answered_at = self._last_answered_at(incarnation)
+        if answered_at > evidence.refused_since:
             return False
-        age = self._clock.now() - evidence.refused_since
         return (
-            evidence.refusals >= _MIN_REFUSALS and age >= _MIN_REFUSAL_SECONDS
+            evidence.refusals >= _MIN_REFUSALS
+            and now - evidence.refused_since >= _MIN_REFUSAL_SECONDS
+            and now - answered_at >= _MIN_SILENCE_SECONDS
         )
 
     def is_unresponsive(self, incarnation: ServerIncarnation) -> bool:
--- a/src/carobwalk/keyspace/_load_report.py
+++ b/src/carobwalk/keyspace/_load_report.py
@@ -7,6 +7,7 @@
 from carobwalk.peer import Topic
 
 LOAD_TOPIC: Final = Topic('keyspace.load')
+REPORT_INTERVAL_SECONDS: Final = 0.25
 
 
 class ServerAnswers(msgspec.Struct, array_like=True):
--- a/src/carobwalk/keyspace/_load_reporter.py
+++ b/src/carobwalk/keyspace/_load_reporter.py
@@ -10,6 +10,7 @@
 from carobwalk.keyspace._key_reader import KeyReader
 from carobwalk.keyspace._load_report import (
     LOAD_TOPIC,
+    REPORT_INTERVAL_SECONDS,
     LoadReceipt,
     LoadReport,
     ServerAnswers,
@@ -19,7 +20,6 @@
 from carobwalk.keyspace._local_load import LocalLoad
 from carobwalk.peer import Peers
 
-_REPORT_INTERVAL_SECONDS: Final = 0.25
 _TIMEOUT_SECONDS: Final = 0.5
 
 
@@ -48,7 +48,7 @@
     async def run(self) -> None:
         """Report until cancelled."""
         while True:
-            await trio.sleep(_REPORT_INTERVAL_SECONDS)
+            await trio.sleep(REPORT_INTERVAL_SECONDS)
             report = self._collect_report()
             coordinator = self._reader.coordinator
             if coordinator is None:
