Test registry entries that are nested deeply

An entry with a value of nested brackets ends every process that follows the registry, and again at each restart: msgspec raises RecursionError, while `decode_registry_entry` catches its own errors and UnicodeDecodeError. 4 kB suffice, in a field that is not read.

A run of `RecordFollower` with such an entry ended with RecursionError; that the process ends with it is read from `GatewayProcess._run`, not run.

--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -57,6 +57,12 @@
         content = json.dumps({**_ENTRY, **change}).encode()
         assert isinstance(decode_registry_entry('servers/i-1', content), Err)
 
+    def test_deeply_nested(self) -> None:
+        """An entry nested too deeply to be read is rejected."""
+        # Guards against one entry that ends all processes that follow it.
+        content = b'{"more":%s' % (b'[' * 20_000)
+        assert isinstance(decode_registry_entry('servers/i-1', content), Err)
+
     @pytest.mark.parametrize('field', sorted(_ENTRY.keys() - {'version'}))
     def test_missing_field(self, field: str) -> None:
         """An entry without a required field is rejected."""
