Look the owner of a key up again after the wait for capacity

What callers saw: requests that waited for a server with moving keys were sent there after their key had moved; the server rejects them, and the repeat spends the retry budget.

Queues are long exactly where keys move away.

Owners are compared by incarnation, as entries of the same one change. Gateway tests pass.

--- a/src/carobwalk/gateway/_keyed_chooser.py
+++ b/src/carobwalk/gateway/_keyed_chooser.py
@@ -52,8 +52,16 @@
         now = trio.current_time()
         seconds_left = request.deadline - now
         with trio.move_on_at(now + seconds_left * _MAX_OWNER_WAIT_SHARE):
-            server = await self._find_owner(service, key)
-            return await self._wait_for_capacity(server, request)
+            while True:
+                server = await self._find_owner(service, key)
+                target = await self._wait_for_capacity(server, request)
+                if isinstance(target, NoTarget):
+                    return target
+                owner = self._current_owner(service, key)
+                if owner and owner.incarnation == server.incarnation:
+                    return target
+                # The key has moved during the wait.
+                self._loads.finish(server)
         return NoTarget('the key has no owner now', _OWNER_CHANGE_SECONDS)
 
     async def _find_owner(
@@ -62,14 +70,23 @@
         key: int,
     ) -> BackendServer:
         while True:
-            owner = self._owners.find(service, key)
-            if owner is not None and owner.is_granted:
-                load = self._loads.of_keyed(owner.server)
-                if load.ejected_until <= trio.current_time():
-                    return owner.server
+            server = self._current_owner(service, key)
+            if server is not None:
+                return server
             with trio.move_on_after(_OWNER_CHANGE_SECONDS):
                 await self._owners.wait_for_change(service)
 
+    def _current_owner(
+        self, service: ServiceName, key: int
+    ) -> BackendServer | None:
+        """Return the server that a request for a key may be sent to now."""
+        owner = self._owners.find(service, key)
+        if owner is None or not owner.is_granted:
+            return None
+        load = self._loads.of_keyed(owner.server)
+        is_ejected = load.ejected_until > trio.current_time()
+        return None if is_ejected else owner.server
+
     async def _wait_for_capacity(
         self,
         server: BackendServer,
