Keep crashes until a coordinator has taken their report

What callers saw: a request that crashes servers may go on crashing them after a change of the coordinator: crashes seen meanwhile were never reported.

Cause: the reporter took the crashes off the tracker before it knew whether there was a coordinator, and dropped them if there was none or it did not answer.

A report whose answer is lost counts once all the same, as crashes are counted by incarnation. The number kept is bounded as that of lost connections.

--- a/src/carobwalk/gateway/_crash_tracker.py
+++ b/src/carobwalk/gateway/_crash_tracker.py
@@ -15,6 +15,7 @@
 _CRASH_WINDOW_SECONDS: Final = 1.5
 _QUARANTINE_SECONDS: Final = 60.0
 _MAX_LOSSES_PER_INCARNATION: Final = 10_000
+_MAX_UNREPORTED_CRASHES: Final = 10_000
 _SEPARATOR: Final = b'\x00'
 
 
@@ -83,6 +84,15 @@
         self._remove_expired()
         return crashes
 
+    def restore_crashes(self, crashes: Iterable[Crash]) -> None:
+        """Take back crashes that could not be reported.
+
+        Args:
+            crashes: Crashes returned by ``pop_crashes``.
+        """
+        kept = [*crashes, *self._crashes]
+        self._crashes = kept[-_MAX_UNREPORTED_CRASHES:]
+
     def quarantine(self, fingerprints: Iterable[int]) -> list[int]:
         """Quarantine requests, or extend their quarantine.
 
--- a/src/carobwalk/keyspace/_load_reporter.py
+++ b/src/carobwalk/keyspace/_load_reporter.py
@@ -1,11 +1,13 @@
 """Periodic load reports of a process to the coordinator."""
 
+from collections.abc import Iterable
 from typing import Final
 
 import msgspec
 import trio
 from result import Err
 
+from carobwalk.gateway import Crash
 from carobwalk.keyspace._key_owner_table import KeyOwnerTable
 from carobwalk.keyspace._key_reader import KeyReader
 from carobwalk.keyspace._load_report import (
@@ -49,26 +51,29 @@
         """Report until cancelled."""
         while True:
             await trio.sleep(REPORT_INTERVAL_SECONDS)
-            report = self._collect_report()
-            coordinator = self._reader.coordinator
-            if coordinator is None:
-                continue
-            answered = await self._peers.ask(
-                coordinator,
-                LOAD_TOPIC,
-                msgspec.msgpack.encode(report),
-                _TIMEOUT_SECONDS,
-            )
-            if isinstance(answered, Err):
-                continue  # The hub logs the failure; the next report is due.
-            receipt = msgspec.msgpack.decode(
-                answered.ok_value,
-                type=LoadReceipt,
-            )
-            if receipt.is_coordinator:
+            crashes = self._local.crash_tracker.pop_crashes()
+            receipt = await self._send(self._collect_report(crashes))
+            if receipt is not None and receipt.is_coordinator:
                 self._local.apply(receipt)
+            else:
+                self._local.crash_tracker.restore_crashes(crashes)
 
-    def _collect_report(self) -> LoadReport:
+    async def _send(self, report: LoadReport) -> LoadReceipt | None:
+        """Send a report; return ``None`` if no process took it."""
+        coordinator = self._reader.coordinator
+        if coordinator is None:
+            return None
+        answered = await self._peers.ask(
+            coordinator,
+            LOAD_TOPIC,
+            msgspec.msgpack.encode(report),
+            _TIMEOUT_SECONDS,
+        )
+        if isinstance(answered, Err):
+            return None  # The hub logs the failure; the next report is due.
+        return msgspec.msgpack.decode(answered.ok_value, type=LoadReceipt)
+
+    def _collect_report(self, crashes: Iterable[Crash]) -> LoadReport:
         work_by_service = self._local.loads.totals.pop_all()
         return LoadReport(
             tuple(
@@ -96,6 +101,6 @@
                     crash.incarnation.server,
                     crash.incarnation.born,
                 )
-                for crash in self._local.crash_tracker.pop_crashes()
+                for crash in crashes
             ),
         )
