Check the quarantine again just before a request is sent

What callers saw: a request that crashes servers was sent to one more server if it was waiting for an owner, or about to be repeated, when the quarantine came.

Cause: the class of the incident: the quarantine was read once, before all waits.

A request that is refused after an attempt whose outcome is unknown is answered so, not as 'not run'. Progress has a module of its own, as the forwarder had grown too long; the package no longer exports it, as nobody outside uses it.

--- a/src/carobwalk/gateway/__init__.py
+++ b/src/carobwalk/gateway/__init__.py
@@ -8,7 +8,7 @@
     CallerLeft,
     RequestAnswered,
 )
-from carobwalk.gateway._forwarder import Forwarder, ForwarderParts, Progress
+from carobwalk.gateway._forwarder import Forwarder, ForwarderParts
 from carobwalk.gateway._gateway_server import GatewayServer
 from carobwalk.gateway._gateway_service import GatewayService
 from carobwalk.gateway._header_names import HeaderNames
@@ -51,7 +51,6 @@
     'NotRun',
     'NotSent',
     'NullRequestMeter',
-    'Progress',
     'Reply',
     'RequestAnswered',
     'RequestMeter',
--- a/src/carobwalk/gateway/_forwarder.py
+++ b/src/carobwalk/gateway/_forwarder.py
@@ -22,12 +22,12 @@
     NotRun,
     NotSent,
 )
+from carobwalk.gateway._progress import Progress
 from carobwalk.gateway._reply import Reply
 from carobwalk.gateway._retry_budgets import RetryBudgets
 from carobwalk.gateway._target import NoTarget, Target
 from carobwalk.gateway._unkeyed_chooser import UnkeyedChooser
 from carobwalk.gateway._upstream_head import upstream_head
-from carobwalk.model import ServerId, ServiceName
 
 # Least time to the deadline with which a request is still sent.
 _MIN_SEND_SECONDS: Final = 0.02
@@ -61,24 +61,6 @@
     events: EventLog
 
 
-class Progress:
-    """Progress of a request over all its attempts.
-
-    Args:
-        service: Service that runs the request.
-        is_keyed: Whether the keys of the service have owners.
-    """
-
-    def __init__(self, service: ServiceName, *, is_keyed: bool) -> None:
-        self.service = service
-        self.is_keyed = is_keyed
-        self.may_have_run = False
-        self.sends = 0
-        self.last_server = ServerId('')
-        self.sent_to: set[ServerId] = set()
-        self.excluded: set[ServerId] = set()
-
-
 class Forwarder:
     """Sends requests to backend servers and retries them where allowed.
 
@@ -111,9 +93,10 @@
             target = await self._choose(request, progress)
             if isinstance(target, NoTarget):
                 return _refusal(target, progress)
-            if request.deadline - trio.current_time() < _MIN_SEND_SECONDS:
+            obstacle = _obstacle(request, self._parts.crash_tracker)
+            if obstacle is not None:
                 self._parts.loads.finish(target.server)
-                return _refusal(NoTarget(_NO_TIME_LEFT, 0), progress)
+                return _refusal(obstacle, progress)
             outcome = await self._attempt(request, target.server, progress)
             if isinstance(outcome, Answered):
                 return outcome.reply
@@ -278,6 +261,21 @@
         )
 
 
+def _obstacle(
+    request: CallerRequest, crash_tracker: CrashTracker
+) -> NoTarget | None:
+    """Return why a request must not be sent any more, ``None`` if it may.
+
+    While it waited for a server, its time may have run out, and the same
+    request may have crashed servers of other processes.
+    """
+    if crash_tracker.is_quarantined(request):
+        return NoTarget(_QUARANTINED, _QUARANTINE_RETRY_SECONDS)
+    if request.deadline - trio.current_time() < _MIN_SEND_SECONDS:
+        return NoTarget(_NO_TIME_LEFT, 0)
+    return None
+
+
 def _refusal(target: NoTarget, progress: Progress) -> Reply:
     """Return the answer to a request that no server can accept now.
 
--- a/src/carobwalk/gateway/_request_handler.py
+++ b/src/carobwalk/gateway/_request_handler.py
@@ -6,8 +6,8 @@
 
 from carobwalk.gateway._caller_request import CallerRequest
 from carobwalk.gateway._events import CallerLeft, RequestAnswered
-from carobwalk.gateway._forwarder import Progress
 from carobwalk.gateway._gateway_service import GatewayService
+from carobwalk.gateway._progress import Progress
 from carobwalk.gateway._reply import Reply
 
 
