Parse lines of many spaces in linear time

What callers saw: nothing from a process for up to seconds. One line of spaces in an answer's head, a 1xx head, a trailer, the line of a chunk or a caller's head (before its size is checked) held up all of its requests.

Cause: h11's patterns of a header field and a chunk header have adjacent repetitions that both match spaces. A line that does not match is tried at every division of the run: the time grows with the square of its length.

Change: carobwalk.http replaces the two patterns, when it is imported, by ones with possessive quantifiers. All parsing by h11 in src goes through this package.

--- a/src/carobwalk/http/__init__.py
+++ b/src/carobwalk/http/__init__.py
@@ -15,6 +15,7 @@
     HttpFailure,
     NoAnswer,
 )
+from carobwalk.http._h11_patterns import install_patterns
 from carobwalk.http._h11_stream import H11Stream
 from carobwalk.http._handler import HttpHandler
 from carobwalk.http._messages import HttpRequest, HttpResponse
@@ -44,3 +45,6 @@
     'serve_http',
     'serve_http_stream',
 )
+
+# All parsing by h11 is done through this package.
+install_patterns()
