Reject the head of an answer that contains another one

What callers saw: 503 'not run' for a request that had run, a success for one that had failed, and a request that may run once at a second server. For grants: one that was refused counted as taken.

Cause: when an extra answer is cut within its head, the parser takes the head of the next answer on the kept connection for the rest of that line: status of the first, id, signature and body of the second.

Change: AnswerReader.read_head rejects a head, informational ones included, whose reason or a field contains a status line, with JoinedHeads. The outcome is unknown and the connection is closed; this covers the clients of grants and of the store as well. A version of HTTP before a host (`Via: HTTP/1.1 127.0.0.1`) is no status line.

--- a/src/carobwalk/gateway/_upstream_connection.py
+++ b/src/carobwalk/gateway/_upstream_connection.py
@@ -18,6 +18,7 @@
     AnswerReader,
     AnswerTooLong,
     H11Stream,
+    JoinedHeads,
     declared_length,
     error_detail,
 )
@@ -26,6 +27,7 @@
 _MAX_STRAY_ANSWERS: Final = 4
 _CONNECTION_ERRORS: Final = (
     AnswerTooLong,
+    JoinedHeads,
     h11.RemoteProtocolError,
     h11.LocalProtocolError,
     trio.BrokenResourceError,
--- a/src/carobwalk/http/__init__.py
+++ b/src/carobwalk/http/__init__.py
@@ -13,6 +13,7 @@
     AnswerTooLong,
     ConnectFailed,
     HttpFailure,
+    JoinedHeads,
     NoAnswer,
 )
 from carobwalk.http._h11_patterns import install_patterns
@@ -37,6 +38,7 @@
     'HttpRequest',
     'HttpResponse',
     'HttpSender',
+    'JoinedHeads',
     'NoAnswer',
     'connect_with_keepalive',
     'declared_length',
--- a/src/carobwalk/http/_answer_reader.py
+++ b/src/carobwalk/http/_answer_reader.py
@@ -1,12 +1,13 @@
 """Bounded reading of answers."""
 
+import re
 from http import HTTPStatus
 from typing import Final
 
 import h11
 
 from carobwalk.http._answer_memory import AnswerShare
-from carobwalk.http._failures import AnswerTooLong
+from carobwalk.http._failures import AnswerTooLong, JoinedHeads
 from carobwalk.http._h11_stream import H11Stream
 
 _MAX_INFORMATIONAL_ANSWERS: Final = 16
@@ -18,6 +19,8 @@
 _BODILESS_STATUSES: Final = frozenset(
     (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 )
+_HEADS: Final = (h11.Response, h11.InformationalResponse)
+_STATUS_LINE: Final = re.compile(rb'HTTP/[0-9][.][0-9] [0-9]{3}(?!\S)')
 
 
 class AnswerReader:
@@ -46,15 +49,17 @@
 
         Raises:
             AnswerTooLong: If there are too many informational answers.
+            JoinedHeads: If the head contains another status line.
             h11.RemoteProtocolError: If the server violates the protocol.
             trio.BrokenResourceError: If the connection is lost.
         """
         for _ in range(_MAX_INFORMATIONAL_ANSWERS + 1):
             event = await self._http.receive()
+            if not isinstance(event, _HEADS):
+                return None
+            _check_single(event)
             if isinstance(event, h11.Response):
                 return event
-            if not isinstance(event, h11.InformationalResponse):
-                return None
         raise AnswerTooLong(
             f'more than {_MAX_INFORMATIONAL_ANSWERS} informational answers',
         )
@@ -93,6 +98,19 @@
             raise AnswerTooLong(f'no memory for {size_bytes} bytes')
 
 
+def _check_single(head: h11.Response | h11.InformationalResponse) -> None:
+    """Reject a cut head that the next answer on the connection continues.
+
+    Its status is that of the first answer, its last fields and its body are
+    those of the second.
+    """
+    texts = [text for _, text in head.headers]
+    texts.append(head.reason)
+    # A single search takes less time than one for each field.
+    if _STATUS_LINE.search(b'\n'.join(texts)):
+        raise JoinedHeads('a status line within the head of an answer')
+
+
 def _check_framing(framing_bytes: int, body_bytes: int) -> None:
     extra_bytes = framing_bytes - _FREE_FRAMING_BYTES
     if extra_bytes > body_bytes // _BODY_BYTES_PER_FRAMING_BYTE:
--- a/src/carobwalk/http/_client.py
+++ b/src/carobwalk/http/_client.py
@@ -14,6 +14,7 @@
     AnswerTooLong,
     ConnectFailed,
     HttpFailure,
+    JoinedHeads,
     NoAnswer,
 )
 from carobwalk.http._messages import HttpRequest, HttpResponse
@@ -22,6 +23,7 @@
 _MAX_ANSWER_BYTES: Final = 16_777_216
 _CONNECTION_ERRORS: Final = (
     AnswerTooLong,
+    JoinedHeads,
     h11.ProtocolError,
     trio.BrokenResourceError,
 )
--- a/src/carobwalk/http/_client_connection.py
+++ b/src/carobwalk/http/_client_connection.py
@@ -65,6 +65,7 @@
 
         Raises:
             AnswerTooLong: If the response exceeds a limit.
+            JoinedHeads: If the head contains that of another response.
             h11.ProtocolError: If the server violates the protocol.
             trio.BrokenResourceError: If the connection is lost.
         """
--- a/src/carobwalk/http/_failures.py
+++ b/src/carobwalk/http/_failures.py
@@ -31,4 +31,8 @@
     """A server's answer exceeds a limit, and the rest is not read."""
 
 
+class JoinedHeads(Exception):
+    """The head of an answer contains the beginning of another answer."""
+
+
 HttpFailure = ConnectFailed | NoAnswer
--- a/tests/platform/test_grant_channel.py
+++ b/tests/platform/test_grant_channel.py
@@ -20,6 +20,7 @@
 from carobwalk.model import Address, DataCentreName, ServerId, ServiceName
 from carobwalk.platform import PlatformGrantChannel
 from standins.platform import KeyedBackend
+from tests.http.raw_server import RawServer, Script
 
 _WORK_SECONDS = 0.2
 _TIMES = KeyTimes(order_timeout=0.2, release_timeout=1)
@@ -118,6 +119,33 @@
         run_scenario(scenario)
 
 
+class TestJoinedHeads:
+    def test_refused_grant(self) -> None:
+        """A refusal after the cut head of a success is no success."""
+        # Guards against a grant that counts as taken and was refused.
+        granted = Script(b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n')
+        joined = Script(
+            b'HTTP/1.1 200 OK\r\nDate: Fri, HTTP/1.1 409 Conflict\r\n'
+            b'content-length: 0\r\n\r\n'
+        )
+
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                raw_server = RawServer(granted, joined)
+                await raw_server.start(nursery)
+                fleet = _Fleet(nursery, KeyedBackend)
+                server = replace(
+                    fleet.server, address=Address('127.0.0.1', raw_server.port)
+                )
+                assert await fleet.channel.grant(server, _FIRST) == Ok(None)
+                sent = await fleet.channel.grant(server, _SECOND)
+                assert raw_server.connections == 1
+                assert isinstance(sent.err(), OrderUnanswered)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+
 class TestSuspendedHost:
     # Guards against two owners: an order prepared before the host was
     # suspended went out when its connection opened, after the term.
