Lose an answer without a length that is reset during an upload

What callers saw: a 200 with the start of a body, framed as whole, in 2 to 7 of 10 uploads whose server reset the connection within an answer without a length.

Cause: the system reports a reset once. When the task that sends the request got it, UpstreamConnection dropped it, and the reader saw an ordinary end, which completes an answer that has no length.

Change: _send keeps its error. After the end of an answer with neither a length nor chunked framing, the reader waits for a few iterations of the event loop, as the sending task notes its error one iteration after the call of the system, and raises that error: outcome unknown. An answer of this kind that was whole, but whose server reset the upload after closing in order, may be lost as well: the end cannot be relied on there. Answers with a length or in chunks are read as before.

--- a/src/carobwalk/gateway/_upstream_connection.py
+++ b/src/carobwalk/gateway/_upstream_connection.py
@@ -21,6 +21,7 @@
     JoinedHeads,
     declared_length,
     error_detail,
+    is_delimited,
 )
 
 _MAX_ANSWER_BYTES: Final = 16_777_216
@@ -36,6 +37,9 @@
 # Longest message that is sent completely before the answer is read. During a
 # longer one the answer is read concurrently.
 _SEQUENTIAL_SEND_BYTES: Final = 16_384
+# Event loop iterations within which an error of sending that preceded the end
+# of the answer is recorded: a call of the system is followed by a checkpoint.
+_SEND_ERROR_TICKS: Final = 3
 
 
 class UpstreamConnection:
@@ -55,6 +59,7 @@
         self._names = names
         self._http = H11Stream(stream, h11.CLIENT)
         self._is_sent = False
+        self._send_error: Exception | None = None
         self._has_answer_id = False
 
     @property
@@ -94,6 +99,7 @@
         self.carried_ids.add(request.id)
         self._has_answer_id = False
         self._is_sent = False
+        self._send_error = None
         message = self._http.encode(
             head,
             h11.Data(data=request.body),
@@ -115,8 +121,10 @@
     async def _send(self, message: bytes) -> None:
         try:
             await self.stream.send_all(message)
-        except _CONNECTION_ERRORS:
-            return  # The reader finds out whether an answer was received.
+        except _CONNECTION_ERRORS as error:
+            # The reader finds out whether an answer was received.
+            self._send_error = error
+            return
         self._is_sent = True
 
     async def _read(self, request: CallerRequest) -> AttemptOutcome:
@@ -143,6 +151,8 @@
             body = await reader.read_body(
                 declared_length(response, request.method)
             )
+            if not is_delimited(response, request.method):
+                await self._check_end()
             answered_id = find_header(response.headers, self._names.request_id)
             if not answered_id and not is_first:
                 return Lost('an answer without an id on a used connection')
@@ -156,6 +166,17 @@
             is_first = False
         return Lost('answers to other requests only')
 
+    async def _check_end(self) -> None:
+        """Raise the error, if any, that ended an answer without a length.
+
+        The system reports a reset once, to the sending or the receiving task.
+        If the sending one gets it, the other sees an ordinary end.
+        """
+        for _ in range(_SEND_ERROR_TICKS):
+            await trio.lowlevel.checkpoint()
+        if self._send_error is not None:
+            raise self._send_error
+
     def _skip_answer(self, method: bytes) -> None:
         """Reset the parser to read a further answer to the same request.
 
--- a/src/carobwalk/http/__init__.py
+++ b/src/carobwalk/http/__init__.py
@@ -1,7 +1,11 @@
 """HTTP/1.1 client and server for messages that are held in memory."""
 
 from carobwalk.http._answer_memory import AnswerMemory, AnswerShare
-from carobwalk.http._answer_reader import AnswerReader, declared_length
+from carobwalk.http._answer_reader import (
+    AnswerReader,
+    declared_length,
+    is_delimited,
+)
 from carobwalk.http._client import HttpClient
 from carobwalk.http._connect import connect_with_keepalive, reset_on_close
 from carobwalk.http._draining_server import (
@@ -43,6 +47,7 @@
     'connect_with_keepalive',
     'declared_length',
     'error_detail',
+    'is_delimited',
     'reset_on_close',
     'serve_http',
     'serve_http_stream',
--- a/src/carobwalk/http/_answer_reader.py
+++ b/src/carobwalk/http/_answer_reader.py
@@ -19,6 +19,7 @@
 _BODILESS_STATUSES: Final = frozenset(
     (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 )
+_DELIMITING_FIELDS: Final = frozenset((b'content-length', b'transfer-encoding'))
 _HEADS: Final = (h11.Response, h11.InformationalResponse)
 _STATUS_LINE: Final = re.compile(rb'HTTP/[0-9][.][0-9] [0-9]{3}(?!\S)')
 
@@ -130,3 +131,16 @@
     if b'transfer-encoding' in fields:
         return 0
     return int(fields.get(b'content-length', 0))
+
+
+def is_delimited(head: h11.Response, method: bytes) -> bool:
+    """Return whether an answer shows its end by other means than a close.
+
+    Args:
+        head: Head of the answer.
+        method: HTTP method of the request.
+    """
+    if method == b'HEAD' or head.status_code in _BODILESS_STATUSES:
+        return True
+    names = {name for name, _ in head.headers}
+    return not names.isdisjoint(_DELIMITING_FIELDS)
