Answer refused HEAD requests and CONNECT

What callers saw: the connection closed without an answer to a HEAD request that was refused before it had a route (404, 503), and to CONNECT when a server answered it with a 2xx. Likewise to a request with `Connection: host` (ConnectionCrashed).

Cause: h11 accepts no body in an answer to HEAD and none after a 2xx to CONNECT. `Connection: host` dropped Host as a hop-by-hop field, and h11 accepts no request without it.

Change: a refusal of HEAD states the length of its body and sends none. CONNECT is refused with 501 before it is routed: no route offers tunnels, and 405 would have to list methods that the route allows. Host is forwarded even if Connection names it.

tests/http, tests/gateway, tests/platform: 266 passed, 3 expected failures.

--- a/src/carobwalk/gateway/_caller_connection.py
+++ b/src/carobwalk/gateway/_caller_connection.py
@@ -87,7 +87,7 @@
             request = await self._reader.read_request(head) if head else None
         except RequestError as error:
             self._log_refusal(error, head, started_at)
-            await self._refuse(error.reply())
+            await self._refuse(error.reply(), head)
             return False
         if request is None:
             return False
@@ -192,7 +192,7 @@
             ),
         )
 
-    async def _refuse(self, reply: Reply) -> None:
+    async def _refuse(self, reply: Reply, head: h11.Request | None) -> None:
         """Reject a request that can't be read and discard further input.
 
         Closing a connection with unread bytes resets it, and the caller might
@@ -203,10 +203,11 @@
             (b'content-length', str(len(reply.body)).encode()),
             (b'connection', b'close'),
         ]
+        is_bodiless = head is not None and head.method == b'HEAD'
         with trio.move_on_after(_WRITE_TIMEOUT_SECONDS):
             await self._http.send(
                 h11.Response(status_code=reply.status, headers=headers),
-                h11.Data(data=reply.body),
+                h11.Data(data=b'' if is_bodiless else reply.body),
                 h11.EndOfMessage(),
             )
             await self._stream.send_eof()
--- a/src/carobwalk/gateway/_header_fields.py
+++ b/src/carobwalk/gateway/_header_fields.py
@@ -63,7 +63,8 @@
 ) -> tuple[tuple[bytes, bytes], ...]:
     """Return the header fields without the hop-by-hop ones.
 
-    Fields named in ``Connection`` are hop-by-hop as well.
+    Fields named in ``Connection`` are hop-by-hop as well, except ``Host``,
+    without which a request is invalid.
 
     Args:
         headers: Fields with names in lower case.
@@ -71,6 +72,7 @@
     """
     named = find_header(headers, b'connection') or b''
     hop_by_hop = {token.strip().lower() for token in named.split(b',')}
+    hop_by_hop.discard(b'host')
     return tuple(
         (name, text)
         for name, text in headers
--- a/src/carobwalk/gateway/_request_reader.py
+++ b/src/carobwalk/gateway/_request_reader.py
@@ -77,12 +77,14 @@
 
         Raises:
             RequestError: If the head is too large or has two framings of the
-                body, if there is no route, or if the body is malformed, too
-                long or not received before the deadline.
+                body, if the method is CONNECT, if there is no route, or if
+                the body is malformed, too long or not received before the
+                deadline.
         """
         arrived = trio.current_time()
         self._check_size(head)
         _check_framing(head)
+        _check_method(head)
         route = self._find_route(head)
         seconds = self._seconds_left(head, route)
         body = None
@@ -174,3 +176,12 @@
             HTTPStatus.BAD_REQUEST,
             'a length and a transfer coding',
         )
+
+
+def _check_method(head: h11.Request) -> None:
+    """Reject a request for a tunnel, which no route offers."""
+    if head.method == b'CONNECT':
+        raise RequestError(
+            HTTPStatus.NOT_IMPLEMENTED,
+            'CONNECT is not supported',
+        )
