Shorten the error in a 400 and its log line

What callers saw: a 400 to a malformed request that repeats the whole line received, 30 kB in the new tests; its log line did the same.

Cause: RequestReader used the text of h11's errors, which quote the line.

Evidence: two new tests of tests/gateway/test_logged_refusals.py (a line in the head and the line of a chunk) failed before with answers of 30,095 and 30,100 bytes and pass now (below 400).

tests/http, tests/gateway, tests/platform: 268 passed, 3 expected failures.

--- a/src/carobwalk/gateway/_request_reader.py
+++ b/src/carobwalk/gateway/_request_reader.py
@@ -14,7 +14,7 @@
     find_number,
 )
 from carobwalk.gateway._request_error import RequestError
-from carobwalk.http import AnswerShare, H11Stream
+from carobwalk.http import AnswerShare, H11Stream, error_detail
 from carobwalk.routing import Route
 
 _SECONDS_PER_MILLISECOND: Final = 0.001
@@ -61,7 +61,7 @@
         except h11.RemoteProtocolError as error:
             raise RequestError(
                 HTTPStatus(error.error_status_hint),
-                str(error),
+                error_detail(error),
             ) from error
         return event if isinstance(event, h11.Request) else None
 
@@ -158,7 +158,10 @@
         try:
             body = await self._http.read_body(limit)
         except h11.RemoteProtocolError as error:
-            raise RequestError(HTTPStatus.BAD_REQUEST, str(error)) from error
+            raise RequestError(
+                HTTPStatus.BAD_REQUEST,
+                error_detail(error),
+            ) from error
         if body is None:
             raise RequestError(
                 HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
--- a/tests/gateway/test_logged_refusals.py
+++ b/tests/gateway/test_logged_refusals.py
@@ -7,6 +7,10 @@
 
 from tests.gateway.harness import GatewayHarness
 
+# Only a failure lasts so long.
+_CLOSE_SECONDS = 5
+_MAX_ANSWER_BYTES = 400
+
 Scenario = Callable[[GatewayHarness], Awaitable[None]]
 
 
@@ -93,3 +97,29 @@
             assert harness.log.named('RequestAnswered')[0].status == 408
 
         run_scenario(scenario)
+
+    @pytest.mark.parametrize(
+        'start',
+        [
+            b'GET /reads/a HTTP/1.1\r\nhost: a.example\r\n',
+            b'POST /writes/a HTTP/1.1\r\nhost: a.example\r\n'
+            b'transfer-encoding: chunked\r\n\r\n',
+        ],
+        ids=['head', 'body'],
+    )
+    def test_long_line(self, run_scenario, start: bytes) -> None:
+        """Neither the answer nor its log line repeats a long line."""
+        # Guards against log lines as long as what was received.
+
+        async def scenario(harness: GatewayHarness) -> None:
+            stream = await trio.open_tcp_stream(*harness.address)
+            await stream.send_all(b'%s%s\r\n\r\n' % (start, b'z' * 30_000))
+            with trio.fail_after(_CLOSE_SECONDS):
+                answer = b''.join([chunk async for chunk in stream])
+            assert answer.startswith(b'HTTP/1.1 400 ')
+            assert len(answer) < _MAX_ANSWER_BYTES
+            line = harness.log.named('RequestAnswered')[0]
+            assert line.cause.startswith('RemoteProtocolError: illegal ')
+            assert len(line.cause) < _MAX_ANSWER_BYTES
+
+        run_scenario(scenario)
