--- a/src/carobwalk/gateway/_request_reader.py
+++ b/src/carobwalk/gateway/_request_reader.py
@@ -14,7 +14,7 @@
     find_number,
 )
 from carobwalk.gateway._request_error import RequestError
-from carobwalk.http import AnswerShare, H11Stream
+from carobwalk.http import AnswerShare, H11Stream, error_detail
 from carobwalk.routing import Route
 
 _SECONDS_PER_MILLISECOND: Final = 0.001
@@ -61,7 +61,7 @@
         except h11.RemoteProtocolError as error:
             raise RequestError(
                 HTTPStatus(error.error_status_hint),
-                str(error),
+                error_detail(error),
             ) from error
         return event if isinstance(event, h11.Request) else None
 
@@ -77,12 +77,14 @@
 
         Raises:
             RequestError: If the head is too large or has two framings of the
-                body, if there is no route, or if the body is malformed, too
-                long or not received before the deadline.
+                body, if the method is CONNECT, if there is no route, or if
+                the body is malformed, too long or not received before the
+                deadline.
         """
         arrived = trio.current_time()
         self._check_size(head)
         _check_framing(head)
+        _check_method(head)
         route = self._find_route(head)
         seconds = self._seconds_left(head, route)
         body = None
@@ -156,7 +158,10 @@
         try:
             body = await self._http.read_body(limit)
         except h11.RemoteProtocolError as error:
-            raise RequestError(HTTPStatus.BAD_REQUEST, str(error)) from error
+            raise RequestError(
+                HTTPStatus.BAD_REQUEST,
+                error_detail(error),
+            ) from error
         if body is None:
             raise RequestError(
                 HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
@@ -174,3 +179,12 @@
             HTTPStatus.BAD_REQUEST,
             'a length and a transfer coding',
         )
+
+
+def _check_method(head: h11.Request) -> None:
+    """Reject a request for a tunnel, which no route offers."""
+    if head.method == b'CONNECT':
+        raise RequestError(
+            HTTPStatus.NOT_IMPLEMENTED,
+            'CONNECT is not supported',
+        )
--- a/src/carobwalk/http/__init__.py
+++ b/src/carobwalk/http/__init__.py
@@ -1,7 +1,11 @@
 """HTTP/1.1 client and server for messages that are held in memory."""
 
 from carobwalk.http._answer_memory import AnswerMemory, AnswerShare
-from carobwalk.http._answer_reader import AnswerReader, declared_length
+from carobwalk.http._answer_reader import (
+    AnswerReader,
+    declared_length,
+    is_delimited,
+)
 from carobwalk.http._client import HttpClient
 from carobwalk.http._connect import connect_with_keepalive, reset_on_close
 from carobwalk.http._draining_server import (
@@ -13,8 +17,10 @@
     AnswerTooLong,
     ConnectFailed,
     HttpFailure,
+    JoinedHeads,
     NoAnswer,
 )
+from carobwalk.http._h11_patterns import install_patterns
 from carobwalk.http._h11_stream import H11Stream
 from carobwalk.http._handler import HttpHandler
 from carobwalk.http._messages import HttpRequest, HttpResponse
@@ -36,11 +42,16 @@
     'HttpRequest',
     'HttpResponse',
     'HttpSender',
+    'JoinedHeads',
     'NoAnswer',
     'connect_with_keepalive',
     'declared_length',
     'error_detail',
+    'is_delimited',
     'reset_on_close',
     'serve_http',
     'serve_http_stream',
 )
+
+# All parsing by h11 is done through this package.
+install_patterns()
