Drop messages that are nested too deeply to be read

What callers saw: one entry under servers/ of 4 kB of nested lists, in a field that is not read, ended the process on every host that follows the registry, and again at each restart.

Cause: msgspec raises RecursionError, which is no MsgspecError, also for values that it skips. The decoders caught MsgspecError only. Two readers of other processes' answers, of the key maps and of a predecessor's grants, caught nothing.

Change: DECODE_ERRORS in carobwalk.model, caught by these decoders. Answers of other processes that can't be decoded are logged (PeerAnswerDropped) and count as no answer. Handlers of topics and of HTTP requests needed no change: their exceptions are logged and fail one message.

--- a/src/carobwalk/app/_build_keyspace.py
+++ b/src/carobwalk/app/_build_keyspace.py
@@ -105,7 +105,7 @@
         owners=owners,
         role=role,
         reporter=LoadReporter(core.hub, reader, owners, local),
-        follower=MapFollower(core.hub, core.store, reader),
+        follower=MapFollower(core.hub, core.store, reader, core.events),
         feed=feed,
     )
 
--- a/src/carobwalk/keyspace/_codec.py
+++ b/src/carobwalk/keyspace/_codec.py
@@ -16,9 +16,11 @@
 from carobwalk.keyspace._key_map import KeyMap
 from carobwalk.keyspace._key_range import KeyRange
 from carobwalk.keyspace._record_error import RecordError
-from carobwalk.model import ServerId, ServiceName
+from carobwalk.model import DECODE_ERRORS, ServerId, ServiceName
 
 MAP_PREFIX: Final = 'carobwalk/keys/'
+# IndexError: a range refers to an owner that the record doesn't list.
+_RECORD_ERRORS: Final = (*DECODE_ERRORS, IndexError)
 
 
 class _Range(msgspec.Struct, array_like=True):
@@ -100,7 +102,7 @@
     """Return whether the coordinator that wrote a record has resigned."""
     try:
         return msgspec.json.decode(content, type=_Map).settled
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return False
 
 
@@ -108,7 +110,7 @@
     """Return the coordinator that wrote a record, ``None`` if unknown."""
     try:
         return read_claimant(msgspec.json.decode(content, type=_Map).claimant)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
 
 
@@ -156,7 +158,7 @@
                 for key_range in raw.ranges
             )
         )
-    except (msgspec.MsgspecError, IndexError) as error:
+    except _RECORD_ERRORS as error:
         return Err(RecordError(str(error)))
 
 
--- a/src/carobwalk/keyspace/_coordinator_codec.py
+++ b/src/carobwalk/keyspace/_coordinator_codec.py
@@ -6,7 +6,13 @@
 from result import Err, Ok, Result
 
 from carobwalk.keyspace._record_error import RecordError
-from carobwalk.model import Address, DataCentreName, Endpoint, RegionName
+from carobwalk.model import (
+    DECODE_ERRORS,
+    Address,
+    DataCentreName,
+    Endpoint,
+    RegionName,
+)
 
 COORDINATOR_NAME: Final = 'carobwalk/coordinator'
 
@@ -38,7 +44,7 @@
     """Decode the endpoint of the coordinator from a record."""
     try:
         raw = msgspec.json.decode(content, type=CoordinatorRow)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Err(RecordError(str(error)))
     return Ok(coordinator_endpoint(raw))
 
--- a/src/carobwalk/keyspace/_events.py
+++ b/src/carobwalk/keyspace/_events.py
@@ -42,6 +42,23 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class PeerAnswerDropped(Event):
+    """An answer of another process could not be decoded; it is ignored.
+
+    Args:
+        process: Name of the process that answered.
+        topic: Topic of the message.
+        detail: Description of the decoding error.
+    """
+
+    level: ClassVar[str] = 'warning'
+
+    process: str
+    topic: str
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class CoordinatorChanged(Event):
     """The coordinator changed, or the role became vacant.
--- a/src/carobwalk/keyspace/_map_follower.py
+++ b/src/carobwalk/keyspace/_map_follower.py
@@ -6,7 +6,9 @@
 import trio
 from result import Err
 
+from carobwalk.events import EventLog
 from carobwalk.keyspace._codec import MAP_PREFIX
+from carobwalk.keyspace._events import PeerAnswerDropped
 from carobwalk.keyspace._key_reader import KeyReader
 from carobwalk.keyspace._map_messages import (
     MAP_TOPIC,
@@ -15,7 +17,7 @@
     MapUpdate,
     MapVersion,
 )
-from carobwalk.model import Endpoint
+from carobwalk.model import DECODE_ERRORS, Endpoint
 from carobwalk.peer import Peers
 from carobwalk.store import TransactionalStore
 
@@ -31,6 +33,7 @@
         peers: Sends long polls to the coordinator.
         store: Key-value service, read when no coordinator answers.
         reader: Receives the updates.
+        events: Event log.
     """
 
     def __init__(
@@ -38,10 +41,12 @@
         peers: Peers,
         store: TransactionalStore,
         reader: KeyReader,
+        events: EventLog,
     ) -> None:
         self._peers = peers
         self._store = store
         self._reader = reader
+        self._events = events
         self._last_read_at = float('-inf')
 
     async def run(self) -> None:
@@ -69,7 +74,13 @@
         )
         if isinstance(answered, Err):
             return False
-        answer = msgspec.msgpack.decode(answered.ok_value, type=MapAnswer)
+        try:
+            answer = msgspec.msgpack.decode(answered.ok_value, type=MapAnswer)
+        except DECODE_ERRORS as error:
+            self._events.emit(
+                PeerAnswerDropped(coordinator.name, MAP_TOPIC, str(error))
+            )
+            return False
         for update in answer.updates:
             self._reader.apply_update(update)
         return answer.is_coordinator
--- a/src/carobwalk/keyspace/_predecessor_query.py
+++ b/src/carobwalk/keyspace/_predecessor_query.py
@@ -9,6 +9,7 @@
 
 from carobwalk.events import EventLog
 from carobwalk.keyspace._claimant import Claimant
+from carobwalk.keyspace._events import PeerAnswerDropped
 from carobwalk.keyspace._grant_ledger import GrantLedger, LedgerState
 from carobwalk.keyspace._succession_messages import (
     SUCCESSION_TOPIC,
@@ -17,7 +18,7 @@
 )
 from carobwalk.keyspace._term import Term
 from carobwalk.keyspace._term_events import PredecessorAsked, QueryOutcome
-from carobwalk.model import ServiceName
+from carobwalk.model import DECODE_ERRORS, ServiceName
 from carobwalk.peer import Peers
 
 _ANSWER_TIMEOUT_SECONDS: Final = 0.5
@@ -89,7 +90,19 @@
         )
         if isinstance(answered, Err):
             return None
-        return msgspec.msgpack.decode(answered.ok_value, type=SuccessionAnswer)
+        try:
+            return msgspec.msgpack.decode(
+                answered.ok_value, type=SuccessionAnswer
+            )
+        except DECODE_ERRORS as error:
+            self._events.emit(
+                PeerAnswerDropped(
+                    self._predecessor.coordinator.name,
+                    SUCCESSION_TOPIC,
+                    str(error),
+                ),
+            )
+        return None
 
     def _take(
         self,
--- a/src/carobwalk/model/__init__.py
+++ b/src/carobwalk/model/__init__.py
@@ -5,6 +5,7 @@
 from carobwalk.model._call_progress import CallProgress
 from carobwalk.model._clock import Clock, SuspendAwareClock, TrioClock
 from carobwalk.model._completion import Completion
+from carobwalk.model._decode_errors import DECODE_ERRORS
 from carobwalk.model._endpoint import Address, Endpoint
 from carobwalk.model._exceptions import CarobwalkError
 from carobwalk.model._failure import Failure, FailureKind
@@ -28,6 +29,7 @@
 from carobwalk.model._request_head import Headers, RequestHead
 
 __all__ = (
+    'DECODE_ERRORS',
     'Address',
     'BodyError',
     'BodySource',
--- a/src/carobwalk/ownership/_http_grant_channel.py
+++ b/src/carobwalk/ownership/_http_grant_channel.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from carobwalk.http import ConnectFailed, HttpRequest, HttpSender
-from carobwalk.model import Endpoint
+from carobwalk.model import DECODE_ERRORS, Endpoint
 from carobwalk.ownership._grant_channel import GrantFailure
 from carobwalk.ownership._server_messages import (
     FenceOrder,
@@ -66,5 +66,5 @@
 def _decode(body: bytes) -> Result[GrantReport, GrantFailure]:
     try:
         return Ok(msgspec.json.decode(body, type=GrantReport))
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Err(GrantFailure(refused=False, detail=str(error)))
--- a/src/carobwalk/platform/_configuration.py
+++ b/src/carobwalk/platform/_configuration.py
@@ -5,7 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from carobwalk.model import ServiceName
+from carobwalk.model import DECODE_ERRORS, ServiceName
 from carobwalk.platform import _configuration_messages as messages
 from carobwalk.routing import (
     CallerLimits,
@@ -22,6 +22,7 @@
 _IDEMPOTENT_KIND: Final = 'idempotent'
 _RULE_KINDS: Final = frozenset(('idempotent', 'non_idempotent', 'upload'))
 _BULK_KIND: Final = 'upload'
+_CONFIGURATION_ERRORS: Final = (*DECODE_ERRORS, ValueError)
 
 
 class ConfigurationError(msgspec.Struct, frozen=True):
@@ -45,7 +46,7 @@
     try:
         raw = msgspec.json.decode(content, type=messages.Configuration)
         return _convert(raw)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except _CONFIGURATION_ERRORS as error:
         return Err(ConfigurationError(str(error)))
 
 
--- a/src/carobwalk/platform/_registry.py
+++ b/src/carobwalk/platform/_registry.py
@@ -6,7 +6,12 @@
 from result import Err, Ok, Result
 
 from carobwalk.directory import BackendServer
-from carobwalk.model import DataCentreName, ServerId, ServiceName
+from carobwalk.model import (
+    DECODE_ERRORS,
+    DataCentreName,
+    ServerId,
+    ServiceName,
+)
 from carobwalk.settings import parse_address
 
 REGISTRY_PREFIX: Final = 'servers/'
@@ -50,7 +55,7 @@
     """
     try:
         entry = msgspec.json.decode(content, type=_Entry)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Err(EntryError(str(error)))
     address = parse_address(entry.address)
     if address is None or not entry.service:
--- a/src/carobwalk/platform/_store_calls.py
+++ b/src/carobwalk/platform/_store_calls.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from carobwalk.http import ConnectFailed, HttpRequest, HttpResponse, HttpSender
-from carobwalk.model import Address
+from carobwalk.model import DECODE_ERRORS, Address
 from carobwalk.store import StoreFailure, Unanswered, Unavailable
 
 _NOT_EXECUTED_STATUSES: Final = frozenset(
@@ -126,7 +126,7 @@
         return Err(unexpected_status(response))
     try:
         return Ok(msgspec.json.decode(response.body, type=reply_type))
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Err(Unanswered(f'reply that cannot be decoded: {error}'))
 
 
--- a/src/carobwalk/platform/_store_client.py
+++ b/src/carobwalk/platform/_store_client.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from carobwalk.http import HttpRequest, HttpResponse, HttpSender
-from carobwalk.model import Address
+from carobwalk.model import DECODE_ERRORS, Address
 from carobwalk.platform import _store_messages as messages
 from carobwalk.platform._store_calls import (
     StoreCalls,
@@ -221,7 +221,7 @@
 def _decode_conflict(response: HttpResponse) -> StoreFailure:
     try:
         found = msgspec.json.decode(response.body, type=messages.Current)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Unanswered(f'conflict reply that cannot be decoded: {error}')
     rows = [row for row in found.items if row.value is not None]
     return Conflict(_decode_row(rows[0]) if rows else None)
--- a/src/carobwalk/profiles/_codec.py
+++ b/src/carobwalk/profiles/_codec.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from carobwalk.model import CarobwalkError
+from carobwalk.model import DECODE_ERRORS, CarobwalkError
 
 Item = TypeVar('Item')
 
@@ -40,5 +40,5 @@
         raise RecordError('compression is damaged') from error
     try:
         return msgspec.json.decode(plain, type=kind)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise RecordError(str(error)) from error
--- a/src/carobwalk/store/_http_host_list.py
+++ b/src/carobwalk/store/_http_host_list.py
@@ -6,7 +6,7 @@
 from result import Err, Ok, Result
 
 from carobwalk.http import HttpRequest, HttpResponse, HttpSender
-from carobwalk.model import Address
+from carobwalk.model import DECODE_ERRORS, Address
 from carobwalk.store._host_list import Host, HostListError
 
 DEFAULT_TIMEOUT_SECONDS = 5.0
@@ -48,6 +48,6 @@
         return Err(HostListError(f'the host list answered {response.status}'))
     try:
         hosts = msgspec.json.decode(response.body, type=tuple[Host, ...])
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Err(HostListError(f'reply that cannot be decoded: {error}'))
     return Ok(hosts)
--- a/src/carobwalk/store/_http_store.py
+++ b/src/carobwalk/store/_http_store.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from carobwalk.http import ConnectFailed, HttpRequest, HttpResponse, HttpSender
-from carobwalk.model import Address
+from carobwalk.model import DECODE_ERRORS, Address
 from carobwalk.store import wire
 from carobwalk.store._store import (
     Conflict,
@@ -135,7 +135,7 @@
 ) -> Result[Any, StoreFailure]:
     try:
         return _decode_status(response, reply_type)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Err(Unanswered(f'reply that cannot be decoded: {error}'))
 
 
--- a/tests/keyspace/test_key_map.py
+++ b/tests/keyspace/test_key_map.py
@@ -7,7 +7,13 @@
 from result import Err, Ok
 
 from carobwalk.directory import ServerIncarnation
-from carobwalk.keyspace._codec import decode_map, encode_map, is_settled
+from carobwalk.keyspace._codec import (
+    claimant_of,
+    decode_map,
+    encode_map,
+    is_settled,
+)
+from carobwalk.keyspace._coordinator_codec import decode_coordinator
 from carobwalk.keyspace._key_map import KeyMap
 from carobwalk.keyspace._key_range import MAX_KEY, KeyRange
 from carobwalk.model import ServerId
@@ -78,6 +84,15 @@
         for content in (b'', b'{}', b'{"lives":[],"ranges":[[0,9,3,1,true]]}'):
             assert isinstance(decode_map(content, 1), Err)
 
+    def test_deeply_nested(self) -> None:
+        """Records nested too deeply to be read count as damaged."""
+        # Guards against one record that ends all processes that follow it.
+        content = b'{"more":%s' % (b'[' * 20_000)
+        assert isinstance(decode_map(content, 1), Err)
+        assert isinstance(decode_coordinator(content), Err)
+        assert not is_settled(content)
+        assert claimant_of(content) is None
+
     def test_settled(self) -> None:
         """Only a record that is marked as settled is settled."""
         assert is_settled(encode_map(WHOLE, is_settled=True))
--- a/tests/keyspace/test_map_feed.py
+++ b/tests/keyspace/test_map_feed.py
@@ -3,14 +3,19 @@
 from dataclasses import replace
 
 import msgspec
+import pytest
 import trio
 from trio.testing import MockClock
 
 from carobwalk.directory import ServerIncarnation
 from carobwalk.events import NullEventLog
-from carobwalk.keyspace import KeyReader, MapFeed
+from carobwalk.keyspace import KeyReader, MapFeed, MapFollower
 from carobwalk.keyspace import _map_feed as map_feed
-from carobwalk.keyspace._codec import encode_map
+from carobwalk.keyspace._codec import encode_map, map_name
+from carobwalk.keyspace._coordinator_codec import (
+    COORDINATOR_NAME,
+    encode_coordinator,
+)
 from carobwalk.keyspace._key_map import KeyMap
 from carobwalk.keyspace._key_range import KeyRange
 from carobwalk.keyspace._map_messages import (
@@ -20,8 +25,12 @@
     MapVersion,
 )
 from carobwalk.model import ProcessId, ServerId
-from tests.keyspace.simulated_fleet import SERVICE
+from carobwalk.store import Versioned
+from standins.platform import KvStore
+from tests.keyspace.fleet_links import PeerLinks
+from tests.keyspace.simulated_fleet import SERVICE, make_endpoint
 from tests.keyspace.test_key_map import WHOLE
+from tests.recording_log import RecordingLog
 
 
 def follow(feed: MapFeed, reader: KeyReader) -> MapAnswer:
@@ -130,6 +139,36 @@
         assert not follow(MapFeed(), KeyReader(NullEventLog())).is_coordinator
 
 
+class TestMapFollower:
+    # Guards against an answer that ends the process that asked.
+    @pytest.mark.parametrize(
+        'payload', [b'', b'\x93\xc3\x90%s' % (b'\x91' * 20_000)]
+    )
+    def test_undecodable_answer(
+        self, virtual_clock: MockClock, payload: bytes
+    ) -> None:
+        """An answer that can't be decoded is logged; the store is read."""
+
+        async def answer(sender: ProcessId, question: bytes) -> bytes:
+            return payload
+
+        async def body() -> None:
+            log = RecordingLog()
+            reader = KeyReader(log)
+            content = encode_coordinator(make_endpoint('a'))
+            reader.apply(Versioned(COORDINATOR_NAME, content, 1))
+            store = KvStore()
+            await store.write(map_name(SERVICE), encode_map(WHOLE), 0)
+            links = PeerLinks()
+            links.answers_by_name['a'] = answer
+            with trio.move_on_after(1):
+                await MapFollower(links, store, reader, log).run()
+            assert log.named('PeerAnswerDropped')
+            assert reader.map_of(SERVICE).ranges == WHOLE.ranges
+
+        trio.run(body, clock=virtual_clock)
+
+
 def test_many_processes_share_an_update(monkeypatch) -> None:
     """An update for 70 processes with the same version is encoded once."""
     encoded = 0
--- a/tests/keyspace/test_predecessor_query.py
+++ b/tests/keyspace/test_predecessor_query.py
@@ -45,12 +45,14 @@
         answers_at: Time of its first answer in seconds.
         ledger: Bounds that it reports.
         asked_at: Times of the questions.
+        unreadable: Answers to give first.
     """
 
     knows_term: bool = True
     answers_at: float = 0
     ledger: GrantLedger = field(default_factory=lambda: _new_ledger(NOTHING))
     asked_at: list[float] = field(default_factory=list)
+    unreadable: list[bytes] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.term = _new_term(OLD_LEASE)
@@ -63,6 +65,8 @@
         self.asked_at.append(trio.current_time())
         if trio.current_time() < self.answers_at:
             await trio.sleep_forever()
+        if self.unreadable:
+            return self.unreadable.pop()
         return await self._succession.answer(sender, payload)
 
 
@@ -136,6 +140,25 @@
 
         trio.run(body, clock=virtual_clock)
 
+    # Guards against an answer that ends the process that asked.
+    @pytest.mark.parametrize(
+        'payload', [b'', b'\x81\xa1z%s' % (b'\x91' * 20_000)]
+    )
+    def test_undecodable(
+        self, virtual_clock: MockClock, payload: bytes
+    ) -> None:
+        """An answer that can't be decoded is logged and asked for again."""
+
+        async def body() -> None:
+            predecessor = _Predecessor(unreadable=[payload])
+            async with trio.open_nursery() as nursery:
+                successor = _Successor(nursery, predecessor)
+                await successor.ask()
+            assert len(successor.log.named('PeerAnswerDropped')) == 1
+            assert successor.outcomes == ['unanswered', 'reported']
+
+        trio.run(body, clock=virtual_clock)
+
     def test_end_with_unknown_term(self, virtual_clock: MockClock) -> None:
         """A process that has restarted is asked once."""
 
--- a/tests/ownership/test_encodings.py
+++ b/tests/ownership/test_encodings.py
@@ -1,9 +1,12 @@
 """Tests of the encodings of records and messages, and of applying pushes."""
 
 import pytest
+import trio
 from hypothesis import given
 from hypothesis import strategies as st
+from result import Err, Ok
 
+from carobwalk.http import HttpResponse
 from carobwalk.model import (
     Address,
     DataCentreName,
@@ -15,7 +18,12 @@
     ServiceName,
     ShardNumber,
 )
-from carobwalk.ownership import MapRevisionFellError, ServerRow, ShardRow
+from carobwalk.ownership import (
+    HttpGrantChannel,
+    MapRevisionFellError,
+    ServerRow,
+    ShardRow,
+)
 from carobwalk.ownership._codec import decode_push, encode_push
 from carobwalk.ownership._exceptions import RecordTooLargeError
 from carobwalk.ownership._group_record import (
@@ -25,7 +33,9 @@
 )
 from carobwalk.ownership._group_view import GroupView
 from carobwalk.ownership._map_push import MapPush
+from carobwalk.ownership._server_messages import FenceOrder
 from carobwalk.ownership._succession import Holder, Succession
+from tests.store._senders import FixedSender
 
 NAMES = st.text(st.characters(codec='ascii', min_codepoint=33), min_size=1)
 HOLDERS = st.builds(Holder, NAMES.map(ServerId), NAMES)
@@ -140,3 +150,20 @@
         view.accept(push(6, 2), 0)
         with pytest.raises(MapRevisionFellError):
             view.accept(push(5, 3), 0)
+
+
+class TestGrantReport:
+    @pytest.mark.parametrize(
+        'body', [b'', b'{"a":%s' % (b'[' * 20_000)], ids=['empty', 'nested']
+    )
+    def test_undecodable(self, body: bytes) -> None:
+        """A report that can't be decoded is a failure of its order."""
+
+        async def case() -> None:
+            channel = HttpGrantChannel(
+                FixedSender(Ok(HttpResponse(200, body=body)))
+            )
+            order = FenceOrder(group='north/dc1', epoch=2)
+            assert isinstance(await channel.send(ENDPOINT, order, 1), Err)
+
+        trio.run(case)
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -120,6 +120,7 @@
             (b'"timeout_s":0.6', b'"timeout_s":"1"'),
             (b'"service":"reads",', b''),
             (b'{"version"', b'{"version'),
+            (b'{"version"', b'{"more":%s,"version"' % (b'[' * 20_000)),
         ],
     )
     def test_invalid(self, old: bytes, new: bytes) -> None:
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -153,7 +153,17 @@
 
         run_scenario(scenario)
 
-    @pytest.mark.parametrize('body', [b'', b'{"items":3}', b'\xff'])
+    @pytest.mark.parametrize(
+        'body',
+        [
+            b'',
+            b'{"items":3}',
+            b'\xff',
+            b'{"items":[{"key":"\xff"}]}',
+            b'{"more":%s' % (b'[' * 20_000),
+        ],
+        ids=['empty', 'type', 'binary', 'text', 'nested'],
+    )
     def test_undecodable_answer(self, body: bytes) -> None:
         """After an undecodable answer the outcome is unknown."""
 
@@ -170,6 +180,17 @@
 
         run_scenario(scenario)
 
+    def test_undecodable_conflict(self) -> None:
+        """After a conflict that can't be decoded the outcome is unknown."""
+
+        async def scenario(server: _StoreServer, client: PlatformStore) -> None:
+            for body in (b'', b'{"more":%s' % (b'[' * 20_000)):
+                server.answer = HttpResponse(412, body=body)
+                written = await client.write('a', b'', 0)
+                assert isinstance(written.err_value, Unanswered)
+
+        run_scenario(scenario)
+
     def test_late_answer(self) -> None:
         """After a timeout a call may have taken effect."""
 
--- a/tests/profiles/replication/test_follower.py
+++ b/tests/profiles/replication/test_follower.py
@@ -1,5 +1,7 @@
 """Tests of the replication of the configuration to all processes."""
 
+import zlib
+
 import pytest
 import trio
 from trio.testing import MockClock
@@ -227,6 +229,9 @@
         'content',
         [
             b'no record',
+            pytest.param(
+                zlib.compress(b'{"more":%s' % (b'[' * 20_000)), id='nested'
+            ),
             encode(HeadRecord())[:-4],
             encode(
                 HeadRecord(
--- a/tests/store/test_http_host_list.py
+++ b/tests/store/test_http_host_list.py
@@ -60,6 +60,7 @@
             Ok(HttpResponse(503)),
             Ok(HttpResponse(200, body=b'[{}]')),
             Ok(HttpResponse(200, body=b'[')),
+            Ok(HttpResponse(200, body=b'[{"a":%s' % (b'[' * 20_000))),
         ],
     )
     def test_failures(
--- a/tests/store/test_http_store.py
+++ b/tests/store/test_http_store.py
@@ -100,6 +100,10 @@
             (Ok(HttpResponse(200, body=b'{"cut')), Unanswered),
             (Ok(HttpResponse(200, body=b'{"other":[]}')), Unanswered),
             (Ok(HttpResponse(409, body=b'1')), Unanswered),
+            (
+                Ok(HttpResponse(200, body=b'{"a":%s' % (b'[' * 20_000))),
+                Unanswered,
+            ),
         ],
     )
     def test_failures(
