Answer 400 to a request target that is no URL

What callers saw: one GET //[ to the port of readiness, metrics or administration ended the server behind it and with it the process.

Cause: urlsplit raises ValueError for brackets that hold no IP address; parse_request runs before the handler, whose exceptions are logged, and nothing caught it.

Change: the server answers 400 and keeps the connection.

--- a/src/carobwalk/http/_server.py
+++ b/src/carobwalk/http/_server.py
@@ -22,6 +22,10 @@
     status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     body=b'body too large\n',
 )
+_INVALID_TARGET: Final = HttpResponse(
+    status=HTTPStatus.BAD_REQUEST,
+    body=b'invalid target\n',
+)
 
 
 async def serve_http(
@@ -91,7 +95,11 @@
     body = await connection.read_body(_MAX_BODY_BYTES)
     if body is None:
         return _TOO_LARGE
-    return await handler(parse_request(event, body))
+    try:
+        request = parse_request(event, body)
+    except ValueError:
+        return _INVALID_TARGET
+    return await handler(request)
 
 
 def parse_request(event: h11.Request, body: bytes) -> HttpRequest:
@@ -100,6 +108,9 @@
     Args:
         event: Request head as parsed by h11.
         body: Complete body.
+
+    Raises:
+        ValueError: If the target is no URL.
     """
     parts = urlsplit(event.target.decode('latin-1'))
     return HttpRequest(
