Count an answer with an encoded body as lost

What callers saw: a signed 200 with Content-Encoding: gzip and bytes that they can't read, as the answer to a request that asked for no encoding.

Cause: the classifier did not look at the field.

Change: an answer whose body would be passed on is Lost if a Content-Encoding names a coding, in any of several fields; identity and an empty list are none. An idempotent request is retried, others get 502. Refusals by that field, and 421, stay refusals: their body is not passed on, the field says nothing about whether the request ran, and as lost ones they would turn requests that did not run into 502.

--- a/src/carobwalk/gateway/_answer_classifier.py
+++ b/src/carobwalk/gateway/_answer_classifier.py
@@ -5,7 +5,11 @@
 
 import h11
 
-from carobwalk.gateway._header_fields import HOP_BY_HOP_HEADERS, find_header
+from carobwalk.gateway._header_fields import (
+    HOP_BY_HOP_HEADERS,
+    find_header,
+    is_encoded,
+)
 from carobwalk.gateway._header_names import HeaderNames
 from carobwalk.gateway._outcomes import Answered, AttemptOutcome, Lost, NotRun
 from carobwalk.gateway._reply import Reply
@@ -29,7 +33,9 @@
     """Return the outcome that a complete answer stands for.
 
     An answer that claims success or that the request has not run counts only
-    if the backend server signed it; otherwise the outcome is ``Lost``.
+    if the backend server signed it; otherwise the outcome is ``Lost``. So it is
+    for an encoded body: requests ask for none, so it is not the backend
+    server's. Refusals keep their meaning, since their body is not passed on.
 
     Args:
         response: Status line and header fields of the answer.
@@ -47,6 +53,8 @@
             return Lost('an answer without a signature')
         if status in _NOT_RUN_STATUSES:
             return Lost(f'unsigned status {status}')
+    if is_encoded(response.headers):
+        return Lost('an encoded body')
     headers = tuple(
         (name, text)
         for name, text in response.headers.raw_items()
--- a/src/carobwalk/gateway/_header_fields.py
+++ b/src/carobwalk/gateway/_header_fields.py
@@ -18,6 +18,8 @@
         b'upgrade',
     ),
 )
+# An empty element of the list of codings is ignored.
+_NO_CODING: Final = frozenset((b'', b'identity'))
 _MAX_DIGITS: Final = 12
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(rb'timeout\s*=\s*([0-9]{1,6})')
 
@@ -48,6 +50,19 @@
     return int(text)
 
 
+def is_encoded(headers: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Return whether a ``Content-Encoding`` field names a content coding.
+
+    ``identity`` stands for no coding.
+    """
+    return any(
+        coding.strip().lower() not in _NO_CODING
+        for name, text in headers
+        if name == b'content-encoding'
+        for coding in text.split(b',')
+    )
+
+
 def keep_alive_timeout_seconds(
     headers: Iterable[tuple[bytes, bytes]],
 ) -> float | None:
