Limit the digits of numbers at the entry

What callers saw: on other platforms, one request whose Carobwalk-Deadline-Ms had 400 digits ended the entry server, and a Retry-After of 400 digits in a backend server's refusal raised OverflowError in the answer to its caller.

Cause: int(text) / 1000 raises OverflowError from 309 digits on, int(text) ValueError from 4301 on, and float(text) of a longer time is infinite, which round() refuses.

Change: parse_natural_number in carobwalk.http, with the limit of 12 digits that find_number of the gateway had; the gateway, the entry and the dispatcher use it. A longer deadline stands for the longest one of the rank, as in the gateway; a longer Retry-After is left out.

--- a/src/carobwalk/dispatch/_headers.py
+++ b/src/carobwalk/dispatch/_headers.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from carobwalk.dispatch._upstream_failures import RefusalReason, Refused
+from carobwalk.http import parse_natural_number
 from carobwalk.model import FenceToken, Headers, RequestHead, ShardNumber
 
 FENCE = b'carobwalk-fence'
@@ -124,6 +125,5 @@
 
 
 def _parse_seconds(value: bytes | None) -> float | None:
-    if value is None or not value.isdigit():
-        return None
-    return float(value)
+    seconds = None if value is None else parse_natural_number(value)
+    return None if seconds is None else float(seconds)
--- a/src/carobwalk/entry/_classifier.py
+++ b/src/carobwalk/entry/_classifier.py
@@ -12,6 +12,7 @@
 
 from carobwalk.entry import _headers
 from carobwalk.entry._failures import bad_request, missing_key, unknown_service
+from carobwalk.http import parse_natural_number
 from carobwalk.model import (
     Failure,
     Key,
@@ -154,12 +155,15 @@
     fields: Fields,
 ) -> Result[float, Failure]:
     longest = profile.time_limits[rank]
-    requested = _field_text(fields, _headers.DEADLINE_MS)
+    requested = fields.get(_headers.DEADLINE_MS)
     if requested is None:
         return Ok(longest)
-    if not requested.isdecimal():
+    if not requested.isdigit():
         return Err(bad_request('carobwalk-deadline-ms must be a whole number'))
-    return Ok(min(longest, int(requested) / _MILLISECONDS))
+    milliseconds = parse_natural_number(requested)
+    if milliseconds is None:
+        return Ok(longest)  # Too many digits for any time limit.
+    return Ok(min(longest, milliseconds / _MILLISECONDS))
 
 
 def _body_length(fields: Fields) -> int | None:
--- a/src/carobwalk/gateway/_header_fields.py
+++ b/src/carobwalk/gateway/_header_fields.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from typing import Final
 
+from carobwalk.http import parse_natural_number
+
 HOP_BY_HOP_HEADERS: Final = frozenset(
     (
         b'connection',
@@ -20,7 +22,6 @@
 )
 # An empty element of the list of codings is ignored.
 _NO_CODING: Final = frozenset((b'', b'identity'))
-_MAX_DIGITS: Final = 12
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(rb'timeout\s*=\s*([0-9]{1,6})')
 
 
@@ -45,9 +46,7 @@
     than 12 digits.
     """
     text = find_header(headers, name)
-    if text is None or not text.isdigit() or len(text) > _MAX_DIGITS:
-        return None
-    return int(text)
+    return None if text is None else parse_natural_number(text)
 
 
 def is_encoded(headers: Iterable[tuple[bytes, bytes]]) -> bool:
--- a/src/carobwalk/http/__init__.py
+++ b/src/carobwalk/http/__init__.py
@@ -18,6 +18,7 @@
 from carobwalk.http._h11_stream import H11Stream
 from carobwalk.http._handler import HttpHandler
 from carobwalk.http._messages import HttpRequest, HttpResponse
+from carobwalk.http._natural_number import parse_natural_number
 from carobwalk.http._sender import HttpSender
 from carobwalk.http._server import serve_http, serve_http_stream
 
@@ -40,6 +41,7 @@
     'connect_with_keepalive',
     'declared_length',
     'error_detail',
+    'parse_natural_number',
     'reset_on_close',
     'serve_http',
     'serve_http_stream',
