--- a/src/carobwalk/gateway/_header_fields.py
+++ b/src/carobwalk/gateway/_header_fields.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from typing import Final
 
+from carobwalk.http import parse_natural_number
+
 HOP_BY_HOP_HEADERS: Final = frozenset(
     (
         b'connection',
@@ -18,7 +20,8 @@
         b'upgrade',
     ),
 )
-_MAX_DIGITS: Final = 12
+# An empty element of the list of codings is ignored.
+_NO_CODING: Final = frozenset((b'', b'identity'))
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(rb'timeout\s*=\s*([0-9]{1,6})')
 
 
@@ -43,9 +46,20 @@
     than 12 digits.
     """
     text = find_header(headers, name)
-    if text is None or not text.isdigit() or len(text) > _MAX_DIGITS:
-        return None
-    return int(text)
+    return None if text is None else parse_natural_number(text)
+
+
+def is_encoded(headers: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Return whether a ``Content-Encoding`` field names a content coding.
+
+    ``identity`` stands for no coding.
+    """
+    return any(
+        coding.strip().lower() not in _NO_CODING
+        for name, text in headers
+        if name == b'content-encoding'
+        for coding in text.split(b',')
+    )
 
 
 def keep_alive_timeout_seconds(
--- a/src/carobwalk/http/__init__.py
+++ b/src/carobwalk/http/__init__.py
@@ -24,6 +24,7 @@
 from carobwalk.http._h11_stream import H11Stream
 from carobwalk.http._handler import HttpHandler
 from carobwalk.http._messages import HttpRequest, HttpResponse
+from carobwalk.http._natural_number import parse_natural_number
 from carobwalk.http._sender import HttpSender
 from carobwalk.http._server import serve_http, serve_http_stream
 
@@ -48,6 +49,7 @@
     'declared_length',
     'error_detail',
     'is_delimited',
+    'parse_natural_number',
     'reset_on_close',
     'serve_http',
     'serve_http_stream',
