List a record whose content is no base64 text as empty

What callers could see: each process ends, and again at each restart, if a record that others write has text beyond ASCII where its content should stand.

Cause: b64decode raises ValueError there, not its subclass binascii.Error, which alone was caught.

Evidence: tests/platform/test_store_client.py, TestUndecodableContent: the case with such text failed before, all three pass now.

--- a/src/carobwalk/platform/_store_client.py
+++ b/src/carobwalk/platform/_store_client.py
@@ -1,7 +1,6 @@
 """Client of the platform's metadata store."""
 
 import base64
-import binascii
 from http import HTTPStatus
 from typing import Final
 
@@ -230,7 +229,7 @@
 def _decode_row(row: messages.Row) -> Versioned:
     try:
         content = base64.b64decode(row.value or '', validate=True)
-    except binascii.Error:
+    except ValueError:
         content = b''  # Rejected as malformed by the reader of the record.
     return Versioned(row.key, content, row.revision)
 
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -132,6 +132,24 @@
         run_scenario(scenario)
 
 
+class TestUndecodableContent:
+    # Guards against a foreign record that ends the follower of its prefix.
+    @pytest.mark.parametrize('value', ['a', '%', '\u00e9\u00e9\u00e9\u00e9'])
+    def test_listed_as_empty(self, value: str) -> None:
+        """A record whose content is no base64 text is listed as empty."""
+
+        async def scenario(server: _StoreServer, client: PlatformStore) -> None:
+            row = f'{{"key":"a","value":"{value}","revision":3}}'
+            server.answer = HttpResponse(
+                status=200,
+                body=f'{{"items":[{row}],"as_of":3}}'.encode(),
+            )
+            listing = (await client.list_records('a')).ok_value
+            assert [record.content for record in listing.records] == [b'']
+
+        run_scenario(scenario)
+
+
 class TestFailures:
     @pytest.mark.parametrize(
         ('status', 'expected'),
