Ask for all requests of the recovery check side by side

Seen: the check asked each router for 18 requests one after the other.

Change: each request is sent on a connection of its own and repeated until it is served; each has to be served within 15 s of the last fault, as before. The report tells all requests that are not served, not the last failure.

As strict: the walk also found keys that were served at the last fault and lost their owner a little later, because it lasted. What is served in the first 4 s therefore has to be served once more after them, within the same 15 s. So each request has to be served between 4 and 15 s after the fault, later than in the walk, whose longest time without a failure was 4 s. The recovery counts until the repetition if that was not served at once.

Slots: the servers have 4, the stand-ins refuse nobody for them; a router sends 6 at once to one server and lets others wait for up to 0.6 s. First requests start 0.05 s apart, so that few are in flight unless they wait for an owner.

Tests, on a virtual clock: each of 18 requests of each of two routers alone is reported if it is not served, so is a request served or answered after 15 s, one lost 0.2, 2 or 3.9 s after the fault, and a router that isn't ready.

--- a/soak/_recovery.py
+++ b/soak/_recovery.py
@@ -1,6 +1,7 @@
 """Check that all routers serve all kinds of requests."""
 
-from dataclasses import replace
+from dataclasses import dataclass, replace
+from itertools import islice
 from typing import Final
 
 import trio
@@ -11,60 +12,135 @@
 from soak._testbed import Testbed
 
 _POLL_INTERVAL_SECONDS: Final = 0.2
+# A router sends 6 requests at once to a server of 4 slots; those to its other
+# callers included, the check would exceed that with all its requests at once.
+_STAGGER_SECONDS: Final = 0.05
+_MAX_REPORTED_REQUESTS: Final = 6
 _OK: Final = 200
 
 
-async def wait_until_served(
-    testbed: Testbed, phase: str, timeout: float
-) -> float:
+@dataclass(frozen=True, slots=True)
+class Phase:
+    """Phase of a run at whose end all requests have to be served.
+
+    Args:
+        name: Name for the report.
+        timeout: Time in seconds within which they have to be served.
+        repeated_after: Time in seconds after which what was served before
+            has to be served once more, within the same timeout: a key may
+            lose its owner a little later than the last fault.
+    """
+
+    name: str
+    timeout: float
+    repeated_after: float = 0
+
+
+async def wait_until_served(testbed: Testbed, phase: Phase) -> float:
     """Wait until each router serves all keys, a claim and the newest route.
 
+    Requests are sent concurrently, each until it is served, so that a slow one
+    delays no other.
+
     Args:
         testbed: The routers, and the checker that a time-out is reported to.
-        phase: Phase of the run, for the report.
-        timeout: Maximum wait in seconds.
+        phase: Phase of the run.
 
     Returns:
-        Seconds until all was served; ``timeout`` if it was not.
+        Seconds until all was served, and served on; the timeout if it was not.
     """
-    began = trio.current_time()
-    failures: list[str] = []
-    with trio.move_on_after(timeout):
-        async with trio.open_nursery() as nursery:
-            for router in testbed.routers:
-                nursery.start_soon(_check_router, testbed, router, failures)
-        return trio.current_time() - began
-    last = failures[-1] if failures else 'not ready'
-    detail = f'{phase} in {timeout} s: {last}'
+    check = _ServiceCheck(testbed, phase)
+    with trio.move_on_after(phase.timeout):
+        return await check.run()
+    detail = f'{phase.name} in {phase.timeout} s: {check.describe_unserved()}'
     testbed.checker.record_violation('not served again', detail)
-    return timeout
-
-
-async def _check_router(
-    testbed: Testbed, router: Router, failures: list[str]
-) -> None:
-    await router.wait_until_ready()
-    caller = Caller(router, testbed.checker)
-    for request in _check_requests(router.name, testbed.operator.version):
-        while True:
-            fresh = replace(
-                request, id=f'{request.id}-{trio.current_time():.6f}'
-            )
-            reply = await caller.send(fresh)
-            if reply.status == _OK:
-                break
-            failures.append(f'{router.name} {request.path} {reply.status}')
-            await trio.sleep(_POLL_INTERVAL_SECONDS)
-    await caller.close()
+    return phase.timeout
+
+
+class _ServiceCheck:
+    """Sends requests of all kinds to all routers until they are served."""
+
+    def __init__(self, testbed: Testbed, phase: Phase) -> None:
+        self._testbed = testbed
+        self._phase = phase
+        self._began = trio.current_time()
+        self._served_at = self._began
+        self._causes_by_request: dict[str, str] = {}
+
+    async def run(self) -> float:
+        """Return the seconds until all was served, and served on."""
+        async with trio.open_nursery() as nursery:
+            for router in self._testbed.routers:
+                nursery.start_soon(self._check_router, router)
+        return self._served_at - self._began
+
+    def describe_unserved(self) -> str:
+        """Return the requests that are not served, with their last status."""
+        causes = self._causes_by_request
+        first = [
+            f'{request} {cause}'
+            for request, cause in islice(causes.items(), _MAX_REPORTED_REQUESTS)
+        ]
+        return f'{len(causes)} requests: {", ".join(first)}'
+
+    async def _check_router(self, router: Router) -> None:
+        self._causes_by_request[router.name] = 'not ready'
+        await router.wait_until_ready()
+        self._causes_by_request.pop(router.name)
+        requests = _check_requests(router.name, self._testbed.operator.version)
+        async with trio.open_nursery() as nursery:
+            for number, request in enumerate(requests):
+                described = _describe(router, request)
+                self._causes_by_request[described] = 'unanswered'
+                delay = number * _STAGGER_SECONDS
+                nursery.start_soon(self._check_request, router, request, delay)
+
+    async def _check_request(
+        self, router: Router, request: Ask, delay: float
+    ) -> None:
+        await trio.sleep(delay)
+        await self._wait_until_served(router, request)
+        self._served_at = trio.current_time()
+        repeated_at = self._began + self._phase.repeated_after + delay
+        if self._served_at < repeated_at:
+            await trio.sleep_until(repeated_at)
+            if await self._wait_until_served(router, request):
+                self._served_at = trio.current_time()
+        self._causes_by_request.pop(_describe(router, request))
+
+    async def _wait_until_served(self, router: Router, request: Ask) -> int:
+        """Send a request until it is served; return how often it was not."""
+        caller = Caller(router, self._testbed.checker)
+        failures = 0
+        try:
+            while not await self._is_served(caller, router, request):
+                failures += 1
+                await trio.sleep(_POLL_INTERVAL_SECONDS)
+        finally:
+            await caller.close()
+        return failures
+
+    async def _is_served(
+        self, caller: Caller, router: Router, request: Ask
+    ) -> bool:
+        fresh = replace(request, id=f'{request.id}-{trio.current_time():.6f}')
+        reply = await caller.send(fresh)
+        cause = str(reply.status)
+        self._causes_by_request[_describe(router, request)] = cause
+        return reply.status == _OK
+
+
+def _describe(router: Router, request: Ask) -> str:
+    return f'{router.name} {request.path}'
 
 
 def _check_requests(name: str, newest: int) -> list[Ask]:
     lookups = [
-        Ask(f'{name}-all', 'GET', f'/lookups/{key}', key=key)
+        Ask(f'{name}-all-{key}', 'GET', f'/lookups/{key}', key=key)
         for key in SAMPLE_KEYS
     ]
     return [
         *lookups,
-        Ask(f'{name}-all', 'POST', '/claims/1', b'claim'),
-        Ask(f'{name}-all', 'GET', f'/at-least-{newest}/x'),
+        Ask(f'{name}-all-claim', 'POST', '/claims/1', b'claim'),
+        Ask(f'{name}-all-newest', 'GET', f'/at-least-{newest}/x'),
     ]
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -15,7 +15,7 @@
 from soak._invariant_checker import InvariantChecker
 from soak._operator import Operator, VersionProbe
 from soak._plan import SoakPlan
-from soak._recovery import wait_until_served
+from soak._recovery import Phase, wait_until_served
 from soak._router import Router, RouterLaunch
 from soak._server import KEYED_SERVICE, UNKEYED_SERVICE, SoakServer
 from soak._store_gate import StoreGate
@@ -25,9 +25,8 @@
 
 _SERVICES: Final = (KEYED_SERVICE,) * 3 + (UNKEYED_SERVICE,) * 2
 _CALLERS_PER_ROUTER: Final = 3
-_START_TIMEOUT_SECONDS: Final = 30.0
-# Time within which a deployment has to serve all requests again.
-_RECOVERY_TIMEOUT_SECONDS: Final = 15.0
+_START: Final = Phase('start', 30.0)
+_RECOVERY: Final = Phase('recovery', 15.0, repeated_after=4.0)
 _PAGE_SIZE: Final = 100
 
 
@@ -101,17 +100,11 @@
         """Execute the run."""
         async with trio.open_nursery() as nursery:
             await self._start(processes, nursery)
-            await wait_until_served(
-                self._testbed, 'start', _START_TIMEOUT_SECONDS
-            )
+            await wait_until_served(self._testbed, _START)
             self._start_callers(nursery)
             await Injector(self._seed, self._plan, self._testbed).run()
             self._testbed.heal()
-            self._recovery = await wait_until_served(
-                self._testbed,
-                'recovery',
-                _RECOVERY_TIMEOUT_SECONDS,
-            )
+            self._recovery = await wait_until_served(self._testbed, _RECOVERY)
             await self._stop_all()
             self._testbed.monitor.finish()
             self._refusals = await check_logs(self._testbed, self._directory)
--- /dev/null
+++ b/tests/fault_soak/test_recovery.py
@@ -0,0 +1,202 @@
+"""Tests of the check that all is served again after the last fault."""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import pairwise
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from soak._caller import Ask, Reply
+from soak._invariant_checker import InvariantChecker
+from soak._observed_servers import SAMPLE_KEYS
+from soak._recovery import Phase, wait_until_served
+
+RECOVERY = Phase('recovery', 15.0, repeated_after=4.0)
+NEWEST = 7
+KEY_PATH = f'/lookups/{SAMPLE_KEYS[-1]}'
+PATHS = (
+    *(f'/lookups/{key}' for key in SAMPLE_KEYS),
+    '/claims/1',
+    f'/at-least-{NEWEST}/x',
+)
+SERVED = Reply(200, is_from_server=True)
+REFUSED = Reply(503)
+
+IsServed = Callable[[str, str, float], bool]
+
+
+@dataclass
+class Operator:
+    """Source of the newest version."""
+
+    version: int = NEWEST
+
+
+@dataclass
+class Router:
+    """Router that is ready from some time on."""
+
+    name: str
+    ready_at: float = 0
+
+    async def wait_until_ready(self) -> None:
+        """Wait until the time."""
+        await trio.sleep_until(self.ready_at)
+
+
+@dataclass
+class Fleet:
+    """Routers whose answers a function of name, path and time tells.
+
+    Args:
+        is_served: The function.
+        seconds: Time that each answer takes.
+    """
+
+    is_served: IsServed = lambda router, path, now: True
+    seconds: float = 0.03
+    routers: list[Router] = field(
+        default_factory=lambda: [Router('router-0'), Router('router-1')]
+    )
+    checker: InvariantChecker = field(default_factory=InvariantChecker)
+    operator: Operator = field(default_factory=Operator)
+    asked: list[tuple[float, str, Ask]] = field(default_factory=list)
+    recovery: float = math.nan
+
+    def caller(self, router: Router, checker: InvariantChecker) -> 'FakeCaller':
+        """Return a caller of a router."""
+        return FakeCaller(self, router)
+
+    async def recover(self) -> None:
+        """Run the check."""
+        self.recovery = await wait_until_served(self, RECOVERY)
+
+
+@dataclass
+class FakeCaller:
+    """Caller of a router of the fleet."""
+
+    fleet: Fleet
+    router: Router
+
+    async def send(self, request: Ask) -> Reply:
+        """Return the answer of the fleet at the time of the request."""
+        now = trio.current_time()
+        self.fleet.asked.append((now, self.router.name, request))
+        is_served = self.fleet.is_served(self.router.name, request.path, now)
+        await trio.sleep(self.fleet.seconds)
+        return SERVED if is_served else REFUSED
+
+    async def close(self) -> None:
+        """Drop no connection."""
+
+
+@pytest.fixture
+def recover(monkeypatch) -> Callable[[Fleet], list[str]]:
+    """Return a function that runs the check on a virtual clock."""
+
+    def run(fleet: Fleet) -> list[str]:
+        monkeypatch.setattr('soak._recovery.Caller', fleet.caller)
+        clock = MockClock(autojump_threshold=0)
+        trio.run(fleet.recover, clock=clock)
+        lines = fleet.checker.violations
+        return [line.split(maxsplit=1)[1] for line in lines]
+
+    return run
+
+
+class TestServed:
+    def test_all_is_served(self, recover) -> None:
+        """A fleet that serves everything has recovered within a second."""
+        fleet = Fleet()
+        assert not recover(fleet)
+        assert fleet.recovery < 1
+
+    def test_slow_answers_do_not_add_up(self, recover) -> None:
+        """Answers of 1.5 s each do not use up the time one after the other."""
+        fleet = Fleet(seconds=1.5)
+        assert not recover(fleet)
+        assert fleet.recovery < 3
+
+    def test_served_just_in_time(self, recover) -> None:
+        """What is served shortly before the bound is in time."""
+        fleet = Fleet(lambda router, path, now: now >= 14)
+        assert not recover(fleet)
+        assert fleet.recovery == pytest.approx(14.2, abs=0.3)
+
+    def test_brief_loss_after_the_first_answer(self, recover) -> None:
+        """A recovery lasts until what was lost again is served."""
+        fleet = Fleet(lambda router, path, now: now < 2 or now > 6)
+        assert not recover(fleet)
+        assert fleet.recovery == pytest.approx(6.2, abs=0.3)
+
+    def test_late_answer_is_not_asked_for_twice(self, recover) -> None:
+        """What is first served after the time of the repetition suffices."""
+        fleet = Fleet(lambda router, path, now: now >= 8, seconds=0.5)
+        assert not recover(fleet)
+        served = [request.path for at, _, request in fleet.asked if at >= 8]
+        assert sorted(served) == sorted(PATHS * len(fleet.routers))
+
+
+class TestNotServed:
+    @pytest.mark.parametrize('router', ['router-0', 'router-1'])
+    @pytest.mark.parametrize('path', PATHS)
+    def test_each_request_of_each_router(
+        self, recover, router: str, path: str
+    ) -> None:
+        """A single request that one router does not serve is reported."""
+        fleet = Fleet(lambda *asked: asked[:2] != (router, path))
+        detail = f'recovery in 15.0 s: 1 requests: {router} {path} 503'
+        assert recover(fleet) == [f'not served again: {detail}']
+        assert fleet.recovery == RECOVERY.timeout
+
+    def test_served_after_the_bound(self, recover) -> None:
+        """An answer that is only served after 15 s is too late."""
+        fleet = Fleet(lambda router, path, now: now > 15 or path != KEY_PATH)
+        assert len(recover(fleet)) == 1
+
+    def test_answer_after_the_bound(self, recover) -> None:
+        """A request that is sent in time but answered after 15 s is late."""
+        fleet = Fleet(lambda router, path, now: now > 14, seconds=1.5)
+        assert len(recover(fleet)) == 1
+
+    @pytest.mark.parametrize('lost_after', [0.2, 2, 3.9])
+    def test_lost_after_its_first_answer(
+        self, recover, lost_after: float
+    ) -> None:
+        """A key that is served at first and lost a little later is found."""
+        fleet = Fleet(
+            lambda router, path, now: now < lost_after or path != '/claims/1'
+        )
+        assert len(recover(fleet)) == 1
+
+    def test_router_that_is_not_ready(self, recover) -> None:
+        """A router that does not become ready in time is reported."""
+        fleet = Fleet(routers=[Router('router-0'), Router('router-1', 16)])
+        assert recover(fleet) == [
+            'not served again: recovery in 15.0 s: '
+            '1 requests: router-1 not ready'
+        ]
+
+
+class TestRequests:
+    def test_ids_are_unique(self, recover) -> None:
+        """Each request has an id of its own, as none may run twice."""
+        fleet = Fleet(lambda router, path, now: now > 3)
+        recover(fleet)
+        ids = [request.id for _, _, request in fleet.asked]
+        assert len(ids) == len(set(ids))
+
+    def test_are_not_sent_at_once(self, recover) -> None:
+        """Few requests of a router are in flight if answers are fast."""
+        fleet = Fleet()
+        recover(fleet)
+        times = [at for at, router, _ in fleet.asked if router == 'router-0']
+        assert len(times) == 2 * len(PATHS)
+        assert all(
+            later - earlier > fleet.seconds
+            for earlier, later in pairwise(times)
+        )
