Count freezes of the soak's process as faults of store and servers

Cause: the stand-ins of the store and of all servers live in the soak's own process. To the product that is an outage of all of them, but the 15 s went on.

Change: a delay of at least KeyTimes.order_timeout (0.4 s) is a fault of its own kind, soak-freeze in soak.log and counted in SoakOutcome.freezes, not in faults, which depend on the seed alone. The 15 s count from the end of the last freeze that began within them. Only the first five move the bound, and none beyond 60 s after the last fault of the plan; the report names all freezes. Served has to be everything all the same: a freeze alone lets nothing pass.

As strict: without a delay of 0.4 s the bound is 15 s as before, and what is served later does not count. A new module measures the delays; the monitor of owners did before, so its test no longer passes a file.

Tests, on a virtual clock that jumps without running a task, and one on the real clock: served 1 s before and at the moved bound, for freezes at the begin, in the middle and over the end of the 15 s; delays of 0.35 s and freezes that begin after the bound move nothing; series and long freezes end in the report, whose text names them; an answer that waited for the end of a freeze counts. 64 tests.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -89,6 +89,7 @@
             f'seed {seed}: faults={outcome.faults.total()} '
             f'answers={dict(sorted(outcome.answers_by_status.items()))} '
             f'recovery={outcome.recovery} s '
+            f'freezes={outcome.freezes} '
             f'refusals={dict(outcome.refusals)} '
             f'broken={len(outcome.violations)}',
         )
--- a/soak/_ownership_monitor.py
+++ b/soak/_ownership_monitor.py
@@ -9,13 +9,11 @@
 import trio
 
 from carobwalk.model import ServerId
-from soak._event_file import EventFile
 from soak._invariant_checker import InvariantChecker
 from standins.platform import KeyHolder, Order, find_double_keys
 
 _INTERVAL_SECONDS: Final = 0.02
 _MAX_REPORTED_REQUESTS: Final = 6
-_REPORTED_DELAY_SECONDS: Final = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,20 +82,11 @@
         self._overlaps_by_key: dict[int, _Overlap] = {}
         self._keys = keys
 
-    async def run(self, event_file: EventFile) -> None:
-        """Check at short intervals until cancelled.
-
-        Args:
-            event_file: Log of the delays of this process, which delay all
-                stand-ins.
-        """
+    async def run(self) -> None:
+        """Check at short intervals until cancelled."""
         while True:
             self.check()
-            due = trio.current_time() + _INTERVAL_SECONDS
-            await trio.sleep_until(due)
-            delay = trio.current_time() - due
-            if delay > _REPORTED_DELAY_SECONDS:
-                event_file.write('soak-delayed', seconds=round(delay, 3))
+            await trio.sleep(_INTERVAL_SECONDS)
 
     def record_grant(
         self, server: ServerId, order: Order, grant: AppliedGrant
--- a/soak/_recovery.py
+++ b/soak/_recovery.py
@@ -1,5 +1,6 @@
 """Check that all routers serve all kinds of requests."""
 
+import math
 from dataclasses import dataclass, replace
 from itertools import islice
 from typing import Final
@@ -8,6 +9,7 @@
 
 from soak._caller import Ask, Caller
 from soak._observed_servers import SAMPLE_KEYS
+from soak._recovery_bound import RecoveryBound
 from soak._router import Router
 from soak._testbed import Testbed
 
@@ -25,7 +27,8 @@
 
     Args:
         name: Name for the report.
-        timeout: Time in seconds within which they have to be served.
+        timeout: Time in seconds within which they have to be served, counted
+            from the end of the last fault, freezes of this process included.
         repeated_after: Time in seconds after which what was served before
             has to be served once more, within the same timeout: a key may
             lose its owner a little later than the last fault.
@@ -47,14 +50,30 @@
         phase: Phase of the run.
 
     Returns:
-        Seconds until all was served, and served on; the timeout if it was not.
+        Seconds until all was served, and served on; until the end of the time
+        for that if it was not.
     """
+    bound = RecoveryBound(phase.timeout, testbed.freeze_watch)
     check = _ServiceCheck(testbed, phase)
-    with trio.move_on_after(phase.timeout):
-        return await check.run()
-    detail = f'{phase.name} in {phase.timeout} s: {check.describe_unserved()}'
-    testbed.checker.record_violation('not served again', detail)
-    return phase.timeout
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_after, bound, nursery.cancel_scope)
+        await check.run()
+        await testbed.freeze_watch.catch_up()
+        nursery.cancel_scope.cancel()
+    if check.completed_at < bound.ends_at:
+        return check.served_at - bound.began_at
+    seconds = bound.ends_at - bound.began_at
+    testbed.checker.record_violation(
+        'not served again',
+        f'{phase.name} in {seconds:.1f} s: {check.describe_unserved()}; '
+        f'freezes of the soak: {bound.describe_freezes()}',
+    )
+    return seconds
+
+
+async def _cancel_after(bound: RecoveryBound, scope: trio.CancelScope) -> None:
+    await bound.wait()
+    scope.cancel()
 
 
 class _ServiceCheck:
@@ -62,21 +81,23 @@
 
     def __init__(self, testbed: Testbed, phase: Phase) -> None:
         self._testbed = testbed
-        self._phase = phase
-        self._began = trio.current_time()
-        self._served_at = self._began
+        self.completed_at = math.inf
+        self.served_at = trio.current_time()
+        self._repeated_at = self.served_at + phase.repeated_after
         self._causes_by_request: dict[str, str] = {}
 
-    async def run(self) -> float:
-        """Return the seconds until all was served, and served on."""
+    async def run(self) -> None:
+        """Wait until all is served, and served on."""
         async with trio.open_nursery() as nursery:
             for router in self._testbed.routers:
                 nursery.start_soon(self._check_router, router)
-        return self._served_at - self._began
+        self.completed_at = trio.current_time()
 
     def describe_unserved(self) -> str:
         """Return the requests that are not served, with their last status."""
         causes = self._causes_by_request
+        if not causes:
+            return 'all was served too late'
         first = [
             f'{request} {cause}'
             for request, cause in islice(causes.items(), _MAX_REPORTED_REQUESTS)
@@ -100,12 +121,12 @@
     ) -> None:
         await trio.sleep(delay)
         await self._wait_until_served(router, request)
-        self._served_at = trio.current_time()
-        repeated_at = self._began + self._phase.repeated_after + delay
-        if self._served_at < repeated_at:
+        self.served_at = trio.current_time()
+        repeated_at = self._repeated_at + delay
+        if self.served_at < repeated_at:
             await trio.sleep_until(repeated_at)
             if await self._wait_until_served(router, request):
-                self._served_at = trio.current_time()
+                self.served_at = trio.current_time()
         self._causes_by_request.pop(_describe(router, request))
 
     async def _wait_until_served(self, router: Router, request: Ask) -> int:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -40,6 +40,7 @@
         faults: Injected faults by kind.
         answers_by_status: Responses to callers by status.
         recovery: Seconds from the end of the faults until all was served.
+        freezes: Number of freezes of the soak's own process.
         refusals: Number of the routers' refusals by what their logs tell.
     """
 
@@ -48,6 +49,7 @@
     faults: Counter[str]
     answers_by_status: Counter[str]
     recovery: float
+    freezes: int
     refusals: Counter[str]
 
 
@@ -93,6 +95,7 @@
             faults=self._checker.faults,
             answers_by_status=self._checker.answers_by_status,
             recovery=round(self._recovery, 2),
+            freezes=len(self._testbed.freeze_watch.freezes),
             refusals=self._refusals,
         )
 
@@ -107,8 +110,9 @@
             self._recovery = await wait_until_served(self._testbed, _RECOVERY)
             await self._stop_all()
             self._testbed.monitor.finish()
-            self._refusals = await check_logs(self._testbed, self._directory)
             nursery.cancel_scope.cancel()
+        # Its work would count as a freeze of the stand-ins.
+        self._refusals = await check_logs(self._testbed, self._directory)
         self._testbed.event_file.close()
 
     async def _start(
@@ -118,7 +122,8 @@
     ) -> None:
         testbed = self._testbed
         testbed.operator.write_next()
-        nursery.start_soon(testbed.monitor.run, testbed.event_file)
+        nursery.start_soon(testbed.monitor.run)
+        nursery.start_soon(testbed.freeze_watch.run)
         names = tuple(
             f'router-{number}' for number in range(self._plan.routers)
         )
--- a/soak/_testbed.py
+++ b/soak/_testbed.py
@@ -6,6 +6,7 @@
 from carobwalk.keyspace import COORDINATOR_NAME
 from carobwalk.model import ServerId
 from soak._event_file import EventFile
+from soak._freeze_watch import FreezeWatch
 from soak._invariant_checker import InvariantChecker
 from soak._link import LinkState
 from soak._load_pattern import LoadPattern
@@ -34,6 +35,7 @@
         holders_by_id: Keys held by the current incarnation of each keyed
             server.
         monitor: Checks that no key has two owners.
+        freeze_watch: Records the freezes of this process.
     """
 
     store: KvStore
@@ -47,9 +49,11 @@
     holders_by_id: dict[ServerId, KeyHolder] = field(default_factory=dict)
 
     monitor: OwnershipMonitor = field(init=False)
+    freeze_watch: FreezeWatch = field(init=False)
 
     def __post_init__(self) -> None:
-        """Create the monitor of the servers."""
+        """Create the monitor of the servers and that of this process."""
+        self.freeze_watch = FreezeWatch(self.event_file)
         self.monitor = OwnershipMonitor(
             self.holders_by_id, CHECKED_KEYS, self.checker
         )
