--- a/soak/_run.py
+++ b/soak/_run.py
@@ -15,7 +15,7 @@
 from soak._invariant_checker import InvariantChecker
 from soak._operator import Operator, VersionProbe
 from soak._plan import SoakPlan
-from soak._recovery import wait_until_served
+from soak._recovery import Phase, wait_until_served
 from soak._router import Router, RouterLaunch
 from soak._server import KEYED_SERVICE, UNKEYED_SERVICE, SoakServer
 from soak._store_gate import StoreGate
@@ -25,9 +25,8 @@
 
 _SERVICES: Final = (KEYED_SERVICE,) * 3 + (UNKEYED_SERVICE,) * 2
 _CALLERS_PER_ROUTER: Final = 3
-_START_TIMEOUT_SECONDS: Final = 30.0
-# Time within which a deployment has to serve all requests again.
-_RECOVERY_TIMEOUT_SECONDS: Final = 15.0
+_START: Final = Phase('start', 30.0)
+_RECOVERY: Final = Phase('recovery', 15.0, repeated_after=4.0)
 _PAGE_SIZE: Final = 100
 
 
@@ -41,6 +40,7 @@
         faults: Injected faults by kind.
         answers_by_status: Responses to callers by status.
         recovery: Seconds from the end of the faults until all was served.
+        freezes: Number of freezes of the soak's own process.
         refusals: Number of the routers' refusals by what their logs tell.
     """
 
@@ -49,6 +49,7 @@
     faults: Counter[str]
     answers_by_status: Counter[str]
     recovery: float
+    freezes: int
     refusals: Counter[str]
 
 
@@ -94,6 +95,7 @@
             faults=self._checker.faults,
             answers_by_status=self._checker.answers_by_status,
             recovery=round(self._recovery, 2),
+            freezes=len(self._testbed.freeze_watch.freezes),
             refusals=self._refusals,
         )
 
@@ -101,21 +103,16 @@
         """Execute the run."""
         async with trio.open_nursery() as nursery:
             await self._start(processes, nursery)
-            await wait_until_served(
-                self._testbed, 'start', _START_TIMEOUT_SECONDS
-            )
+            await wait_until_served(self._testbed, _START)
             self._start_callers(nursery)
             await Injector(self._seed, self._plan, self._testbed).run()
             self._testbed.heal()
-            self._recovery = await wait_until_served(
-                self._testbed,
-                'recovery',
-                _RECOVERY_TIMEOUT_SECONDS,
-            )
+            self._recovery = await wait_until_served(self._testbed, _RECOVERY)
             await self._stop_all()
             self._testbed.monitor.finish()
-            self._refusals = await check_logs(self._testbed, self._directory)
             nursery.cancel_scope.cancel()
+        # Its work would count as a freeze of the stand-ins.
+        self._refusals = await check_logs(self._testbed, self._directory)
         self._testbed.event_file.close()
 
     async def _start(
@@ -125,7 +122,8 @@
     ) -> None:
         testbed = self._testbed
         testbed.operator.write_next()
-        nursery.start_soon(testbed.monitor.run, testbed.event_file)
+        nursery.start_soon(testbed.monitor.run)
+        nursery.start_soon(testbed.freeze_watch.run)
         names = tuple(
             f'router-{number}' for number in range(self._plan.routers)
         )
