Split the faults of the random ownership runs by what they disturb

owner_faults.py (379 lines) held the target, the registry of kinds, its decorators and 20 faults of orders, servers, processes and the store; registry_faults.py had 11 more, of all of these, and a second registry, because the order of registration decided what a seed draws. Modules could not be moved or imports sorted without other runs for each seed.

Now tests/keyspace/owner_faults/ has one module for the target, one for the registry, and one each for faults of orders, servers, processes, the store and the registry of servers. There is one registry.

Weighed: lists in order of import would keep the file shorter, but sorting the imports would change the runs.

--- a/tests/keyspace/owner_soak.py
+++ b/tests/keyspace/owner_soak.py
@@ -9,7 +9,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from functools import partial
-from types import MappingProxyType
 from typing import Final
 
 import click
@@ -20,6 +19,8 @@
 from carobwalk.model import ServerId
 from tests.keyspace.key_traffic import CHECKED_KEYS, KeyTraffic
 from tests.keyspace.owner_faults import (
+    KIND_NAMES_BY_PLAN,
+    ORDERS_PLAN,
     ROUTERS,
     SERVERS,
     FaultKind,
@@ -27,7 +28,6 @@
     fault_kinds,
 )
 from tests.keyspace.owner_trace import trace_lines
-from tests.keyspace.registry_faults import registry_fault_kinds
 from tests.keyspace.simulated_fleet import SimulatedFleet
 
 FAULT_SECONDS: Final = 30
@@ -37,16 +37,6 @@
 USUAL_PEER_DELAYS: Final = (0.001, 0.15)
 WORKERS: Final = 2
 NO_FAULTS: Final[frozenset[str]] = frozenset()
-# Kinds of faults that each plan draws from. A plan is never extended, so that
-# its seeds keep their runs.
-ORDERS_PLAN: Final = 'orders'
-REGISTRY_PLAN: Final = 'registry'
-KINDS_BY_PLAN: Final = MappingProxyType(
-    {
-        ORDERS_PLAN: (fault_kinds,),
-        REGISTRY_PLAN: (fault_kinds, registry_fault_kinds),
-    }
-)
 FaultsByName = dict[str, FaultKind]
 
 
@@ -96,9 +86,8 @@
         plan: Name of the plan that faults are drawn from.
     """
     faults_by_name = {
-        name: kinds.find(name)
-        for kinds in KINDS_BY_PLAN[plan]
-        for name in kinds.names
+        name: fault_kinds.find(name)
+        for name in KIND_NAMES_BY_PLAN[plan]
         if name not in without
     }
     # Trio shuffles the tasks of a tick; seed it so that runs are reproducible.
--- a/tests/keyspace/test_owner_soak.py
+++ b/tests/keyspace/test_owner_soak.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from tests.keyspace.owner_soak import ORDERS_PLAN, REGISTRY_PLAN, run_seeds
+from tests.keyspace.owner_faults import ORDERS_PLAN, REGISTRY_PLAN
+from tests.keyspace.owner_soak import run_seeds
 
 SEEDS = range(20)
 # Seeds that have found faults before:
