Do each fault of the random ownership runs in one place

The coordinators were looked up in three places, a resigning process was replaced in two, a restarted server was started in two, and a process was cut from the store in two. Each is one method or function now: FaultTarget.leading_routers, replace_by_resignation, start_again, cut_store.

Two differences. A RuntimeError from a resignation in `resign-in-trouble` is recorded as an error of the run, as for `resign`; it stopped the run before. Both fail the test and the command, and the run's trace is kept. The line of `store-cut` in a trace names processes as "r1, r2" in place of a Python list.

--- a/tests/keyspace/owner_faults/_process_faults.py
+++ b/tests/keyspace/owner_faults/_process_faults.py
@@ -7,7 +7,6 @@
 from tests.keyspace.owner_faults._target import (
     FaultTarget,
     ServerUnderFault,
-    leading_routers,
     pause,
 )
 from tests.keyspace.simulated_fleet import Router
@@ -30,19 +29,7 @@
 @fault('resign')
 async def resign(target: FaultTarget) -> None:
     """A process resigns, ends, and another one is started."""
-    router = target.router()
-    target.note(f'resign {router.name}')
-    target.fleet.routers.remove(router)
-    target.start_router()
-    with trio.move_on_after(3):
-        try:
-            await router.role.resign()
-        except RuntimeError as error:
-            target.note(f'{router.name} fails to resign: {error}')
-            target.errors.append(f'{router.name} fails to resign: {error}')
-    await pause(target, 0, 0.3)
-    target.note(f'{router.name} ends')
-    target.fleet.kill(router)
+    await replace_by_resignation(target, target.router(), 0.3)
 
 
 @fault('freeze')
@@ -81,7 +68,7 @@
 
     Its successors may not see the newest state of the registry.
     """
-    leading = leading_routers(target)
+    leading = target.leading_routers()
     if not leading:
         return
     router = leading[0]
@@ -97,7 +84,7 @@
         other.registry.is_stuck = generator.choice((True, False))
     await pause(target, 0, 1.4)
     router.link.is_cut = False
-    await replace_by_resignation(target, router)
+    await replace_by_resignation(target, router, 0.5)
     server.faults.loses_answers = False
     server.faults.repeat_delay = None
     server.faults.order_delay = 0
@@ -111,20 +98,32 @@
 async def takeovers(target: FaultTarget) -> None:
     """One coordinator after the other is turned away by the store."""
     for _ in range(target.generator.randrange(2, 5)):
-        leading = leading_routers(target)
+        leading = target.leading_routers()
         await cut_store(target, leading, target.generator.uniform(0.9, 2))
         await pause(target, 0, 0.8)
 
 
-async def replace_by_resignation(target: FaultTarget, router: Router) -> None:
-    """Let a process resign, end it, and start another one."""
+async def replace_by_resignation(
+    target: FaultTarget, router: Router, longest_exit: float
+) -> None:
+    """Let a process resign, end it, and start another one.
+
+    Args:
+        target: Fleet of the process.
+        router: Process that resigns.
+        longest_exit: Most seconds from its resignation to its end.
+    """
     if router not in target.fleet.routers:
         return
     target.note(f'resign {router.name}')
     target.fleet.routers.remove(router)
     target.start_router()
     with trio.move_on_after(3):
-        await router.role.resign()
-    await pause(target, 0, 0.5)
+        try:
+            await router.role.resign()
+        except RuntimeError as error:
+            target.note(f'{router.name} fails to resign: {error}')
+            target.errors.append(f'{router.name} fails to resign: {error}')
+    await pause(target, 0, longest_exit)
     target.note(f'{router.name} ends')
     target.fleet.kill(router)
--- a/tests/keyspace/owner_faults/_server_faults.py
+++ b/tests/keyspace/owner_faults/_server_faults.py
@@ -6,7 +6,6 @@
 from tests.keyspace.owner_faults._target import (
     FaultTarget,
     ServerUnderFault,
-    leading_routers,
     pause,
 )
 
@@ -27,8 +26,7 @@
     target: FaultTarget, server: ServerUnderFault
 ) -> None:
     """A server drains while its orders are slow and the coordinator changes."""
-    routers = target.fleet.routers
-    leading = [router for router in routers if router.is_coordinating]
+    leading = target.leading_routers()
     if not leading:
         return
     leading[0].link.is_cut = True
@@ -47,11 +45,9 @@
     """A server restarts under its id and is registered somewhat later."""
     server.holder.refuses_connections = True
     await pause(target, 0, 1)
-    born = server.holder.born + 1
-    holder = target.fleet.start_server(server.number, born)
-    holder.clock_rate = server.holder.clock_rate
+    start_again(target, server)
     await pause(target, 0, 1)
-    target.fleet.register_server(server.number, born)
+    target.fleet.register_server(server.number, server.holder.born + 1)
 
 
 @server_fault('restart-elsewhere')
@@ -71,7 +67,7 @@
     target: FaultTarget, server: ServerUnderFault
 ) -> None:
     """A server restarts elsewhere; a process that doesn't know it succeeds."""
-    leading = leading_routers(target)
+    leading = target.leading_routers()
     others = []
     for router in target.fleet.routers:
         if router not in leading:
@@ -104,10 +100,16 @@
 
 def start_elsewhere(target: FaultTarget, server: ServerUnderFault) -> None:
     """Start the next incarnation of a server, mostly at a new address."""
-    born = server.holder.born + 1
     if target.generator.randrange(3):
+        born = server.holder.born + 1
         port = _FIRST_NEW_PORT + 100 * born + server.number
         addresses = target.fleet.book.reach.addresses_by_id
         addresses[ServerId(f's{server.number}')] = Address('127.0.0.1', port)
+    start_again(target, server)
+
+
+def start_again(target: FaultTarget, server: ServerUnderFault) -> None:
+    """Start the next incarnation of a server, with the clock of this one."""
+    born = server.holder.born + 1
     holder = target.fleet.start_server(server.number, born)
     holder.clock_rate = server.holder.clock_rate
--- a/tests/keyspace/owner_faults/_store_faults.py
+++ b/tests/keyspace/owner_faults/_store_faults.py
@@ -35,12 +35,8 @@
 @fault('store-cut')
 async def store_cut(target: FaultTarget) -> None:
     """The store turns one process away and serves the others."""
-    router = target.router()
-    target.note(f'store-cut {router.name}')
-    router.link.is_cut = True
-    await pause(target, 0.3, 4)
-    target.note(f'store-cut {router.name} ends')
-    router.link.is_cut = False
+    turned_away = [target.router()]
+    await cut_store(target, turned_away, target.generator.uniform(0.3, 4))
 
 
 @fault('store-down')
@@ -96,7 +92,7 @@
     target: FaultTarget, routers: list[Router], seconds: float
 ) -> None:
     """Turn processes away from the store for some seconds."""
-    names = [router.name for router in routers]
+    names = ', '.join(router.name for router in routers)
     target.note(f'store-cut {names}')
     for router in routers:
         router.link.is_cut = True
--- a/tests/keyspace/owner_faults/_target.py
+++ b/tests/keyspace/owner_faults/_target.py
@@ -38,11 +38,15 @@
 
     def router(self) -> Router:
         """Return a process: the coordinator in half of the cases."""
-        routers = self.fleet.routers
-        leading = [router for router in routers if router.is_coordinating]
+        leading = self.leading_routers()
         if leading and self.generator.randrange(2):
             return leading[0]
-        return self.generator.choice(routers)
+        return self.generator.choice(self.fleet.routers)
+
+    def leading_routers(self) -> list[Router]:
+        """Return the processes that regard themselves as the coordinator."""
+        routers = self.fleet.routers
+        return [router for router in routers if router.is_coordinating]
 
     def start_router(self) -> None:
         """Start another process."""
@@ -68,8 +72,3 @@
 async def pause(target: FaultTarget, least: float, most: float) -> None:
     """Wait a random time in seconds."""
     await trio.sleep(target.generator.uniform(least, most))
-
-
-def leading_routers(target: FaultTarget) -> list[Router]:
-    """Return the processes that regard themselves as the coordinator."""
-    return [router for router in target.fleet.routers if router.is_coordinating]
