Run the tests of coordinators on a fleet through one fixture

Names, comments on what each guards against, steps, times and assertions are those of before. test_record_keeps_its_writer, test_successors_record and test_succeeded_meanwhile are checked for double owners as well, which they did not ask for; none weakened.

Left: test_inherited_grants_ignored, which expects double owners; test_unequal_hosts.py and test_mass_moves.py, which start many processes or count calls before the fleet runs; the loops in test_succession.py that wait for the role with other intervals, as the steps after them depend on the moment.

--- a/tests/keyspace/simulated_fleet.py
+++ b/tests/keyspace/simulated_fleet.py
@@ -48,6 +48,7 @@
 
 SERVICE = ServiceName('registry')
 SAMPLE_KEYS = (0, 1000, 20_000, 40_000, 65_535)
+_POLL_SECONDS = 0.01
 
 
 def make_server(
@@ -110,6 +111,12 @@
         """Whether the process is the coordinator."""
         return self.feed.is_coordinator
 
+    async def wait_for_role(self, seconds: float = 5) -> None:
+        """Wait until the process coordinates, or fail after a timeout."""
+        with trio.fail_after(seconds):
+            while not self.is_coordinating:
+                await trio.sleep(_POLL_SECONDS)
+
 
 class SimulatedFleet:
     """A store, backend servers and processes, all in memory.
--- a/tests/keyspace/test_coordination.py
+++ b/tests/keyspace/test_coordination.py
@@ -1,7 +1,6 @@
 """Exclusive ownership across coordinator, owner and store failures."""
 
 import random
-from collections.abc import Awaitable, Callable
 
 import pytest
 import trio
@@ -11,30 +10,6 @@
 from carobwalk.model import ServerId
 from tests.keyspace.simulated_fleet import SAMPLE_KEYS, SimulatedFleet
 
-Scenario = Callable[[SimulatedFleet], Awaitable[None]]
-
-
-@pytest.fixture
-def run_scenario(
-    virtual_clock: MockClock,
-) -> Callable[[Scenario, int], SimulatedFleet]:
-    """Return a function that runs a scenario in virtual time."""
-
-    def run(scenario: Scenario, servers: int = 4) -> SimulatedFleet:
-        async def body() -> SimulatedFleet:
-            fleet = SimulatedFleet(servers)
-            async with trio.open_nursery() as nursery:
-                fleet.start(nursery)
-                await scenario(fleet)
-                nursery.cancel_scope.cancel()
-            return fleet
-
-        fleet = trio.run(body, clock=virtual_clock)
-        assert fleet.book.violations == []
-        return fleet
-
-    return run
-
 
 class TestAssignment:
     def test_initial(self, run_scenario) -> None:
--- a/tests/keyspace/test_lapsed_claim.py
+++ b/tests/keyspace/test_lapsed_claim.py
@@ -1,12 +1,10 @@
 """Claims of a key map by a process whose lease has lapsed."""
 
 import trio
-from trio.testing import MockClock
 
 from carobwalk.keyspace._codec import claimant_of, map_name
 from carobwalk.keyspace._coordinator_codec import COORDINATOR_NAME
 from carobwalk.model import ServerId
-from standins.platform import MemoryOrderChannel
 from tests.keyspace.simulated_fleet import (
     SERVICE,
     Router,
@@ -19,7 +17,10 @@
 
 
 async def _start_elected_and_frozen(fleet: SimulatedFleet) -> Router:
-    """Start a process that is frozen when it has just got the role."""
+    """Start a coordinator, and its successor that is frozen when elected."""
+    fleet.add_router('a')
+    await fleet.wait_until_owned()
+    await trio.sleep(1)
     elected = fleet.add_router('b')
     await trio.sleep(0.5)
     elected.link.delay = _STORE_DELAY_SECONDS
@@ -49,9 +50,7 @@
 async def _elect_successor(fleet: SimulatedFleet) -> Router:
     """Start another process and wait until it coordinates."""
     successor = fleet.add_router('c')
-    with trio.fail_after(5):
-        while not successor.is_coordinating:
-            await trio.sleep(_POLL_SECONDS)
+    await successor.wait_for_role()
     await trio.sleep(1)
     return successor
 
@@ -59,53 +58,38 @@
 class TestFrozenAtElection:
     # Guards against two owners: the next coordinator asked the process that is
     # named in the record, which had sent none of the grants in force.
-    def test_record_keeps_its_writer(self, virtual_clock: MockClock) -> None:
+    def test_record_keeps_its_writer(self, run_scenario) -> None:
         """A process whose lease has lapsed claims no key map."""
 
-        async def body() -> None:
-            fleet = SimulatedFleet(4)
-            async with trio.open_nursery() as nursery:
-                fleet.start(nursery)
-                fleet.add_router('a')
-                await fleet.wait_until_owned()
-                await trio.sleep(1)
-                elected = await _start_elected_and_frozen(fleet)
-                successor = await _elect_successor(fleet)
-                assert _writer_of_map(fleet) == 'c'
-                elected.gate.thaw()
-                await trio.sleep(1)
-                assert _writer_of_map(fleet) == 'c'
-                assert successor.is_coordinating
-                nursery.cancel_scope.cancel()
-
-        trio.run(body, clock=virtual_clock)
-
-    def test_third_coordinator(self, virtual_clock: MockClock) -> None:
+        async def scenario(fleet: SimulatedFleet) -> None:
+            elected = await _start_elected_and_frozen(fleet)
+            successor = await _elect_successor(fleet)
+            assert _writer_of_map(fleet) == 'c'
+            elected.gate.thaw()
+            await trio.sleep(1)
+            assert _writer_of_map(fleet) == 'c'
+            assert successor.is_coordinating
+
+        run_scenario(scenario)
+
+    def test_third_coordinator(self, run_scenario) -> None:
         """A third coordinator waits for the grants of the second one."""
 
-        async def body() -> MemoryOrderChannel:
-            fleet = SimulatedFleet(4)
-            async with trio.open_nursery() as nursery:
-                fleet.start(nursery)
-                fleet.add_router('a')
-                await fleet.wait_until_owned()
-                await trio.sleep(1)
-                elected = await _start_elected_and_frozen(fleet)
-                successor = await _elect_successor(fleet)
-                fleet.peers.loss = 1
-                elected.gate.thaw()
-                await trio.sleep(1)
-                fleet.peers.loss = 0
-                # Without moves the successor has nothing to write.
-                await trio.sleep(12)
-                owner = fleet.book.owner(0)
-                assert owner is not None
-                successor.link.is_cut = True
-                await trio.sleep(1.3)
-                faults = fleet.book.faults_by_id[ServerId(owner)]
-                faults.opens_no_connections = True
-                await trio.sleep(8)
-                nursery.cancel_scope.cancel()
-            return fleet.book
-
-        assert trio.run(body, clock=virtual_clock).violations == []
+        async def scenario(fleet: SimulatedFleet) -> None:
+            elected = await _start_elected_and_frozen(fleet)
+            successor = await _elect_successor(fleet)
+            fleet.peers.loss = 1
+            elected.gate.thaw()
+            await trio.sleep(1)
+            fleet.peers.loss = 0
+            # Without moves the successor has nothing to write.
+            await trio.sleep(12)
+            owner = fleet.book.owner(0)
+            assert owner is not None
+            successor.link.is_cut = True
+            await trio.sleep(1.3)
+            faults = fleet.book.faults_by_id[ServerId(owner)]
+            faults.opens_no_connections = True
+            await trio.sleep(8)
+
+        run_scenario(scenario)
--- a/tests/keyspace/test_lapsed_publication.py
+++ b/tests/keyspace/test_lapsed_publication.py
@@ -1,15 +1,12 @@
 """Key maps published by a process whose lease has lapsed."""
 
 import trio
-from trio.testing import MockClock
 
 from carobwalk.keyspace._codec import map_name
 from carobwalk.keyspace._key_map import KeyMap
 from carobwalk.model import ServiceName
 from tests.keyspace.simulated_fleet import SERVICE, Router, SimulatedFleet
 
-_POLL_SECONDS = 0.01
-
 
 def _record_publications(router: Router) -> list[int]:
     """Return a list to which each published revision is added."""
@@ -30,39 +27,29 @@
     return record.revision
 
 
-async def _wait_for_role(router: Router) -> None:
-    with trio.fail_after(5):
-        while not router.is_coordinating:
-            await trio.sleep(_POLL_SECONDS)
-
-
 class TestFrozenInWrite:
     # Guards against keys that one process refuses for long: it got the record
     # of the successor from the process before, under the same version as a map
     # of the successor with more grants, and later changes left these out.
-    def test_successors_record(self, virtual_clock: MockClock) -> None:
+    def test_successors_record(self, run_scenario) -> None:
         """A process whose lease has lapsed publishes no other's record."""
 
-        async def body() -> None:
-            fleet = SimulatedFleet(4)
-            async with trio.open_nursery() as nursery:
-                fleet.start(nursery)
-                first = fleet.add_router('a')
-                await fleet.wait_until_owned()
-                await trio.sleep(1)
-                second = fleet.add_router('b')
-                await trio.sleep(0.5)
-                revisions = _record_publications(first)
-                own = _revision(fleet)
-                first.link.delay = 0.1
-                fleet.leave(0)
-                await trio.sleep(0.12)
-                first.gate.freeze()
-                await _wait_for_role(second)
-                await trio.sleep(1)
-                first.gate.thaw()
-                await trio.sleep(1)
-                assert max(revisions, default=own) == own
-                nursery.cancel_scope.cancel()
-
-        trio.run(body, clock=virtual_clock)
+        async def scenario(fleet: SimulatedFleet) -> None:
+            first = fleet.add_router('a')
+            await fleet.wait_until_owned()
+            await trio.sleep(1)
+            second = fleet.add_router('b')
+            await trio.sleep(0.5)
+            revisions = _record_publications(first)
+            own = _revision(fleet)
+            first.link.delay = 0.1
+            fleet.leave(0)
+            await trio.sleep(0.12)
+            first.gate.freeze()
+            await second.wait_for_role()
+            await trio.sleep(1)
+            first.gate.thaw()
+            await trio.sleep(1)
+            assert max(revisions, default=own) == own
+
+        run_scenario(scenario)
--- a/tests/keyspace/test_registry_lag.py
+++ b/tests/keyspace/test_registry_lag.py
@@ -90,56 +90,44 @@
 class TestFormerRefusals:
     # Guards against two owners: refusals of an earlier term proved the end of
     # a server to which another coordinator had sent grants in between.
-    def test_granted_by_other_coordinator(
-        self, virtual_clock: MockClock
-    ) -> None:
+    def test_granted_by_other_coordinator(self, run_scenario) -> None:
         """Refusals seen in an earlier term prove nothing in a later one."""
 
-        async def body() -> MemoryOrderChannel:
-            fleet = SimulatedFleet(4)
+        async def scenario(fleet: SimulatedFleet) -> None:
             fleet.book.reach.checks_incarnation = False
-            async with trio.open_nursery() as nursery:
-                fleet.start(nursery)
-                first = fleet.add_router('a')
-                await fleet.wait_until_owned()
-                second = fleet.add_router('b')
-                await trio.sleep(1)
-                owner = ServerId('s0')
-                assert fleet.book.owner(0) == owner
-                first.link.is_cut = True
-                fleet.book.holders_by_id[owner].refuses_connections = True
-                await trio.sleep(1.2)
-                fleet.start_server(0, born=2)
-                await trio.sleep(0.6)
-                assert second.is_coordinating
-                first.link.is_cut = False
-                second.link.is_cut = True
-                await trio.sleep(3)
-                nursery.cancel_scope.cancel()
-            return fleet.book
-
-        assert trio.run(body, clock=virtual_clock).violations == []
+            first = fleet.add_router('a')
+            await fleet.wait_until_owned()
+            second = fleet.add_router('b')
+            await trio.sleep(1)
+            owner = ServerId('s0')
+            assert fleet.book.owner(0) == owner
+            first.link.is_cut = True
+            fleet.book.holders_by_id[owner].refuses_connections = True
+            await trio.sleep(1.2)
+            fleet.start_server(0, born=2)
+            await trio.sleep(0.6)
+            assert second.is_coordinating
+            first.link.is_cut = False
+            second.link.is_cut = True
+            await trio.sleep(3)
+
+        run_scenario(scenario)
 
 
 class TestDamagedRecord:
     # Guards against two owners: only servers that may be given keys were asked
     # whether they still hold some.
-    def test_owners_are_leaving(self, virtual_clock: MockClock) -> None:
+    def test_owners_are_leaving(self, run_scenario) -> None:
         """Keys of a damaged record also wait for servers that are leaving."""
 
-        async def body() -> MemoryOrderChannel:
-            fleet = SimulatedFleet(2)
-            async with trio.open_nursery() as nursery:
-                fleet.start(nursery)
-                fleet.add_router('a')
-                await fleet.wait_until_owned()
-                fleet.store.records.put(map_name(SERVICE), b'?')
-                fleet.leave(0)
-                fleet.leave(1)
-                fleet.add_server(2)
-                await trio.sleep(8)
-                assert fleet.book.owner(0) == 's2'
-                nursery.cancel_scope.cancel()
-            return fleet.book
-
-        assert trio.run(body, clock=virtual_clock).violations == []
+        async def scenario(fleet: SimulatedFleet) -> None:
+            fleet.add_router('a')
+            await fleet.wait_until_owned()
+            fleet.store.records.put(map_name(SERVICE), b'?')
+            fleet.leave(0)
+            fleet.leave(1)
+            fleet.add_server(2)
+            await trio.sleep(8)
+            assert fleet.book.owner(0) == 's2'
+
+        run_scenario(scenario, servers=2)
--- a/tests/keyspace/test_succession.py
+++ b/tests/keyspace/test_succession.py
@@ -1,7 +1,6 @@
 """Owners that leave just after the coordinator lost its role."""
 
 import random
-from collections.abc import Awaitable, Callable
 
 import pytest
 import trio
@@ -25,30 +24,11 @@
 )
 from tests.recording_log import RecordingLog
 
-Scenario = Callable[[SimulatedFleet], Awaitable[None]]
 INCARNATION = ServerIncarnation(ServerId('s1'), 1)
 KEY_RANGE = KeyRange(first=0, last=99, owner=INCARNATION)
 OTHER = ServerIncarnation(ServerId('s2'), 1)
 
 
-@pytest.fixture
-def run_scenario(virtual_clock: MockClock) -> Callable[[Scenario], None]:
-    """Return a function that runs a scenario and checks exclusive ownership."""
-
-    def run(scenario: Scenario) -> None:
-        async def body() -> SimulatedFleet:
-            fleet = SimulatedFleet(4)
-            async with trio.open_nursery() as nursery:
-                fleet.start(nursery)
-                await scenario(fleet)
-                nursery.cancel_scope.cancel()
-            return fleet
-
-        assert trio.run(body, clock=virtual_clock).book.violations == []
-
-    return run
-
-
 async def _depose(fleet: SimulatedFleet) -> None:
     """Cut the coordinator off from the store and await its successor."""
     first = fleet.add_router('a')
--- a/tests/keyspace/test_successor_races.py
+++ b/tests/keyspace/test_successor_races.py
@@ -122,83 +122,67 @@
 
 
 class TestRestart:
-    def test_order_for_former_incarnation(
-        self, virtual_clock: MockClock
-    ) -> None:
+    def test_order_for_former_incarnation(self, run_scenario) -> None:
         """A restarted server may hold keys by orders meant for its former life.
 
         The platform's servers compare only the id that an order names.
         """
 
-        async def body() -> MemoryOrderChannel:
-            fleet = SimulatedFleet(4)
+        async def scenario(fleet: SimulatedFleet) -> None:
             fleet.book.reach.checks_incarnation = False
-            async with trio.open_nursery() as nursery:
-                fleet.start(nursery)
-                fleet.add_router('a')
-                await fleet.wait_until_owned()
-                owner = fleet.book.owner(0)
-                number = int(owner[1:])
-                fleet.start_server(number, born=2)
-                await trio.sleep(0.8)
-                fleet.register_server(number, born=2)
-                fleet.leave(number)
-                await trio.sleep(3)
-                nursery.cancel_scope.cancel()
-            return fleet.book
+            fleet.add_router('a')
+            await fleet.wait_until_owned()
+            owner = fleet.book.owner(0)
+            number = int(owner[1:])
+            fleet.start_server(number, born=2)
+            await trio.sleep(0.8)
+            fleet.register_server(number, born=2)
+            fleet.leave(number)
+            await trio.sleep(3)
 
-        assert trio.run(body, clock=virtual_clock).violations == []
+        run_scenario(scenario)
 
 
 class TestUnwrittenMove:
     # Guards against two owners: renewals went on to a restarted server after
     # its new entry was seen, as the record could not be written.
-    def test_renewed_after_registration(self, virtual_clock: MockClock) -> None:
+    def test_renewed_after_registration(self, run_scenario) -> None:
         """A restarted server gets no grants meant for its former life."""
 
-        async def body() -> MemoryOrderChannel:
-            fleet = SimulatedFleet(4)
+        async def scenario(fleet: SimulatedFleet) -> None:
             fleet.book.reach.checks_incarnation = False
-            async with trio.open_nursery() as nursery:
-                fleet.start(nursery)
-                router = fleet.add_router('a')
-                await fleet.wait_until_owned()
-                await trio.sleep(3)
-                owner = fleet.book.owner(65_535)
-                number = int(owner[1:])
-                router.link.is_cut = True
-                fleet.start_server(number, born=2)
-                fleet.register_server(number, born=2)
-                fleet.add_server(8)
-                await trio.sleep(0.9)
-                router.link.is_cut = False
-                await trio.sleep(8)
-                nursery.cancel_scope.cancel()
-            return fleet.book
-
-        assert trio.run(body, clock=virtual_clock).violations == []
+            router = fleet.add_router('a')
+            await fleet.wait_until_owned()
+            await trio.sleep(3)
+            owner = fleet.book.owner(65_535)
+            number = int(owner[1:])
+            router.link.is_cut = True
+            fleet.start_server(number, born=2)
+            fleet.register_server(number, born=2)
+            fleet.add_server(8)
+            await trio.sleep(0.9)
+            router.link.is_cut = False
+            await trio.sleep(8)
+
+        run_scenario(scenario)
 
 
 class TestResignation:
-    def test_succeeded_meanwhile(self, virtual_clock: MockClock) -> None:
+    def test_succeeded_meanwhile(self, run_scenario) -> None:
         """A process whose term ends while it resigns does not fail."""
 
-        async def body() -> None:
-            fleet = SimulatedFleet(4)
-            async with trio.open_nursery() as nursery:
-                fleet.start(nursery)
-                first = fleet.add_router('a')
-                await fleet.wait_until_owned()
-                fleet.add_router('b')
-                await trio.sleep(0.5)
-                first.link.write_delay = 5
-                await trio.sleep(0.9)
-                first.link.write_delay = None
-                first.link.delay = 0.9
-                await first.role.resign()
-                nursery.cancel_scope.cancel()
-
-        trio.run(body, clock=virtual_clock)
+        async def scenario(fleet: SimulatedFleet) -> None:
+            first = fleet.add_router('a')
+            await fleet.wait_until_owned()
+            fleet.add_router('b')
+            await trio.sleep(0.5)
+            first.link.write_delay = 5
+            await trio.sleep(0.9)
+            first.link.write_delay = None
+            first.link.delay = 0.9
+            await first.role.resign()
+
+        run_scenario(scenario)
 
 
 class TestSupersededMove:
