Build the senders of orders of the ownership tests in one place

A directory with two servers, its incarnations, a failure detector and the dependencies of a sender were built in test_successor_races.py, in test_registry_lag.py and twice in test_predecessor_report.py. They stand in tests/keyspace/order_senders.py: `make_order_dependencies`, and `OrderSenders` (_Orders of test_successor_races.py, as it was). The bounds of a coordinator that inherits nothing have one name. The two tests of test_predecessor_report.py that called `_make_sender` with the same arguments call it without any.

Left: test_succession.py, whose ledgers have no senders; `_make_sender` and `OrderSenders.sender`, whose terms end at once and after 100 s.

--- a/tests/keyspace/test_predecessor_report.py
+++ b/tests/keyspace/test_predecessor_report.py
@@ -7,19 +7,14 @@
 
 from carobwalk.directory import (
     BackendServer,
-    ServerDirectory,
     ServerIncarnation,
 )
-from carobwalk.events import NullEventLog
 from carobwalk.keyspace import (
-    FailureDetector,
     Grant,
     KeyTimes,
-    OrderDependencies,
     OrderFailure,
     OrderUnsent,
     Release,
-    ServerIncarnations,
 )
 from carobwalk.keyspace._activation import Activation
 from carobwalk.keyspace._grant_ledger import (
@@ -33,6 +28,10 @@
 from carobwalk.keyspace._term import Term
 from carobwalk.model import ServerId, TrioClock
 from carobwalk.store import LeaseId
+from tests.keyspace.order_senders import (
+    NOTHING_INHERITED,
+    make_order_dependencies,
+)
 from tests.keyspace.simulated_fleet import make_server
 from tests.recording_log import RecordingLog
 
@@ -90,22 +89,18 @@
     return LedgerState(holds=0, unanswered=0, grants=(row,))
 
 
-def _make_sender(channel: UnopenedChannel, clock: TrioClock) -> OrderSender:
-    """Return a sender of orders to the old owner, which has no grants yet."""
-    directory = ServerDirectory(clock, NullEventLog())
-    directory.put(make_server(0), 1)
-    incarnations = ServerIncarnations(directory)
-    incarnations.refresh()
-    dependencies = OrderDependencies(
-        channel=channel,
-        incarnations=incarnations,
-        failure_detector=FailureDetector(TIMES, clock, lambda _: 0),
-        times=TIMES,
-        events=NullEventLog(),
+def _make_sender() -> OrderSender:
+    """Return a sender of orders to the old owner, which has no grants yet.
+
+    No connections to that server open.
+    """
+    channel = UnopenedChannel(OLD_OWNER.server)
+    clock = TrioClock()
+    return OrderSender(
+        make_order_dependencies(channel, (0,), TIMES),
+        Term(LeaseId('1'), clock.now(), TIMES, clock),
+        GrantLedger(TIMES, clock, NOTHING_INHERITED),
     )
-    nothing = InheritedBounds(holds=0, unanswered=0)
-    term = Term(LeaseId('1'), clock.now(), TIMES, clock)
-    return OrderSender(dependencies, term, GrantLedger(TIMES, clock, nothing))
 
 
 def _inheriting_ledger() -> GrantLedger:
@@ -140,8 +135,7 @@
         """An answered grant counts although a later renewal was not sent."""
 
         async def body() -> None:
-            nothing = InheritedBounds(holds=0, unanswered=0)
-            ledger = GrantLedger(TIMES, TrioClock(), nothing)
+            ledger = GrantLedger(TIMES, TrioClock(), NOTHING_INHERITED)
             unsent = ledger.record_send(RECORDED, TIMES.hold)
             answered = ledger.record_send(RECORDED, TIMES.longest_hold)
             ledger.record_answer(answered)
@@ -160,18 +154,8 @@
         async def body() -> None:
             clock = TrioClock()
             log = RecordingLog()
-            directory = ServerDirectory(clock, NullEventLog())
-            for number in (0, 1):
-                directory.put(make_server(number), 1)
-            incarnations = ServerIncarnations(directory)
-            incarnations.refresh()
-            dependencies = OrderDependencies(
-                channel=UnopenedChannel(OLD_OWNER.server),
-                incarnations=incarnations,
-                failure_detector=FailureDetector(TIMES, clock, lambda _: 0),
-                times=TIMES,
-                events=log,
-            )
+            channel = UnopenedChannel(OLD_OWNER.server)
+            dependencies = make_order_dependencies(channel, (0, 1), TIMES, log)
             ledger = _inheriting_ledger()
             term = Term(LeaseId('1'), clock.now(), TIMES, clock)
             sender = OrderSender(dependencies, term, ledger)
@@ -213,8 +197,7 @@
     def test_late_send_extends_hold(self, outcome: str) -> None:
         """A grant sent after a suspension counts from its late arrival."""
         clock = SettableClock()
-        nothing = InheritedBounds(holds=0, unanswered=0)
-        ledger = GrantLedger(TIMES, clock, nothing)
+        ledger = GrantLedger(TIMES, clock, NOTHING_INHERITED)
         sent = ledger.record_send(RECORDED, TIMES.longest_hold)
         clock.seconds = 8.0
         if outcome == 'answer':
@@ -232,8 +215,7 @@
         """A grant whose sending was cancelled may be applied all the same."""
 
         async def body() -> None:
-            clock = TrioClock()
-            sender = _make_sender(UnopenedChannel(OLD_OWNER.server), clock)
+            sender = _make_sender()
             ledger = sender.ledger
             with trio.move_on_after(0.1):
                 await sender.grant(RECORDED, '', lambda: True)
@@ -254,8 +236,7 @@
         """A resigning coordinator waits for grants and sends no more."""
 
         async def body() -> None:
-            clock = TrioClock()
-            sender = _make_sender(UnopenedChannel(OLD_OWNER.server), clock)
+            sender = _make_sender()
             ledger = sender.ledger
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(sender.grant, RECORDED, '', lambda: True)
--- a/tests/keyspace/test_registry_lag.py
+++ b/tests/keyspace/test_registry_lag.py
@@ -3,27 +3,16 @@
 import trio
 from trio.testing import MockClock
 
-from carobwalk.directory import ServerDirectory
-from carobwalk.events import NullEventLog
-from carobwalk.keyspace import (
-    FailureDetector,
-    KeyTimes,
-    OrderDependencies,
-    ServerIncarnations,
-)
 from carobwalk.keyspace._activation import Activation
 from carobwalk.keyspace._codec import map_name
-from carobwalk.keyspace._grant_ledger import GrantLedger, InheritedBounds
+from carobwalk.keyspace._grant_ledger import InheritedBounds
 from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
-from carobwalk.keyspace._order_sender import OrderSender
-from carobwalk.keyspace._term import Term
-from carobwalk.model import Address, ServerId, TrioClock
-from carobwalk.store import LeaseId
+from carobwalk.model import Address, ServerId
 from standins.platform import KeyHolder, MemoryOrderChannel
+from tests.keyspace.order_senders import OrderSenders
 from tests.keyspace.simulated_fleet import (
     SERVICE,
     SimulatedFleet,
-    make_server,
 )
 
 RESTARTED = ServerIncarnation(ServerId('s1'), 2)
@@ -45,41 +34,21 @@
         """
 
         async def body() -> MemoryOrderChannel:
-            clock = TrioClock()
-            times = KeyTimes()
-            book = MemoryOrderChannel((0,))
+            orders = OrderSenders()
+            book = orders.book
             held = KeyHolder(born=2)
             held.grant((0, 99), 1, HELD_SECONDS, (0,))
             book.holders_by_id[RESTARTED.server] = held
-            book.holders_by_id[NEW_OWNER.server] = KeyHolder()
             book.reach.addresses_by_id[RESTARTED.server] = Address(
                 '127.0.0.1', 2001
             )
-            directory = ServerDirectory(clock, NullEventLog())
-            for number in (1, 2):
-                directory.put(make_server(number), 1)
-            incarnations = ServerIncarnations(directory)
-            incarnations.refresh()
-            dependencies = OrderDependencies(
-                channel=book,
-                incarnations=incarnations,
-                failure_detector=FailureDetector(
-                    times, clock, lambda incarnation: 0
-                ),
-                times=times,
-                events=NullEventLog(),
-            )
-            sender = OrderSender(
-                dependencies,
-                Term(LeaseId('1'), clock.now() + 100, times, clock),
-                GrantLedger(
-                    times,
-                    clock,
-                    InheritedBounds(holds=HELD_SECONDS, unanswered=0),
-                ),
-            )
+            inherited = InheritedBounds(holds=HELD_SECONDS, unanswered=0)
             activation = Activation(
-                MOVED, sender, dependencies, clock, lambda: True
+                MOVED,
+                orders.sender('1', inherited),
+                orders.dependencies,
+                orders.clock,
+                lambda: True,
             )
             assert await activation.run()
             return book
--- a/tests/keyspace/test_successor_races.py
+++ b/tests/keyspace/test_successor_races.py
@@ -5,23 +5,13 @@
 import trio
 from trio.testing import MockClock
 
-from carobwalk.directory import ServerDirectory
-from carobwalk.events import NullEventLog
-from carobwalk.keyspace import (
-    FailureDetector,
-    KeyTimes,
-    OrderDependencies,
-    ServerIncarnations,
-)
 from carobwalk.keyspace._activation import Activation
-from carobwalk.keyspace._grant_ledger import GrantLedger, InheritedBounds
+from carobwalk.keyspace._grant_ledger import InheritedBounds
 from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
-from carobwalk.keyspace._order_sender import OrderSender
-from carobwalk.keyspace._term import Term
-from carobwalk.model import ServerId, TrioClock
-from carobwalk.store import LeaseId
-from standins.platform import KeyHolder, MemoryOrderChannel, OrderFaults
-from tests.keyspace.simulated_fleet import SimulatedFleet, make_server
+from carobwalk.model import ServerId
+from standins.platform import MemoryOrderChannel
+from tests.keyspace.order_senders import NOTHING_INHERITED, OrderSenders
+from tests.keyspace.simulated_fleet import SimulatedFleet
 
 OLD_OWNER = ServerIncarnation(ServerId('s1'), 1)
 NEW_OWNER = ServerIncarnation(ServerId('s2'), 1)
@@ -29,41 +19,6 @@
 MOVED = KeyRange(
     first=0, last=99, owner=NEW_OWNER, fence=2, previous=(OLD_OWNER,)
 )
-NOTHING = InheritedBounds(holds=0, unanswered=0)
-
-
-class _Orders:
-    """Two servers, and senders that send them orders."""
-
-    def __init__(self) -> None:
-        self.book = MemoryOrderChannel((0,))
-        self.clock = TrioClock()
-        self.times = KeyTimes()
-        directory = ServerDirectory(self.clock, NullEventLog())
-        incarnations = ServerIncarnations(directory)
-        for number in (1, 2):
-            server = make_server(number)
-            self.book.holders_by_id[server.id] = KeyHolder()
-            self.book.faults_by_id[server.id] = OrderFaults()
-            directory.put(server, 1)
-        incarnations.refresh()
-        self.dependencies = OrderDependencies(
-            channel=self.book,
-            incarnations=incarnations,
-            failure_detector=FailureDetector(
-                self.times, self.clock, lambda incarnation: 0
-            ),
-            times=self.times,
-            events=NullEventLog(),
-        )
-
-    def sender(self, lease: str, inherited: InheritedBounds) -> OrderSender:
-        """Return the sender of a new term."""
-        term = Term(
-            LeaseId(lease), self.clock.now() + 100, self.times, self.clock
-        )
-        ledger = GrantLedger(self.times, self.clock, inherited)
-        return OrderSender(self.dependencies, term, ledger)
 
 
 class TestReleaseBeforeReport:
@@ -75,8 +30,8 @@
         """
 
         async def body() -> MemoryOrderChannel:
-            orders = _Orders()
-            before = orders.sender('1', NOTHING)
+            orders = OrderSenders()
+            before = orders.sender('1', NOTHING_INHERITED)
             assumed = InheritedBounds(holds=11, unanswered=11)
             after = orders.sender('2', assumed)
             faults = orders.book.faults_by_id[OLD_OWNER.server]
@@ -105,9 +60,9 @@
         """Undoing an unsent grant keeps the bounds that were reported."""
 
         async def body() -> None:
-            orders = _Orders()
-            before = orders.sender('1', NOTHING)
-            after = orders.sender('2', NOTHING)
+            orders = OrderSenders()
+            before = orders.sender('1', NOTHING_INHERITED)
+            after = orders.sender('2', NOTHING_INHERITED)
             await before.grant(GRANTED, '', lambda: True)
             faults = orders.book.faults_by_id[OLD_OWNER.server]
             faults.opens_no_connections = True
@@ -194,8 +149,8 @@
         """A move that is no longer in force releases no keys."""
 
         async def body() -> None:
-            orders = _Orders()
-            sender = orders.sender('1', NOTHING)
+            orders = OrderSenders()
+            sender = orders.sender('1', NOTHING_INHERITED)
             await sender.grant(GRANTED, '', lambda: True)
             holder = orders.book.holders_by_id[OLD_OWNER.server]
             holder.stalls_releases = True
