Ask one of two raw servers in one place in the gateway tests

The test_retried of test_cut_answers.py and of test_endless_answers.py differed in the first script only. raw_scenarios.ask_either starts the servers and sends the request; both tests make their assertions on what it returns.

Left: the imports of the two files, which duplicates lists, and raw_scenarios.run, whose routes have other timeouts than those of the fixture `run_scenario`.

--- a/tests/gateway/raw_scenarios.py
+++ b/tests/gateway/raw_scenarios.py
@@ -83,3 +83,27 @@
 
     run(scenario)
     return gathered[0]
+
+
+def ask_either(first: Script) -> tuple[Answer, list[RawServer]]:
+    """Return what a caller got from one of two servers.
+
+    Args:
+        first: Script for the first request, whichever server gets it. Further
+            requests get a whole answer.
+    """
+    gathered: list[tuple[Answer, list[RawServer]]] = []
+
+    async def scenario(harness: GatewayHarness) -> None:
+        servers = [
+            await add_server(harness, 'reads', first, Script(WHOLE), name=name)
+            for name in ('s1', 's2')
+        ]
+        servers[1].requests = servers[0].requests
+        answer = await harness.send_request(
+            'GET', '/reads/a', deadline_ms='20000'
+        )
+        gathered.append((answer, servers))
+
+    run(scenario)
+    return gathered[0]
--- a/tests/gateway/test_cut_answers.py
+++ b/tests/gateway/test_cut_answers.py
@@ -11,6 +11,7 @@
     WHOLE,
     add_server,
     ask,
+    ask_either,
     run,
 )
 from tests.http.raw_server import Ending, Script
@@ -63,22 +64,9 @@
 
     def test_retried(self) -> None:
         """An idempotent request with a cut answer is retried elsewhere."""
-
-        async def scenario(harness: GatewayHarness) -> None:
-            scripts = Script(HEAD[:70], Ending.CLOSE), Script(WHOLE)
-            servers = [
-                await add_server(harness, 'reads', *scripts, name=name)
-                for name in ('s1', 's2')
-            ]
-            # Only the first request, at either server, gets the cut answer.
-            servers[1].requests = servers[0].requests
-            answer = await harness.send_request(
-                'GET', '/reads/a', deadline_ms='20000'
-            )
-            assert (answer.status, answer.body) == (200, b'hello, world')
-            assert [server.connections for server in servers] == [1, 1]
-
-        run(scenario)
+        answer, servers = ask_either(Script(HEAD[:70], Ending.CLOSE))
+        assert (answer.status, answer.body) == (200, b'hello, world')
+        assert [server.connections for server in servers] == [1, 1]
 
     def _cut_second_answer(self, sent: bytes, ending: Ending) -> None:
         async def scenario(harness: GatewayHarness) -> None:
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -15,6 +15,7 @@
     WHOLE,
     add_server,
     ask,
+    ask_either,
     run,
 )
 from tests.http.raw_server import Ending, Script
@@ -106,22 +107,9 @@
 
     def test_retried(self) -> None:
         """An idempotent request is answered by another server."""
-
-        async def scenario(harness: GatewayHarness) -> None:
-            scripts = _ENDLESS['informational'], Script(WHOLE)
-            servers = [
-                await add_server(harness, 'reads', *scripts, name=name)
-                for name in ('s1', 's2')
-            ]
-            # Only the first request, at either server, gets no answer.
-            servers[1].requests = servers[0].requests
-            answer = await harness.send_request(
-                'GET', '/reads/a', deadline_ms='20000'
-            )
-            assert (answer.status, answer.body) == (200, b'hello, world')
-            assert [server.connections for server in servers] == [1, 1]
-
-        run(scenario)
+        answer, servers = ask_either(_ENDLESS['informational'])
+        assert (answer.status, answer.body) == (200, b'hello, world')
+        assert [server.connections for server in servers] == [1, 1]
 
     @pytest.mark.parametrize('chunk_bytes', [1, 20, 400])
     def test_chunked(self, chunk_bytes: int) -> None:
