Start failing backends in one step in the gateway tests

test_forwarder.py and test_answer_identity.py set a backend's fault and the number of its failing requests in two lines after starting it, 13 times. The harness does so in add_faulty_backend. Faults, counts and assertions are those of before; `remaining_faults = name == 's1'`, a truth value for a count, is 1 and 0 now. No request is sent between the start and the setting of the fault, before or now.

tests/gateway: 139 passed. The ids of the 1251 collected tests are the same. ruff, flake8 tests, mypy: clean. (`times=int(name == 's1')` in a call made flake8 report WPS520 for `assert backend.requests == []` elsewhere in the file: it looks up the parent of the operator's node, which Python shares between comparisons.)

--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -34,7 +34,7 @@
 )
 from carobwalk.platform import PLATFORM_HEADERS, decode_configuration
 from carobwalk.routing import ActiveRoutes
-from standins.platform import PlatformBackend
+from standins.platform import Fault, PlatformBackend
 from tests.recording_log import RecordingLog
 
 LOCAL_DATA_CENTRE = DataCentreName('dc1')
@@ -187,6 +187,28 @@
         self.register(service, name, port)
         return backend
 
+    async def add_faulty_backend(
+        self,
+        service: str,
+        name: str,
+        fault: Fault,
+        times: int = 1,
+        seconds: float = 0,
+    ) -> PlatformBackend:
+        """Start and register a backend server whose first requests fail.
+
+        Args:
+            service: Service that the server runs.
+            name: Id of the server.
+            fault: How the requests fail.
+            times: Number of requests that fail.
+            seconds: Time that it takes for each request.
+        """
+        backend = await self.add_backend(service, name, seconds)
+        backend.fault = fault
+        backend.remaining_faults = times
+        return backend
+
     def register(self, service: str, name: str, port: int) -> BackendServer:
         """Register a backend server at a loopback port."""
         server = BackendServer(
--- a/tests/gateway/test_answer_identity.py
+++ b/tests/gateway/test_answer_identity.py
@@ -21,9 +21,9 @@
         """A request resent after a refusal gets the answer of that send."""
 
         async def scenario(harness: GatewayHarness) -> None:
-            backend = await harness.add_backend('keyed', 's1')
-            backend.fault = Fault.REPEATED_REFUSAL
-            backend.remaining_faults = 1
+            backend = await harness.add_faulty_backend(
+                'keyed', 's1', Fault.REPEATED_REFUSAL
+            )
             harness.owners.server = harness.directory.get(ServerId('s1'))
             harness.routes.offer(
                 decode_configuration(_KEYED_WRITES).ok_value, 2
@@ -63,9 +63,7 @@
         """On a used connection, an answer without an id tells no outcome."""
 
         async def scenario(harness: GatewayHarness) -> None:
-            backend = await harness.add_backend('writes', 's1')
-            backend.fault = fault
-            backend.remaining_faults = 1
+            backend = await harness.add_faulty_backend('writes', 's1', fault)
             await harness.send_request('POST', '/writes/a', b'x', 'id1')
             answer = await harness.send_request(
                 'POST', '/writes/a', b'x', 'id2'
@@ -99,9 +97,9 @@
         """A late answer with another id is skipped."""
 
         async def scenario(harness: GatewayHarness) -> None:
-            backend = await harness.add_backend('writes', 's1')
-            backend.fault = Fault.LATE_EXTRA
-            backend.remaining_faults = 9
+            backend = await harness.add_faulty_backend(
+                'writes', 's1', Fault.LATE_EXTRA, times=9
+            )
             for number in range(3):
                 answer = await harness.send_request(
                     'POST', '/writes/a', b'x', f'id{number}'
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -17,10 +17,8 @@
         """An idempotent request is retried on another server."""
 
         async def scenario(harness: GatewayHarness) -> None:
-            for name in ('s1', 's2'):
-                backend = await harness.add_backend('reads', name)
-                backend.fault = fault
-                backend.remaining_faults = name == 's1'
+            for name, times in (('s1', 1), ('s2', 0)):
+                await harness.add_faulty_backend('reads', name, fault, times)
             for number in range(2):
                 answer = await harness.send_request(
                     'GET', '/reads/a', b'', f'id{number}'
@@ -33,9 +31,9 @@
         """A lost read is not reported as not run if no other server exists."""
 
         async def scenario(harness: GatewayHarness) -> None:
-            backend = await harness.add_backend('reads', 's1')
-            backend.fault = Fault.RESET
-            backend.remaining_faults = 1
+            backend = await harness.add_faulty_backend(
+                'reads', 's1', Fault.RESET
+            )
             answer = await harness.send_request('GET', '/reads/a')
             assert len(backend.requests) == 1
             assert answer.status == 502
@@ -46,9 +44,9 @@
         """A lost read is not reported as not run if its key loses its owner."""
 
         async def scenario(harness: GatewayHarness) -> None:
-            backend = await harness.add_backend('keyed', 's1', seconds=0.05)
-            backend.fault = Fault.RESET
-            backend.remaining_faults = 1
+            backend = await harness.add_faulty_backend(
+                'keyed', 's1', Fault.RESET, seconds=0.05
+            )
             harness.owners.server = harness.directory.get(ServerId('s1'))
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_remove_owner, harness, backend)
@@ -70,9 +68,9 @@
         async def scenario(harness: GatewayHarness) -> None:
             backends = []
             for name in ('s1', 's2'):
-                backend = await harness.add_backend('writes', name)
-                backend.fault = fault
-                backend.remaining_faults = 1
+                backend = await harness.add_faulty_backend(
+                    'writes', name, fault
+                )
                 backends.append(backend)
             answer = await harness.send_request('POST', '/writes/a', b'x')
             assert answer.status == 502
@@ -85,10 +83,10 @@
 
         async def scenario(harness: GatewayHarness) -> None:
             backends = []
-            for name in ('s1', 's2'):
-                backend = await harness.add_backend('writes', name)
-                backend.fault = Fault.SHED
-                backend.remaining_faults = name == 's1'
+            for name, times in (('s1', 1), ('s2', 0)):
+                backend = await harness.add_faulty_backend(
+                    'writes', name, Fault.SHED, times
+                )
                 backends.append(backend)
             for number in range(2):
                 answer = await harness.send_request(
@@ -104,9 +102,9 @@
 
         async def scenario(harness: GatewayHarness) -> None:
             for name in ('s1', 's2'):
-                backend = await harness.add_backend('writes', name)
-                backend.fault = Fault.SHED
-                backend.remaining_faults = 9
+                await harness.add_faulty_backend(
+                    'writes', name, Fault.SHED, times=9
+                )
             answer = await harness.send_request('POST', '/writes/a', b'x')
             assert answer.status == 503
             assert b'retry-after' in answer.headers
@@ -117,9 +115,7 @@
         """A signed failure is forwarded with its status and signature."""
 
         async def scenario(harness: GatewayHarness) -> None:
-            backend = await harness.add_backend('writes', 's1')
-            backend.fault = Fault.FAIL
-            backend.remaining_faults = 1
+            await harness.add_faulty_backend('writes', 's1', Fault.FAIL)
             answer = await harness.send_request('POST', '/writes/a', b'x')
             assert answer.status == 500
             assert answer.headers[b'response-signature'] == b'1.2.3'
@@ -130,9 +126,7 @@
         """An answer delimited by the end of its connection is complete."""
 
         async def scenario(harness: GatewayHarness) -> None:
-            backend = await harness.add_backend('writes', 's1')
-            backend.fault = Fault.UNFRAMED
-            backend.remaining_faults = 1
+            await harness.add_faulty_backend('writes', 's1', Fault.UNFRAMED)
             answer = await harness.send_request('POST', '/writes/a', b'x')
             assert (answer.status, answer.body) == (
                 200,
@@ -145,9 +139,9 @@
         """A surplus answer is not taken for that of the next request."""
 
         async def scenario(harness: GatewayHarness) -> None:
-            backend = await harness.add_backend('reads', 's1')
-            backend.fault = Fault.EXTRA
-            backend.remaining_faults = 9
+            await harness.add_faulty_backend(
+                'reads', 's1', Fault.EXTRA, times=9
+            )
             for number in range(6):
                 name = f'id{number}'
                 answer = await harness.send_request(
@@ -162,9 +156,9 @@
         """A request without an answer ends at the deadline with 504."""
 
         async def scenario(harness: GatewayHarness) -> None:
-            backend = await harness.add_backend('writes', 's1')
-            backend.fault = Fault.HANG
-            backend.remaining_faults = 1
+            backend = await harness.add_faulty_backend(
+                'writes', 's1', Fault.HANG
+            )
             answer = await harness.send_request('POST', '/writes/a', b'x')
             assert answer.status == 504
             again = await harness.send_request('POST', '/writes/a', b'x', 'id2')
