Replicate a first revision and restart a process in one place in the tests

test_follower.py wrote out seven times that a process writes the first revision and the test waits for the time limit, and four times that a process is stopped and started again. Both are functions of the harness. Times, faults and assertions are those of before.

--- a/tests/profiles/replication/_harness.py
+++ b/tests/profiles/replication/_harness.py
@@ -55,6 +55,24 @@
     return (await process.repository.write(write)).unwrap().revision
 
 
+async def replicate_first(fleet: Fleet, name: str) -> None:
+    """Write the first revision at a process; give it the time limit.
+
+    Args:
+        fleet: Fleet without a revision.
+        name: Name of the process that writes.
+    """
+    await write_slots(fleet.processes[name], 1, 0)
+    await trio.sleep(REPLICATION_LIMIT_SECONDS)
+
+
+def restart(fleet: Fleet, name: str) -> Process:
+    """Stop a process and return the one that is started in its place."""
+    process = fleet.processes[name]
+    fleet.stop(process)
+    return fleet.start(process.own)
+
+
 def revisions_of(fleet: Fleet) -> set[int]:
     """Return the revisions that are active anywhere."""
     return {
--- a/tests/profiles/replication/test_follower.py
+++ b/tests/profiles/replication/test_follower.py
@@ -19,6 +19,8 @@
     COUNT,
     DOWN,
     REPLICATION_LIMIT_SECONDS,
+    replicate_first,
+    restart,
     revisions_of,
     run,
     write_slots,
@@ -41,8 +43,7 @@
         """Two watchers suffice for all processes."""
 
         async def test(fleet: Fleet) -> None:
-            await write_slots(fleet.processes['entry-005'], 1, 0)
-            await trio.sleep(REPLICATION_LIMIT_SECONDS)
+            await replicate_first(fleet, 'entry-005')
             assert revisions_of(fleet) == {1}
 
         run(virtual_clock, test)
@@ -53,8 +54,7 @@
         async def test(fleet: Fleet) -> None:
             fleet.watchers = frozenset()
             await trio.sleep(11)
-            await write_slots(fleet.processes['entry-005'], 1, 0)
-            await trio.sleep(REPLICATION_LIMIT_SECONDS)
+            await replicate_first(fleet, 'entry-005')
             assert revisions_of(fleet) == {1}
 
         run(virtual_clock, test)
@@ -86,12 +86,9 @@
         """A starting process gets the revision from its peers."""
 
         async def test(fleet: Fleet) -> None:
-            await write_slots(fleet.processes['entry-005'], 1, 0)
-            await trio.sleep(REPLICATION_LIMIT_SECONDS)
+            await replicate_first(fleet, 'entry-005')
             fleet.store.inject(DOWN)
-            process = fleet.processes['entry-007']
-            fleet.stop(process)
-            started = fleet.start(process.own)
+            started = restart(fleet, 'entry-007')
             started.store.inject(DOWN)
             await trio.sleep(2)
             assert started.follower.current().revision == 1
@@ -105,14 +102,11 @@
         """It waits for a revision that a peer announces but does not hold."""
 
         async def test(fleet: Fleet) -> None:
-            await write_slots(fleet.processes['entry-000'], 1, 0)
-            await trio.sleep(REPLICATION_LIMIT_SECONDS)
+            await replicate_first(fleet, 'entry-000')
             fleet.store.inject(DOWN)
             # A peer that announces revision 2 holds only revision 1.
             fleet.processes['entry-003'].follower._local.note_revision(2)
-            own = fleet.endpoints[6]
-            fleet.stop(fleet.processes[own.name])
-            started = fleet.start(own)
+            started = restart(fleet, 'entry-006')
             started.store.inject(DOWN)
             await trio.sleep(1)
             assert started.follower.current().revision == 0
@@ -130,14 +124,11 @@
         """Unreachable peers do not delay the start past the time limit."""
 
         async def test(fleet: Fleet) -> None:
-            await write_slots(fleet.processes['entry-000'], 1, 0)
-            await trio.sleep(REPLICATION_LIMIT_SECONDS)
+            await replicate_first(fleet, 'entry-000')
             fleet.store_faults = DOWN
             fleet.cut('region-1')
             fleet.cut('region-2')
-            process = fleet.processes['entry-003']
-            fleet.stop(process)
-            started = fleet.start(process.own)
+            started = restart(fleet, 'entry-003')
             await trio.sleep(REPLICATION_LIMIT_SECONDS - 1)
             assert started.follower.current().revision == 1
 
@@ -165,8 +156,7 @@
             process.follower.adopt(accepted.configuration)
             assert process.follower.current().revision == 2
             fleet.store_faults = DOWN
-            fleet.stop(process)
-            started = fleet.start(process.own)
+            started = restart(fleet, 'entry-003')
             revisions = await _sample_revisions(started)
             # It waits for peers with a higher revision, then takes the highest.
             assert revisions[0] == 0
@@ -188,8 +178,7 @@
             for process in fleet.processes.values():
                 if process.own.region == 'region-2':
                     process.store.inject(DOWN)
-            await write_slots(fleet.processes['entry-000'], 1, 0)
-            await trio.sleep(REPLICATION_LIMIT_SECONDS)
+            await replicate_first(fleet, 'entry-000')
             assert revisions_of(fleet) == {0, 1}
             fleet.heal()
             await trio.sleep(REPLICATION_LIMIT_SECONDS)
@@ -265,8 +254,7 @@
         """The status lists the processes that lag or do not answer."""
 
         async def test(fleet: Fleet) -> None:
-            await write_slots(fleet.processes['entry-000'], 1, 0)
-            await trio.sleep(REPLICATION_LIMIT_SECONDS)
+            await replicate_first(fleet, 'entry-000')
             fleet.stop(fleet.processes['entry-004'])
             status = await fleet.processes[
                 'entry-001'
