Register the two servers of the directory tests in one function

Three tests of test_server_directory.py began with the same loop.

tests/profiles/replication and tests/directory: 21 passed.

--- a/tests/directory/test_server_directory.py
+++ b/tests/directory/test_server_directory.py
@@ -21,6 +21,12 @@
     return {server.id for server in directory.of_service(SERVICE)}
 
 
+def register_two(directory: ServerDirectory) -> None:
+    """Register the servers 1 and 2."""
+    for number in (1, 2):
+        directory.put(make_server(number), 1)
+
+
 class TestServerDirectory:
     def test_removed(self, directory, virtual_clock: MockClock) -> None:
         """A server whose entry is removed is leaving first, then removed."""
@@ -46,8 +52,7 @@
         """After an outage, missing servers have 2 s to register again."""
 
         async def body() -> None:
-            for number in (1, 2):
-                directory.put(make_server(number), 1)
+            register_two(directory)
             directory.load([(make_server(1), 2)], after_outage=True)
             await trio.sleep(1.9)
             directory.expire()
@@ -71,8 +76,7 @@
         """A second listing does not shorten the time to register again."""
 
         async def body() -> None:
-            for number in (1, 2):
-                directory.put(make_server(number), 1)
+            register_two(directory)
             directory.load([(make_server(1), 2)], after_outage=True)
             await trio.sleep(1)
             directory.load([(make_server(1), 2)], after_outage=False)
@@ -91,8 +95,7 @@
         """Without an outage, a server that is not listed leaves at once."""
 
         async def body() -> None:
-            for number in (1, 2):
-                directory.put(make_server(number), 1)
+            register_two(directory)
             directory.load([(make_server(1), 2)], after_outage=False)
             assert directory.get('s2').is_leaving
 
