--- a/tests/app/test_guarded_forwarder.py
+++ b/tests/app/test_guarded_forwarder.py
@@ -16,7 +16,8 @@
     Placement,
     ReplySink,
 )
-from tests.dispatch.fakes import ListSink, call_of, endpoint_of, placement_of
+from tests.dispatch.calls import call_of, endpoint_of, placement_of
+from tests.dispatch.fakes import ListSink
 from tests.recording_log import RecordingLog
 
 
--- a/tests/dispatch/test_action_clock.py
+++ b/tests/dispatch/test_action_clock.py
@@ -6,16 +6,10 @@
 
 from carobwalk.dispatch import DispatchPool
 from carobwalk.model import FailureKind, Outcome
-from tests.dispatch.fakes import (
-    ListSink,
-    ScriptedUpstream,
-    call_of,
-    endpoint_of,
-    kind_and_outcome,
-    placement_of,
-    pool_of,
-    uuid7,
-)
+from tests.dispatch.calls import call_of, endpoint_of, placement_of, uuid7
+from tests.dispatch.fakes import ListSink
+from tests.dispatch.pools import kind_and_outcome, pool_of
+from tests.dispatch.scripted_upstream import ScriptedUpstream
 
 _PLACEMENT = placement_of(endpoint_of('server-1'))
 _LONG_SECONDS = 1000
--- a/tests/dispatch/test_actions.py
+++ b/tests/dispatch/test_actions.py
@@ -11,19 +11,10 @@
     FenceToken,
     Outcome,
 )
-from tests.dispatch.fakes import (
-    FakeLeases,
-    ListSink,
-    ScriptedUpstream,
-    Step,
-    call_of,
-    context_of,
-    endpoint_of,
-    kind_and_outcome,
-    placement_of,
-    pool_of,
-    uuid7,
-)
+from tests.dispatch.calls import call_of, endpoint_of, placement_of, uuid7
+from tests.dispatch.fakes import FakeLeases, ListSink
+from tests.dispatch.pools import context_of, kind_and_outcome, pool_of
+from tests.dispatch.scripted_upstream import ScriptedUpstream, Step
 
 PLACEMENT = placement_of(endpoint_of('server-1'))
 SKEW_SECONDS = 2
--- a/tests/dispatch/test_h11_exchange.py
+++ b/tests/dispatch/test_h11_exchange.py
@@ -4,8 +4,10 @@
 from result import Ok
 
 from carobwalk.dispatch import DispatchPool
-from tests.dispatch.fakes import ListSink, call_of, context_of, placement_of
+from tests.dispatch.calls import call_of, placement_of
+from tests.dispatch.fakes import ListSink
 from tests.dispatch.loopback import Received, http_head, respond_ok, serving
+from tests.dispatch.pools import context_of
 
 
 class TestExchange:
--- a/tests/dispatch/test_h11_upstream.py
+++ b/tests/dispatch/test_h11_upstream.py
@@ -12,7 +12,8 @@
     UpstreamRequest,
 )
 from carobwalk.model import FenceToken, TrioClock
-from tests.dispatch.fakes import ListSink, call_of, endpoint_of
+from tests.dispatch.calls import call_of, endpoint_of
+from tests.dispatch.fakes import ListSink
 
 TOKENS = SendTokens(FenceToken(1, 1), FenceToken(1, 1))
 
--- a/tests/dispatch/test_quarantine.py
+++ b/tests/dispatch/test_quarantine.py
@@ -8,17 +8,10 @@
 
 from carobwalk.dispatch import Quarantine, SuspectId
 from carobwalk.model import FailureKind, Outcome, Rank
-from tests.dispatch.fakes import (
-    ListSink,
-    ScriptedUpstream,
-    Step,
-    call_of,
-    context_of,
-    endpoint_of,
-    kind_and_outcome,
-    placement_of,
-    pool_of,
-)
+from tests.dispatch.calls import call_of, endpoint_of, placement_of
+from tests.dispatch.fakes import ListSink
+from tests.dispatch.pools import context_of, kind_and_outcome, pool_of
+from tests.dispatch.scripted_upstream import ScriptedUpstream, Step
 
 PLACEMENT = placement_of(endpoint_of('server-1'))
 POISON = SuspectId(head=1, length=0, body=0)
--- a/tests/dispatch/test_response_handler.py
+++ b/tests/dispatch/test_response_handler.py
@@ -7,16 +7,10 @@
 from carobwalk.dispatch import DispatchPool
 from carobwalk.model import BodyError, Completion, Failure, FailureKind, Outcome
 from carobwalk.ownership import NoLease
-from tests.dispatch.fakes import (
-    FakeLeases,
-    ListSink,
-    call_of,
-    context_of,
-    endpoint_of,
-    kind_and_outcome,
-    placement_of,
-)
+from tests.dispatch.calls import call_of, endpoint_of, placement_of
+from tests.dispatch.fakes import FakeLeases, ListSink
 from tests.dispatch.loopback import Received, Script, http_head, serving
+from tests.dispatch.pools import context_of, kind_and_outcome
 
 
 def failure_in(result: Result[Completion, Failure]) -> Failure:
--- a/tests/dispatch/test_sender.py
+++ b/tests/dispatch/test_sender.py
@@ -25,16 +25,10 @@
     ServerId,
     TrioClock,
 )
-from tests.dispatch.fakes import (
-    ListSink,
-    ScriptedUpstream,
-    Step,
-    call_of,
-    endpoint_of,
-    kind_and_outcome,
-    placement_of,
-    pool_of,
-)
+from tests.dispatch.calls import call_of, endpoint_of, placement_of
+from tests.dispatch.fakes import ListSink
+from tests.dispatch.pools import kind_and_outcome, pool_of
+from tests.dispatch.scripted_upstream import ScriptedUpstream, Step
 
 PLACEMENT = placement_of(endpoint_of('server-1'))
 TOKENS = SendTokens(FenceToken(1, 1), FenceToken(1, 1))
--- a/tests/dispatch/test_slots.py
+++ b/tests/dispatch/test_slots.py
@@ -17,7 +17,7 @@
 from carobwalk.events import NullEventLog
 from carobwalk.model import Failure, FailureKind, Outcome, Rank, TrioClock
 from carobwalk.profiles import Profile
-from tests.dispatch.fakes import PROFILE
+from tests.dispatch.pools import PROFILE
 
 
 def slots_of(profile: Profile = PROFILE) -> Slots:
