Forward a call to the usual server in one function in the dispatch tests

`pool.forward(call, PLACEMENT, ListSink())`, mostly over four lines, stood 36 times in test_actions.py, test_quarantine.py, test_sender.py and test_action_clock.py, and each made the placement anew. calls.PLACEMENT and pools.forward are one of each; a test that reads the answer passes its sink.

Left: test_response_handler.py and test_h11_exchange.py, whose servers listen on a port; what duplicates lists as boilerplate, the start of a case and its end; the properties of ListSink and ListBody that look like fakes of tests/peer and tests/integration, of other protocols.

--- a/tests/dispatch/calls.py
+++ b/tests/dispatch/calls.py
@@ -76,6 +76,9 @@
     )
 
 
+PLACEMENT = placement_of(endpoint_of('server-1'))
+
+
 def uuid7(at: float, number: int = 0) -> str:
     """Return an idempotency key with a timestamp in seconds since 1970."""
     milliseconds = int(at * 1000)
--- a/tests/dispatch/pools.py
+++ b/tests/dispatch/pools.py
@@ -9,6 +9,7 @@
 from carobwalk.dispatch import DispatchContext, DispatchPool
 from carobwalk.events import NullEventLog
 from carobwalk.model import (
+    Call,
     Completion,
     Failure,
     FailureKind,
@@ -17,8 +18,8 @@
     TrioClock,
 )
 from carobwalk.profiles import Catalogue, Profile, Service
-from tests.dispatch.calls import SERVICE
-from tests.dispatch.fakes import FakeLeases
+from tests.dispatch.calls import PLACEMENT, SERVICE
+from tests.dispatch.fakes import FakeLeases, ListSink
 from tests.dispatch.scripted_upstream import ScriptedUpstream
 
 PROFILE = Profile(name=ProfileName('usual'))
@@ -64,6 +65,21 @@
     return DispatchPool(context or context_of(), lambda *_: upstream)
 
 
+async def forward(
+    pool: DispatchPool,
+    call: Call,
+    sink: ListSink | None = None,
+) -> Result[Completion, Failure]:
+    """Forward a call to the server that it is placed on.
+
+    Args:
+        pool: Pool under test.
+        call: Call to forward.
+        sink: Sink of the answer, which is dropped without one.
+    """
+    return await pool.forward(call, PLACEMENT, sink or ListSink())
+
+
 def kind_and_outcome(
     result: Result[Completion, Failure],
 ) -> tuple[FailureKind, Outcome]:
--- a/tests/dispatch/test_action_clock.py
+++ b/tests/dispatch/test_action_clock.py
@@ -6,18 +6,16 @@
 
 from carobwalk.dispatch import DispatchPool
 from carobwalk.model import FailureKind, Outcome
-from tests.dispatch.calls import call_of, endpoint_of, placement_of, uuid7
-from tests.dispatch.fakes import ListSink
-from tests.dispatch.pools import kind_and_outcome, pool_of
+from tests.dispatch.calls import call_of, uuid7
+from tests.dispatch.pools import forward, kind_and_outcome, pool_of
 from tests.dispatch.scripted_upstream import ScriptedUpstream
 
-_PLACEMENT = placement_of(endpoint_of('server-1'))
 _LONG_SECONDS = 1000
 
 
 async def _send(pool: DispatchPool, key: str) -> object:
     call = call_of(b'claim', idempotency_key=key)
-    return await pool.forward(call, _PLACEMENT, ListSink())
+    return await forward(pool, call)
 
 
 class TestCallerClockAhead:
--- a/tests/dispatch/test_actions.py
+++ b/tests/dispatch/test_actions.py
@@ -11,12 +11,11 @@
     FenceToken,
     Outcome,
 )
-from tests.dispatch.calls import call_of, endpoint_of, placement_of, uuid7
+from tests.dispatch.calls import call_of, uuid7
 from tests.dispatch.fakes import FakeLeases, ListSink
-from tests.dispatch.pools import context_of, kind_and_outcome, pool_of
+from tests.dispatch.pools import context_of, forward, kind_and_outcome, pool_of
 from tests.dispatch.scripted_upstream import ScriptedUpstream, Step
 
-PLACEMENT = placement_of(endpoint_of('server-1'))
 SKEW_SECONDS = 2
 UNSETTLED = (FailureKind.REPEAT_UNSETTLED, Outcome.UNKNOWN)
 
@@ -27,10 +26,7 @@
     Keys are accepted as new once the maximum clock skew has passed.
     """
     old = call_of(b'claim', idempotency_key=uuid7(0))
-    assert (
-        kind_and_outcome(await pool.forward(old, PLACEMENT, ListSink()))
-        == UNSETTLED
-    )
+    assert kind_and_outcome(await forward(pool, old)) == UNSETTLED
     await trio.sleep(SKEW_SECONDS)
 
 
@@ -46,10 +42,7 @@
             sinks = [ListSink(), ListSink()]
             for sink in sinks:
                 call = call_of(b'claim', idempotency_key=key)
-                assert isinstance(
-                    await pool.forward(call, PLACEMENT, sink),
-                    Ok,
-                )
+                assert isinstance(await forward(pool, call, sink), Ok)
             assert {sink.body for sink in sinks} == {b'answer 1'}
             assert len(upstream.runs) == 1
 
@@ -69,7 +62,7 @@
             async with trio.open_nursery() as nursery:
                 for sink in sinks:
                     call = call_of(b'claim', idempotency_key=key)
-                    nursery.start_soon(pool.forward, call, PLACEMENT, sink)
+                    nursery.start_soon(forward, pool, call, sink)
             assert {sink.body for sink in sinks} == {b'answer 1'}
             assert len(upstream.runs) == 1
 
@@ -85,11 +78,7 @@
             key = uuid7(trio.current_time())
             first, repeat = [
                 kind_and_outcome(
-                    await pool.forward(
-                        call_of(b'claim', idempotency_key=key),
-                        PLACEMENT,
-                        ListSink(),
-                    ),
+                    await forward(pool, call_of(b'claim', idempotency_key=key)),
                 )
                 for _ in range(2)
             ]
@@ -107,20 +96,14 @@
             pool = pool_of(upstream)
             await start_lease(pool)
             key = uuid7(trio.current_time())
-            refused = await pool.forward(
-                call_of(b'claim', idempotency_key=key),
-                PLACEMENT,
-                ListSink(),
+            refused = await forward(
+                pool, call_of(b'claim', idempotency_key=key)
             )
             assert kind_and_outcome(refused) == (
                 FailureKind.SHED,
                 Outcome.NOT_RUN,
             )
-            repeat = await pool.forward(
-                call_of(b'claim', idempotency_key=key),
-                PLACEMENT,
-                ListSink(),
-            )
+            repeat = await forward(pool, call_of(b'claim', idempotency_key=key))
             assert isinstance(repeat, Ok)
 
         trio.run(case, clock=virtual_clock)
@@ -134,10 +117,8 @@
             await start_lease(pool)
             key = uuid7(trio.current_time())
             results = [
-                await pool.forward(
-                    call_of(b'x', idempotency_key=key, target=target),
-                    PLACEMENT,
-                    ListSink(),
+                await forward(
+                    pool, call_of(b'x', idempotency_key=key, target=target)
                 )
                 for target in ('/a', '/b')
             ]
@@ -157,16 +138,10 @@
                 await start_lease(pool)
                 key = uuid7(trio.current_time())
                 with trio.move_on_after(0.5):
-                    await pool.forward(
-                        call_of(b'claim', idempotency_key=key),
-                        PLACEMENT,
-                        ListSink(),
-                    )
+                    await forward(pool, call_of(b'claim', idempotency_key=key))
                 sink = ListSink()
-                repeat = await pool.forward(
-                    call_of(b'claim', idempotency_key=key),
-                    PLACEMENT,
-                    sink,
+                repeat = await forward(
+                    pool, call_of(b'claim', idempotency_key=key), sink
                 )
                 nursery.cancel_scope.cancel()
             assert isinstance(repeat, Ok)
@@ -185,16 +160,11 @@
             key = uuid7(trio.current_time())
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(
-                    pool.forward,
-                    call_of(b'claim', idempotency_key=key),
-                    PLACEMENT,
-                    ListSink(),
+                    forward, pool, call_of(b'claim', idempotency_key=key)
                 )
                 await trio.sleep(0.1)
-                repeat = await pool.forward(
-                    call_of(b'claim', idempotency_key=key, deadline=1),
-                    PLACEMENT,
-                    ListSink(),
+                repeat = await forward(
+                    pool, call_of(b'claim', idempotency_key=key, deadline=1)
                 )
             assert kind_and_outcome(repeat) == (
                 FailureKind.DEADLINE,
@@ -218,11 +188,7 @@
             await start_lease(pool)
             key = uuid7(trio.current_time())
             leases.result = Ok(FenceToken(epoch=4, sequence=1))
-            result = await pool.forward(
-                call_of(b'claim', idempotency_key=key),
-                PLACEMENT,
-                ListSink(),
-            )
+            result = await forward(pool, call_of(b'claim', idempotency_key=key))
             assert kind_and_outcome(result) == UNSETTLED
             assert not upstream.runs
 
@@ -236,23 +202,19 @@
             upstream = ScriptedUpstream([Step.REFUSE_CONNECTION])
             pool = pool_of(upstream, context_of(leases))
             await start_lease(pool)
-            await pool.forward(call_of(b'x'), PLACEMENT, ListSink())
+            await forward(pool, call_of(b'x'))
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(
-                    pool.forward,
-                    call_of(b'holds the only slot'),
-                    PLACEMENT,
-                    ListSink(),
+                    forward, pool, call_of(b'holds the only slot')
                 )
                 await trio.sleep(0.01)
                 nursery.start_soon(_change_lease, leases)
-                result = await pool.forward(
+                result = await forward(
+                    pool,
                     call_of(
                         b'claim',
                         idempotency_key=uuid7(trio.current_time()),
                     ),
-                    PLACEMENT,
-                    ListSink(),
                 )
             expected = (FailureKind.NOT_DISPATCHER, Outcome.NOT_RUN)
             assert kind_and_outcome(result) == expected
@@ -266,11 +228,11 @@
         async def case() -> None:
             pool = pool_of(ScriptedUpstream())
             call = call_of(b'claim', idempotency_key='opaque')
-            result = await pool.forward(call, PLACEMENT, ListSink())
+            result = await forward(pool, call)
             assert kind_and_outcome(result) == UNSETTLED
             await trio.sleep(121)
             call = call_of(b'claim', idempotency_key='opaque')
-            result = await pool.forward(call, PLACEMENT, ListSink())
+            result = await forward(pool, call)
             assert isinstance(result, Ok)
 
         trio.run(case, clock=virtual_clock)
@@ -291,7 +253,7 @@
                 await start_lease(pool)
                 nursery.cancel_scope.cancel()
             call = call_of(b'x', idempotency_key=uuid7(trio.current_time()))
-            result = await pool.forward(call, PLACEMENT, ListSink())
+            result = await forward(pool, call)
             assert isinstance(result, Ok)
 
         trio.run(case, clock=virtual_clock)
@@ -316,7 +278,7 @@
                     body_length=9,
                     idempotency_key=key,
                 )
-                result = await pool.forward(call, PLACEMENT, ListSink())
+                result = await forward(pool, call)
                 nursery.cancel_scope.cancel()
             assert isinstance(result, Err)
             assert result.err_value.outcome is Outcome.UNKNOWN
--- a/tests/dispatch/test_quarantine.py
+++ b/tests/dispatch/test_quarantine.py
@@ -1,19 +1,15 @@
 """Tests of the quarantine of requests that crash servers."""
 
-from collections.abc import Awaitable, Callable
-
 import trio
 from result import Ok
 from trio.testing import MockClock
 
-from carobwalk.dispatch import Quarantine, SuspectId
+from carobwalk.dispatch import DispatchPool, Quarantine, SuspectId
 from carobwalk.model import FailureKind, Outcome, Rank
-from tests.dispatch.calls import call_of, endpoint_of, placement_of
-from tests.dispatch.fakes import ListSink
-from tests.dispatch.pools import context_of, kind_and_outcome, pool_of
+from tests.dispatch.calls import call_of
+from tests.dispatch.pools import context_of, forward, kind_and_outcome, pool_of
 from tests.dispatch.scripted_upstream import ScriptedUpstream, Step
 
-PLACEMENT = placement_of(endpoint_of('server-1'))
 POISON = SuspectId(head=1, length=0, body=0)
 QUARANTINED = (FailureKind.QUARANTINED, Outcome.NOT_RUN)
 
@@ -83,7 +79,7 @@
             results = []
             for _ in range(5):
                 call = call_of(b'poison')
-                result = await pool.forward(call, PLACEMENT, ListSink())
+                result = await forward(pool, call)
                 results.append(kind_and_outcome(result))
                 await trio.sleep(2)
             assert results[2:] == [QUARANTINED, QUARANTINED, QUARANTINED]
@@ -98,13 +94,9 @@
             upstream = crashing(2)
             pool = pool_of(upstream)
             for _ in range(2):
-                await pool.forward(call_of(b'poison'), PLACEMENT, ListSink())
+                await forward(pool, call_of(b'poison'))
                 await trio.sleep(2)
-            result = await pool.forward(
-                call_of(b'innocent'),
-                PLACEMENT,
-                ListSink(),
-            )
+            result = await forward(pool, call_of(b'innocent'))
             assert isinstance(result, Ok)
 
         trio.run(case, clock=virtual_clock)
@@ -116,12 +108,12 @@
             upstream = ScriptedUpstream()
             pool = pool_of(upstream)
             for _ in range(20):
-                await pool.forward(call_of(), PLACEMENT, ListSink())
+                await forward(pool, call_of())
             upstream.steps = crashing(4).steps
-            await _send_all(pool.forward)
+            await _send_all(pool)
             assert len(pool.quarantine.entries) == 4
             upstream.max_running = 0
-            await _send_all(pool.forward)
+            await _send_all(pool)
             assert upstream.max_running == 1
             assert not pool.quarantine.entries
 
@@ -141,7 +133,7 @@
 
             context = context_of(broadcast=broadcast)
             pool = pool_of(ScriptedUpstream([Step.CRASH]), context)
-            await pool.forward(call_of(b'poison'), PLACEMENT, ListSink())
+            await forward(pool, call_of(b'poison'))
             assert len(other.entries) == 1
 
         trio.run(case, clock=virtual_clock)
@@ -152,21 +144,17 @@
         async def case() -> None:
             pool = pool_of(crashing(2))
             for _ in range(2):
-                await pool.forward(call_of(b'poison'), PLACEMENT, ListSink())
+                await forward(pool, call_of(b'poison'))
                 await trio.sleep(2)
             pool.quarantine.clear(pool.quarantine.entries[0].id)
-            result = await pool.forward(
-                call_of(b'poison'),
-                PLACEMENT,
-                ListSink(),
-            )
+            result = await forward(pool, call_of(b'poison'))
             assert isinstance(result, Ok)
 
         trio.run(case, clock=virtual_clock)
 
 
-async def _send_all(forward: Callable[..., Awaitable[object]]) -> None:
+async def _send_all(pool: DispatchPool) -> None:
     async with trio.open_nursery() as nursery:
         for number in range(4):
             call = call_of(b'%d' % number, rank=Rank.MONEY)
-            nursery.start_soon(forward, call, PLACEMENT, ListSink())
+            nursery.start_soon(forward, pool, call)
--- a/tests/dispatch/test_sender.py
+++ b/tests/dispatch/test_sender.py
@@ -26,18 +26,16 @@
     TrioClock,
 )
 from tests.dispatch.calls import call_of, endpoint_of, placement_of
-from tests.dispatch.fakes import ListSink
-from tests.dispatch.pools import kind_and_outcome, pool_of
+from tests.dispatch.pools import forward, kind_and_outcome, pool_of
 from tests.dispatch.scripted_upstream import ScriptedUpstream, Step
 
-PLACEMENT = placement_of(endpoint_of('server-1'))
 TOKENS = SendTokens(FenceToken(1, 1), FenceToken(1, 1))
 
 
 async def succeed(pool: DispatchPool, times: int) -> None:
     """Fill the retry budget with successful requests."""
     for _ in range(times):
-        result = await pool.forward(call_of(), PLACEMENT, ListSink())
+        result = await forward(pool, call_of())
         assert isinstance(result, Ok)
 
 
@@ -56,7 +54,7 @@
             await succeed(pool, successes)
             upstream.steps = [Step.CRASH]
             call = call_of(rank=Rank.LOOKUP, idempotent=True)
-            result = await pool.forward(call, PLACEMENT, ListSink())
+            result = await forward(pool, call)
             assert isinstance(result, Ok) == bool(successes)
 
         trio.run(case, clock=virtual_clock)
@@ -71,7 +69,7 @@
             pool = pool_of(upstream)
             await succeed(pool, 20)
             upstream.steps = [Step.CRASH]
-            result = await pool.forward(call_of(), PLACEMENT, ListSink())
+            result = await forward(pool, call_of())
             assert kind_and_outcome(result) == (
                 FailureKind.SERVER_LOST,
                 Outcome.UNKNOWN,
@@ -88,7 +86,7 @@
             pool = pool_of(upstream)
             await succeed(pool, 20)
             upstream.steps = [Step.REFUSE_CONNECTION]
-            result = await pool.forward(call_of(), PLACEMENT, ListSink())
+            result = await forward(pool, call_of())
             assert isinstance(result, Ok)
 
         trio.run(case, clock=virtual_clock)
@@ -105,7 +103,7 @@
             await succeed(pool, 10)
             upstream.steps = [Step.CRASH, Step.SHED]
             call = call_of(rank=Rank.LOOKUP, idempotent=True)
-            result = await pool.forward(call, PLACEMENT, ListSink())
+            result = await forward(pool, call)
             assert kind_and_outcome(result) == (
                 FailureKind.SHED,
                 Outcome.UNKNOWN,
@@ -141,16 +139,11 @@
             upstream = ScriptedUpstream(seconds=3)
             pool = pool_of(upstream)
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(
-                    pool.forward,
-                    call_of(),
-                    PLACEMENT,
-                    ListSink(),
-                )
+                nursery.start_soon(forward, pool, call_of())
                 await trio.sleep(1)
                 nursery.start_soon(pool.drain, 10)
                 await trio.sleep(0.1)
-                late = await pool.forward(call_of(), PLACEMENT, ListSink())
+                late = await forward(pool, call_of())
             assert kind_and_outcome(late) == (
                 FailureKind.STOPPING,
                 Outcome.NOT_RUN,
@@ -230,7 +223,7 @@
             pool = pool_of(upstream)
             for number in range(3):
                 call = call_of(target=f'/{number}')
-                await pool.forward(call, PLACEMENT, ListSink())
+                await forward(pool, call)
             assert pool.suspected == {'server-1'}
             await succeed(pool, 1)
             assert not pool.suspected
