--- a/tests/keyspace/test_registry_lag.py
+++ b/tests/keyspace/test_registry_lag.py
@@ -3,27 +3,16 @@
 import trio
 from trio.testing import MockClock
 
-from carobwalk.directory import ServerDirectory
-from carobwalk.events import NullEventLog
-from carobwalk.keyspace import (
-    FailureDetector,
-    KeyTimes,
-    OrderDependencies,
-    ServerIncarnations,
-)
 from carobwalk.keyspace._activation import Activation
 from carobwalk.keyspace._codec import map_name
-from carobwalk.keyspace._grant_ledger import GrantLedger, InheritedBounds
+from carobwalk.keyspace._grant_ledger import InheritedBounds
 from carobwalk.keyspace._key_range import KeyRange, ServerIncarnation
-from carobwalk.keyspace._order_sender import OrderSender
-from carobwalk.keyspace._term import Term
-from carobwalk.model import Address, ServerId, TrioClock
-from carobwalk.store import LeaseId
+from carobwalk.model import Address, ServerId
 from standins.platform import KeyHolder, MemoryOrderChannel
+from tests.keyspace.order_senders import OrderSenders
 from tests.keyspace.simulated_fleet import (
     SERVICE,
     SimulatedFleet,
-    make_server,
 )
 
 RESTARTED = ServerIncarnation(ServerId('s1'), 2)
@@ -45,41 +34,21 @@
         """
 
         async def body() -> MemoryOrderChannel:
-            clock = TrioClock()
-            times = KeyTimes()
-            book = MemoryOrderChannel((0,))
+            orders = OrderSenders()
+            book = orders.book
             held = KeyHolder(born=2)
             held.grant((0, 99), 1, HELD_SECONDS, (0,))
             book.holders_by_id[RESTARTED.server] = held
-            book.holders_by_id[NEW_OWNER.server] = KeyHolder()
             book.reach.addresses_by_id[RESTARTED.server] = Address(
                 '127.0.0.1', 2001
             )
-            directory = ServerDirectory(clock, NullEventLog())
-            for number in (1, 2):
-                directory.put(make_server(number), 1)
-            incarnations = ServerIncarnations(directory)
-            incarnations.refresh()
-            dependencies = OrderDependencies(
-                channel=book,
-                incarnations=incarnations,
-                failure_detector=FailureDetector(
-                    times, clock, lambda incarnation: 0
-                ),
-                times=times,
-                events=NullEventLog(),
-            )
-            sender = OrderSender(
-                dependencies,
-                Term(LeaseId('1'), clock.now() + 100, times, clock),
-                GrantLedger(
-                    times,
-                    clock,
-                    InheritedBounds(holds=HELD_SECONDS, unanswered=0),
-                ),
-            )
+            inherited = InheritedBounds(holds=HELD_SECONDS, unanswered=0)
             activation = Activation(
-                MOVED, sender, dependencies, clock, lambda: True
+                MOVED,
+                orders.sender('1', inherited),
+                orders.dependencies,
+                orders.clock,
+                lambda: True,
             )
             assert await activation.run()
             return book
@@ -90,56 +59,44 @@
 class TestFormerRefusals:
     # Guards against two owners: refusals of an earlier term proved the end of
     # a server to which another coordinator had sent grants in between.
-    def test_granted_by_other_coordinator(
-        self, virtual_clock: MockClock
-    ) -> None:
+    def test_granted_by_other_coordinator(self, run_scenario) -> None:
         """Refusals seen in an earlier term prove nothing in a later one."""
 
-        async def body() -> MemoryOrderChannel:
-            fleet = SimulatedFleet(4)
+        async def scenario(fleet: SimulatedFleet) -> None:
             fleet.book.reach.checks_incarnation = False
-            async with trio.open_nursery() as nursery:
-                fleet.start(nursery)
-                first = fleet.add_router('a')
-                await fleet.wait_until_owned()
-                second = fleet.add_router('b')
-                await trio.sleep(1)
-                owner = ServerId('s0')
-                assert fleet.book.owner(0) == owner
-                first.link.is_cut = True
-                fleet.book.holders_by_id[owner].refuses_connections = True
-                await trio.sleep(1.2)
-                fleet.start_server(0, born=2)
-                await trio.sleep(0.6)
-                assert second.is_coordinating
-                first.link.is_cut = False
-                second.link.is_cut = True
-                await trio.sleep(3)
-                nursery.cancel_scope.cancel()
-            return fleet.book
-
-        assert trio.run(body, clock=virtual_clock).violations == []
+            first = fleet.add_router('a')
+            await fleet.wait_until_owned()
+            second = fleet.add_router('b')
+            await trio.sleep(1)
+            owner = ServerId('s0')
+            assert fleet.book.owner(0) == owner
+            first.link.is_cut = True
+            fleet.book.holders_by_id[owner].refuses_connections = True
+            await trio.sleep(1.2)
+            fleet.start_server(0, born=2)
+            await trio.sleep(0.6)
+            assert second.is_coordinating
+            first.link.is_cut = False
+            second.link.is_cut = True
+            await trio.sleep(3)
+
+        run_scenario(scenario)
 
 
 class TestDamagedRecord:
     # Guards against two owners: only servers that may be given keys were asked
     # whether they still hold some.
-    def test_owners_are_leaving(self, virtual_clock: MockClock) -> None:
+    def test_owners_are_leaving(self, run_scenario) -> None:
         """Keys of a damaged record also wait for servers that are leaving."""
 
-        async def body() -> MemoryOrderChannel:
-            fleet = SimulatedFleet(2)
-            async with trio.open_nursery() as nursery:
-                fleet.start(nursery)
-                fleet.add_router('a')
-                await fleet.wait_until_owned()
-                fleet.store.records.put(map_name(SERVICE), b'?')
-                fleet.leave(0)
-                fleet.leave(1)
-                fleet.add_server(2)
-                await trio.sleep(8)
-                assert fleet.book.owner(0) == 's2'
-                nursery.cancel_scope.cancel()
-            return fleet.book
-
-        assert trio.run(body, clock=virtual_clock).violations == []
+        async def scenario(fleet: SimulatedFleet) -> None:
+            fleet.add_router('a')
+            await fleet.wait_until_owned()
+            fleet.store.records.put(map_name(SERVICE), b'?')
+            fleet.leave(0)
+            fleet.leave(1)
+            fleet.add_server(2)
+            await trio.sleep(8)
+            assert fleet.book.owner(0) == 's2'
+
+        run_scenario(scenario, servers=2)
