--- a/tests/profiles/test_decision.py
+++ b/tests/profiles/test_decision.py
@@ -7,56 +7,35 @@
 from carobwalk.profiles import (
     Action,
     AlreadyExists,
-    ConfigurationFailure,
     HeadRecord,
     InUse,
     Invalid,
     NotFound,
-    Policies,
-    Proposal,
-    RevertsAnother,
     StaleRevision,
     StoreBehind,
     SubjectKind,
     WriteIdTaken,
 )
 from carobwalk.profiles.writing._decision import decide
+from tests.profiles._decisions import (
+    POLICIES,
+    accept,
+    case_configuration,
+    refuse,
+)
 from tests.profiles._proposals import PROFILE, SERVICE, propose
 
-_POLICY_NAMES = ('guaranteed-shares',)
-_POLICIES = Policies({'dispatch_policy': frozenset(_POLICY_NAMES)})
-
-
-def _accept(record: HeadRecord, *proposals: Proposal) -> HeadRecord:
-    for proposal in proposals:
-        decided = decide(record, proposal, _POLICIES, at=1).unwrap()
-        record = decided.record
-    return record
-
-
-def _refuse(record: HeadRecord, proposal: Proposal) -> ConfigurationFailure:
-    return decide(record, proposal, _POLICIES, at=1).unwrap_err()
-
-
-def _case_configuration() -> HeadRecord:
-    return _accept(
-        HeadRecord(),
-        propose(PROFILE, 'base', {'slots': 4}, 0),
-        propose(PROFILE, 'filings', {'parent': 'base', 'slots': 3}, 1),
-        propose(SERVICE, 'case-registry', {'profile': 'filings'}, 2),
-    )
-
 
 class TestBaseRevision:
     """Conflict detection by the base revision."""
 
     def test_stale_write_reports_the_conflicting_change(self) -> None:
         """A write on an old revision fails with the conflicting change."""
-        record = _accept(
-            _case_configuration(),
+        record = accept(
+            case_configuration(),
             propose(PROFILE, 'base', {'slots': 5}, 3, author='bo'),
         )
-        failure = _refuse(record, propose(PROFILE, 'base', {'slots': 6}, 3))
+        failure = refuse(record, propose(PROFILE, 'base', {'slots': 6}, 3))
         assert isinstance(failure, StaleRevision)
         assert failure.current_revision == 4
         assert failure.changes[0].author == 'bo'
@@ -65,8 +44,8 @@
 
     def test_change_of_another_subject_is_no_conflict(self) -> None:
         """Concurrent writes to different subjects do not conflict."""
-        record = _accept(
-            _case_configuration(),
+        record = accept(
+            case_configuration(),
             propose(PROFILE, 'other', {'slots': 5}, 3, author='bo'),
             propose(PROFILE, 'base', {'slots': 6}, 3),
         )
@@ -74,17 +53,17 @@
 
     def test_base_above_the_stored_revision(self) -> None:
         """A base above the stored revision shows that the store lost writes."""
-        failure = _refuse(
-            _case_configuration(),
+        failure = refuse(
+            case_configuration(),
             propose(PROFILE, 'base', {'slots': 6}, 9),
         )
         assert failure == StoreBehind(3, 9)
 
     def test_creation_on_a_base_older_than_the_retained_changes(self) -> None:
         """It could recreate a subject deleted since, so it is stale."""
-        full = _case_configuration()
+        full = case_configuration()
         short = HeadRecord(full.configuration, full.recent[2:])
-        failure = _refuse(short, propose(PROFILE, 'new', {}, 1))
+        failure = refuse(short, propose(PROFILE, 'new', {}, 1))
         assert isinstance(failure, StaleRevision)
 
 
@@ -94,19 +73,19 @@
     def test_known_write_id_changes_nothing(self) -> None:
         """A repeated write returns the revision of the accepted one."""
         write = propose(PROFILE, 'base', {'slots': 5}, 3, write_id='w')
-        record = _accept(_case_configuration(), write)
-        again = decide(record, write, _POLICIES, at=2).unwrap()
+        record = accept(case_configuration(), write)
+        again = decide(record, write, POLICIES, at=2).unwrap()
         assert again.record is record
         assert again.revision == 4
 
     def test_write_id_of_another_subject(self) -> None:
         """A write id can't be reused for a different subject."""
-        record = _accept(
-            _case_configuration(),
+        record = accept(
+            case_configuration(),
             propose(PROFILE, 'base', {'slots': 5}, 3, write_id='w'),
         )
         other = propose(PROFILE, 'filings', {'slots': 5}, 4, write_id='w')
-        assert _refuse(record, other) == WriteIdTaken('w', 4)
+        assert refuse(record, other) == WriteIdTaken('w', 4)
 
 
 class TestExistence:
@@ -115,14 +94,14 @@
     def test_creation_of_an_existing_profile(self) -> None:
         """A creation never overwrites."""
         write = propose(PROFILE, 'base', {}, 3, action=Action.CREATE)
-        failure = _refuse(_case_configuration(), write)
+        failure = refuse(case_configuration(), write)
         assert isinstance(failure, AlreadyExists)
         assert failure.way_out.startswith('edit profile/base')
 
     def test_edit_of_a_missing_profile(self) -> None:
         """An edit never creates."""
         write = propose(PROFILE, 'none', {}, 3, action=Action.EDIT)
-        assert isinstance(_refuse(_case_configuration(), write), NotFound)
+        assert isinstance(refuse(case_configuration(), write), NotFound)
 
     @pytest.mark.parametrize(
         ('name', 'services', 'children'),
@@ -138,16 +117,14 @@
         children: tuple[str, ...],
     ) -> None:
         """Deleting a profile with dependents is rejected and lists them."""
-        failure = _refuse(
-            _case_configuration(), propose(PROFILE, name, None, 3)
-        )
+        failure = refuse(case_configuration(), propose(PROFILE, name, None, 3))
         assert isinstance(failure, InUse)
         assert (failure.services, failure.children) == (services, children)
 
     def test_unused_profile_is_deleted(self) -> None:
         """Its author can delete it without declaring a revert."""
-        record = _accept(
-            _case_configuration(),
+        record = accept(
+            case_configuration(),
             propose(PROFILE, 'spare', {'slots': 1}, 3),
             propose(PROFILE, 'spare', None, 4),
         )
@@ -155,86 +132,6 @@
         assert 'profile/spare' not in record.configuration.entities_by_subject
 
 
-class TestReverts:
-    """Writes that revert changes of other operators."""
-
-    def test_undeclared(self) -> None:
-        """Restoring the value from before another's change is rejected."""
-        record = _accept(
-            _case_configuration(),
-            propose(PROFILE, 'base', {'slots': 5}, 3, author='bo'),
-        )
-        failure = _refuse(record, propose(PROFILE, 'base', {'slots': 4}, 4))
-        assert isinstance(failure, RevertsAnother)
-        assert [change.revision for change in failure.changes] == [4]
-        assert 'state reverting 4' in failure.way_out
-
-    def test_declared(self) -> None:
-        """A declared revert is accepted and recorded in the history."""
-        write = propose(PROFILE, 'base', {'slots': 4}, 4, reverting=(4,))
-        record = _accept(
-            _case_configuration(),
-            propose(PROFILE, 'base', {'slots': 5}, 3, author='bo'),
-            write,
-        )
-        assert record.recent[-1].reverted == (4,)
-
-    def test_across_own_changes(self) -> None:
-        """Restoring an older value of one's own also reverts later changes."""
-        record = _accept(
-            _case_configuration(),
-            propose(PROFILE, 'base', {'slots': 5}, 3),
-            propose(PROFILE, 'base', {'slots': 6}, 4, author='bo'),
-        )
-        failure = _refuse(record, propose(PROFILE, 'base', {'slots': 4}, 5))
-        assert isinstance(failure, RevertsAnother)
-        assert [change.author for change in failure.changes] == ['bo']
-
-    def test_own_change(self) -> None:
-        """Reverting only one's own changes needs no declaration."""
-        record = _accept(
-            _case_configuration(),
-            propose(PROFILE, 'base', {'slots': 5}, 3),
-            propose(PROFILE, 'base', {'slots': 4}, 4),
-        )
-        assert record.recent[-1].reverted == ()
-
-    @pytest.mark.parametrize('fields', [{}, {'slots': 2}])
-    def test_deletion_of_a_fresh_creation(self, fields: dict[str, Any]) -> None:
-        """Deleting a subject that another operator created reverts it."""
-        record = _accept(
-            _case_configuration(),
-            propose(PROFILE, 'new', fields, 3, author='bo'),
-        )
-        failure = _refuse(record, propose(PROFILE, 'new', None, 4))
-        assert isinstance(failure, RevertsAnother)
-
-    def test_service_assignment(self) -> None:
-        """Assigning a service back to its former profile is a revert."""
-        record = _accept(
-            _case_configuration(),
-            propose(SERVICE, 'case-registry', {'profile': 'base'}, 3),
-        )
-        back = propose(
-            SERVICE,
-            'case-registry',
-            {'profile': 'filings'},
-            4,
-            author='bo',
-        )
-        assert isinstance(_refuse(record, back), RevertsAnother)
-
-    def test_creation_after_a_deletion_by_another(self) -> None:
-        """Recreating a subject that another deleted is always a revert."""
-        record = _accept(
-            _case_configuration(),
-            propose(PROFILE, 'spare', {'slots': 1}, 3),
-            propose(PROFILE, 'spare', None, 4),
-        )
-        back = propose(PROFILE, 'spare', {'slots': 9}, 5, author='bo')
-        assert isinstance(_refuse(record, back), RevertsAnother)
-
-
 class TestValidation:
     """Validation of the resulting configuration."""
 
@@ -249,8 +146,8 @@
             'dispatch_policy': 'random',
             'rank_rules': [],
         }
-        failure = _refuse(
-            _case_configuration(), propose(PROFILE, 'Bad', fields, 3)
+        failure = refuse(
+            case_configuration(), propose(PROFILE, 'Bad', fields, 3)
         )
         assert isinstance(failure, Invalid)
         found = {problem.field: problem.kind for problem in failure.problems}
@@ -268,8 +165,8 @@
 
     def test_parent_cycle(self) -> None:
         """A profile can't inherit from its descendant."""
-        failure = _refuse(
-            _case_configuration(),
+        failure = refuse(
+            case_configuration(),
             propose(PROFILE, 'base', {'parent': 'filings'}, 3),
         )
         assert isinstance(failure, Invalid)
@@ -296,8 +193,6 @@
         problem: str,
     ) -> None:
         """Services and operators are validated too."""
-        failure = _refuse(
-            _case_configuration(), propose(kind, 'new', fields, 3)
-        )
+        failure = refuse(case_configuration(), propose(kind, 'new', fields, 3))
         assert isinstance(failure, Invalid)
         assert [found.kind for found in failure.problems] == [problem]
