Limit the requests of the recovery check that are in flight

Cause: the start of the requests 0.05 s apart doesn't hold once several of them are due after a freeze. A router sends 6 at once to a server of 4 slots and refuses what would wait too long, so up to 18 requests beside those of callers refuse each other if one server owns most keys.

Change: at most 6 requests of the check are in flight at a router. Each is still repeated until it is served, within the same 15 s. Slow answers add up in three rounds at most, where the walk had 18.

--- a/soak/_recovery.py
+++ b/soak/_recovery.py
@@ -14,9 +14,10 @@
 from soak._testbed import Testbed
 
 _POLL_INTERVAL_SECONDS: Final = 0.2
-# A router sends 6 requests at once to a server of 4 slots; those to its other
-# callers included, the check would exceed that with all its requests at once.
 _STAGGER_SECONDS: Final = 0.05
+# As many as a router sends at once to one server, 2 beyond its 4 slots: with
+# more, it refuses requests of the check if one server owns all keys.
+MAX_IN_FLIGHT: Final = 6
 _MAX_REPORTED_REQUESTS: Final = 6
 _OK: Final = 200
 
@@ -42,8 +43,8 @@
 async def wait_until_served(testbed: Testbed, phase: Phase) -> float:
     """Wait until each router serves all keys, a claim and the newest route.
 
-    Requests are sent concurrently, each until it is served, so that a slow one
-    delays no other.
+    Requests are sent concurrently, each until it is served, so that slow ones
+    do not add up.
 
     Args:
         testbed: The routers, and the checker that a time-out is reported to.
@@ -85,6 +86,10 @@
         self.served_at = trio.current_time()
         self._repeated_at = self.served_at + phase.repeated_after
         self._causes_by_request: dict[str, str] = {}
+        self._limits_by_router = {
+            router.name: trio.Semaphore(MAX_IN_FLIGHT)
+            for router in testbed.routers
+        }
 
     async def run(self) -> None:
         """Wait until all is served, and served on."""
@@ -145,8 +150,10 @@
     async def _is_served(
         self, caller: Caller, router: Router, request: Ask
     ) -> bool:
-        fresh = replace(request, id=f'{request.id}-{trio.current_time():.6f}')
-        reply = await caller.send(fresh)
+        async with self._limits_by_router[router.name]:
+            time = trio.current_time()
+            fresh = replace(request, id=f'{request.id}-{time:.6f}')
+            reply = await caller.send(fresh)
         cause = str(reply.status)
         self._causes_by_request[_describe(router, request)] = cause
         return reply.status == _OK
