Leave a router's waits for a processor out of the wait for an answer

Seen: in a run of tests/fault_soak beside other load (load about 19), test_no_key_has_two_owners[2] failed with 'no answer by the deadline': router-2's log has a gap of 2.96 s, then came an answer that takes 1 s; the soak itself had no freeze. Whether the router had waited for a processor was not known.

Cause, measured now: the kernel counts how long a process was ready and had none.

Change: ProcessorWaits samples /proc/PID/schedstat of each router, logs each wait from 0.4 s on as router-waited, and a caller's 4 s are counted without them, by their overlap; of a freeze and a wait at the same time the longer counts. As the kernel counts a wait at its end, a late router is reported once it has run again, or after 15 s.

As strict: without a wait of 0.4 s in one piece, an answer is late from 4.000 s on; a router that hangs, or is slow by itself, is reported as before.

--- a/soak/_caller.py
+++ b/soak/_caller.py
@@ -141,8 +141,8 @@
     Args:
         router: Router that is called.
         checker: Checks the outcomes of the requests.
-        watch: Records freezes of this process, which are no part of the wait
-            for an answer.
+        watch: Records freezes of this process. They are no part of the wait
+            for an answer, nor are the router's waits for a processor.
     """
 
     def __init__(
@@ -167,7 +167,7 @@
             self._checker.at_most_once_ids.add(request.id)
         incarnation = self._router.incarnation
         sent_at = time.time()
-        wait = AnswerWait(_MAX_WAIT_SECONDS, self._watch)
+        wait = AnswerWait(_MAX_WAIT_SECONDS, self._watch, self._router.waits)
         reply = await wait.receive(partial(self._exchange, request))
         if reply is None:
             await self.close()
--- a/soak/_freeze_watch.py
+++ b/soak/_freeze_watch.py
@@ -1,6 +1,7 @@
 """Freezes of the soak's own process, which stop the store and all servers."""
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -37,6 +38,13 @@
         return f'{seconds:.2f} s until {self.ended_at:.3f}'
 
 
+def frozen_seconds(
+    freezes: Iterable[Freeze], since: float, until: float
+) -> float:
+    """Return the time between two times that freezes took, in seconds."""
+    return sum(freeze.overlap(since, until) for freeze in freezes)
+
+
 class FreezeWatch:
     """Measures the delays of this process and records the freezes.
 
@@ -61,16 +69,7 @@
 
     def run_seconds(self, since: float, until: float) -> float:
         """Return how long this process ran between two times."""
-        frozen = sum(freeze.overlap(since, until) for freeze in self.freezes)
-        return until - since - frozen
-
-    async def sleep_running(self, seconds: float) -> None:
-        """Wait until this process has run for some seconds."""
-        since = trio.current_time()
-        left = seconds
-        while left > 0:
-            await trio.sleep(max(min(left, seconds), _INTERVAL_SECONDS))
-            left = seconds - self.run_seconds(since, self.checked_at)
+        return until - since - frozen_seconds(self.freezes, since, until)
 
     async def catch_up(self) -> None:
         """Wait until the delays up to now are known."""
--- a/soak/_router.py
+++ b/soak/_router.py
@@ -5,14 +5,17 @@
 import time
 from dataclasses import dataclass, replace
 from enum import StrEnum, unique
+from functools import partial
 from pathlib import Path
 
 import trio
 
 from carobwalk.http import HttpClient, HttpRequest, serve_http
 from carobwalk.model import Address
+from soak._event_file import EventFile
 from soak._link import Link
 from soak._process_times import ProcessTimes
+from soak._processor_waits import ProcessorWaits, SchedulerCounts
 from soak._store_gate import StoreGate
 from standins.platform import RouterAddresses, fill_settings
 from standins.processes import Processes, find_free_addresses
@@ -55,6 +58,7 @@
         launch: Files and program.
         processes: Starts and signals processes.
         gate: Handles its store calls.
+        event_file: Log of its waits for a processor.
     """
 
     def __init__(
@@ -63,6 +67,7 @@
         launch: RouterLaunch,
         processes: Processes,
         gate: StoreGate,
+        event_file: EventFile,
     ) -> None:
         self.name = name
         self.gate = gate
@@ -73,6 +78,8 @@
         self.resumed_at = -math.inf
         self.graceful_stops: set[int] = set()
         self.times = ProcessTimes()
+        read = partial(_read_counts, processes, name)
+        self.waits = ProcessorWaits(name, read, event_file)
         self._launch = launch
         self._processes = processes
         self._addresses = _free_addresses(self.link)
@@ -163,6 +170,13 @@
             await trio.sleep(_POLL_INTERVAL_SECONDS)
 
 
+def _read_counts(processes: Processes, name: str) -> SchedulerCounts | None:
+    """Return the counts of a router, ``None`` if it doesn't run."""
+    if not processes.is_running(name):
+        return None
+    return SchedulerCounts.read(processes.pid(name))
+
+
 def _free_addresses(link: Link) -> RouterAddresses:
     callers, readiness, peers, metrics = find_free_addresses(4)
     return RouterAddresses(
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -136,10 +136,11 @@
         handler = KvHandler(testbed.store, _PAGE_SIZE)
         for name in names:
             gate = StoreGate(handler, testbed.address_book.of_router(name))
-            router = Router(name, launch, processes, gate)
+            router = Router(name, launch, processes, gate, testbed.event_file)
             await router.serve_store(nursery)
             testbed.routers.append(router)
             nursery.start_soon(router.start)
+            nursery.start_soon(router.waits.run)
 
     def _start_callers(self, nursery: trio.Nursery) -> None:
         watch = self._testbed.freeze_watch
