Let random faults begin before the first key maps are written

What was in the way: the random runs started their faults once all keys had owners, and their only service had its map from the start. So no run could show the two owners of (a coordinator that goes on with the first map that another one wrote late).

Change: a third plan, 'start', in tests/keyspace/owner_faults. One process starts before the faults, two more at the same time or up to 2.5 s apart, and a third of the servers registers late. The role passes on in series: the writes of each coordinator are done late, lost or not answered, or it is cut off from the store or frozen, from before its first map on; servers become unreachable when its term ends. Up to three further keyed services are added meanwhile, each with servers and a check for double owners of its own (fleet_services.py). The checks are those of the other plans, over all services.

--- a/tests/keyspace/owner_faults/_plans.py
+++ b/tests/keyspace/owner_faults/_plans.py
@@ -4,8 +4,11 @@
 from types import MappingProxyType
 from typing import Final
 
+from tests.keyspace.owner_faults._target import ROUTERS
+
 ORDERS_PLAN: Final = 'orders'
 REGISTRY_PLAN: Final = 'registry'
+START_PLAN: Final = 'start'
 
 _ORDERS_NAMES: Final = (
     'no-connection',
@@ -42,14 +45,33 @@
     'store-turns-away',
     'takeovers',
 )
+_START_NAMES: Final = (
+    'first-map-series',
+    'service-added',
+    'no-connection',
+    'silent',
+    'restart-elsewhere',
+    'kill',
+    'resign',
+    'freeze',
+    'store-down',
+    'store-late-writes',
+    'slow-peers',
+    'registry-lag',
+)
 # A plan is never extended or put into another order, so that its seeds keep
 # their runs.
 KIND_NAMES_BY_PLAN: Final = MappingProxyType(
     {
         ORDERS_PLAN: _ORDERS_NAMES,
         REGISTRY_PLAN: (*_ORDERS_NAMES, *_REGISTRY_NAMES),
+        START_PLAN: _START_NAMES,
     }
 )
+# Processes that are started before the faults begin.
+FIRST_ROUTERS_BY_PLAN: Final = MappingProxyType(
+    {ORDERS_PLAN: ROUTERS, REGISTRY_PLAN: ROUTERS, START_PLAN: 1}
+)
 
 
 class UnplannedFaultError(Exception):
--- a/tests/keyspace/owner_soak.py
+++ b/tests/keyspace/owner_soak.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from functools import partial
+from types import MappingProxyType
 from typing import Final
 
 import click
@@ -19,20 +20,27 @@
 from carobwalk.model import ServerId
 from tests.keyspace.key_traffic import CHECKED_KEYS, KeyTraffic
 from tests.keyspace.owner_faults import (
+    FIRST_ROUTERS_BY_PLAN,
     KIND_NAMES_BY_PLAN,
     ORDERS_PLAN,
-    ROUTERS,
+    REGISTRY_PLAN,
     SERVERS,
+    START_PLAN,
     FaultKind,
     FaultTarget,
     fault_kinds,
+    pause,
+    start_in_trouble,
 )
 from tests.keyspace.owner_trace import trace_lines
 from tests.keyspace.simulated_fleet import SimulatedFleet
 
 FAULT_SECONDS: Final = 30
 RECOVERY_LIMIT_SECONDS: Final = 25
-MAX_FAULT_INTERVAL_SECONDS: Final = 1.0
+# Longest pause between faults, in seconds; those of the start take longer.
+MAX_FAULT_INTERVALS_BY_PLAN: Final = MappingProxyType(
+    {ORDERS_PLAN: 1.0, REGISTRY_PLAN: 1.0, START_PLAN: 4.0}
+)
 # Least and longest usual delay of messages between processes, in seconds.
 USUAL_PEER_DELAYS: Final = (0.001, 0.15)
 WORKERS: Final = 2
@@ -95,10 +103,12 @@
     trio_run._r.seed(seed)
     random.seed(seed)
     clock = MockClock(autojump_threshold=0)
-    return trio.run(_run, seed, faults_by_name, clock=clock)
+    return trio.run(_run, seed, faults_by_name, plan, clock=clock)
 
 
-async def _run(seed: int, faults_by_name: FaultsByName) -> OwnerResult:
+async def _run(
+    seed: int, faults_by_name: FaultsByName, plan: str
+) -> OwnerResult:
     generator = random.Random(seed)
     fleet = SimulatedFleet(SERVERS, CHECKED_KEYS)
     fleet.book.reach.checks_incarnation = False
@@ -109,34 +119,48 @@
         fleet.start(nursery)
         fleet.peers.delay = generator.uniform(*USUAL_PEER_DELAYS)
         target = FaultTarget(fleet, generator)
-        for _ in range(ROUTERS):
+        for _ in range(FIRST_ROUTERS_BY_PLAN[plan]):
             target.start_router()
         nursery.start_soon(KeyTraffic(fleet, generator).run)
         nursery.start_soon(_collect_logs, fleet, logs)
-        await fleet.wait_until_owned(10)
-        faults = await _inject(target, faults_by_name)
+        if plan == START_PLAN:
+            nursery.start_soon(start_in_trouble, target)
+        else:
+            await fleet.wait_until_owned(10)
+        longest_pause = MAX_FAULT_INTERVALS_BY_PLAN[plan]
+        faults = await _inject(target, faults_by_name, longest_pause)
         recovered = await _wait_until_owned(fleet)
         await trio.sleep(1)
         nursery.cancel_scope.cancel()
     events = [event for log in logs for event in log.events]
     names = [type(event).__name__ for event in events]
-    book = fleet.book
-    first = (*book.violations, *book.fence_violations)[:1]
+    books = tuple(fleet.books_by_service.values())
     return OwnerResult(
         seed=seed,
-        violations=tuple(book.violations),
-        fence_violations=tuple(book.fence_violations),
+        violations=tuple(line for book in books for line in book.violations),
+        fence_violations=tuple(
+            line for book in books for line in book.fence_violations
+        ),
         errors=tuple(target.errors),
         recovered=recovered,
         faults=faults,
         terms=names.count('TermStarted'),
         moves=names.count('KeysAssigned'),
-        trace=tuple(trace_lines(first[0], book.journal, target.journal, logs))
-        if first
-        else (),
+        trace=_first_trace(fleet, target, logs),
     )
 
 
+def _first_trace(
+    fleet: SimulatedFleet, target: FaultTarget, logs: list
+) -> tuple[str, ...]:
+    """Return what happened before the first violation, if there is any."""
+    for book in fleet.books_by_service.values():
+        for line in (*book.violations, *book.fence_violations):
+            lines = trace_lines(line, book.journal, target.journal, logs)
+            return tuple(lines)
+    return ()
+
+
 async def _collect_logs(fleet: SimulatedFleet, logs: list) -> None:
     """Keep the logs of all processes, including those that have ended."""
     while True:
@@ -146,7 +170,9 @@
         await trio.sleep(0.1)
 
 
-async def _inject(target: FaultTarget, faults_by_name: FaultsByName) -> int:
+async def _inject(
+    target: FaultTarget, faults_by_name: FaultsByName, longest_pause: float
+) -> int:
     """Inject overlapping faults; return their number."""
     names = list(faults_by_name)
     count = 0
@@ -157,19 +183,24 @@
             nursery.start_soon(
                 faults_by_name[target.generator.choice(names)], target
             )
-            limit = MAX_FAULT_INTERVAL_SECONDS
-            await trio.sleep(target.generator.uniform(0, limit))
+            await pause(target, 0, longest_pause)
     return count
 
 
 async def _wait_until_owned(fleet: SimulatedFleet) -> bool:
     with trio.move_on_after(RECOVERY_LIMIT_SECONDS):
-        while None in {fleet.book.owner(key) for key in CHECKED_KEYS}:
+        while None in _owners(fleet):
             await trio.sleep(0.1)
         return True
     return False
 
 
+def _owners(fleet: SimulatedFleet) -> set[ServerId | None]:
+    """Return the owners of all checked keys, ``None`` if some have none."""
+    books = fleet.books_by_service.values()
+    return {book.owner(key) for book in books for key in CHECKED_KEYS}
+
+
 def run_seeds(
     seeds: Iterable[int],
     without: frozenset[str] = NO_FAULTS,
--- a/tests/keyspace/simulated_fleet.py
+++ b/tests/keyspace/simulated_fleet.py
@@ -44,6 +44,7 @@
     gated,
 )
 from tests.keyspace.fleet_registry import FleetRegistry, RegistryView
+from tests.keyspace.fleet_services import ServiceOrders
 from tests.recording_log import RecordingLog
 
 SERVICE = ServiceName('registry')
@@ -55,12 +56,13 @@
     number: int,
     born: int = 1,
     address: Address | None = None,
+    service: ServiceName = SERVICE,
 ) -> BackendServer:
     """Return a registered backend server."""
     return BackendServer(
         id=ServerId(f's{number}'),
         born=born,
-        service=SERVICE,
+        service=service,
         address=address or Address('127.0.0.1', 1000 + number),
         data_centre=DataCentreName('dc1'),
         slots=4,
@@ -133,6 +135,7 @@
     ) -> None:
         self.store = KvStore()
         self.book = MemoryOrderChannel(keys)
+        self.books_by_service = {SERVICE: self.book}
         clock = TrioClock()
         self.clock = clock
         self.registry = FleetRegistry(clock)
@@ -205,7 +208,7 @@
             times, self.clock, collector.speeds.last_answered_at
         )
         orders = OrderDependencies(
-            channel=GatedOrders(self.book, gate),
+            channel=GatedOrders(ServiceOrders(self.books_by_service), gate),
             incarnations=ServerIncarnations(registry.directory),
             failure_detector=failure_detector,
             times=times,
@@ -217,7 +220,7 @@
                 store=link,  # type: ignore[arg-type]
                 reader=reader,
                 is_current=lambda: follower.is_current,
-                keyed_services=lambda: (SERVICE,),
+                keyed_services=lambda: tuple(self.books_by_service),
                 speed=speed,
                 coordination=CoordinatorDependencies(
                     orders=orders,
--- a/tests/keyspace/test_owner_soak.py
+++ b/tests/keyspace/test_owner_soak.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from tests.keyspace.owner_faults import ORDERS_PLAN, REGISTRY_PLAN
+from tests.keyspace.owner_faults import (
+    ORDERS_PLAN,
+    REGISTRY_PLAN,
+    START_PLAN,
+)
 from tests.keyspace.owner_soak import run_seeds
 
 SEEDS = range(20)
@@ -20,6 +24,12 @@
 # another coordinator had granted keys since.
 REGISTRY_REGRESSION_SEEDS = (47, 1129, 1208)
 
+START_SEEDS = range(8)
+# Seeds that show two owners without the rule of test_adopted_map.py: 65, 131: a
+# coordinator went on with the first map that another one had written late, and
+# its successor asked that other one for the grants in force.
+START_REGRESSION_SEEDS = (65, 131)
+
 
 def _check(seed: int, plan: str) -> None:
     """Run a seed; fail if it finds anything."""
@@ -42,3 +52,10 @@
     def test_registry(self, seed: int) -> None:
         """The same holds while each process sees another registry."""
         _check(seed, REGISTRY_PLAN)
+
+    @pytest.mark.parametrize(
+        'seed', sorted({*START_SEEDS, *START_REGRESSION_SEEDS})
+    )
+    def test_start(self, seed: int) -> None:
+        """The same holds while the first maps are written."""
+        _check(seed, START_PLAN)
