Search the model from before the first record

Change: with the ability 'first-record' the search begins without a record and without grants. A coordinator that knows no owner writes the first record on condition that there is none: answered, done without an answer, or done late. If there is a record by then, it goes on only with one that names itself, and ends its term otherwise (rule 'own-record'). A coordinator elected without a record inherits nothing. Reports come from the coordinator that the claimed record names; that was always the one elected before, and still is in the other searches.

Server 0 is the first owner now, as in the searches that begin with a record.

What it leaves out: one late write at a time, the record of an accepted grant of a first owner, and combinations with long grants and resignations.

--- a/tests/keyspace/grant_model/__init__.py
+++ b/tests/keyspace/grant_model/__init__.py
@@ -4,12 +4,14 @@
 coordinators. Time passes in ticks. Each order is sent in one step and has its
 outcome in later ones; a coordinator may stop for any time, which the search
 covers by letting it skip steps. With abilities, coordinators also send longer
-grants when their lease is in doubt, or resign.
+grants when their lease is in doubt, or resign, or begin without a record.
 """
 
 from tests.keyspace.grant_model._rules import (
     ALL_RULES,
     CALM,
+    FIRST_RECORD,
+    FIRST_RECORD_RULES,
     LONG_GRANT_RULES,
     LONG_GRANTS,
     RESIGNATION,
@@ -29,6 +31,8 @@
 __all__ = (
     'ALL_RULES',
     'CALM',
+    'FIRST_RECORD',
+    'FIRST_RECORD_RULES',
     'LONG_GRANTS',
     'LONG_GRANT_RULES',
     'LONG_TERMS',
--- a/tests/keyspace/grant_model/_orders.py
+++ b/tests/keyspace/grant_model/_orders.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from tests.keyspace.grant_model._bounds import is_free
+from tests.keyspace.grant_model._first_record import first_records
 from tests.keyspace.grant_model._rules import LONG_GRANTS
 from tests.keyspace.grant_model._state import (
     DOUBTFUL_TERM,
@@ -34,6 +35,9 @@
         )
     if not coordinator.term and 'term' in rules:
         return
+    if coordinator.owner == NOBODY:
+        yield from first_records(state, number, rules)
+        return
     if coordinator.is_moving:
         yield from transfers(state, number, rules)
         return
@@ -124,7 +128,10 @@
     if number != len(state.coordinators) - 1:
         return
     is_moving = 'record-previous' in rules
-    yield label, decided._replace(recorded=target, is_moving=is_moving)
+    yield (
+        label,
+        decided._replace(recorded=target, is_moving=is_moving, writer=number),
+    )
     if 'guarded-write' not in rules and state.late_write == NOBODY:
         late = state._replace(late_write=target)
         yield f'{number} records {target}, to be done late', late
--- a/tests/keyspace/grant_model/_rules.py
+++ b/tests/keyspace/grant_model/_rules.py
@@ -4,6 +4,8 @@
 # never resign.
 LONG_GRANTS = 'long-grants'
 RESIGNATION = 'resignation'
+# The search begins without a record. It is not combined with the others.
+FIRST_RECORD = 'first-record'
 # Restricts the events: no server restarts, and all orders are sent and applied
 # at once on arrival. Short traces of broken rules are found sooner.
 CALM = 'calm'
@@ -82,4 +84,12 @@
         'claim-unsettles',
     ),
 )
-ALL_RULES = RULES | LONG_GRANT_RULES | RESIGNATION_RULES
+# Rules that matter only before there is a record.
+FIRST_RECORD_RULES = frozenset(
+    (
+        # A coordinator that claimed nothing goes on only with a record that
+        # names itself: its successor asks the process that the record names.
+        'own-record',
+    ),
+)
+ALL_RULES = RULES | LONG_GRANT_RULES | RESIGNATION_RULES | FIRST_RECORD_RULES
--- a/tests/keyspace/grant_model/_search.py
+++ b/tests/keyspace/grant_model/_search.py
@@ -8,7 +8,13 @@
 from tests.keyspace.grant_model._outcomes import outcomes
 from tests.keyspace.grant_model._resignation import resignations
 from tests.keyspace.grant_model._restarts import restarts
-from tests.keyspace.grant_model._state import State, Step, initial_state
+from tests.keyspace.grant_model._rules import FIRST_RECORD
+from tests.keyspace.grant_model._state import (
+    State,
+    Step,
+    initial_state,
+    state_without_record,
+)
 from tests.keyspace.grant_model._succession import successions
 from tests.keyspace.grant_model._time import ticks
 
@@ -64,7 +70,8 @@
         limit: Maximum number of states to see.
         terms: Ticks of the terms of the successive coordinators.
     """
-    first = initial_state(terms[0])
+    begin = state_without_record if FIRST_RECORD in rules else initial_state
+    first = begin(terms[0])
     parents: dict[State, tuple[State, str] | None] = {first: None}
     queue = deque([first])
     while queue and len(parents) < limit:
--- a/tests/keyspace/grant_model/_state.py
+++ b/tests/keyspace/grant_model/_state.py
@@ -19,6 +19,8 @@
 MOST_REPORTS = 2
 
 NOBODY = -1
+# Server 0 owns the keys in the first record, as its clock is the slowest.
+FIRST_OWNER = 0
 
 Ticks = tuple[int, int]
 
@@ -85,6 +87,7 @@
         reports: Reports of its predecessor that may still arrive.
         prepared: Server that a grant is prepared for; used without the rule
             'freeze-check-before-send'.
+        predecessor: Coordinator that the record named when it was claimed.
     """
 
     lease: int
@@ -99,6 +102,7 @@
     flight: Flight | None = None
     reports: int = 0
     prepared: int = NOBODY
+    predecessor: int = NOBODY
 
 
 class State(NamedTuple):
@@ -107,20 +111,24 @@
     Args:
         servers: Both backend servers.
         coordinators: Coordinators elected so far.
-        recorded: Owner of the keys in the store.
+        recorded: Owner of the keys in the store, -1 without a record.
+        writer: Coordinator that the record names.
         is_moving: Whether the record names a previous owner.
         is_settled: Whether the record declares that a coordinator resigned
             with all grants answered.
         late_write: Owner in a write that is not yet done; used without the
-            rule 'guarded-write'.
+            rule 'guarded-write', and for first records.
+        late_writer: Coordinator that the late first record names.
     """
 
     servers: tuple[Server, Server]
     coordinators: tuple[Coordinator, ...]
     recorded: int = 0
+    writer: int = 0
     is_moving: bool = False
     is_settled: bool = False
     late_write: int = NOBODY
+    late_writer: int = NOBODY
 
 
 Step = tuple[str, State]
@@ -137,6 +145,16 @@
     return State((Server(bound), Server()), (first,))
 
 
+def state_without_record(term: int) -> State:
+    """Return the initial state without a record and without grants.
+
+    Args:
+        term: Ticks of the first coordinator's term.
+    """
+    first = Coordinator(term, term, NOBODY, False)
+    return State((Server(), Server()), (first,), NOBODY, writer=NOBODY)
+
+
 def at_index(pair: tuple, index: int, item: object) -> tuple:
     """Return a tuple with one member replaced."""
     return (*pair[:index], item, *pair[index + 1 :])
--- a/tests/keyspace/test_grant_model.py
+++ b/tests/keyspace/test_grant_model.py
@@ -9,6 +9,8 @@
 from tests.keyspace.grant_model import (
     ALL_RULES,
     CALM,
+    FIRST_RECORD,
+    FIRST_RECORD_RULES,
     LONG_GRANT_RULES,
     LONG_GRANTS,
     LONG_TERMS,
@@ -42,7 +44,7 @@
 )
 # Rules whose traces need no restarts and no late orders.
 _CALM_RULES: Final = frozenset(
-    ('longest-bound', 'settled-inherited', 'claim-unsettles')
+    ('longest-bound', 'settled-inherited', 'claim-unsettles', 'own-record')
 )
 
 
@@ -55,6 +57,8 @@
             (SHORT_SECOND_TERM, ()),
             (LONG_TERMS, (LONG_GRANTS,)),
             (RESIGNATION_TERMS, (RESIGNATION,)),
+            (THREE_TERMS, (FIRST_RECORD,)),
+            (THREE_TERMS, (FIRST_RECORD, CALM)),
         ),
     )
     def test_all_rules(
@@ -91,6 +95,12 @@
         limit = _RESIGNATION_LIMITS_BY_RULE.get(rule, _LIMIT)
         assert search(_broken(rule, RESIGNATION), limit, terms).trace
 
+    @pytest.mark.parametrize('rule', sorted(FIRST_RECORD_RULES))
+    def test_first_record_rule_disabled(self, rule: str) -> None:
+        """The same holds for the rules of the time before the first record."""
+        found = search(_broken(rule, FIRST_RECORD), _LIMIT, THREE_TERMS)
+        assert found.trace
+
 
 def _broken(rule: str, ability: str) -> frozenset[str]:
     """Return all rules but one, with an ability of coordinators."""
