Add failing tests of the retry budget of a large fleet and of 421

Two faults that are seen in the code and shown without network: - test_fleet_budget: 75 processes take a twelfth of the slack each until a coordinator has counted them, or a share of those that it still reaches.

The stand-in server can refuse requests as misdirected and counts arrivals.

--- a/standins/platform/_backend.py
+++ b/standins/platform/_backend.py
@@ -47,6 +47,7 @@
 
     NONE = 'none'
     SHED = 'shed'
+    MISDIRECT = 'misdirect'
     REPEATED_REFUSAL = 'repeated_refusal'
     HANG = 'hang'
     RESET = 'reset'
@@ -85,7 +86,9 @@
         Fault.UNIDENTIFIED_REFUSAL: _LATE_REFUSAL,
     },
 )
-_REFUSING_FAULTS = frozenset((Fault.SHED, Fault.REPEATED_REFUSAL))
+_REFUSAL_STATUSES_BY_FAULT = MappingProxyType(
+    {Fault.SHED: 503, Fault.REPEATED_REFUSAL: 503, Fault.MISDIRECT: 421},
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +126,8 @@
         self.requests: list[ReceivedRequest] = []
         self.cancelled_ids: list[bytes] = []
         self.runs_by_id: Counter[bytes] = Counter()
+        # Requests that arrived, run or not, by their ids.
+        self.arrivals_by_id: Counter[bytes] = Counter()
         self.connections = 0
         self._handlers_by_target: dict[bytes, OrderHandler] = {}
         self._late_answers_by_connection: dict[H11Stream, bytes] = {}
@@ -154,6 +159,8 @@
             await http.stream.send_all(late_answer)
         headers = dict(head.headers)
         request_id = headers.get(_ATTEMPT_ID, b'')
+        if head.target not in self._handlers_by_target:
+            self.arrivals_by_id[request_id] += 1
         status = self._refusal_status(headers, head.target)
         if status is not None:
             await self._send(
@@ -192,10 +199,11 @@
             return None
         if not self.accepts(headers):
             return 421
-        if self.fault in _REFUSING_FAULTS and self.remaining_faults:
-            self.remaining_faults -= 1
-            return 503
-        return None
+        status = _REFUSAL_STATUSES_BY_FAULT.get(self.fault)
+        if status is None or not self.remaining_faults:
+            return None
+        self.remaining_faults -= 1
+        return status
 
     async def _run(self, http: H11Stream, request: ReceivedRequest) -> bool:
         fault = self._take_fault()
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -69,6 +69,7 @@
 
     def __init__(self) -> None:
         self.server: BackendServer | None = None
+        self.fence = 0
         self.counts: list[int] = []
 
     def find(self, service: ServiceName, key: int) -> KeyOwner | None:
@@ -223,6 +224,19 @@
         self.directory.put(server, 1)
         return server
 
+    async def send_keyed(
+        self, request_id: str, key: str, milliseconds: str
+    ) -> Answer:
+        """Send a request for a key with a time to its deadline."""
+        return await self.send_request(
+            'GET',
+            '/keyed/a',
+            b'',
+            request_id,
+            shard_key=key,
+            deadline_ms=milliseconds,
+        )
+
     async def open(self) -> H11Stream:
         """Open a caller's connection to the gateway."""
         stream = await trio.open_tcp_stream('127.0.0.1', self._port)
