Give a process no slack of the retry budget unless it has a share of it

Cause: the slack of all processes was held by each one on an assumed share. Until a coordinator had counted the processes a share was a twelfth, and later it was the number that the coordinator heard from in the last seconds, also while it could not reach the others. Class: a limit of all processes that fails open. With 75 machines twelfths add up to 6 times the slack of 190.

Ruled out: arrivals that are not counted. All sends but the first of a request went through the budget; NotSent comes only from a connection that could not be opened.

Change: package `shares`. A share is told with the receipt of a load report and ends 3 s after the last one. A process that no longer reports is counted for these 3 s and one window more. A new coordinator tells no number for 3 s, and then at least the one its reporters share by. A process without a share for a whole window has no slack: it, or the others in its place, may have used it. The test of the count after a change of coordinator asks the share now, and the test of the restart runs over RetryBudgets: both as strict.

--- a/src/carobwalk/app/_build_gateway.py
+++ b/src/carobwalk/app/_build_gateway.py
@@ -13,6 +13,7 @@
     KeyedChooser,
     KeyOwners,
     Locality,
+    RetryBudgets,
     RetryRules,
     UnkeyedChooser,
 )
@@ -60,6 +61,7 @@
     core: GatewayCore,
     owners: KeyOwners,
     local: LocalLoad,
+    budgets: RetryBudgets,
     is_stopping: Callable[[], bool],
 ) -> Gateway:
     """Return the components that serve callers.
@@ -67,7 +69,8 @@
     Args:
         core: Shared components of the process.
         owners: Looks up the backend server that owns a key.
-        local: Server loads, retry budgets and crash tracker of this process.
+        local: Server loads and crash tracker of this process.
+        budgets: Retry budgets of the services.
         is_stopping: Returns whether the process is shutting down.
     """
     settings = core.settings
@@ -83,7 +86,7 @@
             pool=pool,
             unkeyed=UnkeyedChooser(core.directory, local.loads, locality),
             keyed=KeyedChooser(owners, local.loads),
-            budgets=local.budgets,
+            budgets=budgets,
             crash_tracker=local.crash_tracker,
             events=core.events,
         ),
--- a/src/carobwalk/app/_build_keyspace.py
+++ b/src/carobwalk/app/_build_keyspace.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 
 from carobwalk.app._gateway_core import GatewayCore
+from carobwalk.gateway import CrashTracker, LoadTable
 from carobwalk.keyspace import (
     LOAD_TOPIC,
     MAP_TOPIC,
@@ -26,6 +27,7 @@
 )
 from carobwalk.model import ServiceName
 from carobwalk.platform import PlatformGrantChannel
+from carobwalk.shares import ProcessShare
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -49,6 +51,20 @@
     feed: MapFeed
 
 
+def build_local_load(core: GatewayCore) -> LocalLoad:
+    """Return the counters that load reports are made from.
+
+    Args:
+        core: Shared components of the process.
+    """
+    return LocalLoad(
+        loads=LoadTable(core.directory),
+        share=ProcessShare(),
+        crash_tracker=CrashTracker(),
+        events=core.events,
+    )
+
+
 def build_keyspace(
     core: GatewayCore,
     reader: KeyReader,
@@ -60,7 +76,7 @@
     Args:
         core: Shared components of the process.
         reader: Last known key maps and coordinator.
-        local: Server loads, retry budgets and crash tracker of this process;
+        local: Server loads, share and crash tracker of this process;
             updated from the answers of the coordinator.
         is_current: Returns whether the coordinator record is up to date with
             the store.
--- a/src/carobwalk/app/_gateway_process.py
+++ b/src/carobwalk/app/_gateway_process.py
@@ -8,7 +8,7 @@
 import trio
 
 from carobwalk.app._build_gateway import build_gateway, retry_rules
-from carobwalk.app._build_keyspace import build_keyspace
+from carobwalk.app._build_keyspace import build_keyspace, build_local_load
 from carobwalk.app._gateway_core import build_gateway_core
 from carobwalk.app._gateway_events import ProcessStarted
 from carobwalk.app._gateway_instruments import register_gateway_instruments
@@ -19,8 +19,8 @@
 from carobwalk.app._rejecting_forwarder import RejectingForwarder
 from carobwalk.app._settings_reloader import SettingsReloader
 from carobwalk.app._stop_events import ProcessStopped, ProcessStopping
-from carobwalk.gateway import CrashTracker, LoadTable, RetryBudgets
-from carobwalk.keyspace import KeyReader, LocalLoad
+from carobwalk.gateway import RetryBudgets
+from carobwalk.keyspace import KeyReader
 from carobwalk.settings import GatewaySettings
 
 _STOP_SIGNALS: Final = frozenset((signal.SIGTERM, signal.SIGINT))
@@ -44,15 +44,11 @@
     def __init__(self, settings: GatewaySettings, path: Path) -> None:
         self._core = build_gateway_core(settings)
         core = self._core
-        self._local = LocalLoad(
-            loads=LoadTable(core.directory),
-            budgets=RetryBudgets(retry_rules(settings.bounds)),
-            crash_tracker=CrashTracker(),
-            events=core.events,
-        )
+        self._local = build_local_load(core)
+        budgets = RetryBudgets(retry_rules(settings.bounds), self._local.share)
         self._settings_reloader = SettingsReloader(
             path,
-            self._local.budgets,
+            budgets,
             core.events,
         )
         reader = KeyReader(core.events)
@@ -72,6 +68,7 @@
             core,
             self._keyspace.owners,
             self._local,
+            budgets,
             lambda: self._readiness.is_stopping,
         )
         register_gateway_instruments(core, self._gateway.pool)
--- a/src/carobwalk/gateway/_key_owners.py
+++ b/src/carobwalk/gateway/_key_owners.py
@@ -14,10 +14,12 @@
     Args:
         server: Backend server that owns the key.
         is_granted: Whether the server is known to hold its grant of the key.
+        fence: Fencing token of the grant.
     """
 
     server: BackendServer
     is_granted: bool
+    fence: int
 
 
 class KeyOwners(Protocol):
--- a/src/carobwalk/gateway/_retry_budgets.py
+++ b/src/carobwalk/gateway/_retry_budgets.py
@@ -2,12 +2,12 @@
 
 import trio
 
-from carobwalk.gateway._process_count import INITIAL_PROCESS_COUNT
 from carobwalk.gateway._sliding_window_retry_budget import (
     RetryRules,
     SlidingWindowRetryBudget,
 )
 from carobwalk.model import ServiceName
+from carobwalk.shares import ProcessShare
 
 
 class RetryBudgets:
@@ -15,12 +15,12 @@
 
     Args:
         rules: Limits for each service over all processes together.
+        share: Share of this process in these limits.
     """
 
-    def __init__(self, rules: RetryRules) -> None:
+    def __init__(self, rules: RetryRules, share: ProcessShare) -> None:
         self.rules = rules
-        self.process_count = INITIAL_PROCESS_COUNT
-        self._started: float | None = None
+        self._share = share
         self._budgets_by_service: dict[
             ServiceName, SlidingWindowRetryBudget
         ] = {}
@@ -43,14 +43,19 @@
         """
         return self._of(service).spend(
             trio.current_time(),
-            self.process_count,
+            self._share.sharers_for(self.rules.window),
+        )
+
+    def may_spend(self, service: ServiceName) -> bool:
+        """Return whether the budget of a service allows a retry now."""
+        return self._of(service).may_spend(
+            trio.current_time(),
+            self._share.sharers_for(self.rules.window),
         )
 
     def _of(self, service: ServiceName) -> SlidingWindowRetryBudget:
-        if self._started is None:
-            self._started = trio.current_time()
         budget = self._budgets_by_service.get(service)
         if budget is None:
-            budget = SlidingWindowRetryBudget(self.rules, self._started)
+            budget = SlidingWindowRetryBudget(self.rules)
             self._budgets_by_service[service] = budget
         return budget
--- a/src/carobwalk/gateway/_sliding_window_retry_budget.py
+++ b/src/carobwalk/gateway/_sliding_window_retry_budget.py
@@ -29,19 +29,16 @@
 
     Requests count whether they succeed or not. The rules bind all processes
     together: each counts its own requests and takes an equal share of the
-    slack. The ``TokenBucketRetryBudget`` of the dispatcher relates retries to
-    successes instead, at one backend server.
+    slack, or nothing of it while it has no share. The
+    ``TokenBucketRetryBudget`` of the dispatcher relates retries to successes
+    instead, at one backend server.
 
     Args:
         rules: Limits on the retries of all processes together.
-        started: Time in seconds at which this process began to count. Its
-            share of the slack is available after one window, since the
-            process may have used it before a restart.
     """
 
-    def __init__(self, rules: RetryRules, started: float) -> None:
+    def __init__(self, rules: RetryRules) -> None:
         self.rules = rules
-        self._started = started
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
@@ -55,21 +52,26 @@
 
         Args:
             now: Current time in seconds.
-            process_count: Number of processes that share the slack.
+            process_count: Number of processes that share the slack, 0 if this
+                process has no share of it.
 
         Returns:
             Whether the retry is allowed.
         """
-        self._drop_expired(now)
-        rules = self.rules
-        allowed = rules.ratio * len(self._requests)
-        if now - self._started >= rules.window:
-            allowed += rules.slack / max(process_count, 1)
-        if len(self._retries) + 1 > allowed * _USABLE_SHARE:
+        if not self.may_spend(now, process_count):
             return False
         self._retries.append(now)
         return True
 
+    def may_spend(self, now: float, process_count: int) -> bool:
+        """Return whether ``spend`` would allow a retry."""
+        self._drop_expired(now)
+        rules = self.rules
+        allowed = rules.ratio * len(self._requests)
+        if process_count:
+            allowed += rules.slack / process_count
+        return len(self._retries) + 1 <= allowed * _USABLE_SHARE
+
     def _drop_expired(self, now: float) -> None:
         limit = now - self.rules.window
         for times in (self._requests, self._retries):
--- a/src/carobwalk/keyspace/_key_owner_table.py
+++ b/src/carobwalk/keyspace/_key_owner_table.py
@@ -36,7 +36,7 @@
         server = self._directory.get(key_range.owner.server)
         if server is None or not self._is_usable(server, key_range.owner.born):
             return None
-        return KeyOwner(server, key_range.is_granted)
+        return KeyOwner(server, key_range.is_granted, key_range.fence)
 
     def count(self, service: ServiceName, key: int) -> None:
         """Count one request for a key."""
--- a/src/carobwalk/keyspace/_load_collector.py
+++ b/src/carobwalk/keyspace/_load_collector.py
@@ -18,6 +18,7 @@
 from carobwalk.keyspace._server_speed import ServerSpeeds
 from carobwalk.keyspace._server_work import rate_of
 from carobwalk.model import Clock, ProcessId, ServerId, ServiceName
+from carobwalk.shares import SharerCount
 
 _REPORTER_EXPIRY_SECONDS: Final = 3.0
 _WINDOW_SECONDS: Final = 0.5
@@ -46,14 +47,27 @@
         self._counted_at = -math.inf
         self._count = 0
         self._crashes = CrashCounts(clock)
+        self._sharers = SharerCount(clock)
         self.speeds = ServerSpeeds()
-        self.is_coordinator = False
+        self._is_coordinator = False
+
+    @property
+    def is_coordinator(self) -> bool:
+        """Whether this process is the coordinator."""
+        return self._is_coordinator
+
+    @is_coordinator.setter
+    def is_coordinator(self, is_coordinator: bool) -> None:
+        if is_coordinator and not self._is_coordinator:
+            self._sharers.start_term()
+        self._is_coordinator = is_coordinator
 
     async def answer(self, sender: ProcessId, payload: bytes) -> bytes:
         """Record a report and answer with a receipt; a ``TopicHandler``."""
         now = self._clock.now()
-        self._record_report(sender, now)
         report = msgspec.msgpack.decode(payload, type=LoadReport)
+        self._record_report(sender, now)
+        self._sharers.record(sender, report.sharers)
         for load in report.services:
             self._add_load(load, now)
         for crash in report.crashes:
@@ -64,6 +78,7 @@
                 self.is_coordinator,
                 self.process_count(),
                 self._crashes.culprits(),
+                self._sharers.count(),
             ),
         )
 
@@ -107,6 +122,7 @@
     def _record_report(self, sender: ProcessId, now: float) -> None:
         if now - self._last_report_at > _REPORTER_EXPIRY_SECONDS:
             self._reporting_since = now
+            self._sharers.start_term()
         self._last_report_at = now
         self._reported_at_by_process[sender] = now
 
--- a/src/carobwalk/keyspace/_load_report.py
+++ b/src/carobwalk/keyspace/_load_report.py
@@ -62,10 +62,13 @@
     Args:
         services: Load of each service.
         crashes: Requests that were running when servers crashed.
+        sharers: Number of processes among which this one shares limits, 0 if
+            it has no share.
     """
 
     services: tuple[ServiceLoad, ...]
     crashes: tuple[ServerCrash, ...] = ()
+    sharers: int = 0
 
 
 class LoadReceipt(msgspec.Struct, array_like=True):
@@ -77,8 +80,11 @@
         processes: Number of processes that reported recently, 0 if not known
             yet.
         culprits: Fingerprints of requests that repeatedly crashed servers.
+        sharers: Number of processes that may have a share of the limits on all
+            of them together, 0 if not known yet.
     """
 
     is_coordinator: bool
     processes: int
     culprits: tuple[int, ...] = ()
+    sharers: int = 0
--- a/src/carobwalk/keyspace/_load_reporter.py
+++ b/src/carobwalk/keyspace/_load_reporter.py
@@ -103,4 +103,5 @@
                 )
                 for crash in crashes
             ),
+            self._local.share.sharers,
         )
--- a/src/carobwalk/keyspace/_local_load.py
+++ b/src/carobwalk/keyspace/_local_load.py
@@ -4,8 +4,9 @@
 from typing import ClassVar
 
 from carobwalk.events import Event, EventLog
-from carobwalk.gateway import CrashTracker, LoadTable, RetryBudgets
+from carobwalk.gateway import CrashTracker, LoadTable
 from carobwalk.keyspace._load_report import LoadReceipt
+from carobwalk.shares import ProcessShare
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,13 +28,13 @@
 
     Args:
         loads: Load by backend server.
-        budgets: Retry budgets, shared among all processes.
+        share: Share of this process in limits on all processes together.
         crash_tracker: Records crashes, and quarantines their culprits.
         events: Event log.
     """
 
     loads: LoadTable
-    budgets: RetryBudgets
+    share: ProcessShare
     crash_tracker: CrashTracker
     events: EventLog
 
@@ -41,6 +42,6 @@
         """Apply the coordinator's receipt of a report."""
         if receipt.processes:
             self.loads.process_count = receipt.processes
-            self.budgets.process_count = receipt.processes
+        self.share.renew(receipt.sharers)
         for fingerprint in self.crash_tracker.quarantine(receipt.culprits):
             self.events.emit(RequestQuarantined(fingerprint))
--- /dev/null
+++ b/src/carobwalk/shares/__init__.py
@@ -0,0 +1,10 @@
+"""Shares of single processes in limits that bind all processes together."""
+
+from carobwalk.shares._process_share import SHARE_SECONDS, ProcessShare
+from carobwalk.shares._sharer_count import SharerCount
+
+__all__ = (
+    'SHARE_SECONDS',
+    'ProcessShare',
+    'SharerCount',
+)
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -34,6 +34,7 @@
 )
 from carobwalk.platform import PLATFORM_HEADERS, decode_configuration
 from carobwalk.routing import ActiveRoutes
+from carobwalk.shares import ProcessShare
 from standins.platform import Fault, PlatformBackend
 from tests.recording_log import RecordingLog
 
@@ -74,7 +75,9 @@
 
     def find(self, service: ServiceName, key: int) -> KeyOwner | None:
         """Return the owner of all keys."""
-        return KeyOwner(self.server, True) if self.server else None
+        if self.server is None:
+            return None
+        return KeyOwner(self.server, is_granted=True, fence=self.fence)
 
     def count(self, service: ServiceName, key: int) -> None:
         """Record the key of a request."""
@@ -127,7 +130,7 @@
             LOCAL_DATA_CENTRE, {LOCAL_DATA_CENTRE: RegionName('r1')}
         )
         self.budgets = RetryBudgets(
-            RetryRules(ratio=2, slack=64, window=10),
+            RetryRules(ratio=2, slack=64, window=10), ProcessShare()
         )
         self.crash_tracker = CrashTracker()
         forwarder = Forwarder(
--- a/tests/gateway/test_choosers.py
+++ b/tests/gateway/test_choosers.py
@@ -15,6 +15,7 @@
     LoadTable,
     Locality,
     NoTarget,
+    RetryBudgets,
     RetryRules,
     SlidingWindowRetryBudget,
     Target,
@@ -22,6 +23,7 @@
 )
 from carobwalk.http import AnswerMemory, AnswerShare
 from carobwalk.model import DataCentreName, RegionName, TrioClock
+from carobwalk.shares import ProcessShare
 from tests.gateway.harness import SingleOwnerMap
 from tests.keyspace.simulated_fleet import SERVICE, make_server
 from tests.routing.test_routing import make_route
@@ -234,7 +236,7 @@
         """The retries of all processes together stay within the budget."""
         rules = RetryRules(ratio=0.2, slack=64, window=10)
         processes = 12
-        budgets = [SlidingWindowRetryBudget(rules, 0) for _ in range(processes)]
+        budgets = [SlidingWindowRetryBudget(rules) for _ in range(processes)]
         spent = []
         requests = 0
         for tick in range(3000):
@@ -248,10 +250,19 @@
         repeats = sum(1 for moment in spent if moment >= 20)
         assert 0 < repeats <= rules.ratio * requests + rules.slack
 
-    def test_restart(self) -> None:
+    def test_restart(self, run) -> None:
         """After a start the slack is unavailable for one window."""
-        budget = SlidingWindowRetryBudget(
-            RetryRules(ratio=0.2, slack=64, window=10), 0
-        )
-        assert not budget.spend(1, 1)
-        assert budget.spend(11, 1)
+
+        async def scenario() -> None:
+            share = ProcessShare()
+            budgets = RetryBudgets(
+                RetryRules(ratio=0.2, slack=64, window=10), share
+            )
+            for _ in range(10):
+                share.renew(1)
+                assert not budgets.spend(SERVICE)
+                await trio.sleep(1)
+            share.renew(1)
+            assert budgets.spend(SERVICE)
+
+        run(scenario)
--- a/tests/gateway/test_fleet_budget.py
+++ b/tests/gateway/test_fleet_budget.py
@@ -22,15 +22,28 @@
 from carobwalk.keyspace import LoadCollector, LocalLoad
 from carobwalk.keyspace._load_report import LoadReceipt, LoadReport
 from carobwalk.model import ProcessId, ServiceName, TrioClock
+from carobwalk.shares import ProcessShare
 
 PROCESSES = 75
 RULES = RetryRules(ratio=0.2, slack=190, window=10)
 SERVICE = ServiceName('tien-do')
-REPORT = msgspec.msgpack.encode(LoadReport((), ()))
 REQUEST_SECONDS = 0.5
 FLEET_SECONDS = 45
 
 
+class Process:
+    """Retry budgets of a process and what it learns from receipts."""
+
+    def __init__(self) -> None:
+        self.local = LocalLoad(
+            loads=LoadTable(ServerDirectory(TrioClock(), NullEventLog())),
+            share=ProcessShare(),
+            crash_tracker=CrashTracker(),
+            events=NullEventLog(),
+        )
+        self.budgets = RetryBudgets(RULES, self.local.share)
+
+
 class Fleet:
     """Processes that retry each request as often as their budgets allow.
 
@@ -39,7 +52,7 @@
     """
 
     def __init__(self, processes: int = PROCESSES) -> None:
-        self.locals = [_make_local() for _ in range(processes)]
+        self.processes = [Process() for _ in range(processes)]
         # Coordinators that processes reach, by the number of the process.
         self.collectors_by_number: dict[int, LoadCollector] = {}
         self.reach(LoadCollector(TrioClock()))
@@ -48,26 +61,26 @@
 
     def reach(self, collector: LoadCollector, share: float = 1) -> None:
         """Let a share of the processes reach a coordinator."""
-        for number in range(int(len(self.locals) * share)):
+        for number in range(int(len(self.processes) * share)):
             self.collectors_by_number[number] = collector
 
     def lose(self, share: float = 1) -> None:
         """Cut a share of the processes off from their coordinator."""
-        for number in range(int(len(self.locals) * share)):
+        for number in range(int(len(self.processes) * share)):
             self.collectors_by_number.pop(number, None)
 
     def restart(self, number: int) -> None:
         """Replace a process by a new one at the same host."""
-        self.locals[number] = _make_local()
+        self.processes[number] = Process()
 
     async def run(self, seconds: float) -> None:
         """Let requests arrive at all processes and check each window."""
         end = trio.current_time() + seconds
         while trio.current_time() < end:
             await trio.sleep(REQUEST_SECONDS)
-            for number, local in enumerate(self.locals):
-                await self._report(number, local)
-                self._serve(local)
+            for number, process in enumerate(self.processes):
+                await self._report(number, process)
+                self._serve(process)
             self.check()
 
     def check(self) -> None:
@@ -79,30 +92,24 @@
         allowed = RULES.ratio * len(self.requests) + RULES.slack
         assert len(self.retries) <= allowed
 
-    async def _report(self, number: int, local: LocalLoad) -> None:
+    async def _report(self, number: int, process: Process) -> None:
         collector = self.collectors_by_number.get(number)
         if collector is None:
             return
-        answered = await collector.answer(ProcessId(f'p{number}'), REPORT)
-        local.apply(msgspec.msgpack.decode(answered, type=LoadReceipt))
+        report = LoadReport((), (), process.local.share.sharers)
+        answered = await collector.answer(
+            ProcessId(f'p{number}'), msgspec.msgpack.encode(report)
+        )
+        process.local.apply(msgspec.msgpack.decode(answered, type=LoadReceipt))
 
-    def _serve(self, local: LocalLoad) -> None:
+    def _serve(self, process: Process) -> None:
         now = trio.current_time()
-        local.budgets.count_request(SERVICE)
+        process.budgets.count_request(SERVICE)
         self.requests.append(now)
-        while local.budgets.spend(SERVICE):
+        while process.budgets.spend(SERVICE):
             self.retries.append(now)
 
 
-def _make_local() -> LocalLoad:
-    return LocalLoad(
-        loads=LoadTable(ServerDirectory(TrioClock(), NullEventLog())),
-        budgets=RetryBudgets(RULES),
-        crash_tracker=CrashTracker(),
-        events=NullEventLog(),
-    )
-
-
 @pytest.fixture
 def run(virtual_clock: MockClock):
     """Return a function that runs a scenario on a virtual clock."""
--- a/tests/keyspace/test_new_coordinator.py
+++ b/tests/keyspace/test_new_coordinator.py
@@ -9,16 +9,14 @@
 from carobwalk.gateway import (
     CrashTracker,
     LoadTable,
-    RetryBudgets,
-    RetryRules,
 )
 from carobwalk.keyspace import LoadCollector, LocalLoad
 from carobwalk.keyspace._load_report import LoadReceipt, LoadReport
 from carobwalk.model import ProcessId, TrioClock
+from carobwalk.shares import ProcessShare
 
 PROCESSES = 71
 REPORT = msgspec.msgpack.encode(LoadReport((), ()))
-RULES = RetryRules(ratio=0.2, slack=182, window=10)
 
 
 async def _report(collector: LoadCollector, number: int) -> LoadReceipt:
@@ -47,16 +45,16 @@
             directory = ServerDirectory(TrioClock(), NullEventLog())
             local = LocalLoad(
                 loads=LoadTable(directory),
-                budgets=RetryBudgets(RULES),
+                share=ProcessShare(),
                 crash_tracker=CrashTracker(),
                 events=NullEventLog(),
             )
-            local.apply(LoadReceipt(True, PROCESSES, ()))
+            local.apply(LoadReceipt(True, PROCESSES, (), PROCESSES))
             collector = LoadCollector(TrioClock())
             for _ in range(8):
                 for receipt in await _report_all(collector):
                     local.apply(receipt)
-                    assert local.budgets.process_count == PROCESSES
+                    assert local.share.sharers == PROCESSES
                     assert local.loads.process_count == PROCESSES
 
         trio.run(body, clock=virtual_clock)
--- a/tests/keyspace/test_unreported_crashes.py
+++ b/tests/keyspace/test_unreported_crashes.py
@@ -8,8 +8,6 @@
 from carobwalk.gateway import (
     CrashTracker,
     LoadTable,
-    RetryBudgets,
-    RetryRules,
 )
 from carobwalk.keyspace import (
     KeyOwnerTable,
@@ -18,6 +16,7 @@
     LocalLoad,
 )
 from carobwalk.model import ServerId, TrioClock
+from carobwalk.shares import ProcessShare
 from tests.gateway.test_choosers import make_request
 from tests.keyspace.fleet_links import PeerLinks
 
@@ -37,9 +36,7 @@
                 KeyOwnerTable(reader, directory),
                 LocalLoad(
                     loads=LoadTable(directory),
-                    budgets=RetryBudgets(
-                        RetryRules(ratio=1, slack=1, window=10)
-                    ),
+                    share=ProcessShare(),
                     crash_tracker=tracker,
                     events=log,
                 ),
