Ask the owner of a key once, not again with the same key map, after a 421

Cause: nothing kept a request from the owner that had just refused it while the key map was the same.

Change: an owner that answers 421 is not asked for this key again until the map names another grant, or for 0.25 s, since a lapsed grant may be renewed without a change of the map. Requests wait for a change meanwhile, as for a key without an owner. This holds for all requests of the process: what a server says of itself binds the next send. A retry is now taken from the budget when a server for it has been found, so that requests that find none leave it to others. What attempts tell is recorded in a class of its own.

--- a/src/carobwalk/gateway/_forwarder.py
+++ b/src/carobwalk/gateway/_forwarder.py
@@ -8,10 +8,10 @@
 from carobwalk.directory import BackendServer
 from carobwalk.events import EventLog
 from carobwalk.gateway import _refusals as refusals
+from carobwalk.gateway._attempt_recorder import AttemptRecorder
 from carobwalk.gateway._caller_request import CallerRequest
 from carobwalk.gateway._connection_pool import ConnectionPool
 from carobwalk.gateway._crash_tracker import CrashTracker
-from carobwalk.gateway._events import AttemptFailed
 from carobwalk.gateway._header_names import HeaderNames
 from carobwalk.gateway._keyed_chooser import KeyedChooser
 from carobwalk.gateway._load_table import LoadTable
@@ -34,6 +34,8 @@
 _NO_TIME_LEFT: Final = 'no time left'
 _QUARANTINED: Final = 'the request has crashed backend servers'
 _QUARANTINE_RETRY_SECONDS: Final = 2.0
+_NO_RETRIES_LEFT: Final = 'the retry budget is spent'
+_BUDGET_RETRY_SECONDS: Final = 0.1
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -70,6 +72,9 @@
 
     def __init__(self, parts: ForwarderParts) -> None:
         self._parts = parts
+        self._recorder = AttemptRecorder(
+            parts.loads, parts.keyed, parts.crash_tracker, parts.events
+        )
 
     async def run(self, request: CallerRequest, progress: Progress) -> Reply:
         """Return the answer to a request.
@@ -93,14 +98,14 @@
             target = await self._choose(request, progress)
             if isinstance(target, NoTarget):
                 return _refusal(target, progress)
-            obstacle = _obstacle(request, self._parts.crash_tracker)
+            obstacle = self._obstacle(request, progress)
             if obstacle is not None:
                 self._parts.loads.finish(target.server)
                 return _refusal(obstacle, progress)
-            outcome = await self._attempt(request, target.server, progress)
+            outcome = await self._attempt(request, target, progress)
             if isinstance(outcome, Answered):
                 return outcome.reply
-            self._log(request, target.server, outcome, progress)
+            self._recorder.log_failure(request, progress, outcome)
             if not self._may_repeat(request, outcome, progress):
                 return _final_reply(outcome, progress)
 
@@ -124,10 +129,11 @@
     async def _attempt(
         self,
         request: CallerRequest,
-        server: BackendServer,
+        target: Target,
         progress: Progress,
     ) -> AttemptOutcome:
         """Send a request to a server; its load already counts the request."""
+        server = target.server
         started_at = trio.current_time()
         loads = self._parts.loads
         progress.last_server = server.id
@@ -136,7 +142,9 @@
             outcome = await self._send_shielded(request, server, progress)
         finally:
             loads.finish(server)
-            self._record(request, progress, server, outcome, started_at)
+            self._recorder.record(
+                request, progress, target, outcome, started_at
+            )
         return outcome
 
     async def _send_shielded(
@@ -160,41 +168,6 @@
         # cancels this wait.
         return await trio.sleep_forever()
 
-    def _record(
-        self,
-        request: CallerRequest,
-        progress: Progress,
-        server: BackendServer,
-        outcome: AttemptOutcome | None,
-        started_at: float,
-    ) -> None:
-        """Record the outcome of an attempt, ``None`` if it was cancelled."""
-        loads = self._parts.loads
-        now = trio.current_time()
-        match outcome:
-            case None:
-                loads.record_abandoned(server, now, now - started_at)
-            case Answered():
-                loads.record_answer(server, now, now - started_at)
-                if progress.is_keyed:
-                    # No other server can relieve the owner of a key, so its
-                    # concurrency limit has to adapt.
-                    target_seconds = request.route.target_latency
-                    loads.of(server).adjust_limit(
-                        now - started_at, target_seconds
-                    )
-            case NotSent():
-                loads.of(server).record_unreachable(now)
-                if outcome.is_refused:
-                    self._parts.crash_tracker.record_refused_connection(
-                        server.incarnation
-                    )
-            case Lost():
-                loads.of(server).record_unreachable(now)
-                self._parts.crash_tracker.record_lost_connection(
-                    request, server.incarnation
-                )
-
     async def _send(
         self,
         request: CallerRequest,
@@ -240,40 +213,32 @@
         is_last = len(progress.sent_to) >= request.route.max_attempts
         if is_last and not progress.is_keyed:
             return False
-        return self._parts.budgets.spend(progress.service)
-
-    def _log(
-        self,
-        request: CallerRequest,
-        server: BackendServer,
-        outcome: NotSent | NotRun | Lost,
-        progress: Progress,
-    ) -> None:
-        self._parts.events.emit(
-            AttemptFailed(
-                request=request.id.decode('latin-1'),
-                server=server.id,
-                service=progress.service,
-                outcome=type(outcome).__name__,
-                detail=outcome.detail,
-                sends=progress.sends,
-            ),
-        )
+        return self._parts.budgets.may_spend(progress.service)
 
+    def _obstacle(
+        self, request: CallerRequest, progress: Progress
+    ) -> NoTarget | None:
+        """Return why a request must not be sent, ``None`` if it may.
 
-def _obstacle(
-    request: CallerRequest, crash_tracker: CrashTracker
-) -> NoTarget | None:
-    """Return why a request must not be sent any more, ``None`` if it may.
+        While it waited for a server, its time may have run out, the same
+        request may have crashed servers of other processes, and other requests
+        may have spent the retry budget.
+        """
+        if self._parts.crash_tracker.is_quarantined(request):
+            return NoTarget(_QUARANTINED, _QUARANTINE_RETRY_SECONDS)
+        if request.deadline - trio.current_time() < _MIN_SEND_SECONDS:
+            return NoTarget(_NO_TIME_LEFT, 0)
+        if not self._has_paid(progress):
+            return NoTarget(_NO_RETRIES_LEFT, _BUDGET_RETRY_SECONDS)
+        return None
 
-    While it waited for a server, its time may have run out, and the same
-    request may have crashed servers of other processes.
-    """
-    if crash_tracker.is_quarantined(request):
-        return NoTarget(_QUARANTINED, _QUARANTINE_RETRY_SECONDS)
-    if request.deadline - trio.current_time() < _MIN_SEND_SECONDS:
-        return NoTarget(_NO_TIME_LEFT, 0)
-    return None
+    def _has_paid(self, progress: Progress) -> bool:
+        """Spend a retry if the next send is one that is not yet paid for."""
+        if progress.paid_retries >= progress.sends:
+            return True
+        is_spent = self._parts.budgets.spend(progress.service)
+        progress.paid_retries += is_spent
+        return is_spent
 
 
 def _refusal(target: NoTarget, progress: Progress) -> Reply:
--- a/src/carobwalk/gateway/_keyed_chooser.py
+++ b/src/carobwalk/gateway/_keyed_chooser.py
@@ -4,10 +4,10 @@
 
 import trio
 
-from carobwalk.directory import BackendServer
 from carobwalk.gateway._caller_request import CallerRequest
-from carobwalk.gateway._key_owners import KeyOwners
+from carobwalk.gateway._key_owners import KeyOwner, KeyOwners
 from carobwalk.gateway._load_table import LoadTable
+from carobwalk.gateway._misdirected_keys import MisdirectedKeys, Ownership
 from carobwalk.gateway._queue_wait import max_queue_wait
 from carobwalk.gateway._target import NoTarget, Target
 from carobwalk.model import ServiceName
@@ -31,6 +31,7 @@
     def __init__(self, owners: KeyOwners, loads: LoadTable) -> None:
         self._owners = owners
         self._loads = loads
+        self._misdirected = MisdirectedKeys()
 
     async def choose(
         self,
@@ -53,45 +54,57 @@
         seconds_left = request.deadline - now
         with trio.move_on_at(now + seconds_left * _MAX_OWNER_WAIT_SHARE):
             while True:
-                server = await self._find_owner(service, key)
-                target = await self._wait_for_capacity(server, request)
+                owner = await self._find_owner(service, key)
+                target = await self._wait_for_capacity(owner, request)
                 if isinstance(target, NoTarget):
                     return target
-                owner = self._current_owner(service, key)
-                if owner and owner.incarnation == server.incarnation:
+                current = self._current_owner(service, key)
+                if current and _ownership(current) == _ownership(owner):
                     return target
-                # The key has moved during the wait.
-                self._loads.finish(server)
+                # The key has moved during the wait, or the owner refuses it.
+                self._loads.finish(owner.server)
         return NoTarget('the key has no owner now', _OWNER_CHANGE_SECONDS)
 
+    def record_misdirected(
+        self, service: ServiceName, key: int, target: Target
+    ) -> None:
+        """Record that the owner of a key refused it as not its own.
+
+        It is not asked for the key again until the key map has changed or its
+        grant may have been renewed.
+        """
+        ownership = Ownership(target.server.incarnation, target.fence)
+        self._misdirected.record(service, key, ownership)
+
     async def _find_owner(
         self,
         service: ServiceName,
         key: int,
-    ) -> BackendServer:
+    ) -> KeyOwner:
         while True:
-            server = self._current_owner(service, key)
-            if server is not None:
-                return server
+            owner = self._current_owner(service, key)
+            if owner is not None:
+                return owner
             with trio.move_on_after(_OWNER_CHANGE_SECONDS):
                 await self._owners.wait_for_change(service)
 
-    def _current_owner(
-        self, service: ServiceName, key: int
-    ) -> BackendServer | None:
-        """Return the server that a request for a key may be sent to now."""
+    def _current_owner(self, service: ServiceName, key: int) -> KeyOwner | None:
+        """Return the owner that a request for a key may be sent to now."""
         owner = self._owners.find(service, key)
         if owner is None or not owner.is_granted:
             return None
+        if self._misdirected.is_refused(service, key, _ownership(owner)):
+            return None
         load = self._loads.of_keyed(owner.server)
         is_ejected = load.ejected_until > trio.current_time()
-        return None if is_ejected else owner.server
+        return None if is_ejected else owner
 
     async def _wait_for_capacity(
         self,
-        server: BackendServer,
+        owner: KeyOwner,
         request: CallerRequest,
     ) -> Target | NoTarget:
+        server = owner.server
         load = self._loads.of_keyed(server)
         now = trio.current_time()
         service_latency = self._loads.service_latency(server.service)
@@ -104,5 +117,9 @@
             while not load.has_capacity:
                 await load.queue.wait(request.route.rank)
             load.start()
-            return Target(server)
+            return Target(server, owner.fence)
         return NoTarget('the owner of the key is full', latency)
+
+
+def _ownership(owner: KeyOwner) -> Ownership:
+    return Ownership(owner.server.incarnation, owner.fence)
--- a/src/carobwalk/gateway/_outcomes.py
+++ b/src/carobwalk/gateway/_outcomes.py
@@ -1,6 +1,7 @@
 """Outcomes of an attempt to run a request on a backend server."""
 
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from carobwalk.gateway._reply import Reply
 
@@ -45,6 +46,11 @@
         """Cause, for the answer to the caller and the log."""
         return f'not run, status {self.status}'
 
+    @property
+    def is_misdirected(self) -> bool:
+        """Whether the server does not hold the key, or is not the named one."""
+        return self.status == HTTPStatus.MISDIRECTED_REQUEST
+
 
 @dataclass(frozen=True, slots=True)
 class Lost:
--- a/src/carobwalk/gateway/_progress.py
+++ b/src/carobwalk/gateway/_progress.py
@@ -16,6 +16,8 @@
         self.is_keyed = is_keyed
         self.may_have_run = False
         self.sends = 0
+        # Sends beyond the first that were taken from the retry budget.
+        self.paid_retries = 0
         self.last_server = ServerId('')
         self.sent_to: set[ServerId] = set()
         self.excluded: set[ServerId] = set()
--- a/src/carobwalk/gateway/_target.py
+++ b/src/carobwalk/gateway/_target.py
@@ -7,9 +7,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Target:
-    """Chosen backend server, with the request counted in its load."""
+    """Chosen backend server, with the request counted in its load.
+
+    Args:
+        server: The server.
+        fence: Fencing token of its grant of the request's key, 0 if servers
+            of the service own no keys.
+    """
 
     server: BackendServer
+    fence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
