Bound the ranges of a key map, and the work of its coordinator

Cause: each server that left or was lost had each of its ranges divided in up to four, without a limit, and only balancing stopped at 12 ranges a server. A coordinator's work grew with the square: a renewal looked through the whole map, a plan copied it for each move. So it renewed grants late (transfers of 2.5 to 3.3 s, renewals of its lease 0.4 to 1.3 s apart where 0.4 is wanted): owners' grants lapsed and they answered 421. Class: state that grows with each fault, and work that grows faster than the state.

Change: a service has at most 12 ranges a server, and with many servers 4 a server or 300 in all. Keys of lost and leaving servers move undivided from half of that on; with as many ranges as there may be, whole ranges still move to balance the load. Whether a grant is still in force is looked up, and neighbours are compared field by field.

--- a/src/carobwalk/keyspace/_coordinator_map.py
+++ b/src/carobwalk/keyspace/_coordinator_map.py
@@ -38,9 +38,7 @@
         return [
             key_range
             for key_range in self.written
-            if not (
-                key_range.is_granted or key_range in self._granted_at_by_range
-            )
+            if not self._is_accepted(key_range)
         ]
 
     def is_assigned(self, key_range: KeyRange) -> bool:
@@ -68,10 +66,16 @@
         return [
             key_range
             for key_range in self.written
-            if key_range.owner == incarnation
-            and (key_range.is_granted or key_range in self._granted_at_by_range)
+            if key_range.owner == incarnation and self._is_accepted(key_range)
         ]
 
+    def is_granted(self, key_range: KeyRange) -> bool:
+        """Return whether a range is assigned and its owner has accepted it."""
+        return self.is_assigned(key_range) and self._is_accepted(key_range)
+
+    def _is_accepted(self, key_range: KeyRange) -> bool:
+        return key_range.is_granted or key_range in self._granted_at_by_range
+
 
 def assigned_range(key_map: KeyMap, move: Move) -> KeyRange:
     """Return the range that results from a move.
--- a/src/carobwalk/keyspace/_grant_renewer.py
+++ b/src/carobwalk/keyspace/_grant_renewer.py
@@ -86,6 +86,6 @@
         renewed = await self._order_sender.grant(
             key_range,
             '',
-            lambda: key_range in self._map.granted_to(key_range.owner),
+            lambda: self._map.is_granted(key_range),
         )
         return isinstance(renewed, Ok)
--- a/src/carobwalk/keyspace/_key_map.py
+++ b/src/carobwalk/keyspace/_key_map.py
@@ -96,15 +96,26 @@
         yield replace(old, first=removed.last + 1)
 
 
+def _differ_only_in_bounds(left: KeyRange, right: KeyRange) -> bool:
+    """Return whether two ranges are the same grant of different keys.
+
+    It is called for each pair of neighbours whenever a map changes.
+    """
+    return (
+        left.fence == right.fence
+        and left.is_granted == right.is_granted
+        and left.owner == right.owner
+        and left.previous == right.previous
+    )
+
+
 def merge_adjacent(ranges: Iterable[KeyRange]) -> Iterator[KeyRange]:
     """Yield ranges, merging neighbours that differ only in their bounds."""
     merged: KeyRange | None = None
     for key_range in ranges:
         if merged is None:
             merged = key_range
-        elif key_range == replace(
-            merged, first=key_range.first, last=key_range.last
-        ):
+        elif _differ_only_in_bounds(merged, key_range):
             merged = replace(merged, last=key_range.last)
         else:
             yield merged
--- a/src/carobwalk/keyspace/_move_selection.py
+++ b/src/carobwalk/keyspace/_move_selection.py
@@ -1,5 +1,6 @@
 """Selection of the keys to move from one server to another."""
 
+import math
 from collections.abc import Iterator
 
 from carobwalk.directory import ServerIncarnation
@@ -14,6 +15,8 @@
     source: ServerIncarnation,
     target_rate: float,
     min_rate: float,
+    *,
+    may_divide: bool,
 ) -> KeyBounds | None:
     """Return the keys of a server whose request rate is closest to a target.
 
@@ -23,15 +26,20 @@
         source: Incarnation of the server that the keys are taken from.
         target_rate: Requests per second that should move.
         min_rate: Fewest requests per second that justify a move.
+        may_divide: Whether a part of a range may move, which adds a range.
 
     Returns:
         First and last key, ``None`` if no part of a range qualifies.
     """
+    granted = (
+        key_range
+        for key_range in key_map
+        if key_range.owner == source and key_range.is_granted
+    )
+    part_rate = target_rate if may_divide else math.inf
     candidates = []
-    for key_range in key_map:
-        if key_range.owner != source or not key_range.is_granted:
-            continue
-        for bounds in _candidate_bounds(key_range, load, target_rate):
+    for key_range in granted:
+        for bounds in _candidate_bounds(key_range, load, part_rate):
             rate = load.rate(*bounds)
             if min_rate <= rate <= target_rate * 2:
                 candidates.append((abs(rate - target_rate), bounds))
--- a/src/carobwalk/keyspace/_planner.py
+++ b/src/carobwalk/keyspace/_planner.py
@@ -14,7 +14,14 @@
 from carobwalk.keyspace._planned_map import PlannedMap
 
 _MAX_MOVES_PER_PLAN: Final = 12
+# Each range is a grant that the coordinator renews every 0.7 s, so a large
+# service has fewer ranges per server than a small one.
 _MAX_RANGES_PER_SERVER: Final = 12
+_MIN_RANGES_PER_SERVER: Final = 4
+_MAX_RANGES: Final = 300
+# Share of the most ranges above which keys of lost and leaving servers are not
+# divided, so that some are left to isolate hot keys.
+_DIVIDED_SHARE: Final = 0.5
 _MAX_PIECES_PER_RANGE: Final = 4
 # Fraction of its owner's capacity above which the load of a single key moves to
 # the fastest server.
@@ -66,6 +73,7 @@
         self._view = view
         self._planned = PlannedMap(view.key_map, view.usable, view.load)
         self._targets = view.targets()
+        self._max_ranges = _max_ranges(len(view.usable))
 
     def plan(self) -> tuple[Move, ...]:
         """Return the planned moves, first those of keys without an owner."""
@@ -102,6 +110,8 @@
         pieces = min(
             _MAX_PIECES_PER_RANGE, len(key_range), len(self._view.usable)
         )
+        if len(self._planned.key_map) >= self._max_ranges * _DIVIDED_SHARE:
+            pieces = 1
         target_rate = self._planned.rate(key_range) / pieces
         first = key_range.first
         for remaining in reversed(range(pieces)):
@@ -130,12 +140,8 @@
     def _balance(self) -> None:
         """Move load from the most to the least utilised servers."""
         planned = self._planned
-        limit = _MAX_RANGES_PER_SERVER * len(self._view.usable)
         sources = set(self._view.movable)
-        while (
-            len(planned.moves) < _MAX_MOVES_PER_PLAN
-            and len(planned.key_map) < limit
-        ):
+        while len(planned.moves) < _MAX_MOVES_PER_PLAN:
             source = planned.most_utilised(sources)
             # All other servers are utilised less than this one.
             if source is None or not planned.is_overloaded(source):
@@ -199,6 +205,7 @@
             source,
             target_rate,
             min_rate,
+            may_divide=len(self._planned.key_map) < self._max_ranges,
         )
         if bounds is None:
             return False
@@ -206,6 +213,14 @@
         return True
 
 
+def _max_ranges(servers: int) -> int:
+    """Return the most ranges that a service may be divided into."""
+    return min(
+        _MAX_RANGES_PER_SERVER * servers,
+        max(_MIN_RANGES_PER_SERVER * servers, _MAX_RANGES),
+    )
+
+
 def _even_bounds(count: int) -> list[tuple[int, int]]:
     """Return the bounds that divide all keys into equal ranges."""
     keys = MAX_KEY + 1
