Obey what servers say of themselves in their answers: limit, wait, leaving

Cause: Server-Limit, Server-Leaving and a server's Retry-After were read nowhere. Class: what a server says of itself does not bind the next send.

Change: - A gate for each incarnation of a server, which both choosers ask. A refusal with a time closes it. A limit of all processes is divided by the number of processes that share limits: each may send one request in an interval, from a random phase on; a right is kept for 2 s at most, so that rights which all processes saved can't be used at once.

The stand-in says all three headers. The count of runs in it was kept twice, the tests derive it. Left: shares are equal, so a limit is used in part where traffic is uneven.

--- a/src/carobwalk/app/_build_keyspace.py
+++ b/src/carobwalk/app/_build_keyspace.py
@@ -57,9 +57,11 @@
     Args:
         core: Shared components of the process.
     """
+    share = ProcessShare()
     return LocalLoad(
-        loads=LoadTable(core.directory),
-        share=ProcessShare(),
+        loads=LoadTable(core.directory, share),
+        share=share,
+        leaving=core.directory.leaving,
         crash_tracker=CrashTracker(),
         events=core.events,
     )
--- a/src/carobwalk/directory/__init__.py
+++ b/src/carobwalk/directory/__init__.py
@@ -6,11 +6,13 @@
     ServerEntryDropped,
     ServerForgotten,
 )
+from carobwalk.directory._leaving_servers import LeavingServers
 from carobwalk.directory._server_directory import ServerDirectory
 from carobwalk.directory._server_incarnation import ServerIncarnation
 
 __all__ = (
     'BackendServer',
+    'LeavingServers',
     'ServerChanged',
     'ServerDirectory',
     'ServerEntryDropped',
--- a/src/carobwalk/directory/_events.py
+++ b/src/carobwalk/directory/_events.py
@@ -26,6 +26,17 @@
     is_leaving: bool
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingAnnounced(Event):
+    """A backend server said in an answer that it is shutting down.
+
+    Args:
+        server: Id of the server.
+    """
+
+    server: str
+
+
 @dataclass(frozen=True, slots=True)
 class ServerForgotten(Event):
     """A backend server's entry was removed.
--- a/src/carobwalk/directory/_server_directory.py
+++ b/src/carobwalk/directory/_server_directory.py
@@ -7,16 +7,19 @@
 import trio
 
 from carobwalk.directory._backend_server import BackendServer
-from carobwalk.directory._events import ServerChanged, ServerForgotten
+from carobwalk.directory._events import (
+    LeavingAnnounced,
+    ServerChanged,
+    ServerForgotten,
+)
+from carobwalk.directory._leaving_servers import LeavingServers
+from carobwalk.directory._server_incarnation import ServerIncarnation
 from carobwalk.events import EventLog
 from carobwalk.model import Clock, ServerId, ServiceName
 
 # How long an entry may be missing after an outage of the store. Servers that
 # are alive have registered again by then.
 REREGISTRATION_GRACE_SECONDS: Final = 2.0
-# How long a leaving server may still get requests for its keys while they are
-# handed over.
-HANDOVER_GRACE_SECONDS: Final = 1.2
 
 
 class ServerDirectory:
@@ -32,7 +35,7 @@
         self._events = events
         self._by_id: dict[ServerId, BackendServer] = {}
         self._missing_since_by_id: dict[ServerId, float] = {}
-        self._leaving_since_by_id: dict[ServerId, float] = {}
+        self.leaving = LeavingServers(clock)
         self._removed_ids: set[ServerId] = set()
         self.is_loaded = False
         self.changed = trio.Event()
@@ -55,10 +58,7 @@
 
     def accepts_keyed_requests(self, server: BackendServer) -> bool:
         """Return whether a server may be sent requests for its keys."""
-        since = self._leaving_since_by_id.get(server.id)
-        return (
-            since is None or self._clock.now() < since + HANDOVER_GRACE_SECONDS
-        )
+        return self.leaving.may_hand_over(server.id)
 
     def put(self, server: BackendServer, revision: int) -> None:
         """Add or update the entry of a server.
@@ -69,14 +69,16 @@
         """
         self._missing_since_by_id.pop(server.id, None)
         self._removed_ids.discard(server.id)
+        if self.leaving.has_announced(server.incarnation):
+            # The registry learns later what the server says in its answers.
+            server = replace(server, is_leaving=True)
         if self._by_id.get(server.id) == server:
             return
         self._by_id[server.id] = server
         if server.is_leaving:
-            now = self._clock.now()
-            self._leaving_since_by_id.setdefault(server.id, now)
+            self.leaving.add(server.id)
         else:
-            self._leaving_since_by_id.pop(server.id, None)
+            self.leaving.discard(server.id)
         self._events.emit(
             ServerChanged(
                 server=server.id,
@@ -86,7 +88,22 @@
                 is_leaving=server.is_leaving,
             ),
         )
-        self._notify()
+        self.changed = _renew(self.changed)
+
+    def record_leaving(self, incarnation: ServerIncarnation) -> None:
+        """Record that a server said in an answer that it is shutting down.
+
+        It stays so for this incarnation, whatever the registry says.
+        """
+        server = self._by_id.get(incarnation.server)
+        is_known = self.leaving.has_announced(incarnation)
+        if server is None or server.incarnation != incarnation or is_known:
+            return
+        self.leaving.announce(incarnation)
+        self.leaving.add(server.id)
+        self._events.emit(LeavingAnnounced(server.id))
+        self._by_id[server.id] = replace(server, is_leaving=True)
+        self.changed = _renew(self.changed)
 
     def remove(self, server: ServerId, cause: str) -> None:
         """Handle the removal of a server's entry.
@@ -105,8 +122,8 @@
         self._events.emit(ServerForgotten(server, cause))
         self._by_id[server] = replace(removed, is_leaving=True)
         self._removed_ids.add(server)
-        self._leaving_since_by_id.setdefault(server, self._clock.now())
-        self._notify()
+        self.leaving.add(server)
+        self.changed = _renew(self.changed)
 
     def load(
         self,
@@ -143,9 +160,11 @@
             if not self.accepts_keyed_requests(self._by_id[removed]):
                 self._removed_ids.discard(removed)
                 self._by_id.pop(removed)
-                self._leaving_since_by_id.pop(removed, None)
-                self._notify()
+                self.leaving.discard(removed)
+                self.changed = _renew(self.changed)
 
-    def _notify(self) -> None:
-        self.changed.set()
-        self.changed = trio.Event()
+
+def _renew(changed: trio.Event) -> trio.Event:
+    """Wake all tasks that wait for a change; return the event of the next."""
+    changed.set()
+    return trio.Event()
--- a/src/carobwalk/gateway/_answer_classifier.py
+++ b/src/carobwalk/gateway/_answer_classifier.py
@@ -13,6 +13,7 @@
 from carobwalk.gateway._header_names import HeaderNames
 from carobwalk.gateway._outcomes import Answered, AttemptOutcome, Lost, NotRun
 from carobwalk.gateway._reply import Reply
+from carobwalk.gateway._server_notice import read_notice
 
 # Statuses from which callers conclude that their request has not run. Without a
 # signature they prove nothing, so the outcome is unknown.
@@ -44,10 +45,11 @@
             refusal to run.
     """
     status = response.status_code
+    notice = read_notice(response, names)
     if find_header(response.headers, names.not_run) is not None:
-        return NotRun(status)
+        return NotRun(status, notice)
     if status == HTTPStatus.MISDIRECTED_REQUEST:
-        return NotRun(status)
+        return NotRun(status, notice)
     if find_header(response.headers, names.signature) is None:
         if status < HTTPStatus.MULTIPLE_CHOICES:
             return Lost('an answer without a signature')
@@ -60,4 +62,4 @@
         for name, text in response.headers.raw_items()
         if name.lower() not in HOP_BY_HOP_HEADERS
     )
-    return Answered(Reply(status, headers, body))
+    return Answered(Reply(status, headers, body), notice)
--- a/src/carobwalk/gateway/_attempt_recorder.py
+++ b/src/carobwalk/gateway/_attempt_recorder.py
@@ -53,6 +53,9 @@
         """Record the outcome of an attempt, ``None`` if it was cancelled."""
         server = target.server
         now = trio.current_time()
+        if isinstance(outcome, Answered | NotRun):
+            self._loads.gates.apply(server, outcome.notice)
+            self._loads.totals.of(server).limit = outcome.notice.limit
         match outcome:
             case None:
                 self._loads.record_abandoned(server, now, now - started_at)
--- a/src/carobwalk/gateway/_header_names.py
+++ b/src/carobwalk/gateway/_header_names.py
@@ -16,6 +16,10 @@
         not_run: Present if the backend server did not run the request.
         server: Id of the backend server that answers.
         key: Number of the key of the request.
+        limit: Requests per second that the backend server accepts from all
+            processes together.
+        leaving: Present, with the value 1, while the backend server is
+            shutting down.
     """
 
     request_id: bytes
@@ -25,3 +29,5 @@
     not_run: bytes
     server: bytes
     key: bytes
+    limit: bytes
+    leaving: bytes
--- a/src/carobwalk/gateway/_keyed_chooser.py
+++ b/src/carobwalk/gateway/_keyed_chooser.py
@@ -18,6 +18,7 @@
 # Usual time for a key to get its next owner: the interval at which owners are
 # checked again, and the wait proposed to refused callers.
 _OWNER_CHANGE_SECONDS: Final = 0.2
+_LIMITED: Final = 'the owner of the key limits its requests'
 
 
 class KeyedChooser:
@@ -95,6 +96,8 @@
             return None
         if self._misdirected.is_refused(service, key, _ownership(owner)):
             return None
+        if not self._loads.gates.accepts_keyed(owner.server):
+            return None
         load = self._loads.of_keyed(owner.server)
         is_ejected = load.ejected_until > trio.current_time()
         return None if is_ejected else owner
@@ -114,10 +117,17 @@
         if not load.has_capacity and wait > max_wait:
             return NoTarget('the owner of the key is full', wait)
         with trio.move_on_after(max_wait):
-            while not load.has_capacity:
-                await load.queue.wait(request.route.rank)
-            load.start()
-            return Target(server, owner.fence)
+            while True:
+                pause = self._loads.gates.pause(server)
+                if trio.current_time() + pause > now + max_wait:
+                    return NoTarget(_LIMITED, pause)
+                if pause:
+                    await trio.sleep(pause)
+                elif load.has_capacity:
+                    self._loads.start(server)
+                    return Target(server, owner.fence)
+                else:
+                    await load.queue.wait(request.route.rank)
         return NoTarget('the owner of the key is full', latency)
 
 
--- a/src/carobwalk/gateway/_load_table.py
+++ b/src/carobwalk/gateway/_load_table.py
@@ -11,8 +11,10 @@
 from carobwalk.gateway._priority_queue import PriorityQueue
 from carobwalk.gateway._process_count import INITIAL_PROCESS_COUNT
 from carobwalk.gateway._request_totals_table import RequestTotalsTable
+from carobwalk.gateway._send_gates import SendGates
 from carobwalk.gateway._server_load import ServerLoad
 from carobwalk.model import ServiceName
+from carobwalk.shares import ProcessShare
 
 _INITIAL_LATENCY_SECONDS: Final = 0.1
 # Weight of a new latency in the moving average of a service.
@@ -31,10 +33,12 @@
     Args:
         directory: Registered backend servers; the loads of others are
             removed.
+        share: Share of this process in the limits of servers.
     """
 
-    def __init__(self, directory: ServerDirectory) -> None:
+    def __init__(self, directory: ServerDirectory, share: ProcessShare) -> None:
         self._directory = directory
+        self.gates = SendGates(directory, share)
         self._loads_by_incarnation: dict[ServerIncarnation, ServerLoad] = {}
         self._latencies_by_service: dict[ServiceName, float] = {}
         self._queues_by_service: dict[ServiceName, PriorityQueue] = defaultdict(
@@ -64,6 +68,11 @@
         load.limit = min(load.limit, load.max_limit)
         return load
 
+    def start(self, server: BackendServer) -> None:
+        """Count a request that is about to be sent to a server."""
+        self.of(server).start()
+        self.gates.admit(server)
+
     def queue_of(self, service: ServiceName) -> PriorityQueue:
         """Return the queue of requests that any server of a service may run."""
         return self._queues_by_service[service]
@@ -125,3 +134,4 @@
         for incarnation, load in tuple(self._loads_by_incarnation.items()):
             if incarnation not in incarnations and not load.in_flight:
                 self._loads_by_incarnation.pop(incarnation)
+                self.gates.remove(incarnation)
--- a/src/carobwalk/gateway/_outcomes.py
+++ b/src/carobwalk/gateway/_outcomes.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 from carobwalk.gateway._reply import Reply
+from carobwalk.gateway._server_notice import ServerNotice
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,9 +13,11 @@
 
     Args:
         reply: The answer.
+        notice: What the server says of itself.
     """
 
     reply: Reply
+    notice: ServerNotice
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,9 +40,11 @@
 
     Args:
         status: HTTP status of the report.
+        notice: What the server says of itself.
     """
 
     status: int
+    notice: ServerNotice
 
     @property
     def detail(self) -> str:
--- a/src/carobwalk/gateway/_refusals.py
+++ b/src/carobwalk/gateway/_refusals.py
@@ -6,7 +6,7 @@
 from carobwalk.gateway._reply import Reply
 
 _MIN_RETRY_AFTER_SECONDS: Final = 0.05
-_MAX_RETRY_AFTER_SECONDS: Final = 2.0
+_MAX_RETRY_AFTER_SECONDS: Final = 300.0
 
 
 def not_run(detail: str, retry_after: float) -> Reply:
--- /dev/null
+++ b/src/carobwalk/gateway/_send_gates.py
@@ -0,0 +1,65 @@
+"""Admission of requests to all backend servers by their own notices."""
+
+from collections import defaultdict
+
+import trio
+
+from carobwalk.directory import (
+    BackendServer,
+    ServerDirectory,
+    ServerIncarnation,
+)
+from carobwalk.gateway._send_gate import SendGate
+from carobwalk.gateway._server_notice import ServerNotice
+from carobwalk.shares import ProcessShare
+
+
+class SendGates:
+    """Gate of each incarnation of a backend server.
+
+    Args:
+        directory: Registered backend servers; told of those that shut down.
+        share: Share of this process in the limits of servers.
+    """
+
+    def __init__(self, directory: ServerDirectory, share: ProcessShare) -> None:
+        self._directory = directory
+        self._share = share
+        self._gates_by_incarnation: dict[ServerIncarnation, SendGate] = (
+            defaultdict(SendGate)
+        )
+
+    def apply(self, server: BackendServer, notice: ServerNotice) -> None:
+        """Apply what a server says of itself to later requests."""
+        gate = self._gates_by_incarnation[server.incarnation]
+        gate.apply(notice, trio.current_time())
+        if notice.is_leaving:
+            self._directory.record_leaving(server.incarnation)
+
+    def accepts_keyed(self, server: BackendServer) -> bool:
+        """Return whether a server may be sent requests for its keys.
+
+        One that shuts down may be for a short time, until they are handed over.
+        """
+        return self._directory.accepts_keyed_requests(server)
+
+    def pause(self, server: BackendServer) -> float:
+        """Return the seconds until a server accepts the next request.
+
+        It is 0 unless the server has limited the requests to it. It does not
+        tell whether the server has capacity.
+        """
+        gate = self._gates_by_incarnation.get(server.incarnation)
+        if gate is None:
+            return 0
+        return gate.pause(trio.current_time(), self._share.cautious_sharers)
+
+    def admit(self, server: BackendServer) -> None:
+        """Record that a request is about to be sent to a server."""
+        gate = self._gates_by_incarnation.get(server.incarnation)
+        if gate is not None:
+            gate.admit(trio.current_time(), self._share.cautious_sharers)
+
+    def remove(self, incarnation: ServerIncarnation) -> None:
+        """Remove the gate of a server that is no longer registered."""
+        self._gates_by_incarnation.pop(incarnation, None)
--- a/src/carobwalk/gateway/_unkeyed_chooser.py
+++ b/src/carobwalk/gateway/_unkeyed_chooser.py
@@ -1,5 +1,6 @@
 """Choice of a backend server for requests that any server can run."""
 
+import math
 import random
 from typing import Final
 
@@ -61,19 +62,18 @@
         service_latency = self._loads.service_latency(service)
         wait_until = now + (request.deadline - now) * _MAX_WAIT_SHARE
         queue = self._loads.queue_of(service)
-        while True:
+        while trio.current_time() < wait_until:
             server = self._find_available(service, request, tried)
             if server is not None:
-                self._loads.of(server).start()
+                self._loads.start(server)
                 return Target(server)
-            if not self._may_free_capacity(service, tried):
-                return NoTarget(
-                    'no backend server is ready', _NO_SERVER_RETRY_SECONDS
-                )
-            with trio.move_on_at(wait_until):
+            opens_at = trio.current_time() + self._pause(service, tried)
+            may_free = self._may_free_capacity(service, tried)
+            if not may_free and opens_at > wait_until:
+                return _no_server(opens_at)
+            with trio.move_on_at(min(wait_until, opens_at)):
                 await queue.wait(request.route.rank)
-                continue
-            return NoTarget('all backend servers are full', service_latency)
+        return NoTarget('all backend servers are full', service_latency)
 
     def _find_available(
         self,
@@ -89,6 +89,8 @@
             load = self._loads.of(server)
             if not load.has_capacity or load.ejected_until > now:
                 continue
+            if self._loads.gates.pause(server):
+                continue
             load_factor = load.in_flight / server.slots
             cost = load.latency(now, service_latency) * (1 + load_factor)
             cost *= 1 + random.random() * _MAX_JITTER_SHARE
@@ -100,6 +102,14 @@
                 best_cost = cost
         return best
 
+    def _pause(self, service: ServiceName, tried: frozenset[ServerId]) -> float:
+        """Return the seconds until a server that limits requests accepts one.
+
+        It is infinite if none of the servers limits them.
+        """
+        pauses = map(self._loads.gates.pause, self._candidates(service, tried))
+        return min(filter(None, pauses), default=math.inf)
+
     def _may_free_capacity(
         self,
         service: ServiceName,
@@ -121,3 +131,16 @@
             for server in self._directory.of_service(service)
             if not server.is_leaving and server.id not in tried
         ]
+
+
+def _no_server(opens_at: float) -> NoTarget:
+    """Return why no server accepts a request in time.
+
+    Args:
+        opens_at: Time from which one that limits its requests accepts one,
+            infinity if there is none.
+    """
+    if math.isinf(opens_at):
+        return NoTarget('no backend server is ready', _NO_SERVER_RETRY_SECONDS)
+    seconds = opens_at - trio.current_time()
+    return NoTarget('the backend servers limit their requests', seconds)
--- a/src/carobwalk/keyspace/_load_collector.py
+++ b/src/carobwalk/keyspace/_load_collector.py
@@ -15,6 +15,7 @@
     LoadReport,
     ServiceLoad,
 )
+from carobwalk.keyspace._server_notices import ServerNotices
 from carobwalk.keyspace._server_speed import ServerSpeeds
 from carobwalk.keyspace._server_work import rate_of
 from carobwalk.model import Clock, ProcessId, ServerId, ServiceName
@@ -49,6 +50,7 @@
         self._crashes = CrashCounts(clock)
         self._sharers = SharerCount(clock)
         self.speeds = ServerSpeeds()
+        self.notices = ServerNotices(clock)
         self._is_coordinator = False
 
     @property
@@ -70,6 +72,9 @@
         self._sharers.record(sender, report.sharers)
         for load in report.services:
             self._add_load(load, now)
+        for server, born in report.leaving:
+            incarnation = ServerIncarnation(ServerId(server), born)
+            self.notices.record_leaving(incarnation)
         for crash in report.crashes:
             incarnation = ServerIncarnation(ServerId(crash.server), crash.born)
             self._crashes.record(crash.fingerprint, incarnation)
@@ -146,3 +151,4 @@
             work.seconds += row.seconds
             if row.answers:
                 self.speeds.record_answer(incarnation, now)
+                self.notices.record_limit(incarnation, row.limit)
--- a/src/carobwalk/keyspace/_load_report.py
+++ b/src/carobwalk/keyspace/_load_report.py
@@ -19,6 +19,8 @@
         answers: Number of answered requests.
         given_up: Number of requests abandoned without an answer.
         seconds: Total time in flight of all these requests.
+        limit: Requests per second that the server accepts from all processes,
+            by its last answer; ``None`` without a limit.
     """
 
     server: str
@@ -26,6 +28,7 @@
     answers: int
     given_up: int
     seconds: float
+    limit: float | None = None
 
 
 class ServiceLoad(msgspec.Struct, array_like=True):
@@ -64,11 +67,14 @@
         crashes: Requests that were running when servers crashed.
         sharers: Number of processes among which this one shares limits, 0 if
             it has no share.
+        leaving: Servers that told this process that they shut down, each with
+            the start of its incarnation in milliseconds since 1970.
     """
 
     services: tuple[ServiceLoad, ...]
     crashes: tuple[ServerCrash, ...] = ()
     sharers: int = 0
+    leaving: tuple[tuple[str, int], ...] = ()
 
 
 class LoadReceipt(msgspec.Struct, array_like=True):
--- a/src/carobwalk/keyspace/_load_reporter.py
+++ b/src/carobwalk/keyspace/_load_reporter.py
@@ -87,6 +87,7 @@
                             counted.answers,
                             counted.given_up,
                             counted.seconds,
+                            counted.limit,
                         )
                         for incarnation, counted in (
                             work_by_service.get(service, {}).items()
@@ -104,4 +105,8 @@
                 for crash in crashes
             ),
             self._local.share.sharers,
+            tuple(
+                (incarnation.server, incarnation.born)
+                for incarnation in self._local.leaving.announced()
+            ),
         )
--- a/src/carobwalk/keyspace/_local_load.py
+++ b/src/carobwalk/keyspace/_local_load.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
+from carobwalk.directory import LeavingServers
 from carobwalk.events import Event, EventLog
 from carobwalk.gateway import CrashTracker, LoadTable
 from carobwalk.keyspace._load_report import LoadReceipt
@@ -29,12 +30,14 @@
     Args:
         loads: Load by backend server.
         share: Share of this process in limits on all processes together.
+        leaving: Servers that shut down.
         crash_tracker: Records crashes, and quarantines their culprits.
         events: Event log.
     """
 
     loads: LoadTable
     share: ProcessShare
+    leaving: LeavingServers
     crash_tracker: CrashTracker
     events: EventLog
 
--- a/src/carobwalk/keyspace/_view_builder.py
+++ b/src/carobwalk/keyspace/_view_builder.py
@@ -3,7 +3,7 @@
 import math
 from typing import Final
 
-from carobwalk.directory import ServerIncarnation
+from carobwalk.directory import BackendServer, ServerIncarnation
 from carobwalk.keyspace._coordinator_dependencies import CoordinatorDependencies
 from carobwalk.keyspace._events import OwnerLost
 from carobwalk.keyspace._grant_ledger import GrantLedger
@@ -98,9 +98,11 @@
         ):
             collector.refresh(server.slots)
             incarnation = server.incarnation
-            if not server.is_leaving and self._is_usable(incarnation):
+            if not self._is_leaving(server) and self._is_usable(incarnation):
                 seconds = collector.speeds.seconds(incarnation, now)
-                usable[incarnation] = server.slots / seconds
+                usable[incarnation] = collector.notices.capacity(
+                    incarnation, server.slots / seconds
+                )
         return usable
 
     def _leaving(self) -> frozenset[ServerIncarnation]:
@@ -108,9 +110,14 @@
             self._service
         )
         return frozenset(
-            server.incarnation for server in servers if server.is_leaving
+            server.incarnation for server in servers if self._is_leaving(server)
         )
 
+    def _is_leaving(self, server: BackendServer) -> bool:
+        """Return whether a server is leaving by registry or own answers."""
+        notices = self._dependencies.collector.notices
+        return server.is_leaving or notices.is_leaving(server.incarnation)
+
     def _is_usable(self, incarnation: ServerIncarnation) -> bool:
         failure_detector = self._dependencies.orders.failure_detector
         if failure_detector.is_usable(incarnation):
--- a/src/carobwalk/platform/_headers.py
+++ b/src/carobwalk/platform/_headers.py
@@ -12,5 +12,7 @@
     not_run=b'not-executed',
     server=b'instance-id',
     key=b'shard-key',
+    limit=b'server-limit',
+    leaving=b'server-leaving',
 )
 READINESS_PATH: Final = '/readiness'
--- a/src/carobwalk/shares/_process_share.py
+++ b/src/carobwalk/shares/_process_share.py
@@ -27,6 +27,15 @@
         """Number of processes that share limits, 0 if it isn't known."""
         return self._sharers if self._is_confirmed else 0
 
+    @property
+    def cautious_sharers(self) -> int:
+        """Number of processes to divide a limit by, 0 if it was never told.
+
+        It is twice the last number told once this isn't confirmed any more: the
+        processes that the coordinator still hears from may take over a part.
+        """
+        return self._sharers if self._is_confirmed else 2 * self._sharers
+
     def sharers_for(self, window: float) -> int:
         """Return the number of sharers of a limit on a window.
 
--- a/standins/platform/_backend.py
+++ b/standins/platform/_backend.py
@@ -21,6 +21,46 @@
 HeaderFields = list[tuple[bytes, bytes]]
 
 
+class Arrivals:
+    """Requests that arrived at a server, run or not."""
+
+    def __init__(self) -> None:
+        self.counts_by_id: Counter[bytes] = Counter()
+        self.times: list[float] = []
+
+    def record(self, request_id: bytes) -> None:
+        """Record that a request arrived."""
+        self.counts_by_id[request_id] += 1
+        self.times.append(trio.current_time())
+
+
+@dataclass(slots=True)
+class Notices:
+    """What a server says of itself in its answers.
+
+    Args:
+        limit: Requests per second that it accepts, ``None`` without a limit.
+        is_leaving: Whether it says that it shuts down.
+        retry_after: Seconds for which it wants no more requests, added to its
+            refusals with 503; ``None`` for none.
+    """
+
+    limit: float | None = None
+    is_leaving: bool = False
+    retry_after: float | None = None
+
+    def headers(self, status: int) -> HeaderFields:
+        """Return the header fields of an answer with a status."""
+        fields: HeaderFields = []
+        if self.limit is not None:
+            fields.append((b'server-limit', str(self.limit).encode()))
+        if self.is_leaving:
+            fields.append((b'server-leaving', b'1'))
+        if self.retry_after is not None and status == 503:
+            fields.append((b'retry-after', str(self.retry_after).encode()))
+        return fields
+
+
 @dataclass(frozen=True, slots=True)
 class OrderResponse:
     """Response to an order about keys.
@@ -125,9 +165,8 @@
         self.idle_timeout = math.inf
         self.requests: list[ReceivedRequest] = []
         self.cancelled_ids: list[bytes] = []
-        self.runs_by_id: Counter[bytes] = Counter()
-        # Requests that arrived, run or not, by their ids.
-        self.arrivals_by_id: Counter[bytes] = Counter()
+        self.arrivals = Arrivals()
+        self.notices = Notices()
         self.connections = 0
         self._handlers_by_target: dict[bytes, OrderHandler] = {}
         self._late_answers_by_connection: dict[H11Stream, bytes] = {}
@@ -160,7 +199,7 @@
         headers = dict(head.headers)
         request_id = headers.get(_ATTEMPT_ID, b'')
         if head.target not in self._handlers_by_target:
-            self.arrivals_by_id[request_id] += 1
+            self.arrivals.record(request_id)
         status = self._refusal_status(headers, head.target)
         if status is not None:
             await self._send(
@@ -208,7 +247,6 @@
     async def _run(self, http: H11Stream, request: ReceivedRequest) -> bool:
         fault = self._take_fault()
         self.requests.append(request)
-        self.runs_by_id[request.id] += 1
         if not await self._work(http, request.id):
             return False
         return await self._answer(http, request.id, fault)
@@ -266,6 +304,7 @@
                     (_ATTEMPT_ID, request_id),
                     (b'instance-id', self.name.encode()),
                     (b'content-length', str(len(_BODY)).encode()),
+                    *self.notices.headers(status),
                     *headers,
                 ],
             ),
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -124,13 +124,14 @@
         decoded = decode_configuration(CONFIGURATION)
         self.routes.offer(decoded.ok_value, 1)
         self.owners = SingleOwnerMap()
-        self.loads = LoadTable(self.directory)
+        self.share = ProcessShare()
+        self.loads = LoadTable(self.directory, self.share)
         self.pool = ConnectionPool(self.directory, PLATFORM_HEADERS)
         locality = Locality(
             LOCAL_DATA_CENTRE, {LOCAL_DATA_CENTRE: RegionName('r1')}
         )
         self.budgets = RetryBudgets(
-            RetryRules(ratio=2, slack=64, window=10), ProcessShare()
+            RetryRules(ratio=2, slack=64, window=10), self.share
         )
         self.crash_tracker = CrashTracker()
         forwarder = Forwarder(
--- a/tests/gateway/test_answer_identity.py
+++ b/tests/gateway/test_answer_identity.py
@@ -1,11 +1,13 @@
 """Tests that an answer is never taken for that of another request."""
 
+from collections import Counter
+
 import pytest
 import trio
 
 from carobwalk.model import ServerId
 from carobwalk.platform import decode_configuration
-from standins.platform import Fault
+from standins.platform import Fault, PlatformBackend
 from tests.gateway.harness import CONFIGURATION, GatewayHarness
 
 # Requests with a key are not idempotent.
@@ -15,6 +17,11 @@
 )
 
 
+def runs_by_id(backend: PlatformBackend) -> Counter[bytes]:
+    """Return the number of runs of each request at a server."""
+    return Counter(request.id for request in backend.requests)
+
+
 class TestRepeatedAnswers:
     # A refusal that is written twice counted as the refusal of the next send.
     def test_repeated_refusal(self, run_scenario) -> None:
@@ -31,7 +38,7 @@
             answer = await harness.send_request(
                 'POST', '/keyed/a', b'x', shard_key='5'
             )
-            assert backend.runs_by_id == {b'id1': 1}
+            assert runs_by_id(backend) == {b'id1': 1}
             assert answer.status == 200
 
         run_scenario(scenario)
@@ -69,7 +76,7 @@
                 'POST', '/writes/a', b'x', 'id2'
             )
             assert backend.connections == 1
-            assert backend.runs_by_id == {b'id1': 1, b'id2': 1}
+            assert runs_by_id(backend) == {b'id1': 1, b'id2': 1}
             assert answer.status == 502
             harness.loads.of(harness.directory.get('s1')).ejected_until = 0
             answer = await harness.send_request(
--- a/tests/gateway/test_choosers.py
+++ b/tests/gateway/test_choosers.py
@@ -62,7 +62,7 @@
             data_centre = LOCAL if number < local_count else REMOTE
             server = replace(make_server(number), data_centre=data_centre)
             self.directory.put(server, 1)
-        self.loads = LoadTable(self.directory)
+        self.loads = LoadTable(self.directory, ProcessShare())
         self.chooser = UnkeyedChooser(self.directory, self.loads, LOCALITY)
 
     async def choose(self, request: CallerRequest) -> Target | NoTarget:
--- a/tests/gateway/test_encoded_answers.py
+++ b/tests/gateway/test_encoded_answers.py
@@ -5,6 +5,7 @@
 
 from carobwalk.gateway._answer_classifier import classify_answer
 from carobwalk.gateway._outcomes import Answered, AttemptOutcome, Lost, NotRun
+from carobwalk.gateway._server_notice import ServerNotice
 from carobwalk.platform import PLATFORM_HEADERS
 from tests.gateway.harness import GatewayHarness
 from tests.gateway.raw_scenarios import OPEN_HEAD, WHOLE, add_server, ask, run
@@ -47,7 +48,7 @@
     def test_refusal(self, status: int, fields: _Fields) -> None:
         """A refusal with an encoded body still states that nothing ran."""
         outcome = _classify(status, *fields, ('Content-Encoding', 'gzip'))
-        assert outcome == NotRun(status)
+        assert outcome == NotRun(status, ServerNotice())
 
 
 class TestCallers:
--- a/tests/gateway/test_fleet_budget.py
+++ b/tests/gateway/test_fleet_budget.py
@@ -35,9 +35,12 @@
     """Retry budgets of a process and what it learns from receipts."""
 
     def __init__(self) -> None:
+        share = ProcessShare()
+        directory = ServerDirectory(TrioClock(), NullEventLog())
         self.local = LocalLoad(
-            loads=LoadTable(ServerDirectory(TrioClock(), NullEventLog())),
-            share=ProcessShare(),
+            loads=LoadTable(directory, share),
+            share=share,
+            leaving=directory.leaving,
             crash_tracker=CrashTracker(),
             events=NullEventLog(),
         )
--- a/tests/gateway/test_misdirected.py
+++ b/tests/gateway/test_misdirected.py
@@ -37,7 +37,7 @@
             answer = await harness.send_request(
                 'GET', '/keyed/a', shard_key='5'
             )
-            assert backend.arrivals_by_id[b'id1'] == 1
+            assert backend.arrivals.counts_by_id[b'id1'] == 1
             assert answer.status == 503
             assert float(answer.headers[b'retry-after']) > 0
 
@@ -58,7 +58,7 @@
                     )
                     await trio.sleep(REQUEST_INTERVAL_SECONDS)
             # Those that were under way when the first answer arrived.
-            assert backend.arrivals_by_id.total() <= 5
+            assert backend.arrivals.counts_by_id.total() <= 5
 
         run_scenario(scenario)
 
@@ -73,7 +73,7 @@
             await harness.send_keyed('id1', '5', '100')
             answer = await harness.send_keyed('id2', '6', '100')
             assert answer.status == 200
-            assert backend.arrivals_by_id[b'id2'] == 1
+            assert backend.arrivals.counts_by_id[b'id2'] == 1
 
         run_scenario(scenario)
 
--- a/tests/keyspace/test_new_coordinator.py
+++ b/tests/keyspace/test_new_coordinator.py
@@ -43,9 +43,11 @@
 
         async def body() -> None:
             directory = ServerDirectory(TrioClock(), NullEventLog())
+            share = ProcessShare()
             local = LocalLoad(
-                loads=LoadTable(directory),
-                share=ProcessShare(),
+                loads=LoadTable(directory, share),
+                share=share,
+                leaving=directory.leaving,
                 crash_tracker=CrashTracker(),
                 events=NullEventLog(),
             )
--- a/tests/keyspace/test_unreported_crashes.py
+++ b/tests/keyspace/test_unreported_crashes.py
@@ -30,13 +30,15 @@
             directory = ServerDirectory(TrioClock(), log)
             tracker = CrashTracker()
             reader = KeyReader(log)
+            share = ProcessShare()
             reporter = LoadReporter(
                 PeerLinks(),
                 reader,
                 KeyOwnerTable(reader, directory),
                 LocalLoad(
-                    loads=LoadTable(directory),
-                    share=ProcessShare(),
+                    loads=LoadTable(directory, share),
+                    share=share,
+                    leaving=directory.leaving,
                     crash_tracker=tracker,
                     events=log,
                 ),
