Drop registry entries with numbers or ids that no server has

Seen here, by the tests: an entry with slots of 2^31 or 2^63, with born of 2^63 or -1, or with an id that can't be sent in a header field (spaces, line breaks, no ASCII, empty) was accepted. Such slots draw all work of a service to the entry. A born of 2^64 can't be written to a key map, and an id with a line break ends the caller's connection without an answer, as the head can't be encoded. Dropped already before: deep nesting, slots of 10^309, a port out of range. Ruled out by reading: ports of thousands of digits, which the pattern of an address does not match.

Change: bounds on both numbers, and ids of printable ASCII of up to 200 characters.

--- a/src/carobwalk/platform/_registry.py
+++ b/src/carobwalk/platform/_registry.py
@@ -1,6 +1,7 @@
 """Decoding of the registry entries of backend servers."""
 
-from typing import Final
+import re
+from typing import Annotated, Final
 
 import msgspec
 from result import Err, Ok, Result
@@ -19,13 +20,21 @@
 _DRAINING_STATE: Final = 'draining'
 
 
+# More slots than any server has: an entry with more would draw all work to it.
+_MAX_SLOTS: Final = 10_000
+# Start of the year 10000. Larger numbers can't be written to a key map.
+_MAX_BORN_MILLISECONDS: Final = 253_402_300_800_000
+# An id is sent in a header field.
+_ID: Final = re.compile('[!-~]{1,200}')
+
+
 class _Entry(msgspec.Struct):
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
     state: str
-    born: int
+    born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_BORN_MILLISECONDS)]
 
 
 class EntryError(msgspec.Struct, frozen=True):
@@ -60,15 +69,14 @@
     address = parse_address(entry.address)
     if address is None or not entry.service:
         return Err(EntryError(f'no service or bad address: {entry.address!r}'))
-    if entry.state not in {_READY_STATE, _DRAINING_STATE} or entry.slots < 1:
-        return Err(
-            EntryError(
-                f'bad state or slot count: {entry.state!r}, {entry.slots}',
-            ),
-        )
+    if entry.state not in {_READY_STATE, _DRAINING_STATE}:
+        return Err(EntryError(f'bad state: {entry.state!r}'))
+    server = parse_server_id(name)
+    if _ID.fullmatch(server) is None:
+        return Err(EntryError(f'bad id: {server!r}'))
     return Ok(
         BackendServer(
-            id=parse_server_id(name),
+            id=server,
             born=entry.born,
             service=ServiceName(entry.service),
             address=address,
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -50,6 +50,14 @@
             {'address': 7},
             {'service': ''},
             {'service': None},
+            {'slots': 10**309},
+            {'slots': 2**63},
+            {'slots': 2**31},
+            {'born': 2**64},
+            {'born': 2**63},
+            {'born': -1},
+            {'address': '10.0.0.1:65536'},
+            {'address': f'10.0.0.1:{"9" * 5000}'},
         ],
     )
     def test_invalid_field(self, change) -> None:
@@ -57,6 +65,13 @@
         content = json.dumps({**_ENTRY, **change}).encode()
         assert isinstance(decode_registry_entry('servers/i-1', content), Err)
 
+    @pytest.mark.parametrize('server', ['', 'a b', 'a\r\nx: y', 'ä', 'a\x00'])
+    def test_bad_id(self, server: str) -> None:
+        """An entry whose id can't be sent in a header field is rejected."""
+        content = json.dumps(dict(_ENTRY)).encode()
+        decoded = decode_registry_entry(f'servers/{server}', content)
+        assert isinstance(decoded, Err)
+
     def test_deeply_nested(self) -> None:
         """An entry nested too deeply to be read is rejected."""
         # Guards against one entry that ends all processes that follow it.
