Refuse late requests that would outlast a process that shuts down

Cause: a request had its whole deadline, whatever time the process had left; at the end its task was cancelled and the connection closed. Class: a bound of the process that does not bind what it accepts.

Change: the shutdown sets two times. A request that was read completely after 2.6 s of it, when balancers have stopped sending new callers, is refused with 503 if its deadline lies beyond the end: nothing has run, and another process gives it its whole time. One that was read before gets a deadline 0.2 s before the end, which its server is told, and an answer instead of a cut.

--- a/src/carobwalk/app/_build_gateway.py
+++ b/src/carobwalk/app/_build_gateway.py
@@ -17,7 +17,7 @@
     RetryRules,
     UnkeyedChooser,
 )
-from carobwalk.http import AnswerMemory
+from carobwalk.http import AnswerMemory, Shutdown
 from carobwalk.keyspace import LocalLoad
 from carobwalk.metrics import GatewayMeter
 from carobwalk.platform import PLATFORM_HEADERS
@@ -38,10 +38,12 @@
     Args:
         server: Accepts connections of callers.
         pool: Pool of connections to backend servers.
+        shutdown: Bounds requests by the end of the process.
     """
 
     server: GatewayServer
     pool: ConnectionPool
+    shutdown: Shutdown
 
 
 def retry_rules(bounds: Bounds) -> RetryRules:
@@ -100,12 +102,17 @@
         meter=GatewayMeter(core.metrics),
         events=core.events,
         is_stopping=is_stopping,
+        shutdown=Shutdown(),
     )
     max_connections = max(
         settings.host.descriptors - _RESERVED_DESCRIPTORS,
         100,
     )
-    return Gateway(server=GatewayServer(service, max_connections), pool=pool)
+    return Gateway(
+        server=GatewayServer(service, max_connections),
+        pool=pool,
+        shutdown=service.shutdown,
+    )
 
 
 def _answer_bytes(host: HostLimits) -> int:
--- a/src/carobwalk/app/_gateway_process.py
+++ b/src/carobwalk/app/_gateway_process.py
@@ -31,6 +31,8 @@
 _BALANCER_DRAIN_SECONDS: Final = 2.6
 # Part of the shutdown time that is reserved for steps after the last wait.
 _STOP_MARGIN_SECONDS: Final = 0.6
+# From the last answer to the end of the wait for requests in flight.
+_ANSWER_MARGIN_SECONDS: Final = 0.2
 
 
 class GatewayProcess:
@@ -133,6 +135,9 @@
         seconds = self._core.settings.bounds.stop_seconds
         deadline = trio.current_time() + seconds - _STOP_MARGIN_SECONDS
         balancer_deadline = trio.current_time() + _BALANCER_DRAIN_SECONDS
+        self._gateway.shutdown.begin(
+            balancer_deadline, deadline - _ANSWER_MARGIN_SECONDS
+        )
         with trio.move_on_at(balancer_deadline):
             await self._keyspace.role.resign()
         await trio.sleep_until(balancer_deadline)
--- a/src/carobwalk/gateway/_gateway_service.py
+++ b/src/carobwalk/gateway/_gateway_service.py
@@ -7,7 +7,7 @@
 from carobwalk.gateway._forwarder import Forwarder
 from carobwalk.gateway._header_names import HeaderNames
 from carobwalk.gateway._request_meter import RequestMeter
-from carobwalk.http import AnswerMemory
+from carobwalk.http import AnswerMemory, Shutdown
 from carobwalk.model import ServiceName
 from carobwalk.routing import ActiveRoutes, CallerLimits
 
@@ -26,6 +26,7 @@
         meter: Counts and times requests.
         events: Event log.
         is_stopping: Returns whether the process is shutting down.
+        shutdown: Bounds requests by the end of the process.
     """
 
     names: HeaderNames
@@ -36,6 +37,7 @@
     meter: RequestMeter
     events: EventLog
     is_stopping: Callable[[], bool]
+    shutdown: Shutdown
 
     def limits(self) -> CallerLimits:
         """Return the limits on callers, the defaults before configuration."""
--- a/src/carobwalk/gateway/_request_reader.py
+++ b/src/carobwalk/gateway/_request_reader.py
@@ -77,9 +77,9 @@
 
         Raises:
             RequestError: If the head is too large or has two framings of the
-                body, if the method is CONNECT, if there is no route, or if
-                the body is malformed, too long or not received before the
-                deadline.
+                body, if the method is CONNECT, if there is no route, if the
+                body is malformed, too long or not received before the
+                deadline, or if the process ends before the deadline.
         """
         arrived = trio.current_time()
         self._check_size(head)
@@ -92,6 +92,11 @@
             body = await self._read_body()
         if body is None:
             raise RequestError(HTTPStatus.REQUEST_TIMEOUT, 'body too slow')
+        deadline = arrived + seconds
+        if self._service.shutdown.is_too_late(deadline):
+            raise RequestError(
+                HTTPStatus.SERVICE_UNAVAILABLE, 'shutting down', 0
+            )
         names = self._service.names
         key = find_number(head.headers, names.key)
         return CallerRequest(
@@ -107,7 +112,7 @@
             route=route,
             key=key if key is None or key <= _MAX_KEY else None,
             arrived=arrived,
-            deadline=arrived + seconds,
+            deadline=self._service.shutdown.limit(deadline),
             answer_share=self._answer_share,
         )
 
--- a/src/carobwalk/http/__init__.py
+++ b/src/carobwalk/http/__init__.py
@@ -27,6 +27,7 @@
 from carobwalk.http._natural_number import parse_natural_number
 from carobwalk.http._sender import HttpSender
 from carobwalk.http._server import serve_http, serve_http_stream
+from carobwalk.http._shutdown import Shutdown
 
 __all__ = (
     'AnswerMemory',
@@ -45,6 +46,7 @@
     'HttpSender',
     'JoinedHeads',
     'NoAnswer',
+    'Shutdown',
     'connect_with_keepalive',
     'declared_length',
     'error_detail',
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -23,7 +23,7 @@
     RetryRules,
     UnkeyedChooser,
 )
-from carobwalk.http import AnswerMemory, H11Stream
+from carobwalk.http import AnswerMemory, H11Stream, Shutdown
 from carobwalk.model import (
     Address,
     DataCentreName,
@@ -117,6 +117,7 @@
         self.nursery = nursery
         self.answer_memory = AnswerMemory(answer_bytes)
         self.is_stopping = False
+        self.shutdown = Shutdown()
         self.log = RecordingLog()
         self.meter = RecordingMeter()
         self.directory = ServerDirectory(TrioClock(), NullEventLog())
@@ -156,6 +157,7 @@
                 meter=self.meter,
                 events=self.log,
                 is_stopping=lambda: self.is_stopping,
+                shutdown=self.shutdown,
             ),
             100,
         )
