--- a/src/carobwalk/gateway/_caller_connection.py
+++ b/src/carobwalk/gateway/_caller_connection.py
@@ -13,7 +13,7 @@
 from carobwalk.gateway._request_error import RequestError
 from carobwalk.gateway._request_handler import RequestHandler
 from carobwalk.gateway._request_reader import RequestReader
-from carobwalk.http import AnswerShare, H11Stream
+from carobwalk.http import BODILESS_STATUSES, AnswerShare, H11Stream
 
 _RECEIVE_BYTES: Final = 65_536
 _WRITE_TIMEOUT_SECONDS: Final = 5.0
@@ -28,9 +28,6 @@
     trio.ClosedResourceError,
     h11.LocalProtocolError,
 )
-_BODILESS_STATUSES: Final = frozenset(
-    (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
-)
 
 
 class CallerConnection:
@@ -149,7 +146,7 @@
 
     async def _write(self, reply: Reply, method: bytes) -> None:
         headers = list(reply.headers)
-        is_bodiless = reply.status in _BODILESS_STATUSES
+        is_bodiless = reply.status in BODILESS_STATUSES
         if not is_bodiless:
             length = str(len(reply.body)).encode()
             headers.append((b'content-length', length))
--- a/src/carobwalk/http/__init__.py
+++ b/src/carobwalk/http/__init__.py
@@ -2,6 +2,7 @@
 
 from carobwalk.http._answer_memory import AnswerMemory, AnswerShare
 from carobwalk.http._answer_reader import (
+    BODILESS_STATUSES,
     AnswerReader,
     declared_length,
     is_delimited,
@@ -30,6 +31,7 @@
 from carobwalk.http._shutdown import Shutdown
 
 __all__ = (
+    'BODILESS_STATUSES',
     'AnswerMemory',
     'AnswerReader',
     'AnswerShare',
--- a/src/carobwalk/http/_answer_reader.py
+++ b/src/carobwalk/http/_answer_reader.py
@@ -16,7 +16,8 @@
 # cost processor time, exceed them.
 _FREE_FRAMING_BYTES: Final = 32_768
 _BODY_BYTES_PER_FRAMING_BYTE: Final = 16
-_BODILESS_STATUSES: Final = frozenset(
+# Statuses whose answers have no body, whatever their head says.
+BODILESS_STATUSES: Final = frozenset(
     (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 )
 _DELIMITING_FIELDS: Final = frozenset((b'content-length', b'transfer-encoding'))
@@ -125,7 +126,7 @@
         head: Head of the answer.
         method: HTTP method of the request.
     """
-    if method == b'HEAD' or head.status_code in _BODILESS_STATUSES:
+    if method == b'HEAD' or head.status_code in BODILESS_STATUSES:
         return 0
     fields = dict(head.headers)
     if b'transfer-encoding' in fields:
@@ -140,7 +141,7 @@
         head: Head of the answer.
         method: HTTP method of the request.
     """
-    if method == b'HEAD' or head.status_code in _BODILESS_STATUSES:
+    if method == b'HEAD' or head.status_code in BODILESS_STATUSES:
         return True
     names = {name for name, _ in head.headers}
     return not names.isdisjoint(_DELIMITING_FIELDS)
