Read limits with any number of decimal places, and log changes of shares

A change of a process's share of the common limits is logged: without it the cause could not be told from a wrong number of processes.

--- a/src/carobwalk/gateway/_server_notice.py
+++ b/src/carobwalk/gateway/_server_notice.py
@@ -10,7 +10,7 @@
 from carobwalk.gateway._header_fields import find_header
 from carobwalk.gateway._header_names import HeaderNames
 
-_DECIMAL: Final = re.compile(rb'[0-9]{1,9}(?:\.[0-9]{1,9})?')
+_DECIMAL: Final = re.compile(rb'(?:[0-9]{1,9}\.?[0-9]{0,40}|\.[0-9]{1,40})')
 _LEAVING: Final = b'1'
 _RETRY_AFTER: Final = b'retry-after'
 # Longest time for which a refusal keeps requests from a server.
--- a/src/carobwalk/keyspace/_local_load.py
+++ b/src/carobwalk/keyspace/_local_load.py
@@ -23,6 +23,20 @@
     fingerprint: int
 
 
+@dataclass(frozen=True, slots=True)
+class ShareChanged(Event):
+    """The share of this process in limits on all processes changed.
+
+    Args:
+        before: Number of processes that shared the limits, 0 if this process
+            had no share.
+        sharers: Number of processes that share them now.
+    """
+
+    before: int
+    sharers: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LocalLoad:
     """Components that feed load reports and are updated by their receipts.
@@ -45,6 +59,12 @@
         """Apply the coordinator's receipt of a report."""
         if receipt.processes:
             self.loads.process_count = receipt.processes
-        self.share.renew(receipt.sharers)
+        self._renew_share(receipt.sharers)
         for fingerprint in self.crash_tracker.quarantine(receipt.culprits):
             self.events.emit(RequestQuarantined(fingerprint))
+
+    def _renew_share(self, sharers: int) -> None:
+        before = self.share.sharers
+        self.share.renew(sharers)
+        if self.share.sharers != before:
+            self.events.emit(ShareChanged(before, self.share.sharers))
--- a/tests/gateway/test_server_notices.py
+++ b/tests/gateway/test_server_notices.py
@@ -150,6 +150,21 @@
 
         run_scenario(scenario)
 
+    @pytest.mark.parametrize(
+        'limit', ['2', '2.', '.5', '2.938937123712807', '0.30000000000000004']
+    )
+    def test_decimal(self, run_scenario, limit: str) -> None:
+        """A limit may have any number of decimal places."""
+
+        async def scenario(harness: GatewayHarness) -> None:
+            backend = await _add(harness, 'keyed', is_alone=True)
+            backend.notices.limit = limit
+            callers = Callers(harness, 'keyed')
+            await callers.run(1)
+            assert len(backend.arrivals.times) < LIMIT
+
+        run_scenario(scenario)
+
     @pytest.mark.parametrize(
         'limit', ['nan', '-1', '1e400', 'x', '9' * 400, '']
     )
