Let the soak's servers limit requests, ask to wait and announce their end

The plan `notices` adds three faults to the general ones. Each router's requests to each server are checked against what that server has told it: none later than 2 s after 'leaving' beside the time of a request, two at most during a wait, and 1.5 times the limit and 5 in 4 s, all routers together, 3 s after it was named. A restart or a freeze of a router excuses it for 3 s.

A router that ignores notices is found by seed 1. The kinds of the other plans are fixed by set now, and the stand-in's new fault is left out of them, so that their seeds keep their schedules.

--- a/soak/_fault_registry.py
+++ b/soak/_fault_registry.py
@@ -1,6 +1,7 @@
 """Registry of fault kinds, and fault schedules derived from a seed."""
 
 import random
+from collections import defaultdict
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import StrEnum, unique
@@ -18,11 +19,12 @@
 
     GENERAL = 'general'
     OWNERSHIP = 'ownership'
+    NOTICES = 'notices'
 
 
 _functions_by_kind: dict[str, FaultFunction] = {}
-# The general set is fixed, so that seeds keep their schedules.
-_general_kinds: set[str] = set()
+# Each set is fixed, so that seeds keep their schedules.
+_kinds_by_set: dict[FaultSet, set[str]] = defaultdict(set)
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,8 +55,7 @@
 
     def __call__(self, function: _Function) -> _Function:
         _functions_by_kind[self.kind] = function
-        if self.fault_set is FaultSet.GENERAL:
-            _general_kinds.add(self.kind)
+        _kinds_by_set[self.fault_set].add(self.kind)
         return function
 
 
@@ -75,11 +76,11 @@
         seed: Seed of the schedule.
         seconds: Time during which faults start.
         count: Number of faults.
-        fault_set: Faults to draw from; the set for ownership includes all.
+        fault_set: Faults to draw from, besides those of the general set.
     """
     rng = random.Random(seed)
-    is_general = fault_set is FaultSet.GENERAL
-    kinds = sorted(_general_kinds if is_general else _functions_by_kind)
+    general_kinds = _kinds_by_set[FaultSet.GENERAL]
+    kinds = sorted(general_kinds | _kinds_by_set[fault_set])
     faults = [
         ScheduledFault(
             start_seconds=round(rng.uniform(0, seconds), 3),
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -17,7 +17,10 @@
     for state in LinkState
     if state not in {LinkState.PASSING, LinkState.UNOPENED}
 )
-_SERVER_FAULTS = tuple(fault for fault in Fault if fault is not Fault.NONE)
+# Without the faults added later, so that seeds keep their details.
+_SERVER_FAULTS = tuple(
+    fault for fault in Fault if fault not in {Fault.NONE, Fault.MISDIRECT}
+)
 _MIN_FAULT_SECONDS = 0.3
 _MAX_FAULT_SECONDS = 3.0
 _MAX_DOWNTIME_SECONDS = 1.5
--- a/soak/_injector.py
+++ b/soak/_injector.py
@@ -6,7 +6,7 @@
 import trio
 
 from soak._fault_registry import ScheduledFault
-from soak._faults import make_schedule
+from soak._notice_faults import make_schedule
 from soak._ownership_faults import take_over
 from soak._plan import SoakPlan
 from soak._testbed import Testbed
--- a/soak/_observed_servers.py
+++ b/soak/_observed_servers.py
@@ -11,6 +11,7 @@
 from carobwalk.model import ServerId
 from soak._event_file import EventFile
 from soak._invariant_checker import InvariantChecker
+from soak._notice_check import NoticeCheck
 from soak._ownership_monitor import AppliedGrant, OwnershipMonitor
 from soak._store_gate import AddressBook
 from standins.platform import (
@@ -41,10 +42,15 @@
 # Some requests are long enough to be in flight when a process ends.
 _REQUESTS_PER_SLOW_REQUEST: Final = 8
 _SLOW_SECONDS: Final = 1.0
+_REFUSED: Final = 503
 
 _router: contextvars.ContextVar[str] = contextvars.ContextVar(
     'router', default='unknown'
 )
+# Whether the message of this connection is a request, not an order.
+_is_request: contextvars.ContextVar[bool] = contextvars.ContextVar(
+    'is_request', default=False
+)
 
 
 class Observer(Protocol):
@@ -54,14 +60,43 @@
     monitor: OwnershipMonitor
     event_file: EventFile
     address_book: AddressBook
+    notice_check: NoticeCheck
     holders_by_id: dict[ServerId, KeyHolder]
 
 
 class ObservedServer(PlatformBackend):
-    """Backend server that reports its runs to the observer."""
+    """Backend server that reports its runs and notices to the observer."""
 
     observer: Observer
 
+    async def _send(
+        self,
+        http: H11Stream,
+        status: int,
+        request_id: bytes,
+        headers: list[tuple[bytes, bytes]],
+        is_repeated: bool = False,
+    ) -> None:
+        wait_seconds = self.notices.retry_after if status == _REFUSED else None
+        if _is_request.get():
+            self.observer.notice_check.record_answer(
+                self,
+                _router.get(),
+                self.notices.limit,
+                wait_seconds or 0,
+                is_leaving=self.notices.is_leaving,
+            )
+        await super()._send(http, status, request_id, headers, is_repeated)
+
+    def _refusal_status(
+        self, headers: dict[bytes, bytes], target: bytes
+    ) -> int | None:
+        is_request = target not in self._handlers_by_target
+        _is_request.set(is_request)
+        if is_request:
+            self.observer.notice_check.record_arrival(self, _router.get())
+        return super()._refusal_status(headers, target)
+
     async def _work(self, http: object, request_id: bytes) -> bool:
         self.observer.checker.record_run(request_id.decode(), self.name)
         is_slow = zlib.crc32(request_id) % _REQUESTS_PER_SLOW_REQUEST == 0
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -39,6 +39,8 @@
         'ownership': SoakPlan(
             seconds=12, faults=8, fault_set=FaultSet.OWNERSHIP, takeovers=4
         ),
+        # What servers say of themselves, beside the general faults.
+        'notices': SoakPlan(seconds=14, faults=16, fault_set=FaultSet.NOTICES),
         # Cuts that outlast the grants of a successor, not of its predecessor.
         'long-cuts': SoakPlan(
             seconds=12,
--- a/soak/_planted.py
+++ b/soak/_planted.py
@@ -12,6 +12,7 @@
 from carobwalk.gateway import _forwarder as forwarder_module
 from carobwalk.gateway import _refusals as refusals
 from carobwalk.gateway._request_handler import RequestHandler
+from carobwalk.gateway._send_gates import SendGates
 from carobwalk.keyspace import KeyTimes
 from carobwalk.keyspace._grant_ledger import GrantLedger, LedgerState
 from carobwalk.routing import ActiveRoutes, RouteTable
@@ -56,8 +57,8 @@
     routes.table = RouteTable(configuration)
 
 
-def _log_nothing(*_arguments: object) -> None:
-    """Log nothing."""
+def _do_nothing(*_arguments: object) -> None:
+    """Do nothing."""
 
 
 def _forget_inherited(ledger: GrantLedger, _reported: LedgerState) -> None:
@@ -75,8 +76,9 @@
             GrantLedger, 'inherit', _forget_inherited
         ),
         'forgets-grants': PlantedBug(KeyTimes, 'longest_validity', _zero_end),
+        'ignores-notices': PlantedBug(SendGates, 'apply', _do_nothing),
         'repeats-all': PlantedBug(Forwarder, '_may_repeat', _always_may_repeat),
-        'silent-answers': PlantedBug(RequestHandler, 'log', _log_nothing),
+        'silent-answers': PlantedBug(RequestHandler, 'log', _do_nothing),
         'versions-fall': PlantedBug(ActiveRoutes, 'offer', _accept_any),
     },
 )
--- a/soak/_process_times.py
+++ b/soak/_process_times.py
@@ -28,10 +28,13 @@
     Args:
         kills_by_incarnation: Wall time in seconds of each kill.
         pauses: Pauses of all incarnations.
+        started_at: When the last incarnation was ready, in seconds of the event
+            loop's clock.
     """
 
     kills_by_incarnation: dict[int, float] = field(default_factory=dict)
     pauses: list[Pause] = field(default_factory=list)
+    started_at: float = -math.inf
 
     def begin_pause(self, now: float) -> None:
         """Record that the process is suspended."""
--- a/soak/_router.py
+++ b/soak/_router.py
@@ -120,6 +120,7 @@
             self._addresses.readiness,
         )
         self.state = RouterState.RUNNING
+        self.times.started_at = trio.current_time()
 
     async def kill(self) -> None:
         """Kill the process."""
--- a/soak/_server.py
+++ b/soak/_server.py
@@ -83,6 +83,8 @@
         self.switch_links(LinkState.PASSING)
         if self.backend is not None:
             self.backend.remaining_faults = 0
+            self.backend.notices.limit = None
+            self.backend.notices.retry_after = None
         self.order_in_time()
         self.registration.regain()
 
--- a/soak/_testbed.py
+++ b/soak/_testbed.py
@@ -10,6 +10,7 @@
 from soak._invariant_checker import InvariantChecker
 from soak._link import LinkState
 from soak._load_pattern import LoadPattern
+from soak._notice_check import NoticeCheck
 from soak._observed_servers import CHECKED_KEYS
 from soak._operator import Operator
 from soak._ownership_monitor import OwnershipMonitor
@@ -36,6 +37,7 @@
             server.
         monitor: Checks that no key has two owners.
         freeze_watch: Records the freezes of this process.
+        notice_check: Checks that routers obey servers' notices.
     """
 
     store: KvStore
@@ -50,6 +52,7 @@
 
     monitor: OwnershipMonitor = field(init=False)
     freeze_watch: FreezeWatch = field(init=False)
+    notice_check: NoticeCheck = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the monitor of the servers and that of this process."""
@@ -57,6 +60,7 @@
         self.monitor = OwnershipMonitor(
             self.holders_by_id, CHECKED_KEYS, self.checker
         )
+        self.notice_check = NoticeCheck(self.checker, self._disturbed_at)
 
     @property
     def keyed_servers(self) -> list[SoakServer]:
@@ -73,6 +77,14 @@
             (router for router in self.routers if router.name == name), None
         )
 
+    def _disturbed_at(self, name: str) -> float:
+        """Return when a router was last restarted or resumed."""
+        return max(
+            max(router.times.started_at, router.resumed_at)
+            for router in self.routers
+            if router.name == name
+        )
+
     def heal(self) -> None:
         """End all faults that last."""
         self.store.is_down = False
--- a/tests/fault_soak/test_soak.py
+++ b/tests/fault_soak/test_soak.py
@@ -26,6 +26,7 @@
     2,  # the undo of an unsent grant wiped out reported bounds
     13,  # the same, with a successor that passed the wiped bounds on
 )
+NOTICE_SEEDS = (1,)
 PLANTED_SEED = 4
 
 
@@ -55,6 +56,22 @@
         assert outcome.violations == ()
         assert outcome.faults.total() == plan.faults
 
+    @pytest.mark.parametrize('seed', NOTICE_SEEDS)
+    def test_notices_are_obeyed(self, seed: int, tmp_path: Path) -> None:
+        """No guarantee is violated while servers limit requests and leave."""
+        plan = PLANS_BY_NAME['notices']
+        outcome = trio.run(run_seed, seed, plan, tmp_path)
+        assert outcome.violations == ()
+        assert outcome.faults.total() == plan.faults
+
+    def test_ignored_notices_are_found(self, tmp_path: Path) -> None:
+        """Routers that do not read servers' notices are detected."""
+        plan = replace(
+            PLANS_BY_NAME['notices'], module=('soak.planted', 'ignores-notices')
+        )
+        outcome = trio.run(run_seed, NOTICE_SEEDS[0], plan, tmp_path)
+        assert any('sent ' in line for line in outcome.violations)
+
     def test_forgotten_grants_of_the_predecessor_are_found(
         self, tmp_path: Path
     ) -> None:
