--- a/soak/_notice_check.py
+++ b/soak/_notice_check.py
@@ -111,7 +111,7 @@
         told_after = self._disturbed_at(router)
         if bound.leaving_at > told_after:
             self._check_leaving(bound, router, now)
-        if bound.wait_from > told_after:
+        if bound.wait_from - _GRACE_SECONDS > told_after:
             self._check_wait(bound, router, now)
         if bound.limited_at > told_after:
             self._check_limit(server, bound, now)
