--- a/src/carobwalk/app/_build_keyspace.py
+++ b/src/carobwalk/app/_build_keyspace.py
@@ -84,7 +84,9 @@
             the store.
     """
     times = _key_times(core)
-    collector = LoadCollector(core.clock)
+    collector = LoadCollector(
+        core.clock, core.settings.bounds.repeat_window_seconds
+    )
     core.topics.register(LOAD_TOPIC, collector.answer)
     feed = MapFeed()
     core.topics.register(MAP_TOPIC, feed.answer)
--- a/src/carobwalk/keyspace/_load_collector.py
+++ b/src/carobwalk/keyspace/_load_collector.py
@@ -33,9 +33,11 @@
 
     Args:
         clock: Clock for report times and measurement windows.
+        limit_window: Longest window in seconds of a limit that processes
+            share.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, limit_window: float = 10) -> None:
         self._clock = clock
         self._reported_at_by_process: dict[ProcessId, float] = {}
         self._loads_by_service: dict[ServiceName, KeyLoad] = {}
@@ -48,7 +50,7 @@
         self._counted_at = -math.inf
         self._count = 0
         self._crashes = CrashCounts(clock)
-        self._sharers = SharerCount(clock)
+        self._sharers = SharerCount(clock, limit_window)
         self.speeds = ServerSpeeds()
         self.notices = ServerNotices(clock)
         self._is_coordinator = False
--- a/src/carobwalk/shares/_sharer_count.py
+++ b/src/carobwalk/shares/_sharer_count.py
@@ -1,13 +1,10 @@
 """Number of processes that share the limits on all of them together."""
 
 import math
-from typing import Final
 
 from carobwalk.model import Clock, ProcessId
 from carobwalk.shares._process_share import SHARE_SECONDS
 
-_DEFAULT_WINDOW_SECONDS: Final = 10.0
-
 
 class SharerCount:
     """Counts the processes that may have used a share within a window.
@@ -26,9 +23,7 @@
         window: Longest window of a limit in seconds.
     """
 
-    def __init__(
-        self, clock: Clock, window: float = _DEFAULT_WINDOW_SECONDS
-    ) -> None:
+    def __init__(self, clock: Clock, window: float) -> None:
         self._clock = clock
         self._retention_seconds = SHARE_SECONDS + window
         self._reported_at_by_process: dict[ProcessId, float] = {}
