Tell callers the wait of their key's owner also without a retry

A request refused by the owner of its key with 503 and Retry-After was answered with 0.1 s when it could not be sent again: its caller came back to be refused. It is told the owner's time now. test_refused_owner before: 0.1 where 2.0 is right.

--- a/src/carobwalk/gateway/_forwarder.py
+++ b/src/carobwalk/gateway/_forwarder.py
@@ -36,6 +36,8 @@
 _QUARANTINE_RETRY_SECONDS: Final = 2.0
 _NO_RETRIES_LEFT: Final = 'the retry budget is spent'
 _BUDGET_RETRY_SECONDS: Final = 0.1
+# Time to come back after a request that this process doesn't send again.
+_RETRY_SECONDS: Final = 0.1
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -257,4 +259,17 @@
 ) -> Reply:
     if progress.may_have_run:
         return refusals.outcome_unknown(outcome.detail)
-    return refusals.not_run(outcome.detail, 0.1)
+    return refusals.not_run(outcome.detail, _retry_after(outcome, progress))
+
+
+def _retry_after(
+    outcome: NotSent | NotRun | Lost,
+    progress: Progress,
+) -> float:
+    """Return the seconds after which a retry may succeed.
+
+    No other server can run a request for the key of one that asks to wait.
+    """
+    if isinstance(outcome, NotRun) and progress.is_keyed:
+        return max(outcome.notice.wait_seconds, _RETRY_SECONDS)
+    return _RETRY_SECONDS
--- a/tests/gateway/test_server_notices.py
+++ b/tests/gateway/test_server_notices.py
@@ -8,6 +8,7 @@
 import pytest
 import trio
 
+from carobwalk.gateway import RetryRules
 from carobwalk.model import ServerId
 from standins.platform import Fault, PlatformBackend
 from tests.gateway.harness import GatewayHarness
@@ -133,6 +134,25 @@
         run_scenario(scenario)
 
 
+class TestTrueTime:
+    def test_refused_owner(self, run_scenario) -> None:
+        """A caller is told the wait of its key's owner, also if not retried."""
+
+        async def scenario(harness: GatewayHarness) -> None:
+            backend = await _add(harness, 'keyed', is_alone=True)
+            backend.fault = Fault.SHED
+            backend.remaining_faults = 1
+            backend.notices.retry_after = WAIT_SECONDS
+            harness.budgets.apply_rules(RetryRules(ratio=0, slack=0, window=10))
+            answer = await harness.send_request(
+                'GET', '/keyed/a', shard_key='5'
+            )
+            assert answer.status == 503
+            assert float(answer.headers[b'retry-after']) == WAIT_SECONDS
+
+        run_scenario(scenario)
+
+
 class TestEndOfNotices:
     def test_limit_ends(self, run_scenario) -> None:
         """An answer that names no limit ends it."""
