Keep a server's gate in its load, not in a second table beside it

The gates had a table of their own by incarnation, filled and emptied in step with that of the loads. A gate is a part of the load of its server now, beside ejection, and goes with it. Two constants for the same time to come back after a request that isn't sent again are one. No behaviour changes: a load without notices has an open gate, as a missing gate was.

Lint, types and 528 tests (1 xfailed; gateway, shares, app, platform, stand-ins, announced servers) hold.

--- a/src/carobwalk/gateway/_forwarder.py
+++ b/src/carobwalk/gateway/_forwarder.py
@@ -35,7 +35,6 @@
 _QUARANTINED: Final = 'the request has crashed backend servers'
 _QUARANTINE_RETRY_SECONDS: Final = 2.0
 _NO_RETRIES_LEFT: Final = 'the retry budget is spent'
-_BUDGET_RETRY_SECONDS: Final = 0.1
 # Time to come back after a request that this process doesn't send again.
 _RETRY_SECONDS: Final = 0.1
 
@@ -231,7 +230,7 @@
         if request.deadline - trio.current_time() < _MIN_SEND_SECONDS:
             return NoTarget(_NO_TIME_LEFT, 0)
         if not self._has_paid(progress):
-            return NoTarget(_NO_RETRIES_LEFT, _BUDGET_RETRY_SECONDS)
+            return NoTarget(_NO_RETRIES_LEFT, _RETRY_SECONDS)
         return None
 
     def _has_paid(self, progress: Progress) -> bool:
--- a/src/carobwalk/gateway/_load_table.py
+++ b/src/carobwalk/gateway/_load_table.py
@@ -38,7 +38,7 @@
 
     def __init__(self, directory: ServerDirectory, share: ProcessShare) -> None:
         self._directory = directory
-        self.gates = SendGates(directory, share)
+        self.gates = SendGates(self.of, directory, share)
         self._loads_by_incarnation: dict[ServerIncarnation, ServerLoad] = {}
         self._latencies_by_service: dict[ServiceName, float] = {}
         self._queues_by_service: dict[ServiceName, PriorityQueue] = defaultdict(
@@ -134,4 +134,3 @@
         for incarnation, load in tuple(self._loads_by_incarnation.items()):
             if incarnation not in incarnations and not load.in_flight:
                 self._loads_by_incarnation.pop(incarnation)
-                self.gates.remove(incarnation)
--- a/src/carobwalk/gateway/_send_gates.py
+++ b/src/carobwalk/gateway/_send_gates.py
@@ -1,38 +1,37 @@
 """Admission of requests to all backend servers by their own notices."""
 
-from collections import defaultdict
+from collections.abc import Callable
 
 import trio
 
-from carobwalk.directory import (
-    BackendServer,
-    ServerDirectory,
-    ServerIncarnation,
-)
-from carobwalk.gateway._send_gate import SendGate
+from carobwalk.directory import BackendServer, ServerDirectory
+from carobwalk.gateway._server_load import ServerLoad
 from carobwalk.gateway._server_notice import ServerNotice
 from carobwalk.shares import ProcessShare
 
 
 class SendGates:
-    """Gate of each incarnation of a backend server.
+    """Gates of the backend servers, which are part of their loads.
 
     Args:
+        load_of: Returns the load of a server.
         directory: Registered backend servers; told of those that shut down.
         share: Share of this process in the limits of servers.
     """
 
-    def __init__(self, directory: ServerDirectory, share: ProcessShare) -> None:
+    def __init__(
+        self,
+        load_of: Callable[[BackendServer], ServerLoad],
+        directory: ServerDirectory,
+        share: ProcessShare,
+    ) -> None:
+        self._load_of = load_of
         self._directory = directory
         self._share = share
-        self._gates_by_incarnation: dict[ServerIncarnation, SendGate] = (
-            defaultdict(SendGate)
-        )
 
     def apply(self, server: BackendServer, notice: ServerNotice) -> None:
         """Apply what a server says of itself to later requests."""
-        gate = self._gates_by_incarnation[server.incarnation]
-        gate.apply(notice, trio.current_time())
+        self._load_of(server).gate.apply(notice, trio.current_time())
         if notice.is_leaving:
             self._directory.record_leaving(server.incarnation)
 
@@ -49,17 +48,10 @@
         It is 0 unless the server has limited the requests to it. It does not
         tell whether the server has capacity.
         """
-        gate = self._gates_by_incarnation.get(server.incarnation)
-        if gate is None:
-            return 0
+        gate = self._load_of(server).gate
         return gate.pause(trio.current_time(), self._share.cautious_sharers)
 
     def admit(self, server: BackendServer) -> None:
         """Record that a request is about to be sent to a server."""
-        gate = self._gates_by_incarnation.get(server.incarnation)
-        if gate is not None:
-            gate.admit(trio.current_time(), self._share.cautious_sharers)
-
-    def remove(self, incarnation: ServerIncarnation) -> None:
-        """Remove the gate of a server that is no longer registered."""
-        self._gates_by_incarnation.pop(incarnation, None)
+        gate = self._load_of(server).gate
+        gate.admit(trio.current_time(), self._share.cautious_sharers)
--- a/src/carobwalk/gateway/_server_load.py
+++ b/src/carobwalk/gateway/_server_load.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from carobwalk.gateway._priority_queue import PriorityQueue
+from carobwalk.gateway._send_gate import SendGate
 
 # Least weight of a new latency in the moving average.
 _SMOOTHING_FACTOR: Final = 0.15
@@ -37,6 +38,7 @@
         self.in_flight = 0
         self.queue = PriorityQueue()
         self.ejected_until = -math.inf
+        self.gate = SendGate()
         self._latency: float | None = None
         self._latency_at = -math.inf
         self._failures = 0
