--- a/review/3/case.py
+++ b/review/3/case.py
@@ -30,9 +30,9 @@
 )
 
 MACHINES = 4
-ROUNDS = 5
+ROUNDS = 8
 CUT_SECONDS = 5.5
-CALM_SECONDS = 8.0
+CALM_SECONDS = 6.0
 REQUESTS_PER_SECOND = float(os.environ.get('RATE', '100'))
 # Doubt about the moment at which a client has sent its request.
 MARGIN_SECONDS = 0.05
