--- a/review/common/case.py
+++ b/review/common/case.py
@@ -268,13 +268,19 @@
     folder: Path, body: Callable[[Fleet, Record], Awaitable[int]]
 ) -> int:
     record = Record(folder)
+    running = asyncio.current_task()
+    assert running is not None
+    # Processes that were started end also if this one is told to.
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, running.cancel
+    )
     with tempfile.TemporaryDirectory() as temporary:
         fleet = Fleet(record, Path(temporary))
         ticking = asyncio.create_task(fleet.store.run())
         try:
             async with asyncio.timeout(115):
                 return await body(fleet, record)
-        except (CaseFailure, OSError, TimeoutError) as error:
+        except Exception as error:
             record.conclude(f'the case could not run: {error!r}')
             return NOT_RUN
         finally:
