--- a/review/common/case.py
+++ b/review/common/case.py
@@ -296,4 +296,8 @@
     folder: Path, body: Callable[[Fleet, Record], Awaitable[int]]
 ) -> None:
     """Run a case and exit with 1 if the rule was broken, 0 if it held."""
-    sys.exit(asyncio.run(_run(folder, body)))
+    try:
+        code = asyncio.run(_run(folder, body))
+    except asyncio.CancelledError:
+        code = NOT_RUN  # Told to end.
+    sys.exit(code)
