Keep the keys of a server that refuses connections until its hold is over

Cause: two refused connections 0.1 s apart, and no answer to a caller for 0.3 s, counted as the end of a process. A full server refuses connections and lives; works longer than 0.3 s silence it towards callers. Evidence: KeysRevoked cause=process-ended expires_in=0.826 in the coordinator's log while the server began requests.

Change: only an answered release, the end of all grants, or another server that answers at the address (421 as the first answer of a connection) end a hold. A refused order counts as unanswered. Silence counts from the last answer to a caller, so that a report from before a crash hides nothing.

--- a/src/carobwalk/http/_client_connection.py
+++ b/src/carobwalk/http/_client_connection.py
@@ -74,12 +74,11 @@
             self._http.protocol.start_next_cycle()
         self._is_used = True
         self._is_spent = bool(request.answer_field)
-        response = await self._send_and_receive(request)
+        response = await self._send_and_receive(request, is_first=is_first)
         if response is None:
             return Err(NoAnswer(f'{self._address}: no response'))
         if response.status >= HTTPStatus.MULTIPLE_CHOICES:
             self._is_spent |= not request.is_reused_after_failure
-        # The first response on a connection can belong to no other request.
         has_field = request.answer_field in response.headers
         if request.answer_field and not (is_first or has_field):
             detail = f'{self._address}: response to another request'
@@ -91,7 +90,7 @@
         await trio.aclose_forcefully(self._http.stream)
 
     async def _send_and_receive(
-        self, request: HttpRequest
+        self, request: HttpRequest, *, is_first: bool
     ) -> HttpResponse | None:
         await self._http.send(*_request_events(self._address, request))
         reader = AnswerReader(self._http, self._max_answer_bytes)
@@ -103,6 +102,7 @@
             status=head.status_code,
             headers=parse_headers(head.headers),
             body=await reader.read_body(length),
+            is_first=is_first,
         )
 
 
--- a/src/carobwalk/http/_messages.py
+++ b/src/carobwalk/http/_messages.py
@@ -50,8 +50,11 @@
         headers: Header fields by name in lower case, without
             ``content-length``, which the server adds.
         body: Complete body.
+        is_first: Whether it was the first response on its connection, which
+            can belong to no other request.
     """
 
     status: int
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b''
+    is_first: bool = field(default=False, compare=False)
--- a/src/carobwalk/keyspace/_activation.py
+++ b/src/carobwalk/keyspace/_activation.py
@@ -93,7 +93,9 @@
             self.key_range, incarnation, self._may_go_on
         )
         if isinstance(released, Err):
-            await trio.sleep(self._retry_delay(released.err_value))
+            delay = self._retry_delay(released.err_value)
+            left = max(self._seconds_held(incarnation), 0)
+            await trio.sleep(min(delay, left))
             return self._cause_of_revocation(incarnation)
         self.handover = released.ok_value or self.handover
         cause = await self._wait_until_revoked(incarnation)
@@ -129,9 +131,9 @@
         self, incarnation: ServerIncarnation
     ) -> RevocationCause | None:
         """Return why an incarnation holds no key, ``None`` if it may hold."""
-        is_dead = self._dependencies.failure_detector.is_dead(incarnation)
+        has_ended = self._dependencies.failure_detector.has_ended(incarnation)
         # A new process at the address may accept an order in flight.
-        if is_dead and not self._order_sender.is_sending_to(incarnation):
+        if has_ended and not self._order_sender.is_sending_to(incarnation):
             return RevocationCause.PROCESS_ENDED
         if self._seconds_held(incarnation) <= 0:
             return RevocationCause.EXPIRED
--- a/src/carobwalk/keyspace/_events.py
+++ b/src/carobwalk/keyspace/_events.py
@@ -160,8 +160,8 @@
     Args:
         server: Backend server.
         born: Start of the incarnation, in milliseconds since 1970.
-        cause: ``refused`` if the server no longer listens, ``silent`` if it
-            does not answer.
+        cause: ``ended`` if another server listens at its address, ``silent``
+            if it does not answer or refuses connections.
         holds_until: Seconds until its last grant has expired.
     """
 
--- a/src/carobwalk/keyspace/_failure_detector.py
+++ b/src/carobwalk/keyspace/_failure_detector.py
@@ -5,31 +5,26 @@
 from typing import Final
 
 from carobwalk.directory import ServerIncarnation
-from carobwalk.keyspace._load_report import REPORT_INTERVAL_SECONDS
 from carobwalk.keyspace._times import KeyTimes
 from carobwalk.model import Clock
 
-_MIN_REFUSALS: Final = 2
-_MIN_REFUSAL_SECONDS: Final = 0.1
-# Longest time that a load report takes to arrive.
-_REPORT_DELAY_SECONDS: Final = 0.05
-# A server that answers is reported on by some process within this time.
-_MIN_SILENCE_SECONDS: Final = REPORT_INTERVAL_SECONDS + _REPORT_DELAY_SECONDS
 # How long after its last unanswered order a server is given no keys.
 _EXCLUSION_SECONDS: Final = 3.0
 
 
 @dataclass(slots=True)
 class _FailureEvidence:
+    has_ended: bool = False
     unresponsive_since: float | None = None
-    last_timeout_at: float = float('-inf')
-    refused_since: float | None = None
-    refusals: int = 0
+    last_failure_at: float = float('-inf')
 
 
 class FailureDetector:
     """Distinguishes lost servers from slow ones that still answer callers.
 
+    Only another server at its address proves that a server has ended. One that
+    doesn't answer, or refuses connections, may live and hold its keys.
+
     Args:
         times: Timing settings of key ownership.
         clock: Clock that keeps running while the host is suspended.
@@ -54,7 +49,7 @@
         """Drop all evidence when a term begins.
 
         Since an earlier term of this process, another coordinator may have
-        sent grants to a new process at an address that refused connections.
+        sent grants to a new process of the same server.
         """
         self._evidence_by_incarnation.clear()
 
@@ -63,81 +58,64 @@
         self._evidence_by_incarnation.pop(incarnation, None)
 
     def record_no_answer(
-        self, incarnation: ServerIncarnation, *, is_sent: bool = True
+        self, incarnation: ServerIncarnation, *, is_refused: bool = False
     ) -> None:
         """Record that an order was not answered.
 
         Args:
             incarnation: Incarnation that the order was for.
-            is_sent: Whether the connection opened: then a process listens, and
-                earlier refusals prove nothing any more.
+            is_refused: Whether the connection was refused, so that the order
+                failed at once and not after its timeout.
         """
         evidence = self._evidence_by_incarnation.setdefault(
             incarnation, _FailureEvidence()
         )
         now = self._clock.now()
-        evidence.last_timeout_at = now
-        if is_sent:
-            evidence.refused_since = None
-            evidence.refusals = 0
+        evidence.last_failure_at = now
         if evidence.unresponsive_since is None:
-            evidence.unresponsive_since = now - self._times.order_timeout
-
-    def record_refusal(self, incarnation: ServerIncarnation) -> None:
-        """Record that nothing listens at the server's address.
+            waited = 0 if is_refused else self._times.order_timeout
+            evidence.unresponsive_since = now - waited
 
-        Answers that are reported after a refusal may have been given before
-        it, so refusals are counted anew from there.
-        """
+    def record_end(self, incarnation: ServerIncarnation) -> None:
+        """Record that another server listens at the incarnation's address."""
         evidence = self._evidence_by_incarnation.setdefault(
             incarnation, _FailureEvidence()
         )
-        since = evidence.refused_since
-        if since is None or self._last_answered_at(incarnation) > since:
-            evidence.refused_since = self._clock.now()
-            evidence.refusals = 0
-        evidence.refusals += 1
-
-    def is_dead(self, incarnation: ServerIncarnation) -> bool:
-        """Whether the incarnation has ended: its process no longer listens."""
+        evidence.has_ended = True
+
+    def has_ended(self, incarnation: ServerIncarnation) -> bool:
+        """Whether the incarnation's process is known to have ended."""
         evidence = self._evidence_by_incarnation.get(incarnation)
-        if evidence is None or evidence.refused_since is None:
-            return False
-        now = self._clock.now()
-        answered_at = self._last_answered_at(incarnation)
-        if answered_at > evidence.refused_since:
-            return False
-        return (
-            evidence.refusals >= _MIN_REFUSALS
-            and now - evidence.refused_since >= _MIN_REFUSAL_SECONDS
-            and now - answered_at >= _MIN_SILENCE_SECONDS
-        )
+        return evidence is not None and evidence.has_ended
 
     def is_unresponsive(self, incarnation: ServerIncarnation) -> bool:
-        """Whether the server does not answer; it may still hold its keys."""
+        """Whether the server does not answer; it may still hold its keys.
+
+        Answers that are reported after a failed order may have been given
+        before it, so its silence counts anew from there.
+        """
         evidence = self._evidence_by_incarnation.get(incarnation)
         if evidence is None or evidence.unresponsive_since is None:
             return False
         now = self._clock.now()
-        if now - evidence.last_timeout_at > _EXCLUSION_SECONDS:
+        if now - evidence.last_failure_at > _EXCLUSION_SECONDS:
             self._evidence_by_incarnation.pop(incarnation)
             return False
-        if self._last_answered_at(incarnation) > evidence.unresponsive_since:
-            return False
-        return (
-            now - evidence.unresponsive_since >= self._times.detection_timeout
+        silent_since = max(
+            evidence.unresponsive_since, self._last_answered_at(incarnation)
         )
+        return now - silent_since >= self._times.detection_timeout
 
     def has_unanswered_order(self, incarnation: ServerIncarnation) -> bool:
         """Whether the last order to the server was not answered lately."""
         evidence = self._evidence_by_incarnation.get(incarnation)
         if evidence is None:
             return False
-        age = self._clock.now() - evidence.last_timeout_at
+        age = self._clock.now() - evidence.last_failure_at
         return age <= _EXCLUSION_SECONDS
 
     def is_usable(self, incarnation: ServerIncarnation) -> bool:
         """Whether the server may be given keys."""
-        return not self.is_dead(incarnation) and not self.is_unresponsive(
+        return not self.has_ended(incarnation) and not self.is_unresponsive(
             incarnation
         )
--- a/src/carobwalk/keyspace/_order_sender.py
+++ b/src/carobwalk/keyspace/_order_sender.py
@@ -18,6 +18,7 @@
     Grant,
     OrderChannel,
     OrderFailure,
+    OrderMisdirected,
     OrderUnanswered,
     OrderUnsent,
     Release,
@@ -202,7 +203,7 @@
         failure = answered.err_value if isinstance(answered, Err) else None
         if isinstance(failure, OrderUnanswered):
             self.ledger.record_no_answer(sent_grant)
-        elif isinstance(failure, OrderUnsent):
+        elif isinstance(failure, OrderUnsent | OrderMisdirected):
             self.ledger.retract(sent_grant)
         else:
             self.ledger.record_answer(sent_grant)
@@ -214,15 +215,15 @@
         incarnation: ServerIncarnation,
         failure: OrderFailure,
     ) -> None:
+        failure_detector = self._dependencies.failure_detector
         if isinstance(failure, OrderUnanswered):
-            self._dependencies.failure_detector.record_no_answer(incarnation)
-        if isinstance(failure, OrderUnsent):
-            if failure.is_refused:
-                self._dependencies.failure_detector.record_refusal(incarnation)
-            else:
-                self._dependencies.failure_detector.record_no_answer(
-                    incarnation, is_sent=False
-                )
+            failure_detector.record_no_answer(incarnation)
+        elif isinstance(failure, OrderUnsent):
+            failure_detector.record_no_answer(
+                incarnation, is_refused=failure.is_refused
+            )
+        elif isinstance(failure, OrderMisdirected):
+            failure_detector.record_end(incarnation)
         self._dependencies.events.emit(
             OrderFailed(
                 order=order,
--- a/src/carobwalk/keyspace/_orders.py
+++ b/src/carobwalk/keyspace/_orders.py
@@ -72,7 +72,9 @@
 
     Args:
         detail: Description of the failure.
-        is_refused: Whether the server no longer listens at its address.
+        is_refused: Whether the connection was refused. A server that has too
+            many connections refuses further ones as well, so that this is no
+            proof of its end.
     """
 
     detail: str
@@ -90,7 +92,20 @@
     detail: str
 
 
-OrderFailure = OrderRefused | OrderUnsent | OrderUnanswered
+@dataclass(frozen=True, slots=True)
+class OrderMisdirected:
+    """Another server listens at the address, and the order had no effect.
+
+    An address is used again only after its former server has ended.
+
+    Args:
+        detail: Description of the failure.
+    """
+
+    detail: str
+
+
+OrderFailure = OrderRefused | OrderUnsent | OrderUnanswered | OrderMisdirected
 
 
 class OrderChannel(Protocol):
--- a/src/carobwalk/keyspace/_times.py
+++ b/src/carobwalk/keyspace/_times.py
@@ -53,6 +53,11 @@
         """
         return hold / SLOWEST_CLOCK_RATE
 
+    @property
+    def longest_usual_hold(self) -> float:
+        """Longest time from a usual grant's answer until it has expired."""
+        return self.longest_delay + self.longest_validity(self.hold)
+
     @property
     def inherited(self) -> float:
         """Longest time that an earlier coordinator's grants may be in force."""
--- a/src/carobwalk/keyspace/_view_builder.py
+++ b/src/carobwalk/keyspace/_view_builder.py
@@ -138,9 +138,8 @@
             self._lost.add(incarnation)
             end = self._ledger.holds_until(incarnation)
             left = max(end - self._dependencies.clock.now(), 0)
-            cause = (
-                'refused' if failure_detector.is_dead(incarnation) else 'silent'
-            )
+            has_ended = failure_detector.has_ended(incarnation)
+            cause = 'ended' if has_ended else 'silent'
             self._dependencies.events.emit(
                 OwnerLost(
                     incarnation.server, incarnation.born, cause, round(left, 3)
--- a/src/carobwalk/platform/_grant_channel.py
+++ b/src/carobwalk/platform/_grant_channel.py
@@ -18,6 +18,7 @@
     Grant,
     KeyTimes,
     OrderFailure,
+    OrderMisdirected,
     OrderRefused,
     OrderUnanswered,
     OrderUnsent,
@@ -129,9 +130,9 @@
                 return Ok(response)
             case HTTPStatus.CONFLICT | HTTPStatus.BAD_REQUEST:
                 return Err(OrderRefused(f'status {response.status}'))
-            case HTTPStatus.MISDIRECTED_REQUEST:
+            case HTTPStatus.MISDIRECTED_REQUEST if response.is_first:
                 detail = 'another server listens at the address'
-                return Err(OrderUnsent(detail, is_refused=True))
+                return Err(OrderMisdirected(detail))
         return Err(OrderUnanswered(f'status {response.status}'))
 
 
--- a/standins/platform/_key_holder.py
+++ b/standins/platform/_key_holder.py
@@ -19,7 +19,10 @@
 
     Args:
         born: Incarnation number that the server registers.
-        refuses_connections: Whether connections to its address are refused.
+        refuses_connections: Whether its process has ended, so that connections
+            to its address are refused and it holds no keys.
+        resets_connections: Whether it lives, holds its keys and resets new
+            connections, as one that has too many does.
         is_unresponsive: Whether orders are lost and time out.
         refuses_releases: Whether it refuses all releases.
         stalls_releases: Whether releases time out, as with requests that do
@@ -36,6 +39,7 @@
 
     born: int = 1
     refuses_connections: bool = False
+    resets_connections: bool = False
     is_unresponsive: bool = False
     refuses_releases: bool = False
     stalls_releases: bool = False
--- a/standins/platform/_server_reach.py
+++ b/standins/platform/_server_reach.py
@@ -5,7 +5,12 @@
 import trio
 
 from carobwalk.directory import BackendServer
-from carobwalk.keyspace import OrderFailure, OrderUnanswered, OrderUnsent
+from carobwalk.keyspace import (
+    OrderFailure,
+    OrderMisdirected,
+    OrderUnanswered,
+    OrderUnsent,
+)
 from carobwalk.model import Address, ServerId
 from standins.platform._key_holder import KeyHolder
 from standins.platform._order_faults import OrderFaults
@@ -22,7 +27,8 @@
     accept them, because they compare only the id.
 
     ``addresses_by_id`` holds the addresses that servers listen at, if known;
-    orders to another address are refused.
+    orders to another address are refused. At a reused address a server of
+    another service listens.
 
     Args:
         holders_by_id: Keys of the running servers.
@@ -31,6 +37,7 @@
     def __init__(self, holders_by_id: Mapping[ServerId, KeyHolder]) -> None:
         self.faults_by_id: dict[ServerId, OrderFaults] = {}
         self.addresses_by_id: dict[ServerId, Address] = {}
+        self.reused_addresses: set[Address] = set()
         self.checks_incarnation = True
         self._holders_by_id = holders_by_id
 
@@ -41,7 +48,7 @@
     def is_accepted(self, server: BackendServer) -> bool:
         """Return whether the running incarnation accepts orders."""
         holder = self._holders_by_id[server.id]
-        if holder.refuses_connections:
+        if holder.refuses_connections or holder.resets_connections:
             return False
         if (
             self.addresses_by_id.get(server.id, server.address)
@@ -54,6 +61,8 @@
         """Open a connection; return why an order has no effect."""
         holder = self._holders_by_id[server.id]
         await trio.sleep(_CONNECT_SECONDS)
+        if server.address in self.reused_addresses:
+            return OrderMisdirected('another server')
         if not self.is_accepted(server):
             return OrderUnsent('refused', is_refused=True)
         if self.faults(server).opens_no_connections:
--- a/tests/keyspace/grant_model/_bounds.py
+++ b/tests/keyspace/grant_model/_bounds.py
@@ -4,6 +4,7 @@
 from tests.keyspace.grant_model._state import (
     EXTENSION,
     MOST_REPORTS,
+    PROVING_REFUSALS,
     TIMEOUT,
     Coordinator,
     Ticks,
@@ -18,6 +19,8 @@
     rules: frozenset[str],
 ) -> bool:
     """Return whether a server is certain to hold no grant."""
+    if coordinator.refusals[holder] >= PROVING_REFUSALS:
+        return True
     if coordinator.is_released:
         if 'wait-unanswered' not in rules:
             return True
--- a/tests/keyspace/grant_model/_outcomes.py
+++ b/tests/keyspace/grant_model/_outcomes.py
@@ -5,6 +5,7 @@
 from tests.keyspace.grant_model._rules import CALM
 from tests.keyspace.grant_model._state import (
     LATE,
+    PROVING_REFUSALS,
     Coordinator,
     Flight,
     Server,
@@ -105,6 +106,9 @@
 def confirmed(coordinator: Coordinator, rules: frozenset[str]) -> Coordinator:
     """Return a coordinator whose order was answered."""
     flight = coordinator.flight
+    coordinator = coordinator._replace(
+        refusals=at_index(coordinator.refusals, flight.target, 0)
+    )
     if not flight.is_grant:
         is_released = coordinator.is_released or not flight.is_outdated
         return coordinator._replace(flight=None, is_released=is_released)
@@ -133,12 +137,22 @@
     """Return a coordinator whose order was certainly not sent."""
     flight = coordinator.flight
     undone = coordinator._replace(flight=None)
+    if 'refusal-is-no-end' not in rules:
+        undone = refused(undone, flight.target)
     if not flight.is_grant or 'retract-keeps-inherited' in rules:
         return undone
     holds = at_index(coordinator.holds, flight.target, flight.saved)
     return undone._replace(holds=holds)
 
 
+def refused(coordinator: Coordinator, target: int) -> Coordinator:
+    """Return a coordinator to which a server refused another connection."""
+    known = min(coordinator.refusals[target] + 1, PROVING_REFUSALS)
+    return coordinator._replace(
+        refusals=at_index(coordinator.refusals, target, known)
+    )
+
+
 def raised(bounds: Ticks, flight: Flight, rules: frozenset[str]) -> Ticks:
     """Return the bounds with that of a sent grant."""
     known = bounds[flight.target] if 'longest-bound' in rules else 0
--- a/tests/keyspace/grant_model/_rules.py
+++ b/tests/keyspace/grant_model/_rules.py
@@ -22,6 +22,9 @@
         'arrival-delay',
         # Bounds include the slowest clock of a server.
         'slow-clock',
+        # Refused connections don't end a grant: a server that lives refuses
+        # them while it has too many.
+        'refusal-is-no-end',
         # No orders are sent once the lease may have expired.
         'term',
         # The clock of the term runs while the host is suspended.
--- a/tests/keyspace/grant_model/_state.py
+++ b/tests/keyspace/grant_model/_state.py
@@ -15,6 +15,9 @@
 # Longest time from the arrival of an unanswered order to its application. A
 # grant that is applied later has expired.
 LATE = 2
+# Refused orders that a coordinator takes for the end of a server's process,
+# without the rule 'refusal-is-no-end'.
+PROVING_REFUSALS = 2
 # Reports that a coordinator may receive from its predecessor, at any time.
 MOST_REPORTS = 2
 
@@ -85,6 +88,8 @@
         is_released: Whether the previous owner answered a release.
         flight: Order that waits for its answer.
         reports: Reports of its predecessor that may still arrive.
+        refusals: Refused orders to each server since its last answer; used
+            without the rule 'refusal-is-no-end'.
         prepared: Server that a grant is prepared for; used without the rule
             'freeze-check-before-send'.
         predecessor: Coordinator that the record named when it was claimed.
@@ -101,6 +106,7 @@
     is_released: bool = False
     flight: Flight | None = None
     reports: int = 0
+    refusals: Ticks = (0, 0)
     prepared: int = NOBODY
     predecessor: int = NOBODY
 
--- a/tests/keyspace/owner_faults/_order_faults.py
+++ b/tests/keyspace/owner_faults/_order_faults.py
@@ -16,6 +16,18 @@
     server.faults.opens_no_connections = False
 
 
+@server_fault('resets-connections')
+async def resets_connections(
+    target: FaultTarget, server: ServerUnderFault
+) -> None:
+    """A full server lives, and resets new connections by turns."""
+    for _ in range(target.generator.randint(1, 4)):
+        server.holder.resets_connections = True
+        await pause(target, 0.2, 4)
+        server.holder.resets_connections = False
+        await pause(target, 0.1, 1)
+
+
 @server_fault('silent')
 async def silent(target: FaultTarget, server: ServerUnderFault) -> None:
     """Orders to a server are lost on the way."""
--- a/tests/keyspace/owner_faults/_server_faults.py
+++ b/tests/keyspace/owner_faults/_server_faults.py
@@ -8,7 +8,10 @@
     ServerUnderFault,
     pause,
 )
+from tests.keyspace.simulated_fleet import make_server
 
+# Time after which the address of an ended server may be used again.
+_ADDRESS_REUSE_SECONDS = 2.0
 # Ports of the addresses that restarted servers move to.
 _FIRST_NEW_PORT = 10_000
 
@@ -98,16 +101,38 @@
     target.fleet.register_server(server.number, server.holder.born + 1)
 
 
+@server_fault('address-reused')
+async def address_reused(target: FaultTarget, server: ServerUnderFault) -> None:
+    """A server ends, another one gets its address, and it starts elsewhere."""
+    reach = target.fleet.book.reach
+    name = ServerId(f's{server.number}')
+    former = reach.addresses_by_id.get(name)
+    former = former or make_server(server.number).address
+    server.holder.refuses_connections = True
+    await pause(target, _ADDRESS_REUSE_SECONDS, 2 * _ADDRESS_REUSE_SECONDS)
+    reach.reused_addresses.add(former)
+    await pause(target, 0, 1)
+    move_elsewhere(target, server)
+    start_again(target, server)
+    await pause(target, 0, 2)
+    target.fleet.register_server(server.number, server.holder.born + 1)
+
+
 def start_elsewhere(target: FaultTarget, server: ServerUnderFault) -> None:
     """Start the next incarnation of a server, mostly at a new address."""
     if target.generator.randrange(3):
-        born = server.holder.born + 1
-        port = _FIRST_NEW_PORT + 100 * born + server.number
-        addresses = target.fleet.book.reach.addresses_by_id
-        addresses[ServerId(f's{server.number}')] = Address('127.0.0.1', port)
+        move_elsewhere(target, server)
     start_again(target, server)
 
 
+def move_elsewhere(target: FaultTarget, server: ServerUnderFault) -> None:
+    """Let the next incarnation of a server listen at a new address."""
+    born = server.holder.born + 1
+    port = _FIRST_NEW_PORT + 100 * born + server.number
+    addresses = target.fleet.book.reach.addresses_by_id
+    addresses[ServerId(f's{server.number}')] = Address('127.0.0.1', port)
+
+
 def start_again(target: FaultTarget, server: ServerUnderFault) -> None:
     """Start the next incarnation of a server, with the clock of this one."""
     born = server.holder.born + 1
--- a/tests/keyspace/test_owner_soak.py
+++ b/tests/keyspace/test_owner_soak.py
@@ -4,6 +4,7 @@
 
 from tests.keyspace.owner_faults import (
     ORDERS_PLAN,
+    REFUSALS_PLAN,
     REGISTRY_PLAN,
     START_PLAN,
 )
@@ -30,6 +31,11 @@
 # its successor asked that other one for the grants in force.
 START_REGRESSION_SEEDS = (65, 131)
 
+REFUSALS_SEEDS = range(8)
+# Seeds that have found faults before:
+# 12: a full server that refused connections was taken to have ended.
+REFUSALS_REGRESSION_SEEDS = (12,)
+
 
 def _check(seed: int, plan: str) -> None:
     """Run a seed; fail if it finds anything."""
@@ -59,3 +65,10 @@
     def test_start(self, seed: int) -> None:
         """The same holds while the first maps are written."""
         _check(seed, START_PLAN)
+
+    @pytest.mark.parametrize(
+        'seed', sorted({*REFUSALS_SEEDS, *REFUSALS_REGRESSION_SEEDS})
+    )
+    def test_refusals(self, seed: int) -> None:
+        """The same holds while full servers refuse connections and live."""
+        _check(seed, REFUSALS_PLAN)
--- a/tests/platform/test_grant_channel.py
+++ b/tests/platform/test_grant_channel.py
@@ -9,10 +9,11 @@
 from result import Err, Ok
 
 from carobwalk.directory import BackendServer
-from carobwalk.http import H11Stream, HttpClient
+from carobwalk.http import H11Stream, HttpClient, connect_with_keepalive
 from carobwalk.keyspace import (
     Grant,
     KeyTimes,
+    OrderMisdirected,
     OrderUnanswered,
     OrderUnsent,
     Release,
@@ -223,6 +224,40 @@
 
 
 class TestReusedAddress:
+    # Guards against two owners: a refused connection proved the end of a
+    # server, as an answer of another one at its address does.
+    def test_answer_of_another_server(self, run_scenario) -> None:
+        """Only the first answer of a connection proves who listens there."""
+
+        async def scenario(fleet: _Fleet) -> None:
+            former = replace(fleet.server, id=ServerId('s0'))
+            sent = await fleet.channel.grant(former, _FIRST)
+            assert isinstance(sent.err(), OrderMisdirected)
+            assert await fleet.channel.grant(fleet.server, _FIRST) == Ok(None)
+            sent = await fleet.channel.grant(former, _SECOND)
+            assert fleet.backend.connections == 2
+            assert isinstance(sent.err(), OrderUnanswered)
+
+        run_scenario(scenario)
+
+    def test_nobody_listens(self, run_scenario) -> None:
+        """A refused connection tells only that the order was not sent."""
+
+        async def scenario(fleet: _Fleet) -> None:
+            async with await trio.open_tcp_stream(
+                fleet.server.address.host, fleet.server.address.port
+            ) as stream:
+                unused = stream.socket.getsockname()[1]
+            address = Address('127.0.0.1', unused)
+            unreachable = replace(fleet.server, address=address)
+            client = HttpClient(connect=connect_with_keepalive)
+            channel = PlatformGrantChannel(client, _TIMES)
+            sent = await channel.grant(unreachable, _FIRST)
+            assert isinstance(sent.err(), OrderUnsent)
+            assert sent.err().is_refused
+
+        run_scenario(scenario)
+
     # Guards against two owners: a grant that was applied counted as never
     # sent, and its server as ended.
     def test_repeated_refusal(self, run_scenario) -> None:
@@ -231,7 +266,7 @@
         async def scenario(fleet: _Fleet) -> None:
             former = replace(fleet.server, id=ServerId('s0'))
             sent = await fleet.channel.grant(former, _FIRST)
-            assert isinstance(sent.err(), OrderUnsent)
+            assert isinstance(sent.err(), OrderMisdirected)
             sent = await fleet.channel.grant(fleet.server, _SECOND)
             assert sent == Ok(None)
             assert fleet.backend.holder.held
