Bound the age of what a process knows by answers of the store

Cause: a relay called itself fresh while a watch hung at a store that was cut off; only its lease, 2.4 s after the last renewal, ended that. Evidence: no line at the followers until RelayChanged cause="m1 is not fresh", 2.2 to 2.4 s after the cut; late requests just before it.

Change: knowledge has an age. Watches end each 0.45 of the shorter bound B (configuration, leaving servers), so that an answer proves that nothing has changed; a relay tells the age of its proof; a process whose proof is older than 0.8 B reads the store itself, whatever its relays do. A relay whose renewals go unanswered for 0.5 B says that it isn't fresh.

With it, all found by the same tests: the loss of a relay is no outage of the store, so that a server that left isn't kept for 2 s more; a watch whose answer was lost is given up after 0.8 B, not 30 s; LagWatch stops asking a relay that has become the followed one; RelayChanged tells why the relay before was left.

test_lagging_relay asked that the relay with a silent store still calls itself fresh up to a second later; that was the fault. It asks so at the cut.

--- a/src/carobwalk/app/_record_followers.py
+++ b/src/carobwalk/app/_record_followers.py
@@ -13,6 +13,7 @@
 )
 from carobwalk.relay import (
     RELAY_TOPIC,
+    FreshnessTimes,
     RecordRelay,
     RecordRelayParts,
     RelayHost,
@@ -57,6 +58,7 @@
             store=core.store,
             peers=core.hub,
             is_coordinator=is_coordinator,
+            times=FreshnessTimes(settings.bounds.news_seconds),
             clock=core.clock,
             events=core.events,
         ),
@@ -65,6 +67,6 @@
     relay.follow(CONFIGURATION_PREFIX, ConfigurationReader(core.routes))
     core.topics.register(RELAY_TOPIC, relay.feed.answer)
     return RecordFollowers(
-        coordinator=relay.follow(COORDINATOR_NAME, key_reader),
+        coordinator=relay.follow(COORDINATOR_NAME, key_reader, is_timely=False),
         relay=relay,
     )
--- a/src/carobwalk/lease/_term.py
+++ b/src/carobwalk/lease/_term.py
@@ -46,6 +46,11 @@
         end = self._renewed_at + self._times.lease - self._times.lease_margin
         return end - self._clock.now()
 
+    @property
+    def renewal_age(self) -> float:
+        """Seconds since the last renewal that was answered was sent."""
+        return self._clock.now() - self._renewed_at
+
     @property
     def is_valid(self) -> bool:
         """Whether orders may be sent now."""
@@ -59,4 +64,4 @@
     @property
     def is_in_doubt(self) -> bool:
         """Whether renewals are so overdue that the lease may expire."""
-        return self._clock.now() - self._renewed_at > self._times.in_doubt_after
+        return self.renewal_age > self._times.in_doubt_after
--- a/src/carobwalk/relay/__init__.py
+++ b/src/carobwalk/relay/__init__.py
@@ -5,6 +5,7 @@
 process.
 """
 
+from carobwalk.relay._freshness import FreshnessTimes
 from carobwalk.relay._messages import RELAY_TOPIC
 from carobwalk.relay._record_relay import RecordRelay, RecordRelayParts
 from carobwalk.relay._relay_directory import RELAY_PREFIX
@@ -13,6 +14,7 @@
 __all__ = (
     'RELAY_PREFIX',
     'RELAY_TOPIC',
+    'FreshnessTimes',
     'RecordRelay',
     'RecordRelayParts',
     'RelayHost',
--- a/src/carobwalk/relay/_lag_watch.py
+++ b/src/carobwalk/relay/_lag_watch.py
@@ -3,10 +3,11 @@
 from typing import Final
 
 import trio
-from result import Ok
+from result import Ok, Result
 
+from carobwalk.model import Endpoint
 from carobwalk.relay._relay_choice import RelayChoice
-from carobwalk.relay._relay_client import RelayClient
+from carobwalk.relay._relay_client import RelayClient, RelayFailure
 
 # How long the second relay waits for changes before it answers.
 _HOLD_SECONDS: Final = 1.0
@@ -35,10 +36,36 @@
                 with trio.move_on_after(_CHECK_SECONDS):
                     await self._choice.changed.wait()
                 continue
-            told = await self._client.await_notice(second, _HOLD_SECONDS)
-            if not isinstance(told, Ok):
+            told = await self._await_notice(second)
+            if isinstance(told, Ok):
+                await self._compare(told.ok_value)
+            elif told is not None:
                 self._choice.suspect(second)
-                continue
-            await trio.sleep(_MAX_LAG_SECONDS)
-            if not self._client.knows(told.ok_value):
-                self._choice.give_up()
+
+    async def _compare(self, revisions: tuple[int, ...]) -> None:
+        """Give the followed relay up if it doesn't tell changes soon.
+
+        Args:
+            revisions: Last changes of all prefixes by the second relay.
+        """
+        await trio.sleep(_MAX_LAG_SECONDS)
+        if not self._client.knows(revisions):
+            self._choice.give_up()
+
+    async def _await_notice(
+        self, second: Endpoint
+    ) -> Result[tuple[int, ...], RelayFailure] | None:
+        """Ask for a notice; return ``None`` if another relay is followed.
+
+        That may be the one asked here, which can't tell of itself that it lags.
+        """
+        told = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_on_change, nursery.cancel_scope)
+            told = await self._client.await_notice(second, _HOLD_SECONDS)
+            nursery.cancel_scope.cancel()
+        return told
+
+    async def _cancel_on_change(self, scope: trio.CancelScope) -> None:
+        await self._choice.changed.wait()
+        scope.cancel()
--- a/src/carobwalk/relay/_messages.py
+++ b/src/carobwalk/relay/_messages.py
@@ -1,5 +1,6 @@
 """Messages between a relay and the processes that read records from it."""
 
+import math
 from typing import Final
 
 import msgspec
@@ -68,11 +69,16 @@
             request for a notice.
         revisions: Revision of the last change of each prefix, in the order of
             the names of the prefixes.
+        age: Seconds since the last proof that no other changes exist, when
+            the answer was made.
+        held: Seconds between the arrival of the question and the answer.
     """
 
     is_fresh: bool
     updates: tuple[RecordUpdate, ...] = ()
     revisions: tuple[int, ...] = ()
+    age: float = math.inf
+    held: float = 0
 
 
 def make_row(change: Versioned | Removed) -> RecordRow:
--- a/src/carobwalk/relay/_record_relay.py
+++ b/src/carobwalk/relay/_record_relay.py
@@ -8,6 +8,7 @@
 from carobwalk.events import EventLog
 from carobwalk.model import Clock, Endpoint
 from carobwalk.peer import Peers
+from carobwalk.relay._freshness import Freshness, FreshnessTimes
 from carobwalk.relay._record_feed import RecordFeed
 from carobwalk.relay._record_log import RecordLog
 from carobwalk.relay._relay_choice import RelayChoice
@@ -18,9 +19,11 @@
 from carobwalk.store import (
     DirectAccess,
     FollowedRecords,
+    ReadOptions,
     RecordFollower,
     RecordReader,
     TransactionalStore,
+    WatchPeriod,
 )
 
 
@@ -35,6 +38,7 @@
         peers: Sends messages to other processes.
         is_coordinator: Returns whether this process coordinates. Changes are
             then not batched, since the assignment of keys depends on them.
+        times: Times that keep the knowledge of the records young.
         clock: Clock that keeps running while the host is suspended.
         events: Event log.
     """
@@ -44,6 +48,7 @@
     store: TransactionalStore
     peers: Peers
     is_coordinator: Callable[[], bool]
+    times: FreshnessTimes
     clock: Clock
     events: EventLog
 
@@ -60,9 +65,12 @@
         self._access = DirectAccess()
         self._followers: list[RecordFollower] = []
         self._records: list[FollowedRecords] = []
-        self.feed = RecordFeed(lambda: self.role.is_fresh)
+        self._freshness = Freshness(parts.clock)
+        self.feed = RecordFeed(
+            lambda: self.role.is_fresh, self._freshness, parts.clock
+        )
         relays = RelayDirectory(parts.own, parts.events)
-        relay_records = self.follow(RELAY_PREFIX, relays)
+        relay_records = self.follow(RELAY_PREFIX, relays, is_timely=False)
         self.role = RelayRole(
             RelayRoleParts(
                 own=parts.own,
@@ -71,6 +79,8 @@
                 relays=relays,
                 relay_records=relay_records,
                 followers=self._followers,
+                freshness=self._freshness,
+                times=parts.times,
                 access=self._access,
                 clock=parts.clock,
                 events=parts.events,
@@ -78,28 +88,46 @@
         )
         self.follower = RelayFollower(
             RelayFollowerParts(
-                client=RelayClient(parts.peers, self._records),
+                client=RelayClient(
+                    parts.peers, self._records, self._freshness, parts.clock
+                ),
                 choice=RelayChoice(relays, parts.clock, parts.events),
                 relay_records=relay_records,
                 followers=self._followers,
+                freshness=self._freshness,
+                times=parts.times,
                 access=self._access,
                 is_coordinator=parts.is_coordinator,
                 clock=parts.clock,
             ),
         )
 
-    def follow(self, prefix: str, reader: RecordReader) -> RecordFollower:
+    def follow(
+        self, prefix: str, reader: RecordReader, *, is_timely: bool = True
+    ) -> RecordFollower:
         """Follow the records with a prefix, the same ones in all processes.
 
         Args:
             prefix: Common prefix of the record names.
             reader: Receives the records.
+            is_timely: Whether changes have to be in force within a time.
         """
         parts = self._parts
         log = RecordLog(prefix, reader, parts.clock, self.feed.notify)
         follower = RecordFollower(
-            parts.store, prefix, log, parts.clock, parts.events, self._access
+            parts.store,
+            prefix,
+            log,
+            parts.clock,
+            parts.events,
+            ReadOptions(
+                access=self._access,
+                period=parts.times.watch_period if is_timely else WatchPeriod(),
+                on_proof=self.feed.notify,
+            ),
         )
+        if is_timely:
+            self._freshness.add(follower.records)
         self.feed.logs.append(log)
         self._followers.append(follower)
         self._records.append(follower.records)
--- a/src/carobwalk/relay/_relay_choice.py
+++ b/src/carobwalk/relay/_relay_choice.py
@@ -26,7 +26,6 @@
         self, relays: RelayDirectory, clock: Clock, events: EventLog
     ) -> None:
         self.followed = ''
-        self.cause = ''
         self.changed = trio.Event()
         self._relays = relays
         self._clock = clock
--- a/src/carobwalk/relay/_relay_client.py
+++ b/src/carobwalk/relay/_relay_client.py
@@ -6,8 +6,9 @@
 import msgspec
 from result import Err, Ok, Result
 
-from carobwalk.model import DECODE_ERRORS, Endpoint
+from carobwalk.model import DECODE_ERRORS, Clock, Endpoint
 from carobwalk.peer import Peers
+from carobwalk.relay._freshness import Freshness
 from carobwalk.relay._messages import (
     RELAY_TOPIC,
     RecordUpdate,
@@ -39,27 +40,41 @@
     Args:
         peers: Sends long polls to relays.
         records: Records of all relayed prefixes.
+        freshness: Age of those whose changes have to be known in time.
+        clock: Clock that keeps running while the host is suspended.
     """
 
     def __init__(
-        self, peers: Peers, records: Sequence[FollowedRecords]
+        self,
+        peers: Peers,
+        records: Sequence[FollowedRecords],
+        freshness: Freshness,
+        clock: Clock,
     ) -> None:
         self._peers = peers
         self._records = records
+        self._freshness = freshness
+        self._clock = clock
 
     async def fetch(
         self, relay: Endpoint, hold: float
     ) -> Result[None, RelayFailure]:
         """Ask a relay for changes and apply them.
 
+        The answer was made at the earliest when the question had been held
+        for as long as the relay says.
+
         Args:
             relay: The relay.
             hold: How long in seconds it waits for changes.
         """
+        asked_at = self._clock.now()
         asked = await self._ask(relay, RelayQuestion(self._known(), hold))
         if isinstance(asked, Err):
             return asked
-        self._apply(asked.ok_value)
+        answer = asked.ok_value
+        self._apply(answer)
+        self._freshness.prove(asked_at + answer.held - answer.age)
         return Ok(None)
 
     async def await_notice(
--- a/src/carobwalk/relay/_relay_follower.py
+++ b/src/carobwalk/relay/_relay_follower.py
@@ -6,18 +6,16 @@
 from typing import Final
 
 import trio
-from result import Ok
+from result import Err
 
 from carobwalk.model import Clock, Endpoint
+from carobwalk.relay._age_bound import AgeBound
+from carobwalk.relay._freshness import Freshness, FreshnessTimes
 from carobwalk.relay._lag_watch import LagWatch
 from carobwalk.relay._relay_choice import RelayChoice
 from carobwalk.relay._relay_client import RelayClient
 from carobwalk.store import AccessReason, DirectAccess, RecordFollower
 
-# How long a relay waits for changes before it answers, if a second relay tells
-# when this one lags, and if there is none.
-_GUARDED_HOLD_SECONDS: Final = 1.0
-_HOLD_SECONDS: Final = 0.4
 # Time within which one of the processes that start together relays.
 _FIRST_RELAY_SECONDS: Final = 1.5
 _MAX_RELAYS_ASKED: Final = 3
@@ -35,6 +33,8 @@
         choice: The relays.
         relay_records: Follower of the records that name the relays.
         followers: Followers of all relayed prefixes, with that one.
+        freshness: Age of the records whose changes have to be known in time.
+        times: Times that keep it low.
         access: Way to the store, closed while a relay answers.
         is_coordinator: Returns whether this process coordinates; it then
             reads from the store itself.
@@ -45,6 +45,8 @@
     choice: RelayChoice
     relay_records: RecordFollower
     followers: Sequence[RecordFollower]
+    freshness: Freshness
+    times: FreshnessTimes
     access: DirectAccess
     is_coordinator: Callable[[], bool]
     clock: Clock
@@ -59,15 +61,18 @@
 
     def __init__(self, parts: RelayFollowerParts) -> None:
         self._parts = parts
-        self._fresh_at = parts.clock.now()
+        self._started_at = parts.clock.now()
+        self._cause = ''
         self._lag_watch = LagWatch(parts.client, parts.choice)
+        self._age_bound = AgeBound(
+            parts.freshness, parts.times, parts.access, self._read_directly
+        )
 
     @property
     def seconds_since_contact(self) -> float:
         """Age of the last proof that the records are current."""
-        if self._is_reading():
-            return 0
-        return self._parts.clock.now() - self._fresh_at
+        proved_at = self._parts.freshness.proved_at
+        return self._parts.clock.now() - max(proved_at, self._started_at)
 
     async def run(self) -> None:
         """Follow a relay, or let the process read the store, until cancelled.
@@ -78,6 +83,7 @@
         await self._parts.relay_records.read_first(_FIRST_RELAY_SECONDS)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._lag_watch.run)
+            nursery.start_soon(self._age_bound.run)
             while True:
                 await self._follow()
 
@@ -90,7 +96,7 @@
             self._set_relay('', 'this process relays or coordinates')
             await trio.sleep(_CHECK_SECONDS)
         elif not await self._ask_relays():
-            self._read_directly()
+            self._read_directly(self._cause)
             jitter = random.uniform(*_JITTER_RANGE)
             await trio.sleep(_SEARCH_SECONDS * jitter)
 
@@ -107,44 +113,52 @@
     async def _ask_relays(self) -> bool:
         """Ask the nearest relays in turn; return whether one was fresh."""
         choice = self._parts.choice
-        choice.cause = 'no relay is known'
+        self._cause = 'no relay is known'
+        cause = 'a nearer relay is known' if choice.followed else 'it answers'
         for relay in choice.candidates()[:_MAX_RELAYS_ASKED]:
-            if await self._fetch(relay):
-                self._fresh_at = self._parts.clock.now()
-                self._set_relay(relay.name, choice.cause)
+            failure = await self._fetch(relay)
+            if failure is None:
+                self._set_relay(relay.name, cause)
                 self._parts.access.set_reason(
                     AccessReason.NO_RELAY, is_present=False
                 )
                 return True
+            cause = failure
+            self._cause = failure
             choice.suspect(relay)
         return False
 
-    async def _fetch(self, relay: Endpoint) -> bool:
-        """Ask a relay for changes; return whether it is fresh.
+    async def _fetch(self, relay: Endpoint) -> str | None:
+        """Ask a relay for changes; return why it is not fresh, if so.
 
         One that is not followed yet is to answer at once. The question is
         cancelled if another relay tells changes before.
         """
         choice = self._parts.choice
-        hold: float = 0
-        if relay.name == choice.followed:
-            hold = _GUARDED_HOLD_SECONDS if choice.second() else _HOLD_SECONDS
-        choice.cause = f'{relay.name} lags'
+        is_followed = relay.name == choice.followed
+        hold = self._parts.times.hold if is_followed else 0
         with choice.begin_question():
             asked = await self._parts.client.fetch(relay, hold)
-            if isinstance(asked, Ok):
-                return True
-            choice.cause = asked.err_value.detail
-        return False
-
-    def _read_directly(self) -> None:
-        """Let the process read the store, since no relay is fresh."""
-        cause = self._parts.choice.cause
+            if isinstance(asked, Err):
+                return asked.err_value.detail
+            age = self._parts.freshness.age
+            if age > self._parts.times.longest_age:
+                return f'{relay.name} was current {age:.2f} s ago'
+            return None
+        return f'{relay.name} lags'
+
+    def _read_directly(self, cause: str) -> None:
+        """Let the process read the store, since no relay is fresh.
+
+        Args:
+            cause: Why it does so.
+        """
         self._set_relay('', cause)
         access = self._parts.access
         if not access.is_open:
+            since = self._parts.clock.now() - self.seconds_since_contact
             for follower in self._parts.followers:
-                follower.records.lose(self._fresh_at, 'RelayLost', cause)
+                follower.records.lose(since, 'RelayLost', cause)
         access.set_reason(AccessReason.NO_RELAY, is_present=True)
 
     def _set_relay(self, name: str, cause: str) -> None:
--- a/src/carobwalk/relay/_relay_role.py
+++ b/src/carobwalk/relay/_relay_role.py
@@ -12,6 +12,7 @@
 from carobwalk.model import Clock, Endpoint
 from carobwalk.peer import encode_endpoint
 from carobwalk.relay._events import RelayTermStarted
+from carobwalk.relay._freshness import Freshness, FreshnessTimes
 from carobwalk.relay._relay_directory import RelayDirectory, relay_record_name
 from carobwalk.store import (
     AccessReason,
@@ -21,7 +22,6 @@
 )
 
 _LEASE_SECONDS: Final = 2.5
-_KEEP_ALIVE_SECONDS: Final = 0.8
 _POLL_SECONDS: Final = 0.25
 _JITTER_SECONDS: Final = 0.5
 # Slower hosts, and those with thinner links, delay their candidacy.
@@ -56,6 +56,8 @@
         relays: Known relays.
         relay_records: Follower of the records that name the relays.
         followers: Followers of all relayed prefixes, with that one.
+        freshness: Age of the records whose changes have to be known in time.
+        times: Times that keep it low.
         access: Way to the store, open while this process relays.
         clock: Clock that keeps running while the host is suspended.
         events: Event log.
@@ -67,6 +69,8 @@
     relays: RelayDirectory
     relay_records: RecordFollower
     followers: Sequence[RecordFollower]
+    freshness: Freshness
+    times: FreshnessTimes
     access: DirectAccess
     clock: Clock
     events: EventLog
@@ -83,7 +87,7 @@
         self._parts = parts
         self._times = LeaseTimes(
             lease=max(_LEASE_SECONDS, parts.host.shortest_lease),
-            keep_alive=_KEEP_ALIVE_SECONDS,
+            keep_alive=parts.times.keep_alive,
         )
         self._term: Term | None = None
         self._is_resigning = False
@@ -92,13 +96,19 @@
     def is_fresh(self) -> bool:
         """Whether this process relays and the store answers it.
 
-        A term is over when its lease may have lapsed, on a clock that runs
-        while the process is frozen, so that it doesn't serve old records
-        after a thaw.
+        That is proved by answers only, as a call that waits tells nothing: by
+        renewals of the lease, and by watches that ended lately. Their ages are
+        those of a clock that runs while the process is frozen, so that it
+        doesn't serve old records after a thaw.
         """
+        parts = self._parts
         term = self._term
         if term is None or not term.is_valid:
             return False
+        if term.renewal_age > parts.times.longest_renewal_age:
+            return False
+        if parts.freshness.age > parts.times.longest_age:
+            return False
         return all(follower.is_reading for follower in self._parts.followers)
 
     async def run(self) -> None:
--- a/src/carobwalk/settings/_gateway.py
+++ b/src/carobwalk/settings/_gateway.py
@@ -85,6 +85,8 @@
     Args:
         leaving_seconds: Time after the announcement of a backend server's
             departure from which no more requests are sent to it.
+        configuration_seconds: Time after which a change of the configuration
+            is in force.
         stop_seconds: Time from the termination signal to the forced exit.
         repeat_ratio: Retry budget of a service, as the ratio of retries to
             requests.
@@ -96,12 +98,18 @@
     """
 
     leaving_seconds: _Seconds = 2.0
+    configuration_seconds: _Seconds = 2.0
     stop_seconds: _Seconds = 6.0
     repeat_ratio: _Ratio = 0.2
     repeat_slack: _Seconds = 64.0
     repeat_window_seconds: _Seconds = 10.0
     longest_hold_seconds: _Seconds = 10.0
 
+    @property
+    def news_seconds(self) -> float:
+        """Time within which every process has to act on a change."""
+        return min(self.leaving_seconds, self.configuration_seconds)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GatewaySettings:
--- a/src/carobwalk/store/__init__.py
+++ b/src/carobwalk/store/__init__.py
@@ -10,7 +10,7 @@
 from carobwalk.store._host_list import Host, HostList, HostListError
 from carobwalk.store._http_host_list import HOSTS_PATH, HttpHostList
 from carobwalk.store._http_store import HttpStore
-from carobwalk.store._record_follower import RecordFollower
+from carobwalk.store._record_follower import ReadOptions, RecordFollower
 from carobwalk.store._store import (
     ClientId,
     Conflict,
@@ -29,6 +29,7 @@
     Removed,
     TransactionalStore,
 )
+from carobwalk.store._watch_period import WatchPeriod
 
 __all__ = (
     'HOSTS_PATH',
@@ -47,6 +48,7 @@
     'LeaseId',
     'LeaseLost',
     'Listing',
+    'ReadOptions',
     'RecordFollower',
     'RecordReader',
     'Removed',
@@ -58,4 +60,5 @@
     'Unanswered',
     'Unavailable',
     'Versioned',
+    'WatchPeriod',
 )
--- a/src/carobwalk/store/_followed_records.py
+++ b/src/carobwalk/store/_followed_records.py
@@ -1,5 +1,6 @@
 """Records of a prefix as this process knows them."""
 
+import math
 from dataclasses import dataclass
 from typing import ClassVar, Protocol
 
@@ -61,7 +62,8 @@
     """Applies listings and changes of a prefix, from wherever they come.
 
     Those of the store and those that other processes have read may overlap;
-    what is older than the known revision is left out.
+    what is older than the known revision is left out. At ``proved_at``, in
+    seconds of the clock, there were no changes but the known ones.
 
     Args:
         prefix: Common prefix of the record names.
@@ -80,6 +82,7 @@
         self.prefix = prefix
         self.revision = 0
         self.has_listed = False
+        self.proved_at = -math.inf
         self._reader = reader
         self._clock = clock
         self._events = events
@@ -119,6 +122,10 @@
                 self._reader.apply(change)
         self.revision = max(known, changes.revision)
 
+    def prove(self, proved_at: float) -> None:
+        """Record that all changes before a time are known."""
+        self.proved_at = max(self.proved_at, proved_at)
+
     def confirm(self) -> None:
         """Record that the source has answered and knows nothing newer."""
         if self._lost_since is None:
--- a/src/carobwalk/store/_record_follower.py
+++ b/src/carobwalk/store/_record_follower.py
@@ -1,26 +1,41 @@
 """List-and-watch loop over the records with a common name prefix."""
 
-from typing import Final
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
 import trio
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from carobwalk.events import EventLog
 from carobwalk.model import Clock
 from carobwalk.store._direct_access import AccessReason, DirectAccess
 from carobwalk.store._followed_records import FollowedRecords, RecordReader
+from carobwalk.store._record_calls import RecordCalls
 from carobwalk.store._store import StoreFailure
-from carobwalk.store._transactional import (
-    Compacted,
-    Listing,
-    TransactionalStore,
-)
+from carobwalk.store._transactional import Compacted, TransactionalStore
+from carobwalk.store._watch_period import WatchPeriod
 from carobwalk.store._watch_rate_limiter import WatchRateLimiter
 
-_WATCH_TIMEOUT_SECONDS: Final = 25.0
-# A shorter interruption is not treated as an outage, because no registry
-# entry can have expired in it.
-_MIN_OUTAGE_SECONDS: Final = 1.0
+
+def _ignore_proof() -> None:
+    """Do nothing about a proof."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReadOptions:
+    """How a follower reads from the store.
+
+    Args:
+        access: Way to the store; by default, it is always open.
+        period: Period of the watches.
+        on_proof: Called after each answer of the store.
+    """
+
+    access: DirectAccess = field(
+        default_factory=lambda: DirectAccess(AccessReason.ALWAYS)
+    )
+    period: WatchPeriod = WatchPeriod()  # noqa: RUF009 frozen
+    on_proof: Callable[[], None] = _ignore_proof
 
 
 class RecordFollower:
@@ -28,7 +43,8 @@
 
     After a failed call or a compaction of the history, the records are listed
     again. While the way to the store is closed, ``records`` are updated by
-    what another process has read.
+    what another process has read, and when it opens, they are watched from
+    there.
 
     Args:
         store: Client of the key-value service.
@@ -36,7 +52,7 @@
         reader: Receives the records.
         clock: Clock for outages and for the rate limit of watch calls.
         events: Log of events.
-        access: Way to the store; by default, it is always open.
+        options: How to read from the store.
     """
 
     def __init__(
@@ -46,14 +62,18 @@
         reader: RecordReader,
         clock: Clock,
         events: EventLog,
-        access: DirectAccess | None = None,
+        options: ReadOptions | None = None,
     ) -> None:
+        options = options or ReadOptions()
         self.records = FollowedRecords(prefix, reader, clock, events)
         self._store = store
         self._clock = clock
-        self._access = access or DirectAccess(AccessReason.ALWAYS)
+        self._access = options.access
+        self._on_proof = options.on_proof
+        self._calls = RecordCalls(store, self.records, options.period, clock)
         self._rate_limiter = WatchRateLimiter(clock)
         self._is_reading = False
+        self._has_failed = False
 
     @property
     def is_current(self) -> bool:
@@ -76,9 +96,8 @@
                     scope, needs_listing=needs_listing
                 )
             if scope.cancelled_caught:
-                # Entries may expire unseen in an outage of the store.
-                needs_listing = True
                 self._is_reading = False
+                needs_listing = self._has_failed or not self.records.has_listed
 
     async def read_first(self, timeout: float) -> None:
         """List the records, and if there are none, wait for the first.
@@ -88,8 +107,10 @@
         """
         prefix = self.records.prefix
         listed = await self._store.list_records(prefix)
-        self._load_listing(listed)
-        if isinstance(listed, Err) or listed.ok_value.records:
+        if isinstance(listed, Err):
+            return
+        self.records.load(listed.ok_value, after_outage=False)
+        if listed.ok_value.records:
             return
         watched = await self._store.watch_records(
             prefix, self.records.revision, timeout
@@ -111,15 +132,21 @@
             nursery.start_soon(self._cancel_when_closed, scope)
             failure = await self._list_or_watch(needs_listing=needs_listing)
             if failure is None:
-                self._access.backoff.record_success()
-                self.records.confirm()
-                self._is_reading = True
+                self._record_success()
             elif not isinstance(failure, Compacted):
                 self._is_reading = False
+                self._has_failed = True
                 await self._handle_failure(failure)
             nursery.cancel_scope.cancel()
         return failure is not None
 
+    def _record_success(self) -> None:
+        self._access.backoff.record_success()
+        self.records.confirm()
+        self._is_reading = True
+        self._has_failed = False
+        self._on_proof()
+
     async def _cancel_when_closed(self, scope: trio.CancelScope) -> None:
         await self._access.wait_until_closed()
         scope.cancel()
@@ -138,30 +165,8 @@
         *,
         needs_listing: bool,
     ) -> StoreFailure | Compacted | None:
-        prefix = self.records.prefix
         if needs_listing:
-            return self._load_listing(await self._store.list_records(prefix))
+            return await self._calls.list_records(has_failed=self._has_failed)
         interval = self._access.watch_interval
         await trio.sleep(self._rate_limiter.reserve(interval))
-        watched = await self._store.watch_records(
-            prefix,
-            self.records.revision,
-            _WATCH_TIMEOUT_SECONDS,
-        )
-        if isinstance(watched, Err):
-            return watched.err_value
-        self.records.apply(watched.ok_value)
-        return None
-
-    def _load_listing(
-        self,
-        listed: Result[Listing, StoreFailure],
-    ) -> StoreFailure | None:
-        if isinstance(listed, Err):
-            return listed.err_value
-        is_outage = self.records.seconds_without_contact >= _MIN_OUTAGE_SECONDS
-        self.records.load(
-            listed.ok_value,
-            after_outage=self.records.has_listed and is_outage,
-        )
-        return None
+        return await self._calls.watch(is_first=not self._is_reading)
--- a/standins/platform/_settings_file.py
+++ b/standins/platform/_settings_file.py
@@ -50,6 +50,7 @@
         'limits.cores': 1,
         'limits.link_mbps': 1000.0,
         'bounds.drain_s': 2,
+        'bounds.config_apply_s': 2,
         'bounds.grace_s': 6,
         'bounds.retry_budget_ratio': 0.2,
         'bounds.retry_slack': 64,
--- a/tests/keyspace/fleet_links.py
+++ b/tests/keyspace/fleet_links.py
@@ -64,10 +64,12 @@
 class StoreLink:
     """Connection of a process to the store, with faults.
 
-    While ``is_cut``, calls fail. Calls take ``delay`` seconds each way. With
-    ``loses_answers``, writes are done and go unanswered; with ``write_delay``,
-    they go unanswered and are done that many seconds later. While ``silence``
-    is frozen, nothing passes, and no call fails.
+    Reads take ``read_delay`` seconds longer. While ``is_cut``, calls fail.
+    Calls take ``delay`` seconds each way. With ``loses_answers``, writes are
+    done and go unanswered; with ``write_delay``, they go unanswered and are
+    done that many seconds later. While ``silence``
+    is frozen, nothing passes, and no call fails; while a call is named in
+    ``silent_calls``, only such calls wait.
     """
 
     def __init__(self, store: KvStore, gate: ProcessGate | None = None) -> None:
@@ -79,18 +81,24 @@
         self._store = store
         self._gate = gate or ProcessGate()
         self.silence = ProcessGate()
+        self.silent_calls: frozenset[str] = frozenset()
+        self.read_delay: float = 0
 
     def __getattr__(self, name: str) -> StoreCall:
         async def call(*arguments: object) -> Result[object, StoreFailure]:
             await self._gate.wait()
-            await self.silence.wait()
+            await self._wait_for_silence(name)
             answered = await self._call(name, arguments)
             await self._gate.wait()
-            await self.silence.wait()
+            await self._wait_for_silence(name)
             return answered
 
         return call
 
+    async def _wait_for_silence(self, name: str) -> None:
+        if not self.silent_calls or name in self.silent_calls:
+            await self.silence.wait()
+
     async def _call(
         self,
         name: str,
@@ -101,6 +109,8 @@
             return Err(Unavailable('cut'))
         call: StoreCall = getattr(self._store, name)
         if name not in _WRITES:
+            if self.read_delay:
+                await trio.sleep(self.read_delay)
             return await call(*arguments)
         if self.write_delay is not None and self.nursery is not None:
             delay = self.write_delay
--- a/tests/relay/relay_fleet.py
+++ b/tests/relay/relay_fleet.py
@@ -14,7 +14,12 @@
     TrioClock,
 )
 from carobwalk.peer import PeerFailure, Topic
-from carobwalk.relay import RecordRelay, RecordRelayParts, RelayHost
+from carobwalk.relay import (
+    FreshnessTimes,
+    RecordRelay,
+    RecordRelayParts,
+    RelayHost,
+)
 from carobwalk.store import Listing, Removed, Versioned
 from standins.platform import KvStore
 from tests.keyspace.fleet_links import (
@@ -26,6 +31,8 @@
 from tests.recording_log import RecordingLog
 
 PREFIX = 'servers/'
+# Time within which each process has to know a change.
+BOUND_SECONDS = 2.0
 
 
 class _Connections(PeerLinks):
@@ -147,6 +154,7 @@
                 store=link,  # type: ignore[arg-type]
                 peers=self.peers,
                 is_coordinator=lambda: nodes[0].is_coordinator,
+                times=FreshnessTimes(BOUND_SECONDS),
                 clock=self._clock,
                 events=log,
             ),
--- a/tests/relay/test_record_relay.py
+++ b/tests/relay/test_record_relay.py
@@ -310,12 +310,13 @@
             relay = _node(fleet, 0, relaying=True)
             relay.link.silence.freeze()
             fleet.remove('a')
+            # It doesn't know yet that it is cut off.
+            assert relay.is_relaying
             if is_new:
                 await trio.sleep(_NEWS_SECONDS)
                 fleet.start('new')
             view = fleet_without(fleet, relay)
             await view.wait_until_known(_NEWS_SECONDS)
-            assert relay.is_relaying
 
         run_scenario(scenario)
 
--- a/tests/store/test_record_follower.py
+++ b/tests/store/test_record_follower.py
@@ -13,6 +13,7 @@
     Changes,
     DirectAccess,
     Listing,
+    ReadOptions,
     RecordFollower,
     Removed,
     StoreFailure,
@@ -96,8 +97,12 @@
             self.reader,
             TrioClock(),
             NullEventLog(),
-            DirectAccess(
-                AccessReason.COORDINATES if is_urgent else AccessReason.ALWAYS
+            ReadOptions(
+                access=DirectAccess(
+                    AccessReason.COORDINATES
+                    if is_urgent
+                    else AccessReason.ALWAYS
+                )
             ),
         )
 
