--- a/src/carobwalk/routing/_active_routes.py
+++ b/src/carobwalk/routing/_active_routes.py
@@ -69,7 +69,7 @@
         if configuration.version <= replaced:
             return
         self.table = RouteTable(configuration)
-        self.split = TrafficSplit()
+        self.split.retain(configuration.routes)
         self._events.emit(
             RoutesReplaced(
                 configuration.version,
