Send large records compressed, and wait for one that is on its way

Cause: the answer with the large record had to be whole within 0.3 s beyond the question's hold, and a second relay's notice cancelled it after 0.15 s. What had arrived was thrown away, and the same bytes were asked of the next relays and at last of the store. Evidence: RelayChanged cause="no answer ... within 0.7 s" and "X lags" just after the change (LEADS), each followed by the next relay. Which of the links binds, the relay's or the follower's, is not told apart.

--- a/src/carobwalk/relay/_freshness.py
+++ b/src/carobwalk/relay/_freshness.py
@@ -32,9 +32,12 @@
     @property
     def watch_period(self) -> WatchPeriod:
         """Period of the watches that prove that nothing has changed."""
-        return WatchPeriod(
-            self.limit * _WATCH_SHARE, self.limit * _ANSWER_SHARE
-        )
+        return WatchPeriod(self.limit * _WATCH_SHARE, self.answer_margin)
+
+    @property
+    def answer_margin(self) -> float:
+        """Time for an answer beyond that for which a question is held."""
+        return self.limit * _ANSWER_SHARE
 
     @property
     def hold(self) -> float:
--- a/src/carobwalk/relay/_lag_watch.py
+++ b/src/carobwalk/relay/_lag_watch.py
@@ -43,15 +43,30 @@
                 self._choice.suspect(second)
 
     async def _compare(self, revisions: tuple[int, ...]) -> None:
-        """Give the followed relay up if it doesn't tell changes soon.
+        """Give the followed relay up if it doesn't know changes soon.
+
+        One that knows them has sent them: on a thin link a large record is
+        longer on its way than a notice, and would be no sooner from another.
 
         Args:
             revisions: Last changes of all prefixes by the second relay.
         """
         await trio.sleep(_MAX_LAG_SECONDS)
-        if not self._client.knows(revisions):
+        if self._client.knows(revisions):
+            return
+        if not await self._is_known_at_first(revisions):
             self._choice.give_up()
 
+    async def _is_known_at_first(self, revisions: tuple[int, ...]) -> bool:
+        first = self._choice.first()
+        if first is None:
+            return False
+        told = await self._client.await_notice(first, 0)
+        if not isinstance(told, Ok):
+            return self._client.knows(revisions)
+        pairs = zip(told.ok_value, revisions, strict=False)
+        return all(known >= revision for known, revision in pairs)
+
     async def _await_notice(
         self, second: Endpoint
     ) -> Result[tuple[int, ...], RelayFailure] | None:
--- a/src/carobwalk/relay/_messages.py
+++ b/src/carobwalk/relay/_messages.py
@@ -6,9 +6,12 @@
 import msgspec
 
 from carobwalk.peer import Topic
+from carobwalk.relay._compression import compress, decompress
 from carobwalk.store import Removed, Versioned
 
 RELAY_TOPIC: Final = Topic('relay.records')
+# Smaller contents are sent as they are.
+_MIN_COMPRESSED_BYTES: Final = 4096
 
 
 class RecordRow(msgspec.Struct, array_like=True, frozen=True):
@@ -18,11 +21,13 @@
         name: Name of the record.
         revision: Revision of its last change.
         content: Its content, ``None`` if it was removed.
+        is_compressed: Whether the content is compressed.
     """
 
     name: str
     revision: int
     content: bytes | None
+    is_compressed: bool = False
 
 
 class RecordUpdate(msgspec.Struct, array_like=True, frozen=True):
@@ -85,11 +90,22 @@
     """Return the serialised form of the last change of a record."""
     if isinstance(change, Removed):
         return RecordRow(change.name, change.revision, None)
-    return RecordRow(change.name, change.revision, change.content)
+    content = change.content
+    if len(content) < _MIN_COMPRESSED_BYTES:
+        return RecordRow(change.name, change.revision, content)
+    packed = compress(content)
+    return RecordRow(change.name, change.revision, packed, is_compressed=True)
 
 
 def read_row(row: RecordRow) -> Versioned | Removed:
-    """Return the change for its serialised form."""
-    if row.content is None:
+    """Return the change for its serialised form.
+
+    Raises:
+        ValueError: The compressed content is damaged.
+    """
+    content = row.content
+    if content is None:
         return Removed(row.name, row.revision)
-    return Versioned(row.name, row.content, row.revision)
+    if row.is_compressed:
+        content = decompress(content)
+    return Versioned(row.name, content, row.revision)
--- a/src/carobwalk/relay/_record_relay.py
+++ b/src/carobwalk/relay/_record_relay.py
@@ -89,7 +89,11 @@
         self.follower = RelayFollower(
             RelayFollowerParts(
                 client=RelayClient(
-                    parts.peers, self._records, self._freshness, parts.clock
+                    parts.peers,
+                    self._records,
+                    self._freshness,
+                    parts.times,
+                    parts.clock,
                 ),
                 choice=RelayChoice(relays, parts.clock, parts.events),
                 relay_records=relay_records,
--- a/src/carobwalk/relay/_relay_choice.py
+++ b/src/carobwalk/relay/_relay_choice.py
@@ -47,6 +47,11 @@
             if relay.name not in self._failed_at_by_name
         ]
 
+    def first(self) -> Endpoint | None:
+        """Return the relay that is followed."""
+        relays = self._relays.by_distance()
+        return next((one for one in relays if one.name == self.followed), None)
+
     def second(self) -> Endpoint | None:
         """Return the relay to ask for notices while one is followed."""
         others = (
--- a/src/carobwalk/relay/_relay_client.py
+++ b/src/carobwalk/relay/_relay_client.py
@@ -8,7 +8,7 @@
 
 from carobwalk.model import DECODE_ERRORS, Clock, Endpoint
 from carobwalk.peer import Peers
-from carobwalk.relay._freshness import Freshness
+from carobwalk.relay._freshness import Freshness, FreshnessTimes
 from carobwalk.relay._messages import (
     RELAY_TOPIC,
     RecordUpdate,
@@ -18,8 +18,8 @@
 )
 from carobwalk.store import Changes, FollowedRecords, Listing, Versioned
 
-# Beyond the time that a question is held open.
-_ANSWER_MARGIN_SECONDS: Final = 0.3
+# Time for a notice beyond that for which the question is held open.
+_NOTICE_MARGIN_SECONDS: Final = 0.3
 # The first answer of a relay has all records.
 _FIRST_ANSWER_SECONDS: Final = 2.0
 
@@ -41,6 +41,7 @@
         peers: Sends long polls to relays.
         records: Records of all relayed prefixes.
         freshness: Age of those whose changes have to be known in time.
+        times: Times that keep it low.
         clock: Clock that keeps running while the host is suspended.
     """
 
@@ -49,8 +50,10 @@
         peers: Peers,
         records: Sequence[FollowedRecords],
         freshness: Freshness,
+        times: FreshnessTimes,
         clock: Clock,
     ) -> None:
+        self._times = times
         self._peers = peers
         self._records = records
         self._freshness = freshness
@@ -69,11 +72,18 @@
             hold: How long in seconds it waits for changes.
         """
         asked_at = self._clock.now()
-        asked = await self._ask(relay, RelayQuestion(self._known(), hold))
+        question = RelayQuestion(self._known(), hold)
+        timeout = hold + self._times.answer_margin
+        if not all(question.known):
+            timeout = max(timeout, _FIRST_ANSWER_SECONDS)
+        asked = await self._ask(relay, question, timeout)
         if isinstance(asked, Err):
             return asked
         answer = asked.ok_value
-        self._apply(answer)
+        try:
+            self._apply(answer)
+        except ValueError as error:
+            return Err(RelayFailure(str(error)))
         self._freshness.prove(asked_at + answer.held - answer.age)
         return Ok(None)
 
@@ -90,7 +100,8 @@
             The revision of the last change of each prefix.
         """
         question = RelayQuestion(self._known(), hold, is_notice=True)
-        asked = await self._ask(relay, question)
+        timeout = hold + _NOTICE_MARGIN_SECONDS
+        asked = await self._ask(relay, question, timeout)
         return asked.map(lambda answer: answer.revisions)
 
     def knows(self, revisions: tuple[int, ...]) -> bool:
@@ -104,11 +115,8 @@
         return tuple(followed.revision for followed in self._records)
 
     async def _ask(
-        self, relay: Endpoint, question: RelayQuestion
+        self, relay: Endpoint, question: RelayQuestion, timeout: float
     ) -> Result[RelayAnswer, RelayFailure]:
-        timeout = question.hold + _ANSWER_MARGIN_SECONDS
-        if not all(question.known):
-            timeout = max(timeout, _FIRST_ANSWER_SECONDS)
         answered = await self._peers.ask(
             relay, RELAY_TOPIC, msgspec.msgpack.encode(question), timeout
         )
--- a/tests/keyspace/fleet_links.py
+++ b/tests/keyspace/fleet_links.py
@@ -1,5 +1,6 @@
 """Faulty connections of a simulated process: store, peers, servers."""
 
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -141,7 +142,8 @@
     """In-memory connections between processes, with faults.
 
     A process that is not listed is unreachable. Questions and answers take
-    ``delay`` seconds each way; a question that was sent arrives even if its
+    ``delay`` seconds each way, and answers the longer, the less bandwidth, in
+    bytes a second, there is; a question that was sent arrives even if its
     sender no longer waits. The shares ``loss`` of questions and of answers are
     lost.
     """
@@ -149,6 +151,7 @@
     def __init__(self) -> None:
         self.answers_by_name: dict[str, TopicHandler] = {}
         self.delay: float = 0
+        self.bandwidth = math.inf
         self.loss: float = 0
         self.nursery: trio.Nursery | None = None
 
@@ -182,7 +185,7 @@
         if _happens(loss):
             return
         answered = await answer(ProcessId('asker'), payload)
-        await trio.sleep(delay)
+        await trio.sleep(delay + len(answered) / self.bandwidth)
         if not _happens(loss):
             sender.send_nowait(answered)
 
