Bound the memory of all answers of the store together

What an operator would see: a store that sends bytes without end, on several calls at once, may let each answer grow to 16 MiB, whatever others hold. Cause: only the answers to callers were counted; the client of the store had a limit for each answer, none for all. Grants and releases already end at 16 KiB each, and this program sends no health checks on the platform.

--- a/src/carobwalk/app/_build_gateway.py
+++ b/src/carobwalk/app/_build_gateway.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from carobwalk.app._answer_bytes import caller_answer_bytes
 from carobwalk.app._gateway_core import GatewayCore
 from carobwalk.gateway import (
     ConnectionPool,
@@ -21,14 +22,10 @@
 from carobwalk.keyspace import LocalLoad
 from carobwalk.metrics import GatewayMeter
 from carobwalk.platform import PLATFORM_HEADERS
-from carobwalk.settings import Bounds, HostLimits
+from carobwalk.settings import Bounds
 
 # File descriptors that are not available to connections of callers.
 _RESERVED_DESCRIPTORS = 1200
-_BYTES_PER_MEGABYTE = 1_000_000
-# An answer is copied up to two times, to complete it and to write it. With
-# these, answers use half of the process's memory at most.
-_ANSWER_MEMORY_DIVISOR = 6
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -98,7 +95,7 @@
         routes=core.routes,
         forwarder=forwarder,
         count_key=owners.count,
-        answer_memory=AnswerMemory(_answer_bytes(settings.host)),
+        answer_memory=AnswerMemory(caller_answer_bytes(settings.host)),
         meter=GatewayMeter(core.metrics),
         events=core.events,
         is_stopping=is_stopping,
@@ -113,9 +110,3 @@
         pool=pool,
         shutdown=service.shutdown,
     )
-
-
-def _answer_bytes(host: HostLimits) -> int:
-    """Return the maximum total size of answers in bytes."""
-    memory_bytes = host.memory_megabytes * _BYTES_PER_MEGABYTE
-    return memory_bytes // _ANSWER_MEMORY_DIVISOR
--- a/src/carobwalk/app/_gateway_core.py
+++ b/src/carobwalk/app/_gateway_core.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from carobwalk.app._answer_bytes import store_answer_bytes
 from carobwalk.app._own_endpoint import own_endpoint
 from carobwalk.directory import ServerDirectory
 from carobwalk.events import (
@@ -14,7 +15,12 @@
     LineEventLog,
     RateLimitedEventLog,
 )
-from carobwalk.http import HttpClient, connect_with_keepalive, reset_on_close
+from carobwalk.http import (
+    AnswerMemory,
+    HttpClient,
+    connect_with_keepalive,
+    reset_on_close,
+)
 from carobwalk.metrics import CountingEventLog, MeteredSender, Metrics
 from carobwalk.model import Address, Clock, Endpoint, SuspendAwareClock
 from carobwalk.peer import PeerHub, TopicRegistry
@@ -94,7 +100,13 @@
         topics=topics,
         hub=PeerHub(own, hybrid_clock, topics),
         store=PlatformStore(
-            MeteredSender(HttpClient(connect=connect_with_keepalive), metrics),
+            MeteredSender(
+                HttpClient(
+                    connect=connect_with_keepalive,
+                    memory=AnswerMemory(store_answer_bytes(settings.host)),
+                ),
+                metrics,
+            ),
             settings.store.address,
         ),
         grant_client=HttpClient(
--- a/src/carobwalk/http/_client.py
+++ b/src/carobwalk/http/_client.py
@@ -8,6 +8,7 @@
 import trio
 from result import Err, Ok, Result
 
+from carobwalk.http._answer_memory import AnswerMemory, AnswerShare
 from carobwalk.http._client_connection import ClientConnection
 from carobwalk.http._error_detail import error_detail
 from carobwalk.http._failures import (
@@ -40,6 +41,8 @@
             ones are closed after use.
         connect: Opens a connection; by default, without keep-alive probes.
         max_answer_bytes: Maximum size of the body of a response in bytes.
+        memory: Limits the memory that responses use while they are received;
+            by default, nothing does.
     """
 
     def __init__(
@@ -48,10 +51,12 @@
         connect: Callable[[Address], Awaitable[trio.SocketStream]]
         | None = None,
         max_answer_bytes: int = _MAX_ANSWER_BYTES,
+        memory: AnswerMemory | None = None,
     ) -> None:
         self._idle_limit = idle_limit
         self._connect = connect or _connect
         self._max_answer_bytes = max_answer_bytes
+        self._memory = memory
         self._idle_by_address: dict[Address, list[ClientConnection]] = (
             defaultdict(list)
         )
@@ -120,7 +125,10 @@
             return Err(ConnectFailed(f'{address}: {error}', is_refused=True))
         except OSError as error:
             return Err(ConnectFailed(f'{address}: {error}'))
-        return Ok(ClientConnection(address, stream, self._max_answer_bytes))
+        share = AnswerShare(self._memory) if self._memory else None
+        return Ok(
+            ClientConnection(address, stream, self._max_answer_bytes, share)
+        )
 
     async def _exchange(
         self,
--- a/src/carobwalk/http/_client_connection.py
+++ b/src/carobwalk/http/_client_connection.py
@@ -7,6 +7,7 @@
 import trio
 from result import Err, Ok, Result
 
+from carobwalk.http._answer_memory import AnswerShare
 from carobwalk.http._answer_reader import AnswerReader, declared_length
 from carobwalk.http._failures import NoAnswer
 from carobwalk.http._h11_stream import H11Stream
@@ -22,6 +23,7 @@
         address: Address of the server.
         stream: Connected stream.
         max_answer_bytes: Maximum size of the body of a response in bytes.
+        share: Memory to reserve for responses; by default, none is reserved.
     """
 
     def __init__(
@@ -29,7 +31,9 @@
         address: Address,
         stream: trio.SocketStream,
         max_answer_bytes: int,
+        share: AnswerShare | None = None,
     ) -> None:
+        self._share = share
         self._address = address
         self._max_answer_bytes = max_answer_bytes
         self._http = H11Stream(stream, h11.CLIENT)
@@ -74,7 +78,11 @@
             self._http.protocol.start_next_cycle()
         self._is_used = True
         self._is_spent = bool(request.answer_field)
-        response = await self._send_and_receive(request, is_first=is_first)
+        try:
+            response = await self._send_and_receive(request, is_first=is_first)
+        finally:
+            if self._share is not None:
+                self._share.release()
         if response is None:
             return Err(NoAnswer(f'{self._address}: no response'))
         if response.status >= HTTPStatus.MULTIPLE_CHOICES:
@@ -93,7 +101,7 @@
         self, request: HttpRequest, *, is_first: bool
     ) -> HttpResponse | None:
         await self._http.send(*_request_events(self._address, request))
-        reader = AnswerReader(self._http, self._max_answer_bytes)
+        reader = AnswerReader(self._http, self._max_answer_bytes, self._share)
         head = await reader.read_head()
         if head is None:
             return None
