Wait for an answer of the store that keeps arriving

Cause: calls had to be whole within a time, 1.5 s for a listing and 1.05 s for a watch, whatever they carry. On a link of 10 Mbit/s beside uploads such an answer was given up and asked for again.

Change: the timeout bounds the time until the answer begins; then it may pause for 1 s at most, and take 10 s longer at most.

--- a/src/carobwalk/http/_client.py
+++ b/src/carobwalk/http/_client.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Final
 
 import h11
@@ -22,6 +23,8 @@
 from carobwalk.model import Address
 
 _MAX_ANSWER_BYTES: Final = 16_777_216
+# Longest time beyond its timeout for a response that keeps arriving.
+_MAX_EXTENSION_SECONDS: Final = 10.0
 _CONNECTION_ERRORS: Final = (
     AnswerTooLong,
     JoinedHeads,
@@ -73,20 +76,23 @@
             address: Address of the server.
             request: Request to send.
             timeout: Timeout in seconds, including the connection set-up.
+                A request may allow a response that keeps arriving more time.
 
         Returns:
             The response; ``ConnectFailed`` if no byte of the request was
             sent; ``NoAnswer`` if the request may have arrived.
         """
         acquired: Result[ClientConnection, HttpFailure] | None = None
-        with trio.move_on_after(timeout):
+        with trio.move_on_after(timeout) as scope:
             acquired = await self._acquire(address)
             if isinstance(acquired, Err):
                 return acquired
             if not request.may_send():
                 await acquired.ok_value.aclose()
                 return Err(ConnectFailed(f'{address}: open too late'))
-            return await self._exchange(address, acquired.ok_value, request)
+            connection = acquired.ok_value
+            connection.on_receive = _extension(scope, request.stall_seconds)
+            return await self._exchange(address, connection, request)
         if acquired is None:
             return Err(ConnectFailed(f'{address}: not open in {timeout} s'))
         return Err(NoAnswer(f'no answer from {address} within {timeout} s'))
@@ -156,5 +162,25 @@
         return True
 
 
+def _extension(
+    scope: trio.CancelScope, stall_seconds: float
+) -> Callable[[], None] | None:
+    """Return what is done when a part of a response arrives.
+
+    The deadline is moved while parts keep arriving, up to a limit.
+    """
+    if not stall_seconds:
+        return None
+    latest = scope.deadline + _MAX_EXTENSION_SECONDS
+    return partial(_extend, scope, stall_seconds, latest)
+
+
+def _extend(
+    scope: trio.CancelScope, stall_seconds: float, latest: float
+) -> None:
+    wanted = min(trio.current_time() + stall_seconds, latest)
+    scope.deadline = max(scope.deadline, wanted)
+
+
 async def _connect(address: Address) -> trio.SocketStream:
     return await trio.open_tcp_stream(address.host, address.port)
--- a/src/carobwalk/http/_client_connection.py
+++ b/src/carobwalk/http/_client_connection.py
@@ -1,5 +1,6 @@
 """Client's side of one HTTP/1.1 connection."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 from urllib.parse import quote, urlencode
 
@@ -24,6 +25,9 @@
         stream: Connected stream.
         max_answer_bytes: Maximum size of the body of a response in bytes.
         share: Memory to reserve for responses; by default, none is reserved.
+
+    Attributes:
+        on_receive: Called when a part of the next response has arrived.
     """
 
     def __init__(
@@ -37,6 +41,7 @@
         self._address = address
         self._max_answer_bytes = max_answer_bytes
         self._http = H11Stream(stream, h11.CLIENT)
+        self.on_receive: Callable[[], None] | None = None
         self._is_used = False
         self._is_spent = False
 
@@ -100,6 +105,7 @@
     async def _send_and_receive(
         self, request: HttpRequest, *, is_first: bool
     ) -> HttpResponse | None:
+        self._http.on_receive = self.on_receive
         await self._http.send(*_request_events(self._address, request))
         reader = AnswerReader(self._http, self._max_answer_bytes, self._share)
         head = await reader.read_head()
--- a/src/carobwalk/http/_h11_stream.py
+++ b/src/carobwalk/http/_h11_stream.py
@@ -1,5 +1,6 @@
 """An h11 connection on a trio stream."""
 
+from collections.abc import Callable
 from typing import Final
 
 import h11
@@ -20,9 +21,16 @@
         received_bytes: Bytes received so far.
         parsed_bytes: Bytes received so far without those of the last read,
             which may not have been parsed yet.
+        on_receive: Called after each read, if set.
     """
 
-    __slots__ = ('parsed_bytes', 'protocol', 'received_bytes', 'stream')
+    __slots__ = (
+        'on_receive',
+        'parsed_bytes',
+        'protocol',
+        'received_bytes',
+        'stream',
+    )
 
     def __init__(
         self,
@@ -33,6 +41,7 @@
         self.stream = stream
         self.received_bytes = 0
         self.parsed_bytes = 0
+        self.on_receive: Callable[[], None] | None = None
         self.protocol = h11.Connection(
             role,
             max_incomplete_event_size=header_bytes,
@@ -52,6 +61,8 @@
             chunk = await self.stream.receive_some(_RECEIVE_BYTES)
             self.parsed_bytes = self.received_bytes
             self.received_bytes += len(chunk)
+            if self.on_receive is not None:
+                self.on_receive()
             self.protocol.receive_data(bytes(chunk))
 
     def encode(self, *events: h11.Event) -> bytes:
--- a/src/carobwalk/http/_messages.py
+++ b/src/carobwalk/http/_messages.py
@@ -26,6 +26,9 @@
         is_reused_after_failure: Whether the connection may carry another
             request after a response that is not a success. Servers may repeat
             such a response, so that it is taken for that of the next request.
+        stall_seconds: Longest pause in a response that has begun to arrive,
+            also after the timeout of the request; 0 if the whole response has
+            to arrive before.
         may_send: Returns whether the request may still be sent; called when
             the connection is open, which may be long after a suspension of
             the host.
@@ -38,6 +41,7 @@
     body: bytes = b''
     answer_field: str = ''
     is_reused_after_failure: bool = True
+    stall_seconds: float = 0
     may_send: Callable[[], bool] = field(default=always_send, compare=False)
 
 
--- a/src/carobwalk/platform/_store_calls.py
+++ b/src/carobwalk/platform/_store_calls.py
@@ -14,6 +14,9 @@
     (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS),
 )
 
+# Longest pause in an answer that arrives over a thin link.
+STALL_SECONDS: Final = 1.0
+
 _ReplyT = TypeVar('_ReplyT')
 
 
@@ -49,7 +52,9 @@
             query: Query parameters.
             reply_type: Type to decode the body of the answer to.
         """
-        request = HttpRequest(method='GET', path=path, query=query)
+        request = HttpRequest(
+            method='GET', path=path, query=query, stall_seconds=STALL_SECONDS
+        )
         answered = await self.send(request)
         return answered.and_then(
             lambda response: decode_response(response, reply_type),
--- a/src/carobwalk/platform/_store_client.py
+++ b/src/carobwalk/platform/_store_client.py
@@ -11,6 +11,7 @@
 from carobwalk.model import DECODE_ERRORS, Address
 from carobwalk.platform import _store_messages as messages
 from carobwalk.platform._store_calls import (
+    STALL_SECONDS,
     StoreCalls,
     decode_response,
     json_request,
@@ -85,6 +86,7 @@
         prefix: str,
         after_revision: int,
         timeout: float,
+        margin: float = _WATCH_TIMEOUT_MARGIN_SECONDS,
     ) -> Result[Changes, StoreFailure | Compacted]:
         """Wait for changes after a revision.
 
@@ -92,6 +94,7 @@
             prefix: Start of the names of the records.
             after_revision: Revision that all returned changes are above.
             timeout: Longest wait of the store for a change in seconds.
+            margin: Time in seconds beyond it until the answer begins.
         """
         query = {
             'prefix': prefix,
@@ -99,8 +102,13 @@
             'wait_ms': str(int(timeout * _MILLISECONDS_PER_SECOND)),
         }
         answered = await self._calls.send(
-            HttpRequest(method='GET', path='/kv-watch', query=query),
-            timeout + _WATCH_TIMEOUT_MARGIN_SECONDS,
+            HttpRequest(
+                method='GET',
+                path='/kv-watch',
+                query=query,
+                stall_seconds=STALL_SECONDS,
+            ),
+            timeout + margin,
         )
         if isinstance(answered, Err):
             return answered
--- a/src/carobwalk/store/_record_calls.py
+++ b/src/carobwalk/store/_record_calls.py
@@ -3,12 +3,11 @@
 from dataclasses import dataclass
 from typing import Final
 
-import trio
-from result import Err, Result
+from result import Err
 
 from carobwalk.model import Clock
 from carobwalk.store._followed_records import FollowedRecords
-from carobwalk.store._store import StoreFailure, Unanswered
+from carobwalk.store._store import StoreFailure
 from carobwalk.store._transactional import (
     Changes,
     Compacted,
@@ -64,14 +63,12 @@
         """
         sent = self.clock.now()
         wait = self.period.wait(sent, is_first=is_first)
-        limit = wait + self.period.margin
-        watched: Result[Changes, StoreFailure | Compacted] = Err(
-            Unanswered(f'no answer to a watch within {limit:.2f} s')
+        watched = await self.store.watch_records(
+            self.records.prefix,
+            self.records.revision,
+            wait,
+            self.period.margin,
         )
-        with trio.move_on_after(limit):
-            watched = await self.store.watch_records(
-                self.records.prefix, self.records.revision, wait
-            )
         if isinstance(watched, Err):
             return watched.err_value
         self.records.apply(watched.ok_value)
--- a/src/carobwalk/store/_record_follower.py
+++ b/src/carobwalk/store/_record_follower.py
@@ -113,7 +113,7 @@
         if listed.ok_value.records:
             return
         watched = await self._store.watch_records(
-            prefix, self.records.revision, timeout
+            prefix, self.records.revision, timeout, WatchPeriod().margin
         )
         if isinstance(watched, Ok):
             self.records.apply(watched.ok_value)
--- a/src/carobwalk/store/_transactional.py
+++ b/src/carobwalk/store/_transactional.py
@@ -66,6 +66,7 @@
         prefix: str,
         after_revision: int,
         timeout: float,
+        margin: float,
     ) -> Result[Changes, StoreFailure | Compacted]:
         """Wait for changes of a prefix after the given revision.
 
@@ -73,6 +74,7 @@
             prefix: Common prefix of the watched names.
             after_revision: Revision up to which all changes are known.
             timeout: Timeout in seconds; a pending watch is one call.
+            margin: Time in seconds beyond it until the answer begins.
         """
 
     async def write(
--- a/src/carobwalk/store/_watch_period.py
+++ b/src/carobwalk/store/_watch_period.py
@@ -22,7 +22,8 @@
 
     Args:
         seconds: Time between the ends of watches that find no change.
-        margin: Time in seconds for the answer beyond the wait of a watch.
+        margin: Time in seconds beyond the wait of a watch until its answer
+            begins; a large one takes longer to arrive.
     """
 
     seconds: float = _UNBOUNDED_SECONDS
--- a/standins/platform/_kv_store.py
+++ b/standins/platform/_kv_store.py
@@ -47,6 +47,7 @@
         prefix: str,
         after_revision: int,
         timeout: float,
+        _margin: float = 0,
     ) -> Result[Changes, StoreFailure | Compacted]:
         """Wait for changes after a revision; return none at the timeout."""
         if not await self._begin_call():
--- a/tests/keyspace/fleet_links.py
+++ b/tests/keyspace/fleet_links.py
@@ -88,10 +88,12 @@
     def __getattr__(self, name: str) -> StoreCall:
         async def call(*arguments: object) -> Result[object, StoreFailure]:
             await self._gate.wait()
-            await self._wait_for_silence(name)
-            answered = await self._call(name, arguments)
+            answered: Result[object, StoreFailure] = Err(Unanswered('silent'))
+            with trio.move_on_after(_limit(name, arguments)):
+                await self._wait_for_silence(name)
+                answered = await self._call(name, arguments)
+                await self._wait_for_silence(name)
             await self._gate.wait()
-            await self._wait_for_silence(name)
             return answered
 
         return call
@@ -129,6 +131,16 @@
         return answered
 
 
+def _limit(name: str, arguments: tuple[object, ...]) -> float:
+    """Return the seconds until a call is given up, infinite for most."""
+    if name != 'watch_records':
+        return math.inf
+    _, _, timeout, margin = arguments
+    assert isinstance(timeout, float)
+    assert isinstance(margin, float)
+    return timeout + margin
+
+
 async def _call_later(
     delay: float,
     call: StoreCall,
--- a/tests/store/test_record_follower.py
+++ b/tests/store/test_record_follower.py
@@ -56,6 +56,7 @@
         _prefix: str,
         after_revision: int,
         timeout: float,
+        _margin: float,
     ) -> Result[Changes, StoreFailure]:
         """Wait for changes."""
         self.calls += 1
