--- a/tests/relay/relay_fleet.py
+++ b/tests/relay/relay_fleet.py
@@ -207,3 +207,11 @@
     with node.scope:
         async with trio.open_nursery() as nursery:
             node.relay.start(nursery)
+
+
+def fleet_without(fleet: RelayFleet, node: Node) -> RelayFleet:
+    """Return a view of a fleet that leaves a process out."""
+    view = RelayFleet.__new__(RelayFleet)
+    view.__dict__.update(fleet.__dict__)
+    view.nodes = [other for other in fleet.nodes if other is not node]
+    return view
--- a/tests/relay/test_large_records.py
+++ b/tests/relay/test_large_records.py
@@ -5,40 +5,21 @@
 """
 
 import random
-from collections.abc import Awaitable, Callable
 
 import msgspec
 import pytest
 import trio
-from trio.testing import MockClock
 
 from carobwalk.relay._messages import make_row, read_row
 from carobwalk.store import Removed, Versioned
 from tests.relay.relay_fleet import BOUND_SECONDS, RelayFleet
 
-Scenario = Callable[[RelayFleet], Awaitable[None]]
-
 _START_SECONDS = 3
 _ROUTES = 1600
 # What uploads leave of a link of 5 Mbit/s, in bytes a second.
 _THIN_LINK = 250_000
 
 
-@pytest.fixture
-def run_scenario(virtual_clock: MockClock) -> Callable[[Scenario], None]:
-    """Run a scenario with an empty fleet."""
-
-    def run(scenario: Scenario) -> None:
-        async def main() -> None:
-            async with trio.open_nursery() as nursery:
-                await scenario(RelayFleet(nursery))
-                nursery.cancel_scope.cancel()
-
-        trio.run(main, clock=virtual_clock)
-
-    return run
-
-
 def _make_routes() -> bytes:
     generator = random.Random(1)
     routes = [
--- a/tests/relay/test_record_relay.py
+++ b/tests/relay/test_record_relay.py
@@ -4,16 +4,11 @@
 registry and the configuration, and a store that counts and limits calls.
 """
 
-from collections.abc import Awaitable, Callable
-
 import pytest
 import trio
-from trio.testing import MockClock
 
 from carobwalk.relay import RelayHost
-from tests.relay.relay_fleet import Node, RelayFleet
-
-Scenario = Callable[[RelayFleet], Awaitable[None]]
+from tests.relay.relay_fleet import Node, RelayFleet, fleet_without
 
 _REGIONS = 3
 _START_SECONDS = 3
@@ -24,21 +19,6 @@
 _NEWS_SECONDS = 0.5
 
 
-@pytest.fixture
-def run_scenario(virtual_clock: MockClock) -> Callable[[Scenario], None]:
-    """Run a scenario with an empty fleet."""
-
-    def run(scenario: Scenario) -> None:
-        async def main() -> None:
-            async with trio.open_nursery() as nursery:
-                await scenario(RelayFleet(nursery))
-                nursery.cancel_scope.cancel()
-
-        trio.run(main, clock=virtual_clock)
-
-    return run
-
-
 async def _calls_of_changes(fleet: RelayFleet, each: int) -> int:
     """Start a fleet, and return its calls for a series of changes."""
     fleet.put('a')
@@ -400,14 +380,6 @@
         run_scenario(scenario)
 
 
-def fleet_without(fleet: RelayFleet, node: Node) -> RelayFleet:
-    """Return a view of a fleet that leaves a process out."""
-    view = RelayFleet.__new__(RelayFleet)
-    view.__dict__.update(fleet.__dict__)
-    view.nodes = [other for other in fleet.nodes if other is not node]
-    return view
-
-
 def _check_order(fleet: RelayFleet) -> None:
     """Check that no process went back to an older revision."""
     for node in fleet.nodes:
--- a/tests/relay/test_stale_relay.py
+++ b/tests/relay/test_stale_relay.py
@@ -4,15 +4,14 @@
 operator changes the configuration, or a server leaves, just after.
 """
 
-from collections.abc import Awaitable, Callable
-
 import pytest
 import trio
-from trio.testing import MockClock
-
-from tests.relay.relay_fleet import BOUND_SECONDS, Node, RelayFleet
 
-Scenario = Callable[[RelayFleet], Awaitable[None]]
+from tests.relay.relay_fleet import (
+    BOUND_SECONDS,
+    RelayFleet,
+    fleet_without,
+)
 
 _START_SECONDS = 3
 # Phases of the cut within the periods of watches and renewals, in seconds.
@@ -22,28 +21,6 @@
 _RENEWALS = frozenset(('keep_alive',))
 
 
-@pytest.fixture
-def run_scenario(virtual_clock: MockClock) -> Callable[[Scenario], None]:
-    """Run a scenario with an empty fleet."""
-
-    def run(scenario: Scenario) -> None:
-        async def main() -> None:
-            async with trio.open_nursery() as nursery:
-                await scenario(RelayFleet(nursery))
-                nursery.cancel_scope.cancel()
-
-        trio.run(main, clock=virtual_clock)
-
-    return run
-
-
-def _others(fleet: RelayFleet, left_out: Node) -> RelayFleet:
-    view = RelayFleet.__new__(RelayFleet)
-    view.__dict__.update(fleet.__dict__)
-    view.nodes = [node for node in fleet.nodes if node is not left_out]
-    return view
-
-
 class TestSilentStore:
     # Guards against requests handled by an old configuration: a watch that
     # hung at a relay counted as reading, until its lease had lapsed.
@@ -71,7 +48,7 @@
             relay.link.silence.freeze()
             await trio.sleep(0.1)
             fleet.put('b')
-            await _others(fleet, relay).wait_until_known(BOUND_SECONDS)
+            await fleet_without(fleet, relay).wait_until_known(BOUND_SECONDS)
 
         run_scenario(scenario)
 
@@ -90,7 +67,7 @@
             fleet.put('b')
             view = fleet
             for relay in cut:
-                view = _others(view, relay)
+                view = fleet_without(view, relay)
             await view.wait_until_known(BOUND_SECONDS)
 
         run_scenario(scenario)
@@ -107,7 +84,7 @@
             relay.gate.freeze()
             await trio.sleep(0.1)
             fleet.put('b')
-            await _others(fleet, relay).wait_until_known(BOUND_SECONDS)
+            await fleet_without(fleet, relay).wait_until_known(BOUND_SECONDS)
 
         run_scenario(scenario)
 
@@ -147,7 +124,7 @@
             relay = fleet.relays()[0]
             relay.link.silence.freeze()
             fleet.remove('a')
-            view = _others(fleet, relay)
+            view = fleet_without(fleet, relay)
             await view.wait_until_known(BOUND_SECONDS)
             for node in view.nodes:
                 assert not node.records.missing_after_outage
