Divide the gateway package by the way of a request

`caller` reads requests and writes answers, `choice` decides where a request goes, `upstream` sends it. Candidates and their cost are two modules now, so that rules and load can be extended apart from the waiting. No behaviour changes.

--- a/src/carobwalk/app/_build_gateway.py
+++ b/src/carobwalk/app/_build_gateway.py
@@ -6,6 +6,7 @@
 from carobwalk.app._answer_bytes import caller_answer_bytes
 from carobwalk.app._gateway_core import GatewayCore
 from carobwalk.gateway import (
+    CandidateServers,
     ConnectionPool,
     Forwarder,
     ForwarderParts,
@@ -16,6 +17,7 @@
     Locality,
     RetryBudgets,
     RetryRules,
+    ServerCost,
     UnkeyedChooser,
 )
 from carobwalk.http import AnswerMemory, Shutdown
@@ -83,7 +85,11 @@
             names=PLATFORM_HEADERS,
             loads=local.loads,
             pool=pool,
-            unkeyed=UnkeyedChooser(core.directory, local.loads, locality),
+            unkeyed=UnkeyedChooser(
+                CandidateServers(core.directory),
+                local.loads,
+                ServerCost(local.loads, locality),
+            ),
             keyed=KeyedChooser(owners, local.loads),
             budgets=budgets,
             crash_tracker=local.crash_tracker,
--- /dev/null
+++ b/src/carobwalk/gateway/caller/__init__.py
@@ -0,0 +1,1 @@
+"""Connections from callers: reading of requests, and their answers."""
--- a/src/carobwalk/gateway/_caller_connection.py
+++ b/src/carobwalk/gateway/caller/_caller_connection.py
@@ -8,11 +8,11 @@
 
 from carobwalk.gateway._caller_request import CallerRequest
 from carobwalk.gateway._events import ConnectionCrashed, RequestAnswered
-from carobwalk.gateway._gateway_service import GatewayService
 from carobwalk.gateway._reply import Reply
-from carobwalk.gateway._request_error import RequestError
-from carobwalk.gateway._request_handler import RequestHandler
-from carobwalk.gateway._request_reader import RequestReader
+from carobwalk.gateway.caller._gateway_service import GatewayService
+from carobwalk.gateway.caller._request_error import RequestError
+from carobwalk.gateway.caller._request_handler import RequestHandler
+from carobwalk.gateway.caller._request_reader import RequestReader
 from carobwalk.http import BODILESS_STATUSES, AnswerShare, H11Stream
 
 _RECEIVE_BYTES: Final = 65_536
--- a/src/carobwalk/gateway/_gateway_server.py
+++ b/src/carobwalk/gateway/caller/_gateway_server.py
@@ -2,8 +2,8 @@
 
 import trio
 
-from carobwalk.gateway._caller_connection import CallerConnection
-from carobwalk.gateway._gateway_service import GatewayService
+from carobwalk.gateway.caller._caller_connection import CallerConnection
+from carobwalk.gateway.caller._gateway_service import GatewayService
 from carobwalk.http import DrainingServer
 
 
--- a/src/carobwalk/gateway/_gateway_service.py
+++ b/src/carobwalk/gateway/caller/_gateway_service.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 from carobwalk.events import EventLog
-from carobwalk.gateway._forwarder import Forwarder
 from carobwalk.gateway._header_names import HeaderNames
-from carobwalk.gateway._request_meter import RequestMeter
+from carobwalk.gateway.caller._request_meter import RequestMeter
+from carobwalk.gateway.upstream._forwarder import Forwarder
 from carobwalk.http import AnswerMemory, Shutdown
 from carobwalk.model import ServiceName
 from carobwalk.routing import ActiveRoutes, CallerLimits
--- a/src/carobwalk/gateway/_request_handler.py
+++ b/src/carobwalk/gateway/caller/_request_handler.py
@@ -6,9 +6,9 @@
 
 from carobwalk.gateway._caller_request import CallerRequest
 from carobwalk.gateway._events import CallerLeft, RequestAnswered
-from carobwalk.gateway._gateway_service import GatewayService
-from carobwalk.gateway._progress import Progress
 from carobwalk.gateway._reply import Reply
+from carobwalk.gateway.caller._gateway_service import GatewayService
+from carobwalk.gateway.upstream._progress import Progress
 
 
 class RequestHandler:
--- a/src/carobwalk/gateway/_request_reader.py
+++ b/src/carobwalk/gateway/caller/_request_reader.py
@@ -7,13 +7,13 @@
 import trio
 
 from carobwalk.gateway._caller_request import CallerRequest
-from carobwalk.gateway._gateway_service import GatewayService
 from carobwalk.gateway._header_fields import (
     end_to_end_headers,
     find_header,
     find_number,
 )
-from carobwalk.gateway._request_error import RequestError
+from carobwalk.gateway.caller._gateway_service import GatewayService
+from carobwalk.gateway.caller._request_error import RequestError
 from carobwalk.http import AnswerShare, H11Stream, error_detail
 from carobwalk.routing import Route
 
--- a/src/carobwalk/gateway/_keyed_chooser.py
+++ b/src/carobwalk/gateway/choice/_keyed_chooser.py
@@ -6,11 +6,14 @@
 
 from carobwalk.directory import BackendServer
 from carobwalk.gateway._caller_request import CallerRequest
-from carobwalk.gateway._key_owners import KeyOwner, KeyOwners
-from carobwalk.gateway._load_table import LoadTable
-from carobwalk.gateway._misdirected_keys import MisdirectedKeys, Ownership
-from carobwalk.gateway._queue_wait import max_queue_wait
-from carobwalk.gateway._target import NoTarget, Target
+from carobwalk.gateway.choice._key_owners import KeyOwner, KeyOwners
+from carobwalk.gateway.choice._load_table import LoadTable
+from carobwalk.gateway.choice._misdirected_keys import (
+    MisdirectedKeys,
+    Ownership,
+)
+from carobwalk.gateway.choice._queue_wait import max_queue_wait
+from carobwalk.gateway.choice._target import NoTarget, Target
 from carobwalk.model import ServiceName
 
 # Fraction of the time to the deadline that a request may wait for an owner
--- a/src/carobwalk/gateway/_load_table.py
+++ b/src/carobwalk/gateway/choice/_load_table.py
@@ -8,12 +8,12 @@
     ServerDirectory,
     ServerIncarnation,
 )
-from carobwalk.gateway._admission import Admission
-from carobwalk.gateway._priority_queue import PriorityQueue
-from carobwalk.gateway._process_count import INITIAL_PROCESS_COUNT
-from carobwalk.gateway._request_totals_table import RequestTotalsTable
-from carobwalk.gateway._send_gates import SendGates
-from carobwalk.gateway._server_load import ServerLoad
+from carobwalk.gateway.choice._admission import Admission
+from carobwalk.gateway.choice._priority_queue import PriorityQueue
+from carobwalk.gateway.choice._process_count import INITIAL_PROCESS_COUNT
+from carobwalk.gateway.choice._request_totals_table import RequestTotalsTable
+from carobwalk.gateway.choice._send_gates import SendGates
+from carobwalk.gateway.choice._server_load import ServerLoad
 from carobwalk.model import ServiceName
 from carobwalk.shares import ProcessShare
 
--- a/src/carobwalk/gateway/_request_totals_table.py
+++ b/src/carobwalk/gateway/choice/_request_totals_table.py
@@ -1,7 +1,7 @@
 """Totals of the requests that this process sent to all backend servers."""
 
 from carobwalk.directory import BackendServer, ServerIncarnation
-from carobwalk.gateway._request_totals import RequestTotals
+from carobwalk.gateway.choice._request_totals import RequestTotals
 from carobwalk.model import ServiceName
 
 TotalsByIncarnation = dict[ServerIncarnation, RequestTotals]
--- a/src/carobwalk/gateway/_retry_budgets.py
+++ b/src/carobwalk/gateway/choice/_retry_budgets.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from carobwalk.gateway._sliding_window_retry_budget import (
+from carobwalk.gateway.choice._sliding_window_retry_budget import (
     RetryRules,
     SlidingWindowRetryBudget,
 )
--- a/src/carobwalk/gateway/_send_gates.py
+++ b/src/carobwalk/gateway/choice/_send_gates.py
@@ -5,8 +5,8 @@
 import trio
 
 from carobwalk.directory import BackendServer, ServerDirectory
-from carobwalk.gateway._server_load import ServerLoad
 from carobwalk.gateway._server_notice import ServerNotice
+from carobwalk.gateway.choice._server_load import ServerLoad
 from carobwalk.shares import ProcessShare
 
 
--- /dev/null
+++ b/src/carobwalk/gateway/choice/_server_cost.py
@@ -0,0 +1,47 @@
+"""Cost of sending a request to a backend server."""
+
+import random
+from typing import Final
+
+from carobwalk.directory import BackendServer
+from carobwalk.gateway._caller_request import CallerRequest
+from carobwalk.gateway.choice._load_table import LoadTable
+from carobwalk.gateway.choice._locality import Locality
+
+# Greatest random increase of a server's cost, as a fraction of it. Keeps
+# processes from all choosing the same server.
+_MAX_JITTER_SHARE: Final = 0.1
+
+
+class ServerCost:
+    """Estimates how long requests take at a server, and what they cost.
+
+    Args:
+        loads: Load of each server.
+        locality: Location of this process, for the cost of remote servers.
+    """
+
+    def __init__(self, loads: LoadTable, locality: Locality) -> None:
+        self._loads = loads
+        self._locality = locality
+
+    def of(
+        self, server: BackendServer, request: CallerRequest, now: float
+    ) -> float:
+        """Return the cost of a request at a server in seconds of latency.
+
+        Args:
+            server: The server.
+            request: The request.
+            now: Current time in seconds.
+        """
+        load = self._loads.of(server)
+        service_latency = self._loads.service_latency(server.service)
+        load_factor = load.in_flight / server.slots
+        cost = load.latency(now, service_latency) * (1 + load_factor)
+        cost *= 1 + random.random() * _MAX_JITTER_SHARE
+        return cost + self._locality.latency_penalty(
+            server.data_centre,
+            len(request.body),
+            request.route.target_latency,
+        )
--- a/src/carobwalk/gateway/_server_load.py
+++ b/src/carobwalk/gateway/choice/_server_load.py
@@ -3,8 +3,8 @@
 import math
 from typing import Final
 
-from carobwalk.gateway._priority_queue import PriorityQueue
-from carobwalk.gateway._send_gate import SendGate
+from carobwalk.gateway.choice._priority_queue import PriorityQueue
+from carobwalk.gateway.choice._send_gate import SendGate
 
 # Least weight of a new latency in the moving average.
 _SMOOTHING_FACTOR: Final = 0.15
--- /dev/null
+++ b/src/carobwalk/gateway/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Sending of requests to backend servers, and retries."""
--- a/src/carobwalk/gateway/_answer_classifier.py
+++ b/src/carobwalk/gateway/upstream/_answer_classifier.py
@@ -11,9 +11,14 @@
     is_encoded,
 )
 from carobwalk.gateway._header_names import HeaderNames
-from carobwalk.gateway._outcomes import Answered, AttemptOutcome, Lost, NotRun
 from carobwalk.gateway._reply import Reply
 from carobwalk.gateway._server_notice import read_notice
+from carobwalk.gateway.upstream._outcomes import (
+    Answered,
+    AttemptOutcome,
+    Lost,
+    NotRun,
+)
 
 # Statuses from which callers conclude that their request has not run. Without a
 # signature they prove nothing, so the outcome is unknown.
--- a/src/carobwalk/gateway/_attempt_recorder.py
+++ b/src/carobwalk/gateway/upstream/_attempt_recorder.py
@@ -5,19 +5,19 @@
 from carobwalk.directory import BackendServer
 from carobwalk.events import EventLog
 from carobwalk.gateway._caller_request import CallerRequest
-from carobwalk.gateway._crash_tracker import CrashTracker
 from carobwalk.gateway._events import AttemptFailed
-from carobwalk.gateway._keyed_chooser import KeyedChooser
-from carobwalk.gateway._load_table import LoadTable
-from carobwalk.gateway._outcomes import (
+from carobwalk.gateway.choice._crash_tracker import CrashTracker
+from carobwalk.gateway.choice._keyed_chooser import KeyedChooser
+from carobwalk.gateway.choice._load_table import LoadTable
+from carobwalk.gateway.choice._target import Target
+from carobwalk.gateway.upstream._outcomes import (
     Answered,
     AttemptOutcome,
     Lost,
     NotRun,
     NotSent,
 )
-from carobwalk.gateway._progress import Progress
-from carobwalk.gateway._target import Target
+from carobwalk.gateway.upstream._progress import Progress
 
 
 class AttemptRecorder:
--- a/src/carobwalk/gateway/_connection_pool.py
+++ b/src/carobwalk/gateway/upstream/_connection_pool.py
@@ -12,8 +12,8 @@
 )
 from carobwalk.gateway._caller_request import CallerRequest
 from carobwalk.gateway._header_names import HeaderNames
-from carobwalk.gateway._outcomes import NotSent
-from carobwalk.gateway._upstream_connection import UpstreamConnection
+from carobwalk.gateway.upstream._outcomes import NotSent
+from carobwalk.gateway.upstream._upstream_connection import UpstreamConnection
 from carobwalk.http import connect_with_keepalive
 
 _CONNECT_TIMEOUT_SECONDS: Final = 0.4
--- a/src/carobwalk/gateway/_forwarder.py
+++ b/src/carobwalk/gateway/upstream/_forwarder.py
@@ -8,26 +8,26 @@
 from carobwalk.directory import BackendServer
 from carobwalk.events import EventLog
 from carobwalk.gateway import _refusals as refusals
-from carobwalk.gateway._attempt_recorder import AttemptRecorder
 from carobwalk.gateway._caller_request import CallerRequest
-from carobwalk.gateway._connection_pool import ConnectionPool
-from carobwalk.gateway._crash_tracker import CrashTracker
 from carobwalk.gateway._header_names import HeaderNames
-from carobwalk.gateway._keyed_chooser import KeyedChooser
-from carobwalk.gateway._load_table import LoadTable
-from carobwalk.gateway._outcomes import (
+from carobwalk.gateway._reply import Reply
+from carobwalk.gateway.choice._crash_tracker import CrashTracker
+from carobwalk.gateway.choice._keyed_chooser import KeyedChooser
+from carobwalk.gateway.choice._load_table import LoadTable
+from carobwalk.gateway.choice._retry_budgets import RetryBudgets
+from carobwalk.gateway.choice._target import NoTarget, Target
+from carobwalk.gateway.choice._unkeyed_chooser import UnkeyedChooser
+from carobwalk.gateway.upstream._attempt_recorder import AttemptRecorder
+from carobwalk.gateway.upstream._connection_pool import ConnectionPool
+from carobwalk.gateway.upstream._outcomes import (
     Answered,
     AttemptOutcome,
     Lost,
     NotRun,
     NotSent,
 )
-from carobwalk.gateway._progress import Progress
-from carobwalk.gateway._reply import Reply
-from carobwalk.gateway._retry_budgets import RetryBudgets
-from carobwalk.gateway._target import NoTarget, Target
-from carobwalk.gateway._unkeyed_chooser import UnkeyedChooser
-from carobwalk.gateway._upstream_head import upstream_head
+from carobwalk.gateway.upstream._progress import Progress
+from carobwalk.gateway.upstream._upstream_head import upstream_head
 
 # Least time to the deadline with which a request is still sent.
 _MIN_SEND_SECONDS: Final = 0.02
--- a/src/carobwalk/gateway/_upstream_connection.py
+++ b/src/carobwalk/gateway/upstream/_upstream_connection.py
@@ -5,15 +5,15 @@
 import h11
 import trio
 
-from carobwalk.gateway._answer_classifier import classify_answer
 from carobwalk.gateway._caller_request import CallerRequest
-from carobwalk.gateway._carried_ids import CarriedIds
 from carobwalk.gateway._header_fields import (
     find_header,
     keep_alive_timeout_seconds,
 )
 from carobwalk.gateway._header_names import HeaderNames
-from carobwalk.gateway._outcomes import AttemptOutcome, Lost
+from carobwalk.gateway.upstream._answer_classifier import classify_answer
+from carobwalk.gateway.upstream._carried_ids import CarriedIds
+from carobwalk.gateway.upstream._outcomes import AttemptOutcome, Lost
 from carobwalk.http import (
     AnswerReader,
     AnswerTooLong,
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -8,6 +8,7 @@
 from carobwalk.directory import BackendServer, ServerDirectory
 from carobwalk.events import NullEventLog
 from carobwalk.gateway import (
+    CandidateServers,
     ConnectionPool,
     CrashTracker,
     Forwarder,
@@ -21,6 +22,7 @@
     NullRequestMeter,
     RetryBudgets,
     RetryRules,
+    ServerCost,
     UnkeyedChooser,
 )
 from carobwalk.http import AnswerMemory, H11Stream, Shutdown
@@ -140,7 +142,11 @@
                 names=PLATFORM_HEADERS,
                 loads=self.loads,
                 pool=self.pool,
-                unkeyed=UnkeyedChooser(self.directory, self.loads, locality),
+                unkeyed=UnkeyedChooser(
+                    CandidateServers(self.directory),
+                    self.loads,
+                    ServerCost(self.loads, locality),
+                ),
                 keyed=KeyedChooser(self.owners, self.loads),
                 budgets=self.budgets,
                 crash_tracker=self.crash_tracker,
--- a/tests/gateway/test_choosers.py
+++ b/tests/gateway/test_choosers.py
@@ -11,12 +11,14 @@
 from carobwalk.events import NullEventLog
 from carobwalk.gateway import (
     CallerRequest,
+    CandidateServers,
     KeyedChooser,
     LoadTable,
     Locality,
     NoTarget,
     RetryBudgets,
     RetryRules,
+    ServerCost,
     SlidingWindowRetryBudget,
     Target,
     UnkeyedChooser,
@@ -63,7 +65,11 @@
             server = replace(make_server(number), data_centre=data_centre)
             self.directory.put(server, 1)
         self.loads = LoadTable(self.directory, ProcessShare())
-        self.chooser = UnkeyedChooser(self.directory, self.loads, LOCALITY)
+        self.chooser = UnkeyedChooser(
+            CandidateServers(self.directory),
+            self.loads,
+            ServerCost(self.loads, LOCALITY),
+        )
 
     async def choose(self, request: CallerRequest) -> Target | NoTarget:
         """Return the server chosen for a request."""
--- a/tests/gateway/test_encoded_answers.py
+++ b/tests/gateway/test_encoded_answers.py
@@ -3,9 +3,14 @@
 import h11
 import pytest
 
-from carobwalk.gateway._answer_classifier import classify_answer
-from carobwalk.gateway._outcomes import Answered, AttemptOutcome, Lost, NotRun
 from carobwalk.gateway._server_notice import ServerNotice
+from carobwalk.gateway.upstream._answer_classifier import classify_answer
+from carobwalk.gateway.upstream._outcomes import (
+    Answered,
+    AttemptOutcome,
+    Lost,
+    NotRun,
+)
 from carobwalk.platform import PLATFORM_HEADERS
 from tests.gateway.harness import GatewayHarness
 from tests.gateway.raw_scenarios import OPEN_HEAD, WHOLE, add_server, ask, run
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -2,7 +2,7 @@
 
 import math
 
-from carobwalk.gateway._server_load import ServerLoad
+from carobwalk.gateway.choice._server_load import ServerLoad
 
 TARGET_SECONDS = 0.25
 MIN_SHARE = 0.75
--- a/tests/gateway/test_shared_server_limit.py
+++ b/tests/gateway/test_shared_server_limit.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from carobwalk.gateway._send_gate import SendGate
 from carobwalk.gateway._server_notice import ServerNotice
+from carobwalk.gateway.choice._send_gate import SendGate
 
 WINDOW_SECONDS = 4.0
 STEP_SECONDS = 0.02
--- a/tests/keyspace/test_overloads.py
+++ b/tests/keyspace/test_overloads.py
@@ -11,7 +11,7 @@
 import trio
 from trio.testing import MockClock
 
-from carobwalk.gateway._admission import Admission
+from carobwalk.gateway.choice._admission import Admission
 from carobwalk.keyspace._key_load import KeyLoad
 from carobwalk.keyspace._key_range import MAX_KEY
 from carobwalk.keyspace._overloads import (
