--- a/src/carobwalk/gateway/__init__.py
+++ b/src/carobwalk/gateway/__init__.py
@@ -8,30 +8,39 @@
 )
 from carobwalk.gateway._header_names import HeaderNames
 from carobwalk.gateway._reply import Reply
-from carobwalk.gateway.caller._gateway_server import GatewayServer
-from carobwalk.gateway.caller._gateway_service import GatewayService
-from carobwalk.gateway.caller._request_meter import (
+from carobwalk.gateway.caller import (
+    GatewayServer,
+    GatewayService,
     NullRequestMeter,
     RequestMeter,
 )
-from carobwalk.gateway.choice._candidate_servers import CandidateServers
-from carobwalk.gateway.choice._crash_tracker import Crash, CrashTracker
-from carobwalk.gateway.choice._key_owners import KeyOwner, KeyOwners
-from carobwalk.gateway.choice._keyed_chooser import KeyedChooser
-from carobwalk.gateway.choice._load_table import LoadTable
-from carobwalk.gateway.choice._locality import Locality
-from carobwalk.gateway.choice._request_totals import RequestTotals
-from carobwalk.gateway.choice._retry_budgets import RetryBudgets
-from carobwalk.gateway.choice._server_cost import ServerCost
-from carobwalk.gateway.choice._sliding_window_retry_budget import (
+from carobwalk.gateway.choice import (
+    CandidateServers,
+    Crash,
+    CrashTracker,
+    KeyedChooser,
+    KeyOwner,
+    KeyOwners,
+    LoadTable,
+    Locality,
+    NoTarget,
+    RequestTotals,
+    RetryBudgets,
     RetryRules,
+    ServerCost,
     SlidingWindowRetryBudget,
+    Target,
+    UnkeyedChooser,
+)
+from carobwalk.gateway.upstream import (
+    Answered,
+    ConnectionPool,
+    Forwarder,
+    ForwarderParts,
+    Lost,
+    NotRun,
+    NotSent,
 )
-from carobwalk.gateway.choice._target import NoTarget, Target
-from carobwalk.gateway.choice._unkeyed_chooser import UnkeyedChooser
-from carobwalk.gateway.upstream._connection_pool import ConnectionPool
-from carobwalk.gateway.upstream._forwarder import Forwarder, ForwarderParts
-from carobwalk.gateway.upstream._outcomes import Answered, Lost, NotRun, NotSent
 
 __all__ = (
     'Answered',
