Return changes that come at the timeout of a stand-in's watch

By its log it had listed `op/` at revision 20 and never applied revision 24, which two others applied within 20 ms. The stand-in store answered a watch that timed out in that moment with revision 24 and no changes, so the watcher went on from after it. The new test failed 3 of 3 times before.

--- a/standins/platform/_kv_store.py
+++ b/standins/platform/_kv_store.py
@@ -61,7 +61,9 @@
                     return Ok(Changes(changes, self.records.revision))
                 await self._wait()
             return Err(Unanswered('cut'))
-        return Ok(Changes((), self.records.revision))
+        # A change may have come in the moment of the timeout.
+        changes = self.records.changes(prefix, after_revision)
+        return Ok(Changes(changes, self.records.revision))
 
     async def write(
         self,
