Survive a store that is restored from an older copy

Revisions and leases that the store issues again after a restore were taken for the ones of before: a relay could take an older state for a newer one, a lease could hold for two processes, and a successor renewed owners of a stale key map. The adapter joins them with the era that the store tells; a key map from before the restore is granted anew when all former grants are over. The stand-in store can be restored, and the soak has a plan with restores; it has not been run yet.

--- a/soak/_fault_registry.py
+++ b/soak/_fault_registry.py
@@ -20,6 +20,7 @@
     GENERAL = 'general'
     OWNERSHIP = 'ownership'
     NOTICES = 'notices'
+    RESTORES = 'restores'
 
 
 _functions_by_kind: dict[str, FaultFunction] = {}
--- a/soak/_notice_faults.py
+++ b/soak/_notice_faults.py
@@ -8,7 +8,7 @@
 import trio
 
 from soak._fault_registry import FaultSet, fault
-from soak._faults import make_schedule
+from soak._restore_faults import make_schedule
 from soak._testbed import Testbed
 from standins.platform import Fault
 
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -41,6 +41,10 @@
         ),
         # What servers say of themselves, beside the general faults.
         'notices': SoakPlan(seconds=14, faults=16, fault_set=FaultSet.NOTICES),
+        # A store that comes back from an older copy of itself.
+        'restores': SoakPlan(
+            seconds=20, faults=10, fault_set=FaultSet.RESTORES
+        ),
         # Cuts that outlast the grants of a successor, not of its predecessor.
         'long-cuts': SoakPlan(
             seconds=12,
--- a/soak/_planted.py
+++ b/soak/_planted.py
@@ -9,10 +9,10 @@
 from typing import Any, Final
 
 from carobwalk.gateway import Forwarder, GatewayServer
-from carobwalk.gateway import _forwarder as forwarder_module
 from carobwalk.gateway import _refusals as refusals
 from carobwalk.gateway.caller._request_handler import RequestHandler
 from carobwalk.gateway.choice._send_gates import SendGates
+from carobwalk.gateway.upstream import _forwarder as forwarder_module
 from carobwalk.keyspace import KeyTimes
 from carobwalk.keyspace._grant_ledger import GrantLedger, LedgerState
 from carobwalk.routing import ActiveRoutes, RouteTable
--- a/src/carobwalk/keyspace/_claimant.py
+++ b/src/carobwalk/keyspace/_claimant.py
@@ -6,7 +6,7 @@
 
 from carobwalk.model import Endpoint
 from carobwalk.peer import EndpointRow, endpoint_of_row, endpoint_row
-from carobwalk.store import LeaseId
+from carobwalk.store import LeaseId, era_of_lease, era_of_revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,6 +21,15 @@
     coordinator: Endpoint
     lease: LeaseId
 
+    def is_of_era(self, revision: int) -> bool:
+        """Return whether the term began in the era of a revision.
+
+        Args:
+            revision: Revision that the store gives for the record now. If the
+                store was restored since, the record is an older copy.
+        """
+        return era_of_lease(self.lease) == era_of_revision(revision)
+
 
 class ClaimantRow(msgspec.Struct):
     """Serialised form of a claimant in key map records.
--- a/src/carobwalk/keyspace/_events.py
+++ b/src/carobwalk/keyspace/_events.py
@@ -42,6 +42,21 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class KeyRecordOutdated(Event):
+    """A key map record is a copy from before the store was restored.
+
+    Args:
+        name: Name of the record.
+        revision: Revision of the record.
+    """
+
+    level: ClassVar[str] = 'warning'
+
+    name: str
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class PeerAnswerDropped(Event):
     """An answer of another process could not be decoded; it is ignored.
--- a/src/carobwalk/keyspace/_map_claim.py
+++ b/src/carobwalk/keyspace/_map_claim.py
@@ -9,9 +9,10 @@
 from carobwalk.keyspace._codec import claimant_of, is_settled
 from carobwalk.keyspace._grant_ledger import InheritedBounds
 from carobwalk.keyspace._key_map import KeyMap
-from carobwalk.keyspace._map_writer import MapWriter
+from carobwalk.keyspace._map_writer import MapWriter, is_outdated
 from carobwalk.keyspace._times import KeyTimes
 from carobwalk.lease import Term
+from carobwalk.store import Versioned
 
 _SETTLED_SLACK_SECONDS: Final = 0.1
 
@@ -64,11 +65,23 @@
         if claimed is None or claimed.ranges != key_map.ranges:
             return None
         key_map = claimed
-    unanswered = times.inherited
-    if record is not None and is_settled(record.content):
-        unanswered = _SETTLED_SLACK_SECONDS
     return MapClaim(
         key_map,
-        InheritedBounds(holds=times.inherited, unanswered=unanswered),
+        _inherited_bounds(record, times),
         claimant_of(record.content) if record and key_map.ranges else None,
     )
+
+
+def _inherited_bounds(
+    record: Versioned | None, times: KeyTimes
+) -> InheritedBounds:
+    """Return how long grants of earlier coordinators may be in force."""
+    if record is not None and is_outdated(record):
+        # The record names neither the last owners nor the last coordinator,
+        # whose term may last until its lease would have expired.
+        bound = times.lease + times.inherited
+        return InheritedBounds(holds=bound, unanswered=bound)
+    unanswered = times.inherited
+    if record is not None and is_settled(record.content):
+        unanswered = _SETTLED_SLACK_SECONDS
+    return InheritedBounds(holds=times.inherited, unanswered=unanswered)
--- a/src/carobwalk/keyspace/_map_writer.py
+++ b/src/carobwalk/keyspace/_map_writer.py
@@ -13,7 +13,11 @@
     encode_map,
     map_name,
 )
-from carobwalk.keyspace._events import KeyRecordDamaged, MapNotWritten
+from carobwalk.keyspace._events import (
+    KeyRecordDamaged,
+    KeyRecordOutdated,
+    MapNotWritten,
+)
 from carobwalk.keyspace._key_map import KeyMap
 from carobwalk.model import ServiceName
 from carobwalk.store import (
@@ -76,9 +80,16 @@
         return Ok(found[0] if found else None)
 
     def decode(self, record: Versioned | None) -> KeyMap:
-        """Decode a record, into an empty map if it is missing or damaged."""
+        """Decode a record; the map is empty if it can't be relied on.
+
+        That is so if it is missing or damaged, or if it is a copy from before
+        the store was restored: keys may have moved after the copy was made.
+        """
         if record is None:
             return KeyMap(())
+        if is_outdated(record):
+            self._events.emit(KeyRecordOutdated(record.name, record.revision))
+            return KeyMap((), record.revision)
         decoded = decode_map(record.content, record.revision)
         if isinstance(decoded, Ok):
             return decoded.ok_value
@@ -169,8 +180,17 @@
             await trio.sleep(_RETRY_SECONDS)
             return None
         record = read.ok_value
+        if record is not None and is_outdated(record):
+            # The term began before the store was restored.
+            return Overtaken(None)
         key_map = self.decode(record)
         writer = claimant_of(record.content) if record else None
         if key_map.ranges and writer != self._claimant:
             return Overtaken(writer)
         return key_map
+
+
+def is_outdated(record: Versioned) -> bool:
+    """Return whether a record was written before the store was restored."""
+    claimant = claimant_of(record.content)
+    return claimant is not None and not claimant.is_of_era(record.revision)
--- a/src/carobwalk/platform/_store_calls.py
+++ b/src/carobwalk/platform/_store_calls.py
@@ -8,6 +8,7 @@
 
 from carobwalk.http import ConnectFailed, HttpRequest, HttpResponse, HttpSender
 from carobwalk.model import DECODE_ERRORS, Address
+from carobwalk.platform._store_era import StoreEra
 from carobwalk.store import StoreFailure, Unanswered, Unavailable
 
 _NOT_EXECUTED_STATUSES: Final = frozenset(
@@ -38,6 +39,7 @@
         self._sender = sender
         self._address = address
         self._timeout = timeout
+        self.era = StoreEra()
 
     async def get(
         self,
@@ -92,7 +94,8 @@
 
         Returns:
             The answer with any status; ``Unavailable`` if no connection was
-            opened, ``Unanswered`` if the call may have taken effect.
+            opened, ``Unanswered`` if the call may have taken effect or the
+            answer is of an earlier era of the store.
         """
         sent = await self._sender.send(
             self._address,
@@ -100,7 +103,9 @@
             self._timeout if timeout is None else timeout,
         )
         if isinstance(sent, Ok):
-            return sent
+            if self.era.accepts(sent.ok_value):
+                return sent
+            return Err(Unanswered('an answer of an earlier era'))
         failure = sent.err_value
         if isinstance(failure, ConnectFailed):
             return Err(Unavailable(failure.detail))
--- a/src/carobwalk/platform/_store_client.py
+++ b/src/carobwalk/platform/_store_client.py
@@ -28,6 +28,12 @@
     StoreFailure,
     Unanswered,
     Versioned,
+    era_of_lease,
+    era_of_revision,
+    join_lease,
+    join_revision,
+    split_lease,
+    split_revision,
 )
 
 DEFAULT_TIMEOUT_SECONDS: Final = 1.5
@@ -39,6 +45,10 @@
 class PlatformStore:
     """Client of the store; implements ``TransactionalStore``.
 
+    The store may be restored from a copy some seconds old, and says so by its
+    era. Revisions and leases are joined with the era in which they were
+    issued, so that those of an earlier one are never taken for current ones.
+
     Args:
         sender: HTTP client.
         address: Address of the store.
@@ -68,17 +78,24 @@
         records: list[Versioned] = []
         query = {'prefix': prefix}
         first_revision = 0
+        first_era: int | None = None
         while True:
             page = await self._calls.get('/kv-range', query, messages.Page)
             if isinstance(page, Err):
                 return page
+            era = self._era
+            first_era = era if first_era is None else first_era
+            if era != first_era:
+                return Err(Unanswered('the store was restored meanwhile'))
             found = page.ok_value
             # Pages are not a consistent snapshot. A watch from the revision of
             # the first page misses no change.
             first_revision = first_revision or found.as_of
-            records.extend(_decode_row(row) for row in found.items)
+            records.extend(_decode_row(row, era) for row in found.items)
             if not found.has_more or not found.items:
-                return Ok(Listing(tuple(records), first_revision))
+                return Ok(
+                    Listing(tuple(records), join_revision(era, first_revision))
+                )
             query = {'prefix': prefix, 'after': found.items[-1].key}
 
     async def watch_records(
@@ -96,9 +113,13 @@
             timeout: Longest wait of the store for a change in seconds.
             margin: Time in seconds beyond it until the answer begins.
         """
+        era, after = split_revision(after_revision)
+        self._calls.era.raise_to(era)
+        if era < self._era:
+            return Err(Compacted())
         query = {
             'prefix': prefix,
-            'after': str(after_revision),
+            'after': str(after),
             'wait_ms': str(int(timeout * _MILLISECONDS_PER_SECOND)),
         }
         answered = await self._calls.send(
@@ -112,10 +133,11 @@
         )
         if isinstance(answered, Err):
             return answered
-        if answered.ok_value.status == HTTPStatus.GONE:
+        is_gone = answered.ok_value.status == HTTPStatus.GONE
+        if is_gone or era < self._era:
             return Err(Compacted())
         return decode_response(answered.ok_value, messages.Watched).map(
-            _decode_changes,
+            lambda watched: _decode_changes(watched, era),
         )
 
     async def write(
@@ -136,16 +158,19 @@
         Returns:
             The new revision of the record.
         """
+        if lease and era_of_lease(lease) < self._era:
+            return Err(LeaseLost(lease))
         written = messages.Write(
             key=name,
             value=base64.b64encode(content).decode('ascii'),
-            lease=int(lease or 0),
+            lease=split_lease(lease)[1] if lease else 0,
         )
         return await self._commit(
             messages.Transaction(
-                precondition=(messages.Expected(name, expected_revision),),
+                precondition=(_expected(name, expected_revision),),
                 set_keys=(written,),
             ),
+            expected_revision,
             lease,
         )
 
@@ -157,9 +182,10 @@
         """Remove a record if its revision is the expected one."""
         return await self._commit(
             messages.Transaction(
-                precondition=(messages.Expected(name, expected_revision),),
+                precondition=(_expected(name, expected_revision),),
                 remove=(name,),
             ),
+            expected_revision,
             None,
         )
 
@@ -174,42 +200,28 @@
             messages.LeaseWish(ttl),
             messages.Lease,
         )
-        return opened.map(lambda lease: LeaseId(str(lease.lease)))
+        return opened.map(lambda lease: join_lease(self._era, lease.lease))
 
     async def keep_alive(self, lease: LeaseId) -> Result[None, StoreFailure]:
         """Renew a lease."""
-        return await self._send_lease_call('POST', f'/kv-keep/{lease}', lease)
+        return await _send_lease_call(self._calls, 'POST', '/kv-keep', lease)
 
     async def end_lease(self, lease: LeaseId) -> Result[None, StoreFailure]:
         """End a lease."""
-        return await self._send_lease_call(
-            'DELETE',
-            f'/kv-lease-end/{lease}',
-            lease,
+        return await _send_lease_call(
+            self._calls, 'DELETE', '/kv-lease-end', lease
         )
 
-    async def _send_lease_call(
-        self,
-        method: str,
-        path: str,
-        lease: LeaseId,
-    ) -> Result[None, StoreFailure]:
-        request = HttpRequest(method=method, path=path)
-        answered = await self._calls.send(request)
-        if isinstance(answered, Err):
-            return answered
-        status = answered.ok_value.status
-        if status == HTTPStatus.NOT_FOUND:
-            return Err(LeaseLost(lease))
-        if status >= HTTPStatus.MULTIPLE_CHOICES:
-            return Err(unexpected_status(answered.ok_value))
-        return Ok(None)
-
     async def _commit(
         self,
         transaction: messages.Transaction,
+        expected_revision: int,
         lease: LeaseId | None,
     ) -> Result[int, StoreFailure]:
+        era = era_of_revision(expected_revision) if expected_revision else None
+        if era is not None and era < self._era:
+            return Err(Conflict(None))
+        era_before = self._era
         answered = await self._calls.send(
             json_request('/kv-txn', transaction),
         )
@@ -217,36 +229,71 @@
             return answered
         response = answered.ok_value
         if response.status == HTTPStatus.PRECONDITION_FAILED:
-            return Err(_decode_conflict(response))
+            return Err(_decode_conflict(response, self._era))
+        if era_before < self._era and (expected_revision or lease):
+            # The revision or the lease may have been issued to others again.
+            return Err(Unanswered('the store was restored meanwhile'))
         if response.status == HTTPStatus.NOT_FOUND and lease:
             return Err(LeaseLost(lease))
         return decode_response(response, messages.Committed).map(
-            lambda committed: committed.revision,
+            lambda committed: join_revision(self._era, committed.revision),
         )
 
+    @property
+    def _era(self) -> int:
+        return self._calls.era.current
+
+
+async def _send_lease_call(
+    calls: StoreCalls,
+    method: str,
+    path: str,
+    lease: LeaseId,
+) -> Result[None, StoreFailure]:
+    era, number = split_lease(lease)
+    if era < calls.era.current:
+        return Err(LeaseLost(lease))
+    request = HttpRequest(method=method, path=f'{path}/{number}')
+    answered = await calls.send(request)
+    if isinstance(answered, Err):
+        return answered
+    status = answered.ok_value.status
+    # The same number may be that of another lease in a later era.
+    if status == HTTPStatus.NOT_FOUND or era < calls.era.current:
+        return Err(LeaseLost(lease))
+    if status >= HTTPStatus.MULTIPLE_CHOICES:
+        return Err(unexpected_status(answered.ok_value))
+    return Ok(None)
+
+
+def _expected(name: str, revision: int) -> messages.Expected:
+    return messages.Expected(name, split_revision(revision)[1])
+
 
-def _decode_conflict(response: HttpResponse) -> StoreFailure:
+def _decode_conflict(response: HttpResponse, era: int) -> StoreFailure:
     try:
         found = msgspec.json.decode(response.body, type=messages.Current)
     except DECODE_ERRORS as error:
         return Unanswered(f'conflict reply that cannot be decoded: {error}')
     rows = [row for row in found.items if row.value is not None]
-    return Conflict(_decode_row(rows[0]) if rows else None)
+    return Conflict(_decode_row(rows[0], era) if rows else None)
 
 
-def _decode_row(row: messages.Row) -> Versioned:
+def _decode_row(row: messages.Row, era: int) -> Versioned:
     try:
         content = base64.b64decode(row.value or '', validate=True)
     except ValueError:
         content = b''  # Rejected as malformed by the reader of the record.
-    return Versioned(row.key, content, row.revision)
+    return Versioned(row.key, content, join_revision(era, row.revision))
 
 
-def _decode_changes(watched: messages.Watched) -> Changes:
+def _decode_changes(watched: messages.Watched, era: int) -> Changes:
     return Changes(
         tuple(
-            Removed(row.key, row.revision) if row.deleted else _decode_row(row)
+            Removed(row.key, join_revision(era, row.revision))
+            if row.deleted
+            else _decode_row(row, era)
             for row in watched.events
         ),
-        watched.as_of,
+        join_revision(era, watched.as_of),
     )
--- a/src/carobwalk/store/__init__.py
+++ b/src/carobwalk/store/__init__.py
@@ -1,6 +1,15 @@
 """Interfaces of the key-value service and host list, with adapters."""
 
 from carobwalk.store._direct_access import AccessReason, DirectAccess
+from carobwalk.store._era import (
+    MAX_ERA,
+    era_of_lease,
+    era_of_revision,
+    join_lease,
+    join_revision,
+    split_lease,
+    split_revision,
+)
 from carobwalk.store._followed_records import (
     FollowedRecords,
     RecordReader,
@@ -33,6 +42,7 @@
 
 __all__ = (
     'HOSTS_PATH',
+    'MAX_ERA',
     'AccessReason',
     'Changes',
     'ClientId',
@@ -61,4 +71,10 @@
     'Unavailable',
     'Versioned',
     'WatchPeriod',
+    'era_of_lease',
+    'era_of_revision',
+    'join_lease',
+    'join_revision',
+    'split_lease',
+    'split_revision',
 )
--- a/standins/platform/__init__.py
+++ b/standins/platform/__init__.py
@@ -4,6 +4,7 @@
 from standins.platform._deployment import serve_deployment
 from standins.platform._key_holder import SLOW_CLOCK_RATE, KeyHolder
 from standins.platform._keyed_backend import KeyedBackend, Order
+from standins.platform._kv_copy import KvCopy, restore, take_copy
 from standins.platform._kv_handler import KvHandler
 from standins.platform._kv_store import KvStore
 from standins.platform._memory_order_channel import (
@@ -22,6 +23,7 @@
     'Fault',
     'KeyHolder',
     'KeyedBackend',
+    'KvCopy',
     'KvHandler',
     'KvStore',
     'MemoryOrderChannel',
@@ -34,5 +36,7 @@
     'fill_settings',
     'find_double_keys',
     'find_double_owners',
+    'restore',
     'serve_deployment',
+    'take_copy',
 )
--- a/standins/platform/_kv_handler.py
+++ b/standins/platform/_kv_handler.py
@@ -1,6 +1,7 @@
 """HTTP interface of the key-value service of the users' platform."""
 
 import base64
+from dataclasses import replace
 from http import HTTPStatus
 from typing import Any
 
@@ -42,7 +43,14 @@
         }
 
     async def __call__(self, request: HttpRequest) -> HttpResponse:
-        """Answer one call."""
+        """Answer one call, with the era of a store that was restored."""
+        response = await self._answer(request)
+        if not self._store.era:
+            return response
+        headers = {**response.headers, 'store-era': str(self._store.era)}
+        return replace(response, headers=headers)
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
         path, _, lease = request.path.lstrip('/').partition('/')
         handler = self._handlers_by_path.get(path)
         if handler is not None:
--- a/standins/platform/_kv_leases.py
+++ b/standins/platform/_kv_leases.py
@@ -25,6 +25,7 @@
     def __init__(self, records: KvRecords) -> None:
         self._records = records
         self._numbers = count(1)
+        self.newest = 0
         self._leases_by_id: dict[LeaseId, _Lease] = {}
         self._lease_by_name: dict[str, LeaseId] = {}
 
@@ -34,7 +35,8 @@
 
     def open(self, ttl: float) -> LeaseId:
         """Grant a lease with a time to live of ``ttl`` seconds."""
-        lease = LeaseId(str(next(self._numbers)))
+        self.newest = next(self._numbers)
+        lease = LeaseId(str(self.newest))
         self._leases_by_id[lease] = _Lease(ttl, trio.current_time() + ttl)
         return lease
 
@@ -60,6 +62,20 @@
                 self._lease_by_name.pop(name)
                 self._records.remove(name)
 
+    def restore(self, newest: int) -> None:
+        """Forget the leases opened since a copy; their numbers come again.
+
+        Records that the copy holds without a lease of its time are removed.
+
+        Args:
+            newest: Number of the newest lease in the copy, 0 for none.
+        """
+        gone = {lease for lease in self._leases_by_id if int(lease) > newest}
+        for lease in gone:
+            self.revoke(lease)
+        self._numbers = count(newest + 1)
+        self.newest = newest
+
     def expire(self) -> None:
         """Revoke the leases that have expired."""
         now = trio.current_time()
--- a/standins/platform/_kv_records.py
+++ b/standins/platform/_kv_records.py
@@ -14,16 +14,16 @@
         self.revision = 1
         self.compacted_revision = 0
         self.changed = trio.Event()
-        self._records_by_name: dict[str, Versioned] = {}
-        self._history: list[Change] = []
+        self.by_name: dict[str, Versioned] = {}
+        self.history: list[Change] = []
 
     def get(self, name: str) -> Versioned | None:
         """Return a record, ``None`` if it does not exist."""
-        return self._records_by_name.get(name)
+        return self.by_name.get(name)
 
     def has_revision(self, name: str, revision: int) -> bool:
         """Return whether a record has a revision; a missing one has 0."""
-        current = self._records_by_name.get(name)
+        current = self.by_name.get(name)
         if current is None:
             return revision == 0
         return revision == current.revision
@@ -31,8 +31,8 @@
     def list_prefix(self, prefix: str) -> tuple[Versioned, ...]:
         """Return all records of a prefix, sorted by name."""
         return tuple(
-            self._records_by_name[name]
-            for name in sorted(self._records_by_name)
+            self.by_name[name]
+            for name in sorted(self.by_name)
             if name.startswith(prefix)
         )
 
@@ -40,7 +40,7 @@
         """Return the changes of a prefix after a revision."""
         return tuple(
             change
-            for change in self._history
+            for change in self.history
             if change.revision > after and change.name.startswith(prefix)
         )
 
@@ -48,20 +48,20 @@
         """Write a record and return its revision."""
         self.revision += 1
         record = Versioned(name, content, self.revision)
-        self._records_by_name[name] = record
+        self.by_name[name] = record
         self._append(record)
         return self.revision
 
     def remove(self, name: str) -> None:
         """Remove a record if it exists."""
-        if self._records_by_name.pop(name, None) is not None:
+        if self.by_name.pop(name, None) is not None:
             self.revision += 1
             self._append(Removed(name, self.revision))
 
     def compact(self) -> None:
         """Discard the history, so that older watches fail."""
         self.compacted_revision = self.revision
-        self._history.clear()
+        self.history.clear()
         self.notify()
 
     def notify(self) -> None:
@@ -70,5 +70,5 @@
         self.changed = trio.Event()
 
     def _append(self, change: Change) -> None:
-        self._history.append(change)
+        self.history.append(change)
         self.notify()
--- a/standins/platform/_kv_store.py
+++ b/standins/platform/_kv_store.py
@@ -22,15 +22,17 @@
     """In-memory ``TransactionalStore`` with faults.
 
     Times are those of the event loop. While ``is_down``, calls fail; with
-    ``loses_replies``, writes take effect but report no answer.
+    ``loses_replies``, writes take effect but report no answer. ``era`` rises
+    by one with each restore from a copy.
     """
 
     def __init__(self) -> None:
         self.is_down = False
+        self.era = 0
         self.loses_replies = False
         self.calls = 0
         self.records = KvRecords()
-        self._leases = KvLeases(self.records)
+        self.leases = KvLeases(self.records)
 
     async def list_records(
         self,
@@ -75,12 +77,12 @@
         """Write a record if its revision matches the expected one."""
         if not await self._begin_call():
             return Err(Unavailable('down'))
-        if lease is not None and lease not in self._leases:
+        if lease is not None and lease not in self.leases:
             return Err(LeaseLost(lease))
         if not self.records.has_revision(name, expected_revision):
             return Err(Conflict(self.records.get(name)))
         revision = self.records.put(name, content)
-        self._leases.attach(name, lease)
+        self.leases.attach(name, lease)
         if self.loses_replies:
             return Err(Unanswered('answer lost'))
         return Ok(revision)
@@ -102,13 +104,13 @@
         """Grant a lease with a time to live of ``ttl`` seconds."""
         if not await self._begin_call():
             return Err(Unavailable('down'))
-        return Ok(self._leases.open(ttl))
+        return Ok(self.leases.open(ttl))
 
     async def keep_alive(self, lease: LeaseId) -> Result[None, StoreFailure]:
         """Renew a lease."""
         if not await self._begin_call():
             return Err(Unavailable('down'))
-        if not self._leases.renew(lease):
+        if not self.leases.renew(lease):
             return Err(LeaseLost(lease))
         return Ok(None)
 
@@ -116,18 +118,18 @@
         """Revoke a lease and remove its records."""
         if not await self._begin_call():
             return Err(Unavailable('down'))
-        self._leases.revoke(lease)
+        self.leases.revoke(lease)
         return Ok(None)
 
     async def _begin_call(self) -> bool:
         """Count a call; return whether the service is up."""
         await trio.lowlevel.checkpoint()
         self.calls += 1
-        self._leases.expire()
+        self.leases.expire()
         return not self.is_down
 
     async def _wait(self) -> None:
         """Wait for a change or the expiry of a lease."""
-        with trio.move_on_at(self._leases.next_expiry()):
+        with trio.move_on_at(self.leases.next_expiry()):
             await self.records.changed.wait()
-        self._leases.expire()
+        self.leases.expire()
--- a/tests/keyspace/test_claims.py
+++ b/tests/keyspace/test_claims.py
@@ -14,7 +14,13 @@
 from carobwalk.keyspace._map_writer import MapWriter
 from carobwalk.lease import Term
 from carobwalk.model import TrioClock
-from carobwalk.store import LeaseId, StoreFailure, Unanswered
+from carobwalk.store import (
+    LeaseId,
+    StoreFailure,
+    Unanswered,
+    join_lease,
+    join_revision,
+)
 from standins.platform import KvStore
 from tests.keyspace.simulated_fleet import SERVICE, make_endpoint, make_server
 
@@ -132,3 +138,54 @@
         content = encode_map(WHOLE, is_settled=False, claimant=THIRD)
         self._store.records.put(name, content)
         return await self._store.write(name, *arguments)
+
+
+class TestRestoredStore:
+    # Guards against two owners: a record from before a restore of the store
+    # names owners whose keys have been granted to others since.
+    def test_outdated_record(self, virtual_clock: MockClock) -> None:
+        """No owner of an older era is renewed, whoever wrote the record."""
+
+        async def body() -> None:
+            outdated = _in_era(1, FIRST)
+            claim = await _claim(outdated, SECOND)
+            assert claim is not None
+            assert not claim.key_map.ranges
+            assert claim.predecessor is None
+            times = KeyTimes()
+            assert claim.inherited.holds >= times.lease + times.longest_hold
+
+        trio.run(body, clock=virtual_clock)
+
+    def test_settled_record(self, virtual_clock: MockClock) -> None:
+        """A resignation of an older era shortens no wait."""
+
+        async def body() -> None:
+            outdated = _in_era(1, FIRST, is_settled=True)
+            claim = await _claim(outdated, SECOND)
+            assert claim is not None
+            assert claim.inherited.unanswered >= KeyTimes().longest_hold
+
+        trio.run(body, clock=virtual_clock)
+
+    def test_record_of_this_era(self, virtual_clock: MockClock) -> None:
+        """A record written since the restore is claimed as usual."""
+
+        async def body() -> None:
+            first = Claimant(make_endpoint('a'), join_lease(1, 4))
+            second = Claimant(make_endpoint('b'), join_lease(1, 5))
+            claim = await _claim(_in_era(1, first), second)
+            assert claim is not None
+            assert claim.predecessor == first
+
+        trio.run(body, clock=virtual_clock)
+
+
+def _in_era(
+    era: int, claimant: Claimant, *, is_settled: bool = False
+) -> KvStore:
+    store = KvStore()
+    store.records.revision = join_revision(era, 1)
+    content = encode_map(WHOLE, is_settled=is_settled, claimant=claimant)
+    store.records.put(map_name(SERVICE), content)
+    return store
