Limit servers by allowed regions and evacuated data centres

A rule of the configuration may hold allowed_regions; the candidates of a request, the owner of its key and the last check before sending respect them. Records op/evacuate/ZONE end the work of a data centre: requests without a key at once, requests for keys after the first part of bounds.evacuate_s. The planner moves keys away from evacuated servers and from those outside the regions that all routes to the service allow, as from leaving servers.

--- a/src/carobwalk/app/_build_gateway.py
+++ b/src/carobwalk/app/_build_gateway.py
@@ -15,6 +15,7 @@
     KeyedChooser,
     KeyOwners,
     Locality,
+    RegionRules,
     RetryBudgets,
     RetryRules,
     ServerCost,
@@ -79,6 +80,10 @@
         settings.process.data_centre,
         settings.regions_by_data_centre,
     )
+    candidates = CandidateServers(
+        core.directory,
+        RegionRules(settings.regions_by_data_centre, core.routes),
+    )
     pool = ConnectionPool(core.directory, PLATFORM_HEADERS)
     forwarder = Forwarder(
         ForwarderParts(
@@ -86,11 +91,11 @@
             loads=local.loads,
             pool=pool,
             unkeyed=UnkeyedChooser(
-                CandidateServers(core.directory),
+                candidates,
                 local.loads,
                 ServerCost(local.loads, locality),
             ),
-            keyed=KeyedChooser(owners, local.loads),
+            keyed=KeyedChooser(owners, local.loads, candidates),
             budgets=budgets,
             crash_tracker=local.crash_tracker,
             events=core.events,
--- a/src/carobwalk/app/_gateway_core.py
+++ b/src/carobwalk/app/_gateway_core.py
@@ -114,7 +114,9 @@
             connect=_connect_for_orders,
             max_answer_bytes=_MAX_ORDER_ANSWER_BYTES,
         ),
-        directory=ServerDirectory(clock, events),
+        directory=ServerDirectory(
+            clock, events, settings.bounds.evacuation_seconds
+        ),
         routes=ActiveRoutes(events),
     )
 
--- a/src/carobwalk/app/_record_followers.py
+++ b/src/carobwalk/app/_record_followers.py
@@ -9,6 +9,8 @@
     CONFIGURATION_PREFIX,
     REGISTRY_PREFIX,
     ConfigurationReader,
+    EvacuationReader,
+    OperatorReader,
     RegistryReader,
 )
 from carobwalk.relay import (
@@ -64,7 +66,17 @@
         ),
     )
     relay.follow(REGISTRY_PREFIX, RegistryReader(core.directory, core.events))
-    relay.follow(CONFIGURATION_PREFIX, ConfigurationReader(core.routes))
+    # Evacuations come first, so that a configuration which adds a service is
+    # never in force without those that are listed with it.
+    operator = relay.follow(
+        CONFIGURATION_PREFIX,
+        OperatorReader(
+            EvacuationReader(
+                core.directory.evacuations, lambda: operator.records.proved_at
+            ),
+            ConfigurationReader(core.routes),
+        ),
+    )
     core.topics.register(RELAY_TOPIC, relay.feed.answer)
     return RecordFollowers(
         coordinator=relay.follow(COORDINATOR_NAME, key_reader, is_timely=False),
--- a/src/carobwalk/directory/__init__.py
+++ b/src/carobwalk/directory/__init__.py
@@ -1,7 +1,13 @@
 """Directory of the registered backend servers."""
 
 from carobwalk.directory._backend_server import BackendServer
+from carobwalk.directory._evacuations import (
+    DEFAULT_EVACUATION_SECONDS,
+    Evacuations,
+)
 from carobwalk.directory._events import (
+    EvacuationBegun,
+    EvacuationEnded,
     ServerChanged,
     ServerEntryDropped,
     ServerForgotten,
@@ -11,7 +17,11 @@
 from carobwalk.directory._server_incarnation import ServerIncarnation
 
 __all__ = (
+    'DEFAULT_EVACUATION_SECONDS',
     'BackendServer',
+    'EvacuationBegun',
+    'EvacuationEnded',
+    'Evacuations',
     'LeavingServers',
     'ServerChanged',
     'ServerDirectory',
--- a/src/carobwalk/directory/_events.py
+++ b/src/carobwalk/directory/_events.py
@@ -63,3 +63,32 @@
 
     name: str
     detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuationBegun(Event):
+    """A data centre is evacuated: its servers get no more work.
+
+    Args:
+        data_centre: Name of the data centre.
+        keyed_seconds: Seconds for which owners of keys there are still sent
+            requests for them.
+    """
+
+    level: ClassVar[str] = 'warning'
+
+    data_centre: str
+    keyed_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuationEnded(Event):
+    """The servers of a data centre that was evacuated get work again.
+
+    Args:
+        data_centre: Name of the data centre.
+        seconds: Seconds since this process learned of the evacuation.
+    """
+
+    data_centre: str
+    seconds: float
--- a/src/carobwalk/directory/_server_directory.py
+++ b/src/carobwalk/directory/_server_directory.py
@@ -7,6 +7,10 @@
 import trio
 
 from carobwalk.directory._backend_server import BackendServer
+from carobwalk.directory._evacuations import (
+    DEFAULT_EVACUATION_SECONDS,
+    Evacuations,
+)
 from carobwalk.directory._events import (
     LeavingAnnounced,
     ServerChanged,
@@ -28,14 +32,22 @@
     Args:
         clock: Clock by which the grace periods are measured.
         events: Event log.
+        evacuation_seconds: Seconds after the request for the evacuation of a
+            data centre from which no request arrives there.
     """
 
-    def __init__(self, clock: Clock, events: EventLog) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        events: EventLog,
+        evacuation_seconds: float = DEFAULT_EVACUATION_SECONDS,
+    ) -> None:
         self._clock = clock
         self._events = events
         self._by_id: dict[ServerId, BackendServer] = {}
         self._missing_since_by_id: dict[ServerId, float] = {}
         self.leaving = LeavingServers(clock)
+        self.evacuations = Evacuations(clock, events, evacuation_seconds)
         self._removed_ids: set[ServerId] = set()
         self.is_loaded = False
         self.changed = trio.Event()
@@ -58,7 +70,9 @@
 
     def accepts_keyed_requests(self, server: BackendServer) -> bool:
         """Return whether a server may be sent requests for its keys."""
-        return self.leaving.may_hand_over(server.id)
+        return self.leaving.may_hand_over(
+            server.id
+        ) and self.evacuations.accepts_keyed_requests(server.data_centre)
 
     def put(self, server: BackendServer, revision: int) -> None:
         """Add or update the entry of a server.
@@ -157,7 +171,7 @@
             if since <= limit:
                 self.remove(server, 'missing after an outage of the store')
         for removed in tuple(self._removed_ids):
-            if not self.accepts_keyed_requests(self._by_id[removed]):
+            if not self.leaving.may_hand_over(removed):
                 self._removed_ids.discard(removed)
                 self._by_id.pop(removed)
                 self.leaving.discard(removed)
--- a/src/carobwalk/gateway/choice/__init__.py
+++ b/src/carobwalk/gateway/choice/__init__.py
@@ -6,6 +6,7 @@
 from carobwalk.gateway.choice._keyed_chooser import KeyedChooser
 from carobwalk.gateway.choice._load_table import LoadTable
 from carobwalk.gateway.choice._locality import Locality
+from carobwalk.gateway.choice._region_rules import RegionRules
 from carobwalk.gateway.choice._request_totals import RequestTotals
 from carobwalk.gateway.choice._retry_budgets import RetryBudgets
 from carobwalk.gateway.choice._server_cost import ServerCost
@@ -26,6 +27,7 @@
     'LoadTable',
     'Locality',
     'NoTarget',
+    'RegionRules',
     'RequestTotals',
     'RetryBudgets',
     'RetryRules',
--- a/src/carobwalk/gateway/choice/_keyed_chooser.py
+++ b/src/carobwalk/gateway/choice/_keyed_chooser.py
@@ -6,6 +6,7 @@
 
 from carobwalk.directory import BackendServer
 from carobwalk.gateway._caller_request import CallerRequest
+from carobwalk.gateway.choice._candidate_servers import CandidateServers
 from carobwalk.gateway.choice._key_owners import KeyOwner, KeyOwners
 from carobwalk.gateway.choice._load_table import LoadTable
 from carobwalk.gateway.choice._misdirected_keys import (
@@ -23,6 +24,9 @@
 # checked again, and the wait proposed to refused callers.
 _OWNER_CHANGE_SECONDS: Final = 0.2
 _LIMITED: Final = 'the owner of the key limits its requests'
+_OTHER_REGION: Final = 'the owner of the key is not in the allowed regions'
+# Time for the keys of a service to move after a change of its regions.
+_OTHER_REGION_RETRY_SECONDS: Final = 0.5
 _OVERLOADED: Final = 'the key is asked for more than its owner can do'
 
 
@@ -32,9 +36,16 @@
     Args:
         owners: Map from keys to the servers that own them.
         loads: Load of each server.
+        candidates: Tells which servers may be sent a request.
     """
 
-    def __init__(self, owners: KeyOwners, loads: LoadTable) -> None:
+    def __init__(
+        self,
+        owners: KeyOwners,
+        loads: LoadTable,
+        candidates: CandidateServers,
+    ) -> None:
+        self._candidates = candidates
         self._owners = owners
         self._loads = loads
         self._misdirected = MisdirectedKeys()
@@ -59,7 +70,9 @@
         now = trio.current_time()
         seconds_left = request.deadline - now
         with trio.move_on_at(now + seconds_left * _MAX_OWNER_WAIT_SHARE):
-            owner = await self._find_owner(service, key)
+            owner = await self._find_owner(service, request, key)
+            if isinstance(owner, NoTarget):
+                return owner
             if self._loads.admission.refuses(owner.server.incarnation):
                 return self._overloaded(owner.server)
             while True:
@@ -71,9 +84,15 @@
                     return target
                 # The key has moved during the wait, or the owner refuses it.
                 self._loads.finish(owner.server)
-                owner = await self._find_owner(service, key)
+                owner = await self._find_owner(service, request, key)
+                if isinstance(owner, NoTarget):
+                    return owner
         return NoTarget('the key has no owner now', _OWNER_CHANGE_SECONDS)
 
+    def may_send(self, request: CallerRequest, server: BackendServer) -> bool:
+        """Return whether the location of a chosen owner still permits it."""
+        return self._candidates.permits(request, server, is_keyed=True)
+
     def record_misdirected(
         self, service: ServiceName, key: int, target: Target
     ) -> None:
@@ -88,15 +107,27 @@
     async def _find_owner(
         self,
         service: ServiceName,
+        request: CallerRequest,
         key: int,
-    ) -> KeyOwner:
+    ) -> KeyOwner | NoTarget:
         while True:
             owner = self._current_owner(service, key)
             if owner is not None:
-                return owner
+                return self._checked_owner(request, owner)
+            excluded = self._candidates.refusal(service, request)
+            if excluded is not None:
+                return excluded
             with trio.move_on_after(_OWNER_CHANGE_SECONDS):
                 await self._owners.wait_for_change(service)
 
+    def _checked_owner(
+        self, request: CallerRequest, owner: KeyOwner
+    ) -> KeyOwner | NoTarget:
+        """Return an owner, or a refusal if it is outside the regions."""
+        if self._candidates.is_in_region(request, owner.server):
+            return owner
+        return NoTarget(_OTHER_REGION, _OTHER_REGION_RETRY_SECONDS)
+
     def _current_owner(self, service: ServiceName, key: int) -> KeyOwner | None:
         """Return the owner that a request for a key may be sent to now."""
         owner = self._owners.find(service, key)
--- a/src/carobwalk/gateway/choice/_unkeyed_chooser.py
+++ b/src/carobwalk/gateway/choice/_unkeyed_chooser.py
@@ -69,11 +69,16 @@
             )
             may_free = self._may_free_capacity(service, request, tried)
             if not may_free and opens_at > wait_until:
-                return _no_server(opens_at)
+                excluded = self._candidates.refusal(service, request)
+                return excluded or _no_server(opens_at)
             with trio.move_on_at(min(wait_until, opens_at)):
                 await queue.wait(request.route.rank)
         return NoTarget('all backend servers are full', service_latency)
 
+    def may_send(self, request: CallerRequest, server: BackendServer) -> bool:
+        """Return whether the location of a chosen server still permits it."""
+        return self._candidates.permits(request, server, is_keyed=False)
+
     def _find_available(
         self,
         service: ServiceName,
--- a/src/carobwalk/gateway/upstream/_attempt_recorder.py
+++ b/src/carobwalk/gateway/upstream/_attempt_recorder.py
@@ -61,6 +61,8 @@
                 self._loads.record_abandoned(server, now, now - started_at)
             case Answered():
                 self._record_answer(request, progress, server, started_at)
+            case NotSent(is_withheld=True):
+                pass
             case NotSent():
                 self._loads.of(server).record_unreachable(now)
                 if outcome.is_refused:
--- a/src/carobwalk/gateway/upstream/_forwarder.py
+++ b/src/carobwalk/gateway/upstream/_forwarder.py
@@ -35,6 +35,7 @@
 _QUARANTINED: Final = 'the request has crashed backend servers'
 _QUARANTINE_RETRY_SECONDS: Final = 2.0
 _NO_RETRIES_LEFT: Final = 'the retry budget is spent'
+_WITHHELD: Final = 'the location of the server no longer permits the request'
 # Time to come back after a request that this process doesn't send again.
 _RETRY_SECONDS: Final = 0.1
 
@@ -179,6 +180,15 @@
         connection = await pool.acquire(server, request)
         if isinstance(connection, NotSent):
             return connection
+        parts = self._parts
+        chooser = (
+            parts.keyed if _has_owner(request, progress) else parts.unkeyed
+        )
+        if not chooser.may_send(request, server):
+            # An evacuation has begun, or the configuration has changed, since
+            # the server was chosen.
+            await pool.release(server, connection)
+            return NotSent(_WITHHELD, is_withheld=True)
         may_have_run_before = progress.may_have_run
         progress.sent_to.add(server.id)
         progress.excluded.add(server.id)
@@ -242,6 +252,11 @@
         return is_spent
 
 
+def _has_owner(request: CallerRequest, progress: Progress) -> bool:
+    """Return whether only the owner of its key can run a request."""
+    return progress.is_keyed and request.key is not None
+
+
 def _refusal(target: NoTarget, progress: Progress) -> Reply:
     """Return the answer to a request that no server can accept now.
 
--- a/src/carobwalk/gateway/upstream/_outcomes.py
+++ b/src/carobwalk/gateway/upstream/_outcomes.py
@@ -28,10 +28,13 @@
         detail: Cause, for the answer to the caller and the log.
         is_refused: Whether the server refused the connection, so that
             nothing listens at its address.
+        is_withheld: Whether this process decided not to send the request, so
+            that the outcome tells nothing about the server.
     """
 
     detail: str
     is_refused: bool = False
+    is_withheld: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/carobwalk/keyspace/__init__.py
+++ b/src/carobwalk/keyspace/__init__.py
@@ -7,6 +7,7 @@
     RoleDependencies,
 )
 from carobwalk.keyspace._failure_detector import FailureDetector
+from carobwalk.keyspace._key_locations import KeyLocations, count_evacuated_keys
 from carobwalk.keyspace._key_owner_table import KeyOwnerTable
 from carobwalk.keyspace._key_reader import KeyReader
 from carobwalk.keyspace._load_collector import LoadCollector
@@ -41,6 +42,7 @@
     'CoordinatorRole',
     'FailureDetector',
     'Grant',
+    'KeyLocations',
     'KeyOwnerTable',
     'KeyReader',
     'KeyTimes',
@@ -61,4 +63,5 @@
     'RoleDependencies',
     'ServerIncarnations',
     'Succession',
+    'count_evacuated_keys',
 )
--- a/src/carobwalk/keyspace/_coordinator_dependencies.py
+++ b/src/carobwalk/keyspace/_coordinator_dependencies.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from carobwalk.events import EventLog
+from carobwalk.keyspace._key_locations import KeyLocations
 from carobwalk.keyspace._load_collector import LoadCollector
 from carobwalk.keyspace._map_feed import MapFeed
 from carobwalk.keyspace._order_sender import OrderDependencies
@@ -20,6 +21,7 @@
         feed: Publishes key maps to other processes.
         succession: Queries preceding coordinators and answers succeeding ones
             about outstanding grants.
+        locations: Finds the servers that should own no keys where they are.
         clock: Clock that keeps running while the host is suspended.
         events: Event log.
     """
@@ -28,5 +30,6 @@
     collector: LoadCollector
     feed: MapFeed
     succession: Succession
+    locations: KeyLocations
     clock: Clock
     events: EventLog
--- a/src/carobwalk/keyspace/_key_owner_table.py
+++ b/src/carobwalk/keyspace/_key_owner_table.py
@@ -51,7 +51,11 @@
     async def wait_for_change(self, service: ServiceName) -> None:
         """Wait until the owners of a service's keys may have changed."""
         async with trio.open_nursery() as nursery:
-            for event in (self._reader.changed, self._directory.changed):
+            for event in (
+                self._reader.changed,
+                self._directory.changed,
+                self._directory.evacuations.changed,
+            ):
                 nursery.start_soon(_cancel_when, event, nursery.cancel_scope)
 
     def _is_usable(self, server: BackendServer, born: int) -> bool:
--- a/src/carobwalk/keyspace/_move.py
+++ b/src/carobwalk/keyspace/_move.py
@@ -14,6 +14,8 @@
     FIRST = 'first-assignment'
     OWNER_GONE = 'owner-gone'
     OWNER_LEAVING = 'owner-leaving'
+    EVACUATION = 'evacuation'
+    OTHER_REGION = 'other-region'
     NEW_SERVER = 'new-server'
     LOAD = 'load'
 
--- a/src/carobwalk/keyspace/_planner.py
+++ b/src/carobwalk/keyspace/_planner.py
@@ -1,7 +1,7 @@
 """Planning of the assignment of keys to backend servers."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from itertools import pairwise
 from typing import Final
 
@@ -46,6 +46,8 @@
         may_balance: Whether keys may move to balance the load.
         unanswering: Usable servers whose last order was not answered. They
             keep their keys but are given none while other servers answer.
+        misplaced: Servers, not among the usable ones, that serve but have to
+            give their keys away because of their location, with the reason.
     """
 
     key_map: KeyMap
@@ -55,6 +57,9 @@
     load: KeyLoad
     may_balance: bool = True
     unanswering: frozenset[ServerIncarnation] = frozenset()
+    misplaced: Mapping[ServerIncarnation, MoveCause] = field(
+        default_factory=dict
+    )
 
     def targets(self) -> frozenset[ServerIncarnation]:
         """Return the servers that keys may be moved to."""
@@ -81,7 +86,7 @@
             return ()
         if not self._view.key_map.ranges:
             return self._divide_evenly()
-        self._evacuate()
+        self._replace_owners()
         if self._view.may_balance:
             self._assign_to_new_servers()
             self._balance()
@@ -97,13 +102,15 @@
             )
         )
 
-    def _evacuate(self) -> None:
-        """Reassign the keys of lost and leaving servers."""
+    def _replace_owners(self) -> None:
+        """Reassign the keys of lost, leaving and misplaced servers."""
         for key_range in self._view.key_map:
-            if key_range.owner in self._view.leaving:
+            owner = key_range.owner
+            if owner in self._view.leaving:
                 self._distribute(key_range, MoveCause.OWNER_LEAVING)
-            elif key_range.owner not in self._view.usable:
-                self._distribute(key_range, MoveCause.OWNER_GONE)
+            elif owner not in self._view.usable:
+                cause = self._view.misplaced.get(owner, MoveCause.OWNER_GONE)
+                self._distribute(key_range, cause)
 
     def _distribute(self, key_range: KeyRange, cause: MoveCause) -> None:
         """Divide a range among the least utilised servers."""
--- a/src/carobwalk/keyspace/_server_incarnations.py
+++ b/src/carobwalk/keyspace/_server_incarnations.py
@@ -5,7 +5,7 @@
     ServerDirectory,
     ServerIncarnation,
 )
-from carobwalk.model import ServerId, ServiceName
+from carobwalk.model import DataCentreName, ServerId, ServiceName
 
 
 class ServerIncarnations:
@@ -33,6 +33,13 @@
         """Return the server of an incarnation, even if deregistered since."""
         return self._servers_by_incarnation.get(incarnation)
 
+    def data_centre(
+        self, incarnation: ServerIncarnation
+    ) -> DataCentreName | None:
+        """Return the data centre of an incarnation, ``None`` if unknown."""
+        server = self.server(incarnation)
+        return None if server is None else server.data_centre
+
     def latest(self, incarnation: ServerIncarnation) -> BackendServer | None:
         """Return the latest known incarnation of an incarnation's server.
 
--- a/src/carobwalk/keyspace/_view_builder.py
+++ b/src/carobwalk/keyspace/_view_builder.py
@@ -5,6 +5,7 @@
 
 from carobwalk.directory import BackendServer, ServerIncarnation
 from carobwalk.keyspace._coordinator_dependencies import CoordinatorDependencies
+from carobwalk.keyspace._evacuated_keys import EvacuatedKeysLog
 from carobwalk.keyspace._events import OwnerLost
 from carobwalk.keyspace._grant_ledger import GrantLedger
 from carobwalk.keyspace._key_map import KeyMap
@@ -36,6 +37,13 @@
         self._lost: set[ServerIncarnation] = set()
         self._last_usable: frozenset[ServerIncarnation] = frozenset()
         self._usable_changed_at = math.inf
+        self._evacuated_keys = EvacuatedKeysLog(
+            service,
+            dependencies.locations.evacuations,
+            dependencies.orders.incarnations,
+            dependencies.clock,
+            dependencies.events,
+        )
 
     def build(self, key_map: KeyMap, *, may_balance: bool) -> PlannerView:
         """Return the planner's input.
@@ -48,6 +56,14 @@
         now = self._dependencies.clock.now()
         load = collector.loads.of(self._service)
         usable = self._usable()
+        misplaced = self._dependencies.locations.misplaced(
+            self._service,
+            self._dependencies.orders.incarnations.registered(self._service),
+            usable,
+        )
+        for excluded in usable.keys() & misplaced.keys():
+            usable.pop(excluded)
+        self._evacuated_keys.record(key_map)
         load.refresh(now, len(usable))
         failure_detector = self._dependencies.orders.failure_detector
         unanswering = frozenset(
@@ -63,6 +79,7 @@
             ),
             unanswering=unanswering,
             leaving=self._leaving(),
+            misplaced=misplaced,
             load=load,
             may_balance=may_balance,
         )
--- a/src/carobwalk/platform/__init__.py
+++ b/src/carobwalk/platform/__init__.py
@@ -6,8 +6,10 @@
     decode_configuration,
 )
 from carobwalk.platform._configuration_reader import ConfigurationReader
+from carobwalk.platform._evacuation_reader import EvacuationReader
 from carobwalk.platform._grant_channel import PlatformGrantChannel
 from carobwalk.platform._headers import PLATFORM_HEADERS, READINESS_PATH
+from carobwalk.platform._operator_reader import OperatorReader
 from carobwalk.platform._registry import (
     REGISTRY_PREFIX,
     EntryError,
@@ -24,6 +26,8 @@
     'ConfigurationError',
     'ConfigurationReader',
     'EntryError',
+    'EvacuationReader',
+    'OperatorReader',
     'PlatformGrantChannel',
     'PlatformStore',
     'RegistryReader',
--- a/src/carobwalk/platform/_configuration.py
+++ b/src/carobwalk/platform/_configuration.py
@@ -5,7 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from carobwalk.model import DECODE_ERRORS, ServiceName
+from carobwalk.model import DECODE_ERRORS, RegionName, ServiceName
 from carobwalk.platform import _configuration_messages as messages
 from carobwalk.routing import (
     CallerLimits,
@@ -14,6 +14,7 @@
     Route,
     RoutedService,
     RoutingConfiguration,
+    common_regions,
 )
 
 CONFIGURATION_PREFIX: Final = 'op/'
@@ -109,9 +110,20 @@
         timeout=action.timeout_s,
         target_latency=rule.target_latency_s or action.timeout_s,
         max_attempts=action.max_attempts,
+        allowed_regions=common_regions(
+            _convert_regions(rule.allowed_regions),
+            _convert_regions(action.allowed_regions),
+        ),
     )
 
 
+def _convert_regions(
+    names: tuple[str, ...] | None,
+) -> frozenset[RegionName] | None:
+    """Return the allowed regions; an empty list allows all, as none does."""
+    return frozenset(map(RegionName, names)) if names else None
+
+
 def _validation_error(route: Route, services: frozenset[ServiceName]) -> str:
     """Return why a route is invalid, or an empty string if it is valid."""
     if not route.destinations:
@@ -123,6 +135,8 @@
         return 'unknown service'
     if route.max_attempts < 1 or route.timeout <= 0:
         return 'max_attempts below 1 or timeout_s not positive'
+    if route.allowed_regions is not None and not route.allowed_regions:
+        return 'rule and action have no allowed region in common'
     if not (route.prefix.startswith('/') and route.prefix.endswith('/')):
         return 'prefix must start and end with a slash'
     return ''
--- a/src/carobwalk/platform/_configuration_messages.py
+++ b/src/carobwalk/platform/_configuration_messages.py
@@ -11,12 +11,16 @@
 
 
 class Action(msgspec.Struct):
-    """What happens to the requests of a rule."""
+    """What happens to the requests of a rule.
+
+    ``allowed_regions`` may also stand in the rule itself.
+    """
 
     timeout_s: float
     max_attempts: int = 1
     service: str | None = None
     traffic_split: tuple[Part, ...] = ()
+    allowed_regions: tuple[str, ...] | None = None
 
 
 class Match(msgspec.Struct):
@@ -34,6 +38,7 @@
     name: str = ''
     target_latency_s: float | None = None
     priority: int = 0
+    allowed_regions: tuple[str, ...] | None = None
 
 
 class Listener(msgspec.Struct):
--- a/src/carobwalk/routing/__init__.py
+++ b/src/carobwalk/routing/__init__.py
@@ -7,7 +7,7 @@
 )
 from carobwalk.routing._configuration import CallerLimits, RoutingConfiguration
 from carobwalk.routing._destination import Destination
-from carobwalk.routing._route import RepeatRule, Route
+from carobwalk.routing._route import RepeatRule, Route, common_regions
 from carobwalk.routing._route_table import RouteTable
 from carobwalk.routing._routed_service import RoutedService
 from carobwalk.routing._traffic_split import TrafficSplit
@@ -24,4 +24,5 @@
     'RoutesReplaced',
     'RoutingConfiguration',
     'TrafficSplit',
+    'common_regions',
 )
--- a/src/carobwalk/routing/_configuration.py
+++ b/src/carobwalk/routing/_configuration.py
@@ -3,8 +3,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from carobwalk.model import ServiceName
-from carobwalk.routing._route import Route
+from carobwalk.model import RegionName, ServiceName
+from carobwalk.routing._route import Route, common_regions
 from carobwalk.routing._routed_service import RoutedService
 
 
@@ -46,3 +46,17 @@
         """Names of the services whose keys have owners."""
         services = self.services_by_name.values()
         return tuple(service.name for service in services if service.is_keyed)
+
+    def common_regions(
+        self, service: ServiceName
+    ) -> frozenset[RegionName] | None:
+        """Return the regions that all routes to a service allow.
+
+        Returns:
+            Names of the regions, ``None`` if no route to it limits them.
+        """
+        common: frozenset[RegionName] | None = None
+        for route in self.routes:
+            if route.leads_to(service):
+                common = common_regions(common, route.allowed_regions)
+        return common
--- a/src/carobwalk/routing/_route.py
+++ b/src/carobwalk/routing/_route.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum, unique
 
+from carobwalk.model import RegionName, ServiceName
 from carobwalk.routing._destination import Destination
 
 
@@ -29,6 +30,8 @@
         timeout: Longest time to an answer in seconds.
         target_latency: Target for the latency of answers in seconds.
         max_attempts: Most backend servers that one request is sent to.
+        allowed_regions: Regions of the backend servers that requests may be
+            sent to, ``None`` for all.
     """
 
     name: str
@@ -41,8 +44,25 @@
     timeout: float
     target_latency: float
     max_attempts: int
+    allowed_regions: frozenset[RegionName] | None = None
 
     @property
     def is_idempotent(self) -> bool:
         """Whether a request may run more than once."""
         return self.repeat_rule is RepeatRule.IDEMPOTENT
+
+    def leads_to(self, service: ServiceName) -> bool:
+        """Return whether a service shares the requests of the route."""
+        return any(
+            destination.service == service for destination in self.destinations
+        )
+
+
+def common_regions(
+    first: frozenset[RegionName] | None,
+    second: frozenset[RegionName] | None,
+) -> frozenset[RegionName] | None:
+    """Return the regions that two limits allow; ``None`` allows all."""
+    if first is None:
+        return second
+    return first if second is None else first & second
--- a/src/carobwalk/settings/_gateway.py
+++ b/src/carobwalk/settings/_gateway.py
@@ -95,6 +95,8 @@
         repeat_window_seconds: Length of the window over which retries are
             counted.
         longest_hold_seconds: Longest duration of a grant of keys.
+        evacuation_seconds: Time after the request for the evacuation of a
+            data centre from which no request arrives there.
     """
 
     leaving_seconds: _Seconds = 2.0
@@ -104,11 +106,16 @@
     repeat_slack: _Seconds = 64.0
     repeat_window_seconds: _Seconds = 10.0
     longest_hold_seconds: _Seconds = 10.0
+    evacuation_seconds: _Seconds = 5.0
 
     @property
     def news_seconds(self) -> float:
         """Time within which every process has to act on a change."""
-        return min(self.leaving_seconds, self.configuration_seconds)
+        return min(
+            self.leaving_seconds,
+            self.configuration_seconds,
+            self.evacuation_seconds,
+        )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/standins/platform/_settings_file.py
+++ b/standins/platform/_settings_file.py
@@ -1,12 +1,18 @@
 """Settings files from the deployment's template."""
 
 import json
+import re
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from types import MappingProxyType
+from typing import Final
 
 from carobwalk.model import Address
 
 _TEMPLATE = Path(__file__).parent.parent.parent / 'deploy/settings.json5'
+_SECTION: Final = re.compile(r'{{#([a-z_.]+)}}(.*?){{/\1}}', re.DOTALL)
+_NO_OPTIONS: Final[Mapping[str, object]] = MappingProxyType({})
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -28,14 +34,20 @@
     store: Address
 
 
-def fill_settings(name: str, addresses: RouterAddresses) -> str:
+def fill_settings(
+    name: str,
+    addresses: RouterAddresses,
+    options: Mapping[str, object] = _NO_OPTIONS,
+) -> str:
     """Return the settings of a process, filled into the template.
 
     Args:
         name: Name of the process.
         addresses: Its addresses and that of the store.
+        options: Values of fields that the platform may leave out.
     """
-    fields = {
+    fields: dict[str, object] = {
+        **options,
         'node_name': name,
         'region': 'r1',
         'zone': 'dc1',
@@ -57,8 +69,15 @@
         'bounds.retry_window_s': 10,
         'bounds.max_hold_s': 10,
     }
-    text = _TEMPLATE.read_text()
+    text = _render_sections(_TEMPLATE.read_text(), fields)
     for field, content in fields.items():
         text = text.replace(f'{{{{{field}|json}}}}', json.dumps(content))
     text = text.replace('{{ip}}:{{internal_ports.0}}', str(addresses.peers))
     return text.replace('{{ip}}:9464', str(addresses.metrics))
+
+
+def _render_sections(text: str, fields: Collection[str]) -> str:
+    """Return a template with the sections of the given fields only."""
+    return _SECTION.sub(
+        lambda section: section[2] if section[1] in fields else '', text
+    )
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -1,6 +1,7 @@
 """Test harness: a gateway and failing backend servers on loopback."""
 
 from dataclasses import dataclass
+from types import MappingProxyType
 
 import h11
 import trio
@@ -20,6 +21,7 @@
     LoadTable,
     Locality,
     NullRequestMeter,
+    RegionRules,
     RetryBudgets,
     RetryRules,
     ServerCost,
@@ -41,6 +43,13 @@
 from tests.recording_log import RecordingLog
 
 LOCAL_DATA_CENTRE = DataCentreName('dc1')
+REMOTE_DATA_CENTRE = DataCentreName('dc2')
+REGIONS_BY_DATA_CENTRE = MappingProxyType(
+    {
+        LOCAL_DATA_CENTRE: RegionName('r1'),
+        REMOTE_DATA_CENTRE: RegionName('r2'),
+    }
+)
 CONFIGURATION = b"""{"version":"r7",
 "limits":{"max_header_bytes":4096,"max_body_bytes":100000,
  "header_timeout_s":1,"idle_timeout_s":5},
@@ -130,24 +139,26 @@
         self.share = ProcessShare()
         self.loads = LoadTable(self.directory, self.share)
         self.pool = ConnectionPool(self.directory, PLATFORM_HEADERS)
-        locality = Locality(
-            LOCAL_DATA_CENTRE, {LOCAL_DATA_CENTRE: RegionName('r1')}
-        )
+        locality = Locality(LOCAL_DATA_CENTRE, REGIONS_BY_DATA_CENTRE)
         self.budgets = RetryBudgets(
             RetryRules(ratio=2, slack=64, window=10), self.share
         )
         self.crash_tracker = CrashTracker()
+        candidates = CandidateServers(
+            self.directory,
+            RegionRules(REGIONS_BY_DATA_CENTRE, self.routes),
+        )
         forwarder = Forwarder(
             ForwarderParts(
                 names=PLATFORM_HEADERS,
                 loads=self.loads,
                 pool=self.pool,
                 unkeyed=UnkeyedChooser(
-                    CandidateServers(self.directory),
+                    candidates,
                     self.loads,
                     ServerCost(self.loads, locality),
                 ),
-                keyed=KeyedChooser(self.owners, self.loads),
+                keyed=KeyedChooser(self.owners, self.loads, candidates),
                 budgets=self.budgets,
                 crash_tracker=self.crash_tracker,
                 events=NullEventLog(),
--- a/tests/gateway/test_choosers.py
+++ b/tests/gateway/test_choosers.py
@@ -16,6 +16,7 @@
     LoadTable,
     Locality,
     NoTarget,
+    RegionRules,
     RetryBudgets,
     RetryRules,
     ServerCost,
@@ -65,8 +66,11 @@
             server = replace(make_server(number), data_centre=data_centre)
             self.directory.put(server, 1)
         self.loads = LoadTable(self.directory, ProcessShare())
+        self.candidates = CandidateServers(
+            self.directory, RegionRules(LOCALITY.regions_by_data_centre)
+        )
         self.chooser = UnkeyedChooser(
-            CandidateServers(self.directory),
+            self.candidates,
             self.loads,
             ServerCost(self.loads, LOCALITY),
         )
@@ -195,7 +199,7 @@
             while load.has_capacity:
                 load.start()
             started_at = trio.current_time()
-            chooser = KeyedChooser(owners, harness.loads)
+            chooser = KeyedChooser(owners, harness.loads, harness.candidates)
             chosen = await chooser.choose(SERVICE, make_request(), 7)
             assert isinstance(chosen, NoTarget)
             waited = trio.current_time() - started_at
@@ -209,7 +213,7 @@
         async def scenario() -> None:
             harness = ChooserHarness(1)
             owners = SingleOwnerMap()
-            chooser = KeyedChooser(owners, harness.loads)
+            chooser = KeyedChooser(owners, harness.loads, harness.candidates)
             async with trio.open_nursery() as nursery:
 
                 async def move() -> None:
@@ -227,7 +231,9 @@
 
         async def scenario() -> None:
             harness = ChooserHarness(1)
-            chooser = KeyedChooser(SingleOwnerMap(), harness.loads)
+            chooser = KeyedChooser(
+                SingleOwnerMap(), harness.loads, harness.candidates
+            )
             started_at = trio.current_time()
             chosen = await chooser.choose(SERVICE, make_request(), 7)
             assert isinstance(chosen, NoTarget)
--- a/tests/gateway/test_queue_at_former_owner.py
+++ b/tests/gateway/test_queue_at_former_owner.py
@@ -24,7 +24,7 @@
             load = harness.loads.of_keyed(former)
             while load.has_capacity:
                 load.start()
-            chooser = KeyedChooser(owners, harness.loads)
+            chooser = KeyedChooser(owners, harness.loads, harness.candidates)
             async with trio.open_nursery() as nursery:
 
                 async def move() -> None:
--- a/tests/keyspace/simulated_fleet.py
+++ b/tests/keyspace/simulated_fleet.py
@@ -5,11 +5,12 @@
 import trio
 
 from carobwalk.directory import BackendServer
-from carobwalk.events import Event
+from carobwalk.events import Event, NullEventLog
 from carobwalk.keyspace import (
     CoordinatorDependencies,
     CoordinatorRole,
     FailureDetector,
+    KeyLocations,
     KeyReader,
     KeyTimes,
     LoadCollector,
@@ -29,6 +30,7 @@
     ServiceName,
     TrioClock,
 )
+from carobwalk.routing import ActiveRoutes
 from carobwalk.store import RecordFollower
 from standins.platform import (
     KeyHolder,
@@ -139,6 +141,8 @@
         clock = TrioClock()
         self.clock = clock
         self.registry = FleetRegistry(clock)
+        self.regions_by_data_centre: dict[DataCentreName, RegionName] = {}
+        self.routes = ActiveRoutes(NullEventLog())
         self.peers = PeerLinks()
         self.routers: list[Router] = []
         self.nursery: trio.Nursery | None = None
@@ -227,6 +231,11 @@
                     collector=collector,
                     feed=feed,
                     succession=succession,
+                    locations=KeyLocations(
+                        registry.directory.evacuations,
+                        self.regions_by_data_centre,
+                        self.routes,
+                    ),
                     clock=self.clock,
                     events=log,
                 ),
