Decode for how long servers are cold, and their limits

The time left counts from the arrival of an entry on the local clock. It is rewritten with every heartbeat, so only its begin and end are logged. An entry in which only this field is invalid is used.

--- a/src/carobwalk/directory/__init__.py
+++ b/src/carobwalk/directory/__init__.py
@@ -1,10 +1,13 @@
 """Directory of the registered backend servers."""
 
 from carobwalk.directory._backend_server import BackendServer
+from carobwalk.directory._cold_servers import ColdServers
 from carobwalk.directory._events import (
     ServerChanged,
+    ServerCold,
     ServerEntryDropped,
     ServerForgotten,
+    ServerWarm,
 )
 from carobwalk.directory._leaving_servers import LeavingServers
 from carobwalk.directory._server_directory import ServerDirectory
@@ -12,10 +15,13 @@
 
 __all__ = (
     'BackendServer',
+    'ColdServers',
     'LeavingServers',
     'ServerChanged',
+    'ServerCold',
     'ServerDirectory',
     'ServerEntryDropped',
     'ServerForgotten',
     'ServerIncarnation',
+    'ServerWarm',
 )
--- a/src/carobwalk/directory/_backend_server.py
+++ b/src/carobwalk/directory/_backend_server.py
@@ -20,6 +20,10 @@
         slots: Requests that the server runs concurrently.
         is_leaving: Whether the server is shutting down and accepts no new
             work.
+        warmup_left: Seconds from the arrival of the entry for which the server
+            is slow, ``None`` if the entry doesn't tell. It changes with every
+            rewrite of the entry, so it isn't compared; ``ColdServers`` tells
+            until when a server is cold.
         incarnation: Identity of this incarnation, from ``id`` and ``born``.
     """
 
@@ -30,6 +34,7 @@
     data_centre: DataCentreName
     slots: int
     is_leaving: bool
+    warmup_left: float | None = field(default=0, compare=False)
     # Created once, since choosing a server looks up its load for each request.
     incarnation: ServerIncarnation = field(
         init=False, repr=False, compare=False
--- a/src/carobwalk/directory/_events.py
+++ b/src/carobwalk/directory/_events.py
@@ -26,6 +26,38 @@
     is_leaving: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ServerCold(Event):
+    """A backend server said in its entry that it is slow for a time.
+
+    Args:
+        server: Id of the server.
+        service: Service that the server runs.
+        born: Start of this incarnation, in milliseconds since 1970.
+        seconds: How long it is slow.
+    """
+
+    server: str
+    service: str
+    born: int
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServerWarm(Event):
+    """A backend server that was slow for a time has its usual speed again.
+
+    Args:
+        server: Id of the server.
+        service: Service that the server runs.
+        born: Start of this incarnation, in milliseconds since 1970.
+    """
+
+    server: str
+    service: str
+    born: int
+
+
 @dataclass(frozen=True, slots=True)
 class LeavingAnnounced(Event):
     """A backend server said in an answer that it is shutting down.
--- a/src/carobwalk/directory/_server_directory.py
+++ b/src/carobwalk/directory/_server_directory.py
@@ -7,10 +7,13 @@
 import trio
 
 from carobwalk.directory._backend_server import BackendServer
+from carobwalk.directory._cold_servers import ColdServers
 from carobwalk.directory._events import (
     LeavingAnnounced,
     ServerChanged,
+    ServerCold,
     ServerForgotten,
+    ServerWarm,
 )
 from carobwalk.directory._leaving_servers import LeavingServers
 from carobwalk.directory._server_incarnation import ServerIncarnation
@@ -36,6 +39,7 @@
         self._by_id: dict[ServerId, BackendServer] = {}
         self._missing_since_by_id: dict[ServerId, float] = {}
         self.leaving = LeavingServers(clock)
+        self.cold = ColdServers(clock)
         self._removed_ids: set[ServerId] = set()
         self.is_loaded = False
         self.changed = trio.Event()
@@ -69,6 +73,8 @@
         """
         self._missing_since_by_id.pop(server.id, None)
         self._removed_ids.discard(server.id)
+        if self.cold.record(server, revision):
+            self._events.emit(_cold_event(server))
         if self.leaving.has_announced(server.incarnation):
             # The registry learns later what the server says in its answers.
             server = replace(server, is_leaving=True)
@@ -151,7 +157,9 @@
         self.is_loaded = True
 
     def expire(self) -> None:
-        """Remove servers whose grace period has passed."""
+        """Remove servers whose grace period has passed; log warm ones."""
+        for warm in self.cold.pop_warmed():
+            self._events.emit(ServerWarm(warm.id, warm.service, warm.born))
         limit = self._clock.now() - REREGISTRATION_GRACE_SECONDS
         for server, since in tuple(self._missing_since_by_id.items()):
             if since <= limit:
@@ -161,9 +169,15 @@
                 self._removed_ids.discard(removed)
                 self._by_id.pop(removed)
                 self.leaving.discard(removed)
+                self.cold.discard(removed)
                 self.changed = _renew(self.changed)
 
 
+def _cold_event(server: BackendServer) -> ServerCold:
+    seconds = round(server.warmup_left or 0, 3)
+    return ServerCold(server.id, server.service, server.born, seconds)
+
+
 def _renew(changed: trio.Event) -> trio.Event:
     """Wake all tasks that wait for a change; return the event of the next."""
     changed.set()
--- a/src/carobwalk/platform/_configuration.py
+++ b/src/carobwalk/platform/_configuration.py
@@ -58,6 +58,8 @@
             name=ServiceName(cluster.name),
             is_keyed=cluster.sharded,
             max_connections=cluster.max_conns,
+            warmup_seconds=_positive(cluster.warmup_s),
+            warmup_rate=_positive(cluster.warmup_per_s),
         )
         for cluster in raw.clusters
     }
@@ -80,6 +82,11 @@
     )
 
 
+def _positive(number: float | None) -> float | None:
+    """Return a number, ``None`` if it isn't positive and so sets no limit."""
+    return number if number and number > 0 else None
+
+
 def _parse_version(text: str) -> int:
     if not text.startswith(_VERSION_PREFIX):
         raise ValueError(f'invalid version: {text!r}')
--- a/src/carobwalk/platform/_configuration_messages.py
+++ b/src/carobwalk/platform/_configuration_messages.py
@@ -44,11 +44,17 @@
 
 
 class Cluster(msgspec.Struct):
-    """A service; if ``sharded``, one backend server owns each key."""
+    """A service; if ``sharded``, one backend server owns each key.
+
+    A server is slow for ``warmup_s`` seconds at a time and can then take
+    ``warmup_per_s`` requests a second.
+    """
 
     name: str
     max_conns: int = 128
     sharded: bool = False
+    warmup_s: float | None = None
+    warmup_per_s: float | None = None
 
 
 class Limits(msgspec.Struct):
--- a/src/carobwalk/platform/_registry.py
+++ b/src/carobwalk/platform/_registry.py
@@ -24,6 +24,8 @@
 _MAX_SLOTS: Final = 10_000
 # Start of the year 10000. Larger numbers can't be written to a key map.
 _MAX_BORN_MILLISECONDS: Final = 253_402_300_800_000
+# A server that is slow for longer has stated something else.
+_MAX_WARMUP_SECONDS: Final = 86_400.0
 # An id is sent in a header field.
 _ID: Final = re.compile('[!-~]{1,200}')
 
@@ -35,6 +37,8 @@
     slots: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
     state: str
     born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_BORN_MILLISECONDS)]
+    # Decoded separately, so that a bad value doesn't invalidate the entry.
+    warmup_left_s: msgspec.Raw = msgspec.Raw(b'0')
 
 
 class EntryError(msgspec.Struct, frozen=True):
@@ -83,5 +87,17 @@
             data_centre=DataCentreName(entry.zone),
             slots=entry.slots,
             is_leaving=entry.state == _DRAINING_STATE,
+            warmup_left=_decode_warmup(entry.warmup_left_s),
         ),
     )
+
+
+def _decode_warmup(content: msgspec.Raw) -> float | None:
+    """Return for how many seconds a server is slow, ``None`` if invalid."""
+    try:
+        seconds = msgspec.json.decode(content, type=float)
+    except DECODE_ERRORS:
+        return None
+    if seconds > _MAX_WARMUP_SECONDS:
+        return None
+    return max(seconds, 0)
--- a/src/carobwalk/routing/_active_routes.py
+++ b/src/carobwalk/routing/_active_routes.py
@@ -4,6 +4,7 @@
 from typing import ClassVar
 
 from carobwalk.events import Event, EventLog
+from carobwalk.model import ServiceName
 from carobwalk.routing._configuration import RoutingConfiguration
 from carobwalk.routing._route_table import RouteTable
 from carobwalk.routing._traffic_split import TrafficSplit
@@ -58,6 +59,21 @@
         """Version of the configuration in force, 0 for none."""
         return self.table.configuration.version if self.table else 0
 
+    def warmup_rate(self, service: ServiceName) -> float | None:
+        """Return the requests per second that a cold server can take.
+
+        Args:
+            service: Service of the server.
+
+        Returns:
+            The rate over all processes, ``None`` if the configuration in force
+            limits none.
+        """
+        if self.table is None:
+            return None
+        routed = self.table.configuration.services_by_name.get(service)
+        return routed.warmup_rate if routed else None
+
     def offer(self, configuration: RoutingConfiguration, revision: int) -> None:
         """Put a configuration into force if its version is higher.
 
--- a/src/carobwalk/settings/_gateway.py
+++ b/src/carobwalk/settings/_gateway.py
@@ -95,6 +95,10 @@
         repeat_window_seconds: Length of the window over which retries are
             counted.
         longest_hold_seconds: Longest duration of a grant of keys.
+        warmup_overshoot: Requests that a cold backend server may get in any
+            one second, as a multiple of the requests per second that the
+            configuration states for it.
+        warmup_slack: Requests that it may get in addition.
     """
 
     leaving_seconds: _Seconds = 2.0
@@ -104,6 +108,8 @@
     repeat_slack: _Seconds = 64.0
     repeat_window_seconds: _Seconds = 10.0
     longest_hold_seconds: _Seconds = 10.0
+    warmup_overshoot: _Ratio = 1.5
+    warmup_slack: _Seconds = 8.0
 
     @property
     def news_seconds(self) -> float:
--- a/standins/platform/_settings_file.py
+++ b/standins/platform/_settings_file.py
@@ -1,12 +1,16 @@
 """Settings files from the deployment's template."""
 
 import json
+import re
+from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from types import MappingProxyType
 
 from carobwalk.model import Address
 
 _TEMPLATE = Path(__file__).parent.parent.parent / 'deploy/settings.json5'
+_SECTION = re.compile(r'\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}', re.DOTALL)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -28,12 +32,17 @@
     store: Address
 
 
-def fill_settings(name: str, addresses: RouterAddresses) -> str:
+def fill_settings(
+    name: str,
+    addresses: RouterAddresses,
+    bounds: Mapping[str, float] = MappingProxyType({}),
+) -> str:
     """Return the settings of a process, filled into the template.
 
     Args:
         name: Name of the process.
         addresses: Its addresses and that of the store.
+        bounds: Further fields of ``bounds``, which may be absent.
     """
     fields = {
         'node_name': name,
@@ -56,8 +65,12 @@
         'bounds.retry_slack': 64,
         'bounds.retry_window_s': 10,
         'bounds.max_hold_s': 10,
+        **{f'bounds.{field}': number for field, number in bounds.items()},
     }
-    text = _TEMPLATE.read_text()
+    text = _SECTION.sub(
+        lambda section: section[2] if section[1] in fields else '',
+        _TEMPLATE.read_text(),
+    )
     for field, content in fields.items():
         text = text.replace(f'{{{{{field}|json}}}}', json.dumps(content))
     text = text.replace('{{ip}}:{{internal_ports.0}}', str(addresses.peers))
