Limit the requests to cold servers by shares of the demand

The coordinator divides what a cold server may get by the demand for it, and each process admits requests at random with that probability. The planner gives away keys that a cold owner can't serve.

--- a/src/carobwalk/app/_build_gateway.py
+++ b/src/carobwalk/app/_build_gateway.py
@@ -86,7 +86,7 @@
             loads=local.loads,
             pool=pool,
             unkeyed=UnkeyedChooser(
-                CandidateServers(core.directory),
+                CandidateServers(core.directory, local.loads.warmups.is_cold),
                 local.loads,
                 ServerCost(local.loads, locality),
             ),
--- a/src/carobwalk/app/_build_keyspace.py
+++ b/src/carobwalk/app/_build_keyspace.py
@@ -24,10 +24,12 @@
     RoleDependencies,
     ServerIncarnations,
     Succession,
+    WarmupAllowances,
+    WarmupSource,
 )
 from carobwalk.model import ServiceName
 from carobwalk.platform import PlatformGrantChannel
-from carobwalk.shares import ProcessShare
+from carobwalk.shares import ProcessShare, WarmupBounds
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -59,7 +61,11 @@
     """
     share = ProcessShare()
     return LocalLoad(
-        loads=LoadTable(core.directory, share),
+        loads=LoadTable(
+            core.directory,
+            share,
+            lambda service: core.routes.warmup_rate(service) is not None,
+        ),
         share=share,
         leaving=core.directory.leaving,
         crash_tracker=CrashTracker(),
@@ -85,7 +91,9 @@
     """
     times = _key_times(core)
     collector = LoadCollector(
-        core.clock, core.settings.bounds.repeat_window_seconds
+        core.clock,
+        core.settings.bounds.repeat_window_seconds,
+        _warmup_allowances(core),
     )
     core.topics.register(LOAD_TOPIC, collector.answer)
     feed = MapFeed()
@@ -130,6 +138,18 @@
     )
 
 
+def _warmup_allowances(core: GatewayCore) -> WarmupAllowances:
+    bounds = core.settings.bounds
+    return WarmupAllowances(
+        core.clock,
+        WarmupSource(
+            directory=core.directory,
+            rate_of=core.routes.warmup_rate,
+            bounds=WarmupBounds(bounds.warmup_overshoot, bounds.warmup_slack),
+        ),
+    )
+
+
 def _key_times(core: GatewayCore) -> KeyTimes:
     defaults = KeyTimes()
     settings = core.settings
--- a/src/carobwalk/gateway/_caller_request.py
+++ b/src/carobwalk/gateway/_caller_request.py
@@ -1,6 +1,7 @@
 """Request of a caller, read completely."""
 
-from dataclasses import dataclass
+import random
+from dataclasses import dataclass, field
 
 from carobwalk.gateway._reply import HeaderList
 from carobwalk.http import AnswerShare
@@ -24,6 +25,8 @@
         deadline: Time after which the caller no longer waits for the answer,
             on the same clock.
         answer_share: Memory of the answer.
+        draw: Random number from 0 to 1 by which all attempts of the request
+            are drawn for cold servers.
     """
 
     id: bytes
@@ -37,3 +40,4 @@
     arrived: float
     deadline: float
     answer_share: AnswerShare
+    draw: float = field(default_factory=random.random)
--- a/src/carobwalk/gateway/choice/_keyed_chooser.py
+++ b/src/carobwalk/gateway/choice/_keyed_chooser.py
@@ -23,6 +23,7 @@
 # checked again, and the wait proposed to refused callers.
 _OWNER_CHANGE_SECONDS: Final = 0.2
 _LIMITED: Final = 'the owner of the key limits its requests'
+_COLD: Final = 'the owner of the key is cold'
 _OVERLOADED: Final = 'the key is asked for more than its owner can do'
 
 
@@ -60,19 +61,27 @@
         seconds_left = request.deadline - now
         with trio.move_on_at(now + seconds_left * _MAX_OWNER_WAIT_SHARE):
             owner = await self._find_owner(service, key)
-            if self._loads.admission.refuses(owner.server.incarnation):
+            if self._is_overloaded(owner.server):
                 return self._overloaded(owner.server)
             while True:
+                if self._loads.warmups.refuses(owner.server, request):
+                    return self._cold(owner.server)
                 target = await self._wait_for_capacity(owner, request)
                 if isinstance(target, NoTarget):
                     return target
                 current = self._current_owner(service, key)
-                if current and _ownership(current) == _ownership(owner):
+                is_owner = current and _ownership(current) == _ownership(owner)
+                if is_owner and self._loads.warmups.admit(
+                    owner.server, request
+                ):
                     return target
-                # The key has moved during the wait, or the owner refuses it.
+                # The key has moved during the wait, the owner refuses it or has
+                # become cold.
                 self._loads.finish(owner.server)
+                if is_owner:
+                    return self._cold(owner.server)
                 owner = await self._find_owner(service, key)
-        return NoTarget('the key has no owner now', _OWNER_CHANGE_SECONDS)
+        return self._no_owner(service, key)
 
     def record_misdirected(
         self, service: ServiceName, key: int, target: Target
@@ -106,10 +115,30 @@
             return None
         if not self._loads.gates.accepts_keyed(owner.server):
             return None
+        if self._loads.warmups.awaits_share(owner.server):
+            return None
         load = self._loads.of_keyed(owner.server)
         is_ejected = load.ejected_until > trio.current_time()
         return None if is_ejected else owner
 
+    def _is_overloaded(self, server: BackendServer) -> bool:
+        """Decide whether to refuse a request; cold servers have own shares."""
+        if self._loads.warmups.is_cold(server):
+            return False
+        return self._loads.admission.refuses(server.incarnation)
+
+    def _no_owner(self, service: ServiceName, key: int) -> NoTarget:
+        """Return why no owner could be found in time."""
+        owner = self._owners.find(service, key)
+        if owner and self._loads.warmups.awaits_share(owner.server):
+            return self._cold(owner.server)
+        return NoTarget('the key has no owner now', _OWNER_CHANGE_SECONDS)
+
+    def _cold(self, server: BackendServer) -> NoTarget:
+        latency = self._loads.service_latency(server.service)
+        seconds = self._loads.warmups.retry_seconds(server, latency)
+        return NoTarget(_COLD, seconds)
+
     def _overloaded(self, server: BackendServer) -> NoTarget:
         latency = self._loads.service_latency(server.service)
         seconds = self._loads.admission.retry_seconds(
--- a/src/carobwalk/gateway/choice/_load_table.py
+++ b/src/carobwalk/gateway/choice/_load_table.py
@@ -1,6 +1,7 @@
 """Load of all backend servers as this process observes it."""
 
 from collections import defaultdict
+from collections.abc import Callable
 from typing import Final
 
 from carobwalk.directory import (
@@ -9,11 +10,13 @@
     ServerIncarnation,
 )
 from carobwalk.gateway.choice._admission import Admission
+from carobwalk.gateway.choice._demand_counter import DemandCounter
 from carobwalk.gateway.choice._priority_queue import PriorityQueue
 from carobwalk.gateway.choice._process_count import INITIAL_PROCESS_COUNT
 from carobwalk.gateway.choice._request_totals_table import RequestTotalsTable
 from carobwalk.gateway.choice._send_gates import SendGates
 from carobwalk.gateway.choice._server_load import ServerLoad
+from carobwalk.gateway.choice._warmups import Warmups, never_limited
 from carobwalk.model import ServiceName
 from carobwalk.shares import ProcessShare
 
@@ -35,9 +38,15 @@
         directory: Registered backend servers; the loads of others are
             removed.
         share: Share of this process in the limits of servers.
+        is_limited: Returns whether the cold servers of a service are limited.
     """
 
-    def __init__(self, directory: ServerDirectory, share: ProcessShare) -> None:
+    def __init__(
+        self,
+        directory: ServerDirectory,
+        share: ProcessShare,
+        is_limited: Callable[[ServiceName], bool] = never_limited,
+    ) -> None:
         self._directory = directory
         self.gates = SendGates(self.of, directory, share)
         self._loads_by_incarnation: dict[ServerIncarnation, ServerLoad] = {}
@@ -47,6 +56,8 @@
         )
         self.totals = RequestTotalsTable()
         self.admission = Admission()
+        self.warmups = Warmups(directory, is_limited)
+        self.demand = DemandCounter()
         self.process_count = INITIAL_PROCESS_COUNT
 
     def of(self, server: BackendServer) -> ServerLoad:
--- a/src/carobwalk/gateway/choice/_unkeyed_chooser.py
+++ b/src/carobwalk/gateway/choice/_unkeyed_chooser.py
@@ -55,6 +55,10 @@
             The server, with the request counted in its load, or ``NoTarget``
             if none has capacity in time.
         """
+        cold = self._choose_cold(service, request, tried)
+        if cold is not None:
+            self._loads.start(cold)
+            return Target(cold)
         now = trio.current_time()
         service_latency = self._loads.service_latency(service)
         wait_until = now + (request.deadline - now) * _MAX_WAIT_SHARE
@@ -74,6 +78,32 @@
                 await queue.wait(request.route.rank)
         return NoTarget('all backend servers are full', service_latency)
 
+    def _choose_cold(
+        self,
+        service: ServiceName,
+        request: CallerRequest,
+        tried: frozenset[ServerId],
+    ) -> BackendServer | None:
+        """Return the cold server that a request was drawn for, if it may go.
+
+        It is preferred to warm ones, since only so many requests are drawn as
+        it can take.
+        """
+        warmups = self._loads.warmups
+        cold = warmups.choose(service, request)
+        if cold is None:
+            return None
+        if cold not in self._candidates.permitted(service, request, tried):
+            return None
+        is_available = self._is_available(cold) and warmups.take(cold)
+        return cold if is_available else None
+
+    def _is_available(self, server: BackendServer) -> bool:
+        load = self._loads.of(server)
+        if not load.has_capacity or load.ejected_until > trio.current_time():
+            return False
+        return not self._loads.gates.pause(server)
+
     def _find_available(
         self,
         service: ServiceName,
@@ -84,10 +114,7 @@
         best: BackendServer | None = None
         best_cost = float('inf')
         for server in self._candidates.find(service, request, tried):
-            load = self._loads.of(server)
-            if not load.has_capacity or load.ejected_until > now:
-                continue
-            if self._loads.gates.pause(server):
+            if not self._is_available(server):
                 continue
             cost = self._cost.of(server, request, now)
             if cost < best_cost:
--- a/src/carobwalk/gateway/upstream/_forwarder.py
+++ b/src/carobwalk/gateway/upstream/_forwarder.py
@@ -86,6 +86,7 @@
                 be logged even if the request is cancelled.
         """
         self._parts.budgets.count_request(progress.service)
+        self._parts.loads.demand.count(progress.service)
         if self._parts.crash_tracker.is_quarantined(request):
             return refusals.not_run(_QUARANTINED, _QUARANTINE_RETRY_SECONDS)
         with trio.move_on_at(request.deadline):
--- a/src/carobwalk/keyspace/__init__.py
+++ b/src/carobwalk/keyspace/__init__.py
@@ -31,6 +31,10 @@
 from carobwalk.keyspace._succession import Succession
 from carobwalk.keyspace._succession_messages import SUCCESSION_TOPIC
 from carobwalk.keyspace._times import KeyTimes
+from carobwalk.keyspace._warmup_allowances import (
+    WarmupAllowances,
+    WarmupSource,
+)
 
 __all__ = (
     'COORDINATOR_NAME',
@@ -61,4 +65,6 @@
     'RoleDependencies',
     'ServerIncarnations',
     'Succession',
+    'WarmupAllowances',
+    'WarmupSource',
 )
--- a/src/carobwalk/keyspace/_coordinator_role.py
+++ b/src/carobwalk/keyspace/_coordinator_role.py
@@ -128,6 +128,7 @@
         self._term = term
         coordination = self._dependencies.coordination
         coordination.orders.failure_detector.clear()
+        coordination.collector.warmups.start_term(lambda: term.is_valid)
         self._set_coordinating(is_coordinator=True)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
--- a/src/carobwalk/keyspace/_load_collector.py
+++ b/src/carobwalk/keyspace/_load_collector.py
@@ -19,6 +19,7 @@
 from carobwalk.keyspace._server_notices import ServerNotices
 from carobwalk.keyspace._server_speed import ServerSpeeds
 from carobwalk.keyspace._server_work import rate_of
+from carobwalk.keyspace._warmup_allowances import WarmupAllowances
 from carobwalk.model import Clock, ProcessId, ServerId
 from carobwalk.shares import SharerCount
 
@@ -36,9 +37,16 @@
         clock: Clock for report times and measurement windows.
         limit_window: Longest window in seconds of a limit that processes
             share.
+        warmups: Divides the requests that cold servers may get; by default
+            they are not limited.
     """
 
-    def __init__(self, clock: Clock, limit_window: float = 10) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        limit_window: float = 10,
+        warmups: WarmupAllowances | None = None,
+    ) -> None:
         self._clock = clock
         self._reported_at_by_process: dict[ProcessId, float] = {}
         self.loads = KeyLoads(clock)
@@ -56,6 +64,7 @@
         self._sharers = SharerCount(clock, limit_window)
         self.speeds = ServerSpeeds()
         self.notices = ServerNotices(clock)
+        self.warmups = warmups or WarmupAllowances(clock)
         self._is_coordinator = False
 
     @property
@@ -76,6 +85,7 @@
         report = msgspec.msgpack.decode(payload, type=LoadReport)
         self._record_report(sender, now)
         self._sharers.record(sender, report.sharers)
+        self.warmups.record(report)
         for load in report.services:
             self._add_load(load, now)
         for server, born in report.leaving:
@@ -91,6 +101,7 @@
                 self._crashes.culprits(),
                 self._sharers.count(),
                 self.overloads.rows(),
+                self.warmups.rows(),
             ),
         )
 
--- a/src/carobwalk/keyspace/_load_report.py
+++ b/src/carobwalk/keyspace/_load_report.py
@@ -69,12 +69,15 @@
             it has no share.
         leaving: Servers that told this process that they shut down, each with
             the start of its incarnation in milliseconds since 1970.
+        demands: Services, each with the number of requests that callers asked
+            for since the last report.
     """
 
     services: tuple[ServiceLoad, ...]
     crashes: tuple[ServerCrash, ...] = ()
     sharers: int = 0
     leaving: tuple[tuple[str, int], ...] = ()
+    demands: tuple[tuple[str, int], ...] = ()
 
 
 class LoadReceipt(msgspec.Struct, array_like=True):
@@ -91,6 +94,8 @@
         overloads: Owners of keys that are asked for much more than they can
             do: id, start of the incarnation in milliseconds since 1970, and
             the share of the requests that it can run.
+        warming: Cold servers: id, start of the incarnation in milliseconds
+            since 1970, and the share of the requests that it may get.
     """
 
     is_coordinator: bool
@@ -98,3 +103,4 @@
     culprits: tuple[int, ...] = ()
     sharers: int = 0
     overloads: tuple[tuple[str, int, float], ...] = ()
+    warming: tuple[tuple[str, int, float], ...] = ()
--- a/src/carobwalk/keyspace/_load_reporter.py
+++ b/src/carobwalk/keyspace/_load_reporter.py
@@ -109,4 +109,5 @@
                 (incarnation.server, incarnation.born)
                 for incarnation in self._local.leaving.announced()
             ),
+            self._local.loads.demand.pop_all(),
         )
--- a/src/carobwalk/keyspace/_local_load.py
+++ b/src/carobwalk/keyspace/_local_load.py
@@ -1,5 +1,6 @@
 """Local counters reported to the coordinator, and limits received from it."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import ClassVar
 
@@ -61,12 +62,8 @@
         if receipt.processes:
             self.loads.process_count = receipt.processes
         self._renew_share(receipt.sharers)
-        self.loads.admission.replace(
-            {
-                ServerIncarnation(ServerId(server), born): share
-                for server, born, share in receipt.overloads
-            }
-        )
+        self.loads.admission.replace(_by_incarnation(receipt.overloads))
+        self.loads.warmups.replace(_by_incarnation(receipt.warming))
         for fingerprint in self.crash_tracker.quarantine(receipt.culprits):
             self.events.emit(RequestQuarantined(fingerprint))
 
@@ -75,3 +72,12 @@
         self.share.renew(sharers)
         if self.share.sharers != before:
             self.events.emit(ShareChanged(before, self.share.sharers))
+
+
+def _by_incarnation(
+    rows: Iterable[tuple[str, int, float]],
+) -> dict[ServerIncarnation, float]:
+    return {
+        ServerIncarnation(ServerId(server), born): share
+        for server, born, share in rows
+    }
--- a/src/carobwalk/keyspace/_planner.py
+++ b/src/carobwalk/keyspace/_planner.py
@@ -44,8 +44,9 @@
         leaving: Servers that are draining: they serve but are given no keys.
         load: Request rates of keys.
         may_balance: Whether keys may move to balance the load.
-        unanswering: Usable servers whose last order was not answered. They
-            keep their keys but are given none while other servers answer.
+        unanswering: Usable servers whose last order was not answered, or that
+            are soon warm. They keep their keys but are given none while there
+            are others.
     """
 
     key_map: KeyMap
--- a/src/carobwalk/keyspace/_view_builder.py
+++ b/src/carobwalk/keyspace/_view_builder.py
@@ -50,8 +50,12 @@
         usable = self._usable()
         load.refresh(now, len(usable))
         failure_detector = self._dependencies.orders.failure_detector
+        # Moves to or from servers that are soon warm would come too late.
         unanswering = frozenset(
-            filter(failure_detector.has_unanswered_order, usable)
+            incarnation
+            for incarnation in usable
+            if failure_detector.has_unanswered_order(incarnation)
+            or collector.warmups.is_soon_warm(incarnation)
         )
         return PlannerView(
             key_map=key_map,
@@ -68,7 +72,7 @@
         )
 
     def tell_overloads(self, view: PlannerView) -> None:
-        """Let all processes know which owners are asked for too much."""
+        """Let all processes know which owners can't run all requests."""
         collector = self._dependencies.collector
         demand = collector.demands.of(self._service)
         demand.refresh(self._dependencies.clock.now())
@@ -76,6 +80,9 @@
             self._service,
             admitted_shares(view.key_map, demand, view.usable),
         )
+        collector.warmups.record_keys(
+            self._service, view.key_map, (view.load, demand)
+        )
 
     def may_assign_first(self, view: PlannerView) -> bool:
         """Return whether keys without a recorded owner may be assigned.
@@ -111,9 +118,12 @@
             incarnation = server.incarnation
             if not self._is_leaving(server) and self._is_usable(incarnation):
                 seconds = collector.speeds.seconds(incarnation, now)
-                usable[incarnation] = collector.notices.capacity(
+                capacity = collector.notices.capacity(
                     incarnation, server.slots / seconds
                 )
+                usable[incarnation] = collector.warmups.capacity(
+                    server, capacity
+                )
         return usable
 
     def _leaving(self) -> frozenset[ServerIncarnation]:
--- a/src/carobwalk/shares/__init__.py
+++ b/src/carobwalk/shares/__init__.py
@@ -2,9 +2,11 @@
 
 from carobwalk.shares._process_share import SHARE_SECONDS, ProcessShare
 from carobwalk.shares._sharer_count import SharerCount
+from carobwalk.shares._warmup_bounds import WarmupBounds
 
 __all__ = (
     'SHARE_SECONDS',
     'ProcessShare',
     'SharerCount',
+    'WarmupBounds',
 )
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -143,7 +143,9 @@
                 loads=self.loads,
                 pool=self.pool,
                 unkeyed=UnkeyedChooser(
-                    CandidateServers(self.directory),
+                    CandidateServers(
+                        self.directory, self.loads.warmups.is_cold
+                    ),
                     self.loads,
                     ServerCost(self.loads, locality),
                 ),
--- a/tests/gateway/test_choosers.py
+++ b/tests/gateway/test_choosers.py
@@ -66,7 +66,7 @@
             self.directory.put(server, 1)
         self.loads = LoadTable(self.directory, ProcessShare())
         self.chooser = UnkeyedChooser(
-            CandidateServers(self.directory),
+            CandidateServers(self.directory, self.loads.warmups.is_cold),
             self.loads,
             ServerCost(self.loads, LOCALITY),
         )
