--- a/src/carobwalk/app/_build_gateway.py
+++ b/src/carobwalk/app/_build_gateway.py
@@ -82,6 +82,7 @@
     )
     candidates = CandidateServers(
         core.directory,
+        local.loads.warmups.is_cold,
         RegionRules(settings.regions_by_data_centre, core.routes),
     )
     pool = ConnectionPool(core.directory, PLATFORM_HEADERS)
--- a/src/carobwalk/directory/_server_directory.py
+++ b/src/carobwalk/directory/_server_directory.py
@@ -7,6 +7,7 @@
 import trio
 
 from carobwalk.directory._backend_server import BackendServer
+from carobwalk.directory._cold_servers import ColdServers
 from carobwalk.directory._evacuations import (
     DEFAULT_EVACUATION_SECONDS,
     Evacuations,
@@ -14,7 +15,9 @@
 from carobwalk.directory._events import (
     LeavingAnnounced,
     ServerChanged,
+    ServerCold,
     ServerForgotten,
+    ServerWarm,
 )
 from carobwalk.directory._leaving_servers import LeavingServers
 from carobwalk.directory._server_incarnation import ServerIncarnation
@@ -48,6 +51,7 @@
         self._missing_since_by_id: dict[ServerId, float] = {}
         self.leaving = LeavingServers(clock)
         self.evacuations = Evacuations(clock, events, evacuation_seconds)
+        self.cold = ColdServers(clock)
         self._removed_ids: set[ServerId] = set()
         self.is_loaded = False
         self.changed = trio.Event()
@@ -83,6 +87,8 @@
         """
         self._missing_since_by_id.pop(server.id, None)
         self._removed_ids.discard(server.id)
+        if self.cold.record(server, revision):
+            self._events.emit(_cold_event(server))
         if self.leaving.has_announced(server.incarnation):
             # The registry learns later what the server says in its answers.
             server = replace(server, is_leaving=True)
@@ -165,7 +171,9 @@
         self.is_loaded = True
 
     def expire(self) -> None:
-        """Remove servers whose grace period has passed."""
+        """Remove servers whose grace period has passed; log warm ones."""
+        for warm in self.cold.pop_warmed():
+            self._events.emit(ServerWarm(warm.id, warm.service, warm.born))
         limit = self._clock.now() - REREGISTRATION_GRACE_SECONDS
         for server, since in tuple(self._missing_since_by_id.items()):
             if since <= limit:
@@ -175,9 +183,15 @@
                 self._removed_ids.discard(removed)
                 self._by_id.pop(removed)
                 self.leaving.discard(removed)
+                self.cold.discard(removed)
                 self.changed = _renew(self.changed)
 
 
+def _cold_event(server: BackendServer) -> ServerCold:
+    seconds = round(server.warmup_left or 0, 3)
+    return ServerCold(server.id, server.service, server.born, seconds)
+
+
 def _renew(changed: trio.Event) -> trio.Event:
     """Wake all tasks that wait for a change; return the event of the next."""
     changed.set()
--- a/src/carobwalk/gateway/choice/_candidate_servers.py
+++ b/src/carobwalk/gateway/choice/_candidate_servers.py
@@ -1,5 +1,6 @@
 """Backend servers that may be sent a request."""
 
+from collections.abc import Callable
 from typing import Final
 
 from carobwalk.directory import BackendServer, ServerDirectory
@@ -17,17 +18,23 @@
 class CandidateServers:
     """Selects the servers of a service that no rule excludes.
 
-    Their load is not considered.
+    Their load is not considered. Cold servers are left out.
 
     Args:
         directory: Registered backend servers.
+        is_cold: Returns whether the requests to a server are limited because
+            it is cold.
         regions: Limits servers by their regions.
     """
 
     def __init__(
-        self, directory: ServerDirectory, regions: RegionRules | None = None
+        self,
+        directory: ServerDirectory,
+        is_cold: Callable[[BackendServer], bool],
+        regions: RegionRules | None = None,
     ) -> None:
         self._directory = directory
+        self._is_cold = is_cold
         self._regions = regions or RegionRules()
 
     def find(
@@ -43,6 +50,19 @@
             request: The request.
             tried: Servers that the request was sent to before.
         """
+        return [
+            server
+            for server in self.permitted(service, request, tried)
+            if not self._is_cold(server)
+        ]
+
+    def permitted(
+        self,
+        service: ServiceName,
+        request: CallerRequest,
+        tried: frozenset[ServerId],
+    ) -> list[BackendServer]:
+        """Return the servers that may be sent a request, cold ones too."""
         regions = self._regions.allowed(request)
         evacuated = self._directory.evacuations.data_centres
         return [
--- a/src/carobwalk/keyspace/__init__.py
+++ b/src/carobwalk/keyspace/__init__.py
@@ -32,6 +32,10 @@
 from carobwalk.keyspace._succession import Succession
 from carobwalk.keyspace._succession_messages import SUCCESSION_TOPIC
 from carobwalk.keyspace._times import KeyTimes
+from carobwalk.keyspace._warmup_allowances import (
+    WarmupAllowances,
+    WarmupSource,
+)
 
 __all__ = (
     'COORDINATOR_NAME',
@@ -63,5 +67,7 @@
     'RoleDependencies',
     'ServerIncarnations',
     'Succession',
+    'WarmupAllowances',
+    'WarmupSource',
     'count_evacuated_keys',
 )
--- a/src/carobwalk/settings/_gateway.py
+++ b/src/carobwalk/settings/_gateway.py
@@ -97,6 +97,10 @@
         longest_hold_seconds: Longest duration of a grant of keys.
         evacuation_seconds: Time after the request for the evacuation of a
             data centre from which no request arrives there.
+        warmup_overshoot: Requests that a cold backend server may get in any
+            one second, as a multiple of the requests per second that the
+            configuration states for it.
+        warmup_slack: Requests that it may get in addition.
     """
 
     leaving_seconds: _Seconds = 2.0
@@ -107,6 +111,8 @@
     repeat_window_seconds: _Seconds = 10.0
     longest_hold_seconds: _Seconds = 10.0
     evacuation_seconds: _Seconds = 5.0
+    warmup_overshoot: _Ratio = 1.5
+    warmup_slack: _Seconds = 8.0
 
     @property
     def news_seconds(self) -> float:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -146,6 +146,7 @@
         self.crash_tracker = CrashTracker()
         candidates = CandidateServers(
             self.directory,
+            self.loads.warmups.is_cold,
             RegionRules(REGIONS_BY_DATA_CENTRE, self.routes),
         )
         forwarder = Forwarder(
--- a/tests/gateway/test_choosers.py
+++ b/tests/gateway/test_choosers.py
@@ -67,7 +67,9 @@
             self.directory.put(server, 1)
         self.loads = LoadTable(self.directory, ProcessShare())
         self.candidates = CandidateServers(
-            self.directory, RegionRules(LOCALITY.regions_by_data_centre)
+            self.directory,
+            self.loads.warmups.is_cold,
+            RegionRules(LOCALITY.regions_by_data_centre),
         )
         self.chooser = UnkeyedChooser(
             self.candidates,
