Run pipelined requests of a caller at the same time

One that is not idempotent runs alone, after the responses before it. Reading ahead is bounded by AnswerMemory.

--- a/src/carobwalk/gateway/_events.py
+++ b/src/carobwalk/gateway/_events.py
@@ -80,6 +80,26 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class RequestDropped(Event):
+    """A pipelined request was read and will never be sent.
+
+    It waited for responses to earlier requests of its connection when the
+    connection ended.
+
+    Args:
+        request: Id of the caller's attempt.
+        route: Name of the matched route.
+        cause: Why the connection ended.
+        seconds: Time from the arrival of the head to the end.
+    """
+
+    request: str
+    route: str
+    cause: str
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionCrashed(Event):
     """An unexpected exception ended a caller's connection.
--- a/src/carobwalk/gateway/caller/_gateway_service.py
+++ b/src/carobwalk/gateway/caller/_gateway_service.py
@@ -1,10 +1,11 @@
 """State shared by all connections of callers."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from carobwalk.events import EventLog
 from carobwalk.gateway._header_names import HeaderNames
+from carobwalk.gateway.caller._answer_sizes import AnswerSizes
 from carobwalk.gateway.caller._request_meter import RequestMeter
 from carobwalk.gateway.upstream._forwarder import Forwarder
 from carobwalk.http import AnswerMemory, Shutdown
@@ -27,6 +28,7 @@
         events: Event log.
         is_stopping: Returns whether the process is shutting down.
         shutdown: Bounds requests by the end of the process.
+        answer_sizes: Sizes of recent answers.
     """
 
     names: HeaderNames
@@ -38,6 +40,7 @@
     events: EventLog
     is_stopping: Callable[[], bool]
     shutdown: Shutdown
+    answer_sizes: AnswerSizes = field(default_factory=AnswerSizes)
 
     def limits(self) -> CallerLimits:
         """Return the limits on callers, the defaults before configuration."""
--- a/src/carobwalk/gateway/caller/_request_meter.py
+++ b/src/carobwalk/gateway/caller/_request_meter.py
@@ -1,8 +1,17 @@
 """Interface for metrics of requests."""
 
+import enum
 from typing import Protocol
 
 
+class PipelinedOutcome(enum.StrEnum):
+    """What happens to a request that is read ahead of responses."""
+
+    CONCURRENT = 'concurrent'
+    WAITING = 'waiting'
+    DROPPED = 'dropped'
+
+
 class RequestMeter(Protocol):
     """Records metrics of requests; its methods do not block."""
 
@@ -30,6 +39,14 @@
             cause: Cause that the caller was given.
         """
 
+    def record_pipelined(self, outcome: PipelinedOutcome) -> None:
+        """Record a request that was read before those ahead were answered.
+
+        Args:
+            outcome: Whether it ran at the same time or had to wait; recorded
+                again if it is dropped later.
+        """
+
 
 class NullRequestMeter:
     """Meter that discards all metrics."""
@@ -45,3 +62,6 @@
 
     def record_refusal(self, service: str, cause: str) -> None:
         """Drop the figures."""
+
+    def record_pipelined(self, outcome: PipelinedOutcome) -> None:
+        """Drop the figures."""
--- a/src/carobwalk/gateway/caller/_request_reader.py
+++ b/src/carobwalk/gateway/caller/_request_reader.py
@@ -1,5 +1,6 @@
 """Reading and validation of callers' requests."""
 
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Final
 
@@ -35,7 +36,6 @@
         http: HTTP protocol state of the connection.
         service: State shared by all connections.
         caller: IP address of the caller.
-        answer_share: Memory of the answers, one after the other.
     """
 
     def __init__(
@@ -43,10 +43,8 @@
         http: H11Stream,
         service: GatewayService,
         caller: str,
-        answer_share: AnswerShare,
     ) -> None:
         self._caller = caller
-        self._answer_share = answer_share
         self._http = http
         self._service = service
 
@@ -69,11 +67,18 @@
         """Return the id of a request, empty if it has none."""
         return find_header(head.headers, self._service.names.request_id) or b''
 
-    async def read_request(self, head: h11.Request) -> CallerRequest:
+    async def read_request(
+        self,
+        head: h11.Request,
+        answer_share: AnswerShare,
+        admit_body: Callable[[h11.Request], Awaitable[None]],
+    ) -> CallerRequest:
         """Read the body and return the complete request.
 
         Args:
             head: Head of the request.
+            answer_share: Memory of the answer.
+            admit_body: Waits until the body may be read.
 
         Raises:
             RequestError: If the head is too large or has two framings of the
@@ -81,18 +86,13 @@
                 body is malformed, too long or not received before the
                 deadline, or if the process ends before the deadline.
         """
-        arrived = trio.current_time()
+        arrived = self._http.received_at
         self._check_size(head)
         _check_framing(head)
         _check_method(head)
         route = self._find_route(head)
-        seconds = self._seconds_left(head, route)
-        body = None
-        with trio.move_on_after(seconds):
-            body = await self._read_body()
-        if body is None:
-            raise RequestError(HTTPStatus.REQUEST_TIMEOUT, 'body too slow')
-        deadline = arrived + seconds
+        deadline = arrived + self._seconds_left(head, route)
+        body = await self._read_body_until(deadline, head, admit_body)
         if self._service.shutdown.is_too_late(deadline):
             raise RequestError(
                 HTTPStatus.SERVICE_UNAVAILABLE, 'shutting down', 0
@@ -113,7 +113,7 @@
             key=key if key is None or key <= _MAX_KEY else None,
             arrived=arrived,
             deadline=self._service.shutdown.limit(deadline),
-            answer_share=self._answer_share,
+            answer_share=answer_share,
         )
 
     def _check_size(self, head: h11.Request) -> None:
@@ -122,12 +122,7 @@
         The parser applies the limit only while a head is incomplete, so one
         that arrives in a single read passes it.
         """
-        size = sum(
-            len(name) + len(text) + _FIELD_OVERHEAD_BYTES
-            for name, text in head.headers
-        )
-        size += len(head.target)
-        if size > self._service.limits().header_bytes:
+        if head_size(head) > self._service.limits().header_bytes:
             raise RequestError(
                 HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
                 'header fields too large',
@@ -156,6 +151,23 @@
             return route.timeout
         return min(milliseconds * _SECONDS_PER_MILLISECOND, route.timeout)
 
+    async def _read_body_until(
+        self,
+        deadline: float,
+        head: h11.Request,
+        admit_body: Callable[[h11.Request], Awaitable[None]],
+    ) -> bytes:
+        is_admitted = False
+        with trio.move_on_at(deadline):
+            await admit_body(head)
+            is_admitted = True
+            return await self._read_body()
+        if is_admitted:
+            raise RequestError(HTTPStatus.REQUEST_TIMEOUT, 'body too slow')
+        raise RequestError(
+            HTTPStatus.SERVICE_UNAVAILABLE, 'no time left to read the body', 0
+        )
+
     async def _read_body(self) -> bytes:
         if self._http.protocol.they_are_waiting_for_100_continue:
             await self._http.send(_CONTINUE)
@@ -175,6 +187,15 @@
         return body
 
 
+def head_size(head: h11.Request) -> int:
+    """Return the size in bytes of the target and the header fields."""
+    size = sum(
+        len(name) + len(text) + _FIELD_OVERHEAD_BYTES
+        for name, text in head.headers
+    )
+    return size + len(head.target)
+
+
 def _check_framing(head: h11.Request) -> None:
     """Reject a request with two framings of its body."""
     has_length = find_header(head.headers, b'content-length') is not None
--- a/src/carobwalk/http/_answer_memory.py
+++ b/src/carobwalk/http/_answer_memory.py
@@ -26,6 +26,15 @@
         """Total size in bytes of the answers that are counted now."""
         return self._held_bytes
 
+    def free_bytes(self, old_bytes: int) -> int:
+        """Return the size in bytes that one answer may have now.
+
+        Args:
+            old_bytes: Size that is counted for the answer so far, in bytes.
+        """
+        free_bytes = self._limit_bytes - self._held_bytes + old_bytes
+        return free_bytes // _FREE_PART_DIVISOR
+
     def resize(self, old_bytes: int, new_bytes: int) -> bool:
         """Change the size of one answer and return whether it is allowed.
 
@@ -33,8 +42,7 @@
             old_bytes: Size that is counted for the answer so far, in bytes.
             new_bytes: Size that it needs, in bytes.
         """
-        free_bytes = self._limit_bytes - self._held_bytes + old_bytes
-        if new_bytes > free_bytes // _FREE_PART_DIVISOR:
+        if new_bytes > self.free_bytes(old_bytes):
             return False
         self._held_bytes += new_bytes - old_bytes
         return True
--- a/src/carobwalk/http/_draining_server.py
+++ b/src/carobwalk/http/_draining_server.py
@@ -15,14 +15,15 @@
 
 
 class DrainableConnection(Protocol):
-    """A connection that serves requests sequentially.
+    """A connection that serves requests."""
 
-    Attributes:
-        idle_scope: Scope of the wait for the next request; cancelling it
-            closes the connection without interrupting a request.
-    """
+    @property
+    def idle_scope(self) -> trio.CancelScope:
+        """Scope of the wait for the next request.
 
-    idle_scope: trio.CancelScope
+        Cancelling it closes an idle connection; a request in progress isn't
+        interrupted.
+        """
 
     async def run(self) -> None:
         """Serve until either side closes the connection."""
--- a/src/carobwalk/http/_h11_stream.py
+++ b/src/carobwalk/http/_h11_stream.py
@@ -21,13 +21,19 @@
         received_bytes: Bytes received so far.
         parsed_bytes: Bytes received so far without those of the last read,
             which may not have been parsed yet.
+        received_at: Time of the last read, on the event loop's clock.
+        is_ended: Whether the peer has ended its output.
         on_receive: Called after each read, if set.
     """
 
     __slots__ = (
+        '_header_bytes',
+        '_role',
+        'is_ended',
         'on_receive',
         'parsed_bytes',
         'protocol',
+        'received_at',
         'received_bytes',
         'stream',
     )
@@ -39,13 +45,14 @@
         header_bytes: int = _RECEIVE_BYTES,
     ) -> None:
         self.stream = stream
+        self._role = role
+        self._header_bytes = header_bytes
+        self.received_at: float = 0
+        self.is_ended = False
         self.received_bytes = 0
         self.parsed_bytes = 0
         self.on_receive: Callable[[], None] | None = None
-        self.protocol = h11.Connection(
-            role,
-            max_incomplete_event_size=header_bytes,
-        )
+        self.protocol = self._make_protocol()
 
     async def receive(self) -> h11.Event | type[h11.PAUSED]:
         """Return the next event, reading from the stream when needed.
@@ -59,11 +66,38 @@
             if event is h11.PAUSED or isinstance(event, h11.Event):
                 return event
             chunk = await self.stream.receive_some(_RECEIVE_BYTES)
-            self.parsed_bytes = self.received_bytes
-            self.received_bytes += len(chunk)
-            if self.on_receive is not None:
-                self.on_receive()
-            self.protocol.receive_data(bytes(chunk))
+            self.feed(bytes(chunk))
+
+    def feed(self, chunk: bytes) -> None:
+        """Pass bytes that were read from the stream to the parser.
+
+        Args:
+            chunk: The bytes, empty at the end of the peer's output.
+        """
+        self.parsed_bytes = self.received_bytes
+        self.received_bytes += len(chunk)
+        self.received_at = trio.current_time()
+        self.is_ended = not chunk
+        if self.on_receive is not None:
+            self.on_receive()
+        self.protocol.receive_data(chunk)
+
+    def start_next_message(self) -> bool:
+        """Prepare to parse the message behind one that was parsed completely.
+
+        Returns:
+            Whether the parser was replaced, because its own message of the
+            exchange has not been sent yet. The former parser then has to be
+            replaced for sending as well.
+        """
+        if self.is_reusable:
+            self.protocol.start_next_cycle()
+            return False
+        rest, _ = self.protocol.trailing_data
+        self.protocol = self._make_protocol()
+        if rest:
+            self.protocol.receive_data(rest)
+        return True
 
     def encode(self, *events: h11.Event) -> bytes:
         """Return the encoded events, to be sent in the order of the calls."""
@@ -108,3 +142,9 @@
             self.protocol.our_state is h11.DONE
             and self.protocol.their_state is h11.DONE
         )
+
+    def _make_protocol(self) -> h11.Connection:
+        return h11.Connection(
+            self._role,
+            max_incomplete_event_size=self._header_bytes,
+        )
--- a/src/carobwalk/metrics/_gateway_meter.py
+++ b/src/carobwalk/metrics/_gateway_meter.py
@@ -1,6 +1,6 @@
 """Metrics of requests at the gateway."""
 
-from carobwalk.metrics._instruments import REFUSALS
+from carobwalk.metrics._instruments import PIPELINED, REFUSALS
 from carobwalk.metrics._metrics import Metrics
 
 
@@ -42,3 +42,11 @@
             cause: Cause reported to the caller.
         """
         self._metrics.counters[REFUSALS].add(1, service, cause)
+
+    def record_pipelined(self, outcome: str) -> None:
+        """Count a request that was read ahead of responses.
+
+        Args:
+            outcome: What happened to it.
+        """
+        self._metrics.counters[PIPELINED].add(1, outcome)
--- a/src/carobwalk/metrics/_instruments.py
+++ b/src/carobwalk/metrics/_instruments.py
@@ -42,6 +42,12 @@
     'Requests that have not run, by the cause that callers are told.',
     ('service', 'cause'),
 )
+PIPELINED: Final = CounterSpec(
+    'pipelined',
+    '',
+    'Requests read before those ahead on their connection were answered.',
+    ('outcome',),
+)
 QUARANTINES: Final = CounterSpec(
     'quarantines',
     '',
@@ -76,6 +82,7 @@
 _SPECS: Final = (
     RETRIES,
     REFUSALS,
+    PIPELINED,
     QUARANTINES,
     STORE_CALLS,
     EVENTS,
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -96,6 +96,7 @@
     def __init__(self) -> None:
         self.statuses: list[int] = []
         self.refusal_causes: list[str] = []
+        self.pipelined: list[str] = []
 
     def record(
         self, service: str, rank: int, status: int, seconds: float
@@ -107,6 +108,10 @@
         """Record the cause of a refusal."""
         self.refusal_causes.append(cause)
 
+    def record_pipelined(self, outcome: str) -> None:
+        """Record what happened to a request that was read ahead."""
+        self.pipelined.append(str(outcome))
+
 
 class GatewayHarness:
     """Gateway on loopback with all its dependencies."""
