Reject early answers without a length and invalid statuses

An answer that only the end of the connection delimits isn't complete before the request has been sent. A status above 599 is no answer; the parser rejects those below 200.

--- a/src/carobwalk/dispatch/_response_handler.py
+++ b/src/carobwalk/dispatch/_response_handler.py
@@ -1,5 +1,7 @@
 """Processing of a backend server's response."""
 
+from typing import Final
+
 import h11
 from result import Err, Ok, Result
 
@@ -18,6 +20,7 @@
 )
 from carobwalk.model import CallerGoneError, Completion, ReplySink, ServerId
 
+_MAX_STATUS: Final = 599
 _ExchangeResult = Result[Completion, UpstreamFailure]
 
 
@@ -80,6 +83,9 @@
         return Err(self.connection_lost('closed by the server'))
 
     async def _start(self, response: h11.Response) -> _ExchangeResult | None:
+        if response.status_code > _MAX_STATUS:
+            detail = f'status {response.status_code}'
+            return Err(self.connection_lost(detail))
         headers = list(response.headers)
         self._refusal = parse_refusal(response.status_code, headers)
         if self._refusal is not None:
--- a/src/carobwalk/gateway/upstream/_upstream_connection.py
+++ b/src/carobwalk/gateway/upstream/_upstream_connection.py
@@ -167,15 +167,24 @@
         return Lost('answers to other requests only')
 
     async def _check_end(self) -> None:
-        """Raise the error, if any, that ended an answer without a length.
+        """Reject an answer without a length that ends during the sending.
 
-        The system reports a reset once, to the sending or the receiving task.
-        If the sending one gets it, the other sees an ordinary end.
+        Only the end of the connection delimits it, and a server that has more
+        of the request to read may have ended for any reason. The system also
+        reports a reset once, to the sending or the receiving task. If the
+        sending one gets it, the other sees an ordinary end.
+
+        Raises:
+            h11.RemoteProtocolError: If the request was not sent completely.
         """
         for _ in range(_SEND_ERROR_TICKS):
             await trio.lowlevel.checkpoint()
         if self._send_error is not None:
             raise self._send_error
+        if not self._is_sent:
+            raise h11.RemoteProtocolError(
+                'an answer without a length, before the request was sent'
+            )
 
     def _skip_answer(self, method: bytes) -> None:
         """Reset the parser to read a further answer to the same request.
--- a/src/carobwalk/http/_answer_reader.py
+++ b/src/carobwalk/http/_answer_reader.py
@@ -20,6 +20,7 @@
 BODILESS_STATUSES: Final = frozenset(
     (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 )
+_MAX_STATUS: Final = 599
 _DELIMITING_FIELDS: Final = frozenset((b'content-length', b'transfer-encoding'))
 _HEADS: Final = (h11.Response, h11.InformationalResponse)
 _STATUS_LINE: Final = re.compile(rb'HTTP/[0-9][.][0-9] [0-9]{3}(?!\S)')
@@ -61,6 +62,7 @@
                 return None
             _check_single(event)
             if isinstance(event, h11.Response):
+                _check_status(event)
                 return event
         raise AnswerTooLong(
             f'more than {_MAX_INFORMATIONAL_ANSWERS} informational answers',
@@ -113,6 +115,12 @@
         raise JoinedHeads('a status line within the head of an answer')
 
 
+def _check_status(head: h11.Response) -> None:
+    """Reject a status beyond those of HTTP; the parser rejects lower ones."""
+    if head.status_code > _MAX_STATUS:
+        raise h11.RemoteProtocolError(f'status {head.status_code}')
+
+
 def _check_framing(framing_bytes: int, body_bytes: int) -> None:
     extra_bytes = framing_bytes - _FREE_FRAMING_BYTES
     if extra_bytes > body_bytes // _BODY_BYTES_PER_FRAMING_BYTE:
--- a/tests/dispatch/test_response_handler.py
+++ b/tests/dispatch/test_response_handler.py
@@ -45,6 +45,14 @@
 PLAIN_503 = http_head('HTTP/1.1 503 Busy', 'content-length: 0')
 TRUNCATED = b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf'
 NO_LENGTH = b'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nperhaps all'
+NO_LENGTH_1_0 = b'HTTP/1.0 200 OK\r\n\r\nperhaps all'
+NO_LENGTH_HINTED = b'HTTP/1.1 103 Early Hints\r\n\r\n%s' % NO_LENGTH
+# A status outside of HTTP says nothing of the request.
+STATUS_000 = http_head('HTTP/1.1 000 None', 'content-length: 0')
+STATUS_099 = http_head('HTTP/1.1 099 None', 'content-length: 0')
+STATUS_101 = http_head('HTTP/1.1 101 Switch', 'content-length: 0')
+STATUS_600 = http_head('HTTP/1.1 600 None', 'content-length: 0')
+STATUS_999 = http_head('HTTP/1.1 999 None', 'content-length: 0')
 TRUNCATED_CHUNKED = (
     b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n'
 )
@@ -61,6 +69,13 @@
             (TRUNCATED, FailureKind.SERVER_LOST, Outcome.UNKNOWN),
             (TRUNCATED_CHUNKED, FailureKind.SERVER_LOST, Outcome.UNKNOWN),
             (NO_LENGTH, FailureKind.SERVER_LOST, Outcome.UNKNOWN),
+            (NO_LENGTH_1_0, FailureKind.SERVER_LOST, Outcome.UNKNOWN),
+            (NO_LENGTH_HINTED, FailureKind.SERVER_LOST, Outcome.UNKNOWN),
+            (STATUS_000, FailureKind.SERVER_LOST, Outcome.UNKNOWN),
+            (STATUS_099, FailureKind.SERVER_LOST, Outcome.UNKNOWN),
+            (STATUS_101, FailureKind.SERVER_LOST, Outcome.UNKNOWN),
+            (STATUS_600, FailureKind.SERVER_LOST, Outcome.UNKNOWN),
+            (STATUS_999, FailureKind.SERVER_LOST, Outcome.UNKNOWN),
         ],
     )
     def test_responses(
--- a/tests/http/test_answer_reader.py
+++ b/tests/http/test_answer_reader.py
@@ -101,3 +101,14 @@
         # Guards against the processor time of endless small chunks.
         with pytest.raises(AnswerTooLong, match='framing'):
             _read(chunk * (300_000 // len(chunk)))
+
+
+class TestStatus:
+    @pytest.mark.parametrize('status', [b'000', b'099', b'101', b'600', b'999'])
+    def test_invalid(self, status: bytes) -> None:
+        """A status that is none of a final answer violates the protocol."""
+        # Guards against an answer that means nothing counted as one.
+        with pytest.raises(h11.RemoteProtocolError):
+            _read_head(
+                b'HTTP/1.1 %s None\r\ncontent-length: 0\r\n\r\n' % status
+            )
