Queue fairly and admit by turns under overload

Waiting requests are ordered by rank, with every eighth turn for each lower rank, round robin by caller, and by deadline. A request leaves the queue when its response can't come before the deadline, and isn't queued at all if the wait is known to be too long. A route that holds three quarters of a capacity yields to other routes.

An overloaded owner's share is admitted by a rotating window that is the same in all processes; a refused caller is told the time of its turn. The receipt of a load report carries the coordinator's time for this. Refusals are counted by rank, too.

--- a/src/carobwalk/dispatch/_rank_queues.py
+++ b/src/carobwalk/dispatch/_rank_queues.py
@@ -2,8 +2,8 @@
 
 import itertools
 
-from carobwalk.dispatch._caller_queue import CallerQueue
 from carobwalk.dispatch._ticket import Ticket
+from carobwalk.fairness import CallerQueue
 from carobwalk.model import Rank
 
 
@@ -11,7 +11,9 @@
     """One queue per rank; base class of rank-aware queue policies."""
 
     def __init__(self) -> None:
-        self._queues_by_rank = {rank: CallerQueue() for rank in Rank}
+        self._queues_by_rank: dict[Rank, CallerQueue[Ticket]] = {
+            rank: CallerQueue() for rank in Rank
+        }
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
--- a/src/carobwalk/gateway/caller/_request_handler.py
+++ b/src/carobwalk/gateway/caller/_request_handler.py
@@ -70,7 +70,9 @@
             )
             return
         if reply.status == HTTPStatus.SERVICE_UNAVAILABLE and reply.cause:
-            self._service.meter.record_refusal(progress.service, reply.cause)
+            self._service.meter.record_refusal(
+                progress.service, reply.cause, request.route.rank
+            )
         self._service.events.emit(
             RequestAnswered(
                 request=request_id,
--- a/src/carobwalk/gateway/caller/_request_meter.py
+++ b/src/carobwalk/gateway/caller/_request_meter.py
@@ -22,12 +22,15 @@
             seconds: Time from the reading of the head to the end.
         """
 
-    def record_refusal(self, service: str, cause: str) -> None:
+    def record_refusal(
+        self, service: str, cause: str, rank: int | None = None
+    ) -> None:
         """Record a request that was refused and has not run.
 
         Args:
             service: Service that the request was routed to.
             cause: Cause that the caller was given.
+            rank: Rank of the route, ``None`` if it has none.
         """
 
 
@@ -43,5 +46,7 @@
     ) -> None:
         """Drop the figures."""
 
-    def record_refusal(self, service: str, cause: str) -> None:
+    def record_refusal(
+        self, service: str, cause: str, rank: int | None = None
+    ) -> None:
         """Drop the figures."""
--- a/src/carobwalk/gateway/choice/_keyed_chooser.py
+++ b/src/carobwalk/gateway/choice/_keyed_chooser.py
@@ -1,10 +1,10 @@
 """Choice of the backend server that owns a request's key."""
 
+from functools import partial
 from typing import Final
 
 import trio
 
-from carobwalk.directory import BackendServer
 from carobwalk.gateway._caller_request import CallerRequest
 from carobwalk.gateway.choice._key_owners import KeyOwner, KeyOwners
 from carobwalk.gateway.choice._load_table import LoadTable
@@ -12,18 +12,21 @@
     MisdirectedKeys,
     Ownership,
 )
-from carobwalk.gateway.choice._queue_wait import max_queue_wait
+from carobwalk.gateway.choice._queue_wait import QueueWait, WaitCauses
 from carobwalk.gateway.choice._target import NoTarget, Target
 from carobwalk.model import ServiceName
 
-# Fraction of the time to the deadline that a request may wait for an owner
-# and for capacity there.
+# Fraction of the time to the deadline that a request may wait for an owner.
 _MAX_OWNER_WAIT_SHARE: Final = 0.3
 # Usual time for a key to get its next owner: the interval at which owners are
 # checked again, and the wait proposed to refused callers.
 _OWNER_CHANGE_SECONDS: Final = 0.2
 _LIMITED: Final = 'the owner of the key limits its requests'
-_OVERLOADED: Final = 'the key is asked for more than its owner can do'
+_NO_OWNER: Final = 'the key has no owner now'
+_CAUSES: Final = WaitCauses(
+    'the owner of the key is full',
+    'too many requests wait for the owner of the key',
+)
 
 
 class KeyedChooser:
@@ -56,23 +59,20 @@
             The owner, with the request counted in its load, or ``NoTarget``
             if no owner has capacity in time.
         """
-        now = trio.current_time()
-        seconds_left = request.deadline - now
-        with trio.move_on_at(now + seconds_left * _MAX_OWNER_WAIT_SHARE):
-            owner = await self._find_owner(service, key)
-            if self._loads.admission.refuses(owner.server.incarnation):
-                return self._overloaded(owner.server)
-            while True:
-                target = await self._wait_for_capacity(owner, request)
-                if isinstance(target, NoTarget):
-                    return target
-                current = self._current_owner(service, key)
-                if current and _ownership(current) == _ownership(owner):
-                    return target
-                # The key has moved during the wait, or the owner refuses it.
-                self._loads.finish(owner.server)
-                owner = await self._find_owner(service, key)
-        return NoTarget('the key has no owner now', _OWNER_CHANGE_SECONDS)
+        is_admitted = False
+        while True:
+            owner = await self._find_owner(service, request, key)
+            if owner is None:
+                return NoTarget(_NO_OWNER, _OWNER_CHANGE_SECONDS)
+            if not is_admitted:
+                refusal = self._loads.admission.refusal(owner.server, request)
+                if refusal is not None:
+                    return refusal
+                is_admitted = True
+            target = await self._wait_for_capacity(owner, request, key)
+            if target is not None:
+                return target
+            # The key has moved during the wait, or the owner refuses it.
 
     def record_misdirected(
         self, service: ServiceName, key: int, target: Target
@@ -86,16 +86,19 @@
         self._misdirected.record(service, key, ownership)
 
     async def _find_owner(
-        self,
-        service: ServiceName,
-        key: int,
-    ) -> KeyOwner:
-        while True:
-            owner = self._current_owner(service, key)
-            if owner is not None:
-                return owner
-            with trio.move_on_after(_OWNER_CHANGE_SECONDS):
-                await self._owners.wait_for_change(service)
+        self, service: ServiceName, request: CallerRequest, key: int
+    ) -> KeyOwner | None:
+        """Return the owner of a key, ``None`` if it gets none in time."""
+        now = trio.current_time()
+        seconds_left = request.deadline - now
+        with trio.move_on_at(now + seconds_left * _MAX_OWNER_WAIT_SHARE):
+            while True:
+                owner = self._current_owner(service, key)
+                if owner is not None:
+                    return owner
+                with trio.move_on_after(_OWNER_CHANGE_SECONDS):
+                    await self._owners.wait_for_change(service)
+        return None
 
     def _current_owner(self, service: ServiceName, key: int) -> KeyOwner | None:
         """Return the owner that a request for a key may be sent to now."""
@@ -110,40 +113,46 @@
         is_ejected = load.ejected_until > trio.current_time()
         return None if is_ejected else owner
 
-    def _overloaded(self, server: BackendServer) -> NoTarget:
-        latency = self._loads.service_latency(server.service)
-        seconds = self._loads.admission.retry_seconds(
-            server.incarnation, latency
-        )
-        return NoTarget(_OVERLOADED, seconds)
-
     async def _wait_for_capacity(
-        self,
-        owner: KeyOwner,
-        request: CallerRequest,
-    ) -> Target | NoTarget:
+        self, owner: KeyOwner, request: CallerRequest, key: int
+    ) -> Target | NoTarget | None:
+        """Return the owner once it has capacity.
+
+        Returns:
+            The owner, ``NoTarget`` if it has no capacity in time, ``None`` if
+            it is no longer the owner that the request may be sent to.
+        """
         server = owner.server
         load = self._loads.of_keyed(server)
-        now = trio.current_time()
         service_latency = self._loads.service_latency(server.service)
-        latency = load.latency(now, service_latency)
-        wait = len(load.queue) * latency / load.limit
-        max_wait = max_queue_wait(request, now, latency)
-        if not load.has_capacity and wait > max_wait:
-            return NoTarget('the owner of the key is full', wait)
-        with trio.move_on_after(max_wait):
-            while True:
-                pause = self._loads.gates.pause(server)
-                if trio.current_time() + pause > now + max_wait:
-                    return NoTarget(_LIMITED, pause)
-                if pause:
-                    await trio.sleep(pause)
-                elif load.has_capacity:
-                    self._loads.start(server)
-                    return Target(server, owner.fence)
-                else:
-                    await load.queue.wait(request.route.rank)
-        return NoTarget('the owner of the key is full', latency)
+        latency = load.latency(trio.current_time(), service_latency)
+        waiting = QueueWait(load.queue, request, latency, _CAUSES)
+        load.queue.parts.capacity = load.limit
+
+        is_owner = partial(self._is_current, owner, key)
+        while is_owner():
+            pause = self._loads.gates.pause(server)
+            if pause and trio.current_time() + pause > waiting.leaves_at:
+                return NoTarget(_LIMITED, pause)
+            if not pause and load.has_capacity and waiting.may_start:
+                self._loads.start(server, request.route.name)
+                return Target(server, owner.fence)
+            refusal = waiting.refusal()
+            if refusal is not None:
+                return refusal
+            if pause:
+                await trio.sleep(pause)
+            else:
+                await waiting.wait(
+                    has_capacity=load.has_capacity, is_valid=is_owner
+                )
+        if load.has_capacity:
+            load.queue.wake()  # It may have been this request's turn.
+        return None
+
+    def _is_current(self, owner: KeyOwner, key: int) -> bool:
+        current = self._current_owner(owner.server.service, key)
+        return bool(current and _ownership(current) == _ownership(owner))
 
 
 def _ownership(owner: KeyOwner) -> Ownership:
--- a/src/carobwalk/gateway/choice/_load_table.py
+++ b/src/carobwalk/gateway/choice/_load_table.py
@@ -70,9 +70,15 @@
         load.limit = min(load.limit, load.max_limit)
         return load
 
-    def start(self, server: BackendServer) -> None:
-        """Count a request that is about to be sent to a server."""
-        self.of(server).start()
+    def start(self, server: BackendServer, route: str = '') -> None:
+        """Count a request that is about to be sent to a server.
+
+        Args:
+            server: The server.
+            route: Name of the request's route.
+        """
+        self.of(server).start(route)
+        self._queues_by_service[server.service].parts.start(route)
         self.gates.admit(server)
 
     def queue_of(self, service: ServiceName) -> PriorityQueue:
@@ -123,10 +129,17 @@
         totals.given_up += 1
         totals.seconds += seconds
 
-    def finish(self, server: BackendServer) -> None:
-        """Record that a request at a server has ended."""
-        self.of(server).finish()
-        self._queues_by_service[server.service].wake()
+    def finish(self, server: BackendServer, route: str = '') -> None:
+        """Record that a request at a server has ended.
+
+        Args:
+            server: The server.
+            route: Name of the request's route.
+        """
+        self.of(server).finish(route)
+        queue = self._queues_by_service[server.service]
+        queue.parts.finish(route)
+        queue.wake()
 
     def remove_unregistered(self) -> None:
         """Remove the loads of servers that are no longer registered."""
--- a/src/carobwalk/gateway/choice/_queue_wait.py
+++ b/src/carobwalk/gateway/choice/_queue_wait.py
@@ -1,31 +1,108 @@
-"""Limit on the time a request is queued for a backend server."""
+"""Wait of one request for capacity, and when it is refused instead."""
 
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Final
 
+import trio
+
 from carobwalk.gateway._caller_request import CallerRequest
+from carobwalk.gateway.choice._priority_queue import PriorityQueue
+from carobwalk.gateway.choice._target import NoTarget
+from carobwalk.gateway.choice._waiter import Waiter
+
+# Part of the expected latency that a response takes at least. Servers differ
+# by a factor of three, so half of the mean rules out few that could be in time.
+_LEAST_LATENCY_PART: Final = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class WaitCauses:
+    """Causes of refusals that callers are told.
 
-# Fraction of the time to the deadline that a request may be queued.
-_MAX_WAIT_SHARE: Final = 0.35
-_MIN_WAIT_SECONDS: Final = 0.03
+    Args:
+        full: No capacity was freed in time.
+        too_long: The wait is known to be too long.
+    """
 
+    full: str
+    too_long: str
 
-def max_queue_wait(
-    request: CallerRequest,
-    now: float,
-    latency: float,
-) -> float:
-    """Return the longest time in seconds that a request may be queued.
 
-    A request that is queued for so long that its answer misses the target
-    latency makes those behind it late as well. An overloaded server answers
-    more requests in time if the others are refused at once.
+class QueueWait:
+    """Wait of a request in a queue.
+
+    It ends when a response can no longer come before the deadline. A late
+    response still has some worth, so a missed target latency doesn't end it.
 
     Args:
+        queue: The queue.
         request: The request.
-        now: Current time in seconds.
-        latency: Expected latency in seconds once the request is sent.
+        latency: Expected latency in seconds once a request is sent.
+        causes: Causes of refusals.
     """
-    target_at = request.arrived + request.route.target_latency
-    on_time_wait = target_at - now - latency
-    max_wait = (request.deadline - now) * _MAX_WAIT_SHARE
-    return min(max(on_time_wait, _MIN_WAIT_SECONDS), max_wait)
+
+    def __init__(
+        self,
+        queue: PriorityQueue,
+        request: CallerRequest,
+        latency: float,
+        causes: WaitCauses,
+    ) -> None:
+        self._queue = queue
+        self._latency = latency
+        self._causes = causes
+        self._waiter = Waiter.of(request, latency)
+        self._has_waited = False
+        self.leaves_at = request.deadline - latency * _LEAST_LATENCY_PART
+
+    @property
+    def may_start(self) -> bool:
+        """Whether free capacity is for this request."""
+        return self._waiter.woken.is_set() or not self._queue.is_contended
+
+    def refusal(self) -> NoTarget | None:
+        """Return why the request can't wait for capacity, if it can't."""
+        seconds_left = self.leaves_at - trio.current_time()
+        if seconds_left <= 0:
+            return NoTarget(self._causes.full, self._seconds_to_turn())
+        if not self._has_waited and self._known_wait() > seconds_left:
+            return NoTarget(self._causes.too_long, self._seconds_to_turn())
+        return None
+
+    async def wait(
+        self,
+        until: float = math.inf,
+        *,
+        has_capacity: bool = False,
+        is_valid: Callable[[], bool] | None = None,
+    ) -> None:
+        """Wait until there may be capacity or the wait has become useless.
+
+        Args:
+            until: Time at which the request checks for capacity anyway.
+            has_capacity: Whether there is capacity, for whichever request is
+                next.
+            is_valid: Returns whether it still waits at the right place.
+        """
+        self._has_waited = True
+        await self._queue.wait(
+            self._waiter,
+            min(until, self.leaves_at),
+            has_capacity=has_capacity,
+            is_valid=is_valid,
+        )
+
+    def _known_wait(self) -> float:
+        """Return the seconds until the requests ahead have been served."""
+        waiter = self._waiter
+        ahead = self._queue.ahead_of(waiter.rank, waiter.caller)
+        return ahead * self._seconds_per_turn()
+
+    def _seconds_to_turn(self) -> float:
+        """Return the seconds until a request that came now would be next."""
+        return self._known_wait() + self._seconds_per_turn()
+
+    def _seconds_per_turn(self) -> float:
+        return self._latency / max(self._queue.parts.capacity, 1)
--- a/src/carobwalk/gateway/choice/_server_load.py
+++ b/src/carobwalk/gateway/choice/_server_load.py
@@ -61,14 +61,25 @@
             raised = self.limit + _INCREASE_STEP / self.limit
             self.limit = min(raised, self.max_limit)
 
-    def start(self) -> None:
-        """Count a request that is about to be sent as in flight."""
+    def start(self, route: str = '') -> None:
+        """Count a request that is about to be sent as in flight.
+
+        Args:
+            route: Name of its route.
+        """
         self.in_flight += 1
+        self.queue.parts.start(route)
+        _wake_next(self)
+
+    def finish(self, route: str = '') -> None:
+        """Count the end of a request and wake the next one in the queue.
 
-    def finish(self) -> None:
-        """Count the end of a request and wake the next one in the queue."""
+        Args:
+            route: Name of its route.
+        """
         self.in_flight -= 1
-        self.queue.wake()
+        self.queue.parts.finish(route)
+        _wake_next(self)
 
     def latency(self, now: float, service_latency: float) -> float:
         """Return the expected latency in seconds.
@@ -115,3 +126,10 @@
             )
             self._latency += (seconds - self._latency) * weight
         self._latency_at = now
+
+
+def _wake_next(load: ServerLoad) -> None:
+    """Wake the next request in the queue if there is capacity for it."""
+    load.queue.parts.capacity = load.limit
+    if load.has_capacity:
+        load.queue.wake()
--- a/src/carobwalk/gateway/choice/_unkeyed_chooser.py
+++ b/src/carobwalk/gateway/choice/_unkeyed_chooser.py
@@ -9,13 +9,16 @@
 from carobwalk.gateway._caller_request import CallerRequest
 from carobwalk.gateway.choice._candidate_servers import CandidateServers
 from carobwalk.gateway.choice._load_table import LoadTable
+from carobwalk.gateway.choice._queue_wait import QueueWait, WaitCauses
 from carobwalk.gateway.choice._server_cost import ServerCost
 from carobwalk.gateway.choice._target import NoTarget, Target
 from carobwalk.model import ServerId, ServiceName
 
-# Fraction of the time to the deadline that a request may be queued.
-_MAX_WAIT_SHARE: Final = 0.35
 _NO_SERVER_RETRY_SECONDS: Final = 0.3
+_CAUSES: Final = WaitCauses(
+    'all backend servers are full',
+    'too many requests wait for the backend servers',
+)
 
 
 class UnkeyedChooser:
@@ -55,24 +58,39 @@
             The server, with the request counted in its load, or ``NoTarget``
             if none has capacity in time.
         """
-        now = trio.current_time()
-        service_latency = self._loads.service_latency(service)
-        wait_until = now + (request.deadline - now) * _MAX_WAIT_SHARE
         queue = self._loads.queue_of(service)
-        while trio.current_time() < wait_until:
+        latency = self._loads.service_latency(service)
+        waiting = QueueWait(queue, request, latency, _CAUSES)
+        while True:
             server = self._find_available(service, request, tried)
-            if server is not None:
-                self._loads.start(server)
-                return Target(server)
+            if server is not None and waiting.may_start:
+                return self._start(server, request)
             opens_at = trio.current_time() + self._pause(
                 service, request, tried
             )
             may_free = self._may_free_capacity(service, request, tried)
-            if not may_free and opens_at > wait_until:
+            if not server and not may_free and opens_at > waiting.leaves_at:
                 return _no_server(opens_at)
-            with trio.move_on_at(min(wait_until, opens_at)):
-                await queue.wait(request.route.rank)
-        return NoTarget('all backend servers are full', service_latency)
+            queue.parts.capacity = self._capacity(service, request)
+            refusal = waiting.refusal()
+            if refusal is not None:
+                return refusal
+            await waiting.wait(opens_at, has_capacity=server is not None)
+
+    def _start(self, server: BackendServer, request: CallerRequest) -> Target:
+        """Count a request; wake the next one if more capacity is left."""
+        self._loads.start(server, request.route.name)
+        queue = self._loads.queue_of(server.service)
+        if queue and self._find_available(server.service, request, frozenset()):
+            queue.wake()
+        return Target(server)
+
+    def _capacity(self, service: ServiceName, request: CallerRequest) -> float:
+        """Return how many requests of this process the servers may hold."""
+        return sum(
+            self._loads.of(server).limit
+            for server in self._candidates.find(service, request, frozenset())
+        )
 
     def _find_available(
         self,
--- a/src/carobwalk/gateway/upstream/_forwarder.py
+++ b/src/carobwalk/gateway/upstream/_forwarder.py
@@ -101,7 +101,7 @@
                 return _refusal(target, progress)
             obstacle = self._obstacle(request, progress)
             if obstacle is not None:
-                self._parts.loads.finish(target.server)
+                self._parts.loads.finish(target.server, request.route.name)
                 return _refusal(obstacle, progress)
             outcome = await self._attempt(request, target, progress)
             if isinstance(outcome, Answered):
@@ -142,7 +142,7 @@
         try:
             outcome = await self._send_shielded(request, server, progress)
         finally:
-            loads.finish(server)
+            loads.finish(server, request.route.name)
             self._recorder.record(
                 request, progress, target, outcome, started_at
             )
--- a/src/carobwalk/keyspace/_load_collector.py
+++ b/src/carobwalk/keyspace/_load_collector.py
@@ -91,6 +91,7 @@
                 self._crashes.culprits(),
                 self._sharers.count(),
                 self.overloads.rows(),
+                now,
             ),
         )
 
--- a/src/carobwalk/keyspace/_load_report.py
+++ b/src/carobwalk/keyspace/_load_report.py
@@ -91,6 +91,8 @@
         overloads: Owners of keys that are asked for much more than they can
             do: id, start of the incarnation in milliseconds since 1970, and
             the share of the requests that it can run.
+        phase: Time on the coordinator's clock, by which processes admit
+            requests to these owners in turns; 0 if it isn't told.
     """
 
     is_coordinator: bool
@@ -98,3 +100,4 @@
     culprits: tuple[int, ...] = ()
     sharers: int = 0
     overloads: tuple[tuple[str, int, float], ...] = ()
+    phase: float = 0
--- a/src/carobwalk/keyspace/_local_load.py
+++ b/src/carobwalk/keyspace/_local_load.py
@@ -6,6 +6,7 @@
 from carobwalk.directory import LeavingServers, ServerIncarnation
 from carobwalk.events import Event, EventLog
 from carobwalk.gateway import CrashTracker, LoadTable
+from carobwalk.keyspace._admission_events import AdmissionBegan, AdmissionEnded
 from carobwalk.keyspace._load_report import LoadReceipt
 from carobwalk.model import ServerId
 from carobwalk.shares import ProcessShare
@@ -61,15 +62,24 @@
         if receipt.processes:
             self.loads.process_count = receipt.processes
         self._renew_share(receipt.sharers)
-        self.loads.admission.replace(
-            {
-                ServerIncarnation(ServerId(server), born): share
-                for server, born, share in receipt.overloads
-            }
-        )
+        self._replace_admitted(receipt)
         for fingerprint in self.crash_tracker.quarantine(receipt.culprits):
             self.events.emit(RequestQuarantined(fingerprint))
 
+    def _replace_admitted(self, receipt: LoadReceipt) -> None:
+        shares = {
+            ServerIncarnation(ServerId(server), born): share
+            for server, born, share in receipt.overloads
+        }
+        admission = self.loads.admission
+        before = admission.overloaded
+        admission.replace(shares, receipt.phase)
+        for begun in admission.overloaded - before:
+            share = round(shares[begun], 3)
+            self.events.emit(AdmissionBegan(begun.server, share))
+        for ended in before - admission.overloaded:
+            self.events.emit(AdmissionEnded(ended.server))
+
     def _renew_share(self, sharers: int) -> None:
         before = self.share.sharers
         self.share.renew(sharers)
--- a/src/carobwalk/metrics/_gateway_meter.py
+++ b/src/carobwalk/metrics/_gateway_meter.py
@@ -34,11 +34,15 @@
             {'service': service, 'rank': rank, 'status': status},
         )
 
-    def record_refusal(self, service: str, cause: str) -> None:
+    def record_refusal(
+        self, service: str, cause: str, rank: int | None = None
+    ) -> None:
         """Count a request that has not run.
 
         Args:
             service: Name of the service.
             cause: Cause reported to the caller.
+            rank: Rank of the request, ``None`` if it matched no route.
         """
-        self._metrics.counters[REFUSALS].add(1, service, cause)
+        label = '' if rank is None else str(rank)
+        self._metrics.counters[REFUSALS].add(1, service, cause, label)
--- a/src/carobwalk/metrics/_instruments.py
+++ b/src/carobwalk/metrics/_instruments.py
@@ -40,7 +40,7 @@
     'refusals',
     '',
     'Requests that have not run, by the cause that callers are told.',
-    ('service', 'cause'),
+    ('service', 'cause', 'rank'),
 )
 QUARANTINES: Final = CounterSpec(
     'quarantines',
