--- a/src/carobwalk/gateway/choice/_keyed_chooser.py
+++ b/src/carobwalk/gateway/choice/_keyed_chooser.py
@@ -1,5 +1,6 @@
 """Choice of the backend server that owns a request's key."""
 
+from functools import partial
 from typing import Final
 
 import trio
@@ -13,22 +14,25 @@
     MisdirectedKeys,
     Ownership,
 )
-from carobwalk.gateway.choice._queue_wait import max_queue_wait
+from carobwalk.gateway.choice._queue_wait import QueueWait, WaitCauses
 from carobwalk.gateway.choice._target import NoTarget, Target
 from carobwalk.model import ServiceName
 
-# Fraction of the time to the deadline that a request may wait for an owner
-# and for capacity there.
+# Fraction of the time to the deadline that a request may wait for an owner.
 _MAX_OWNER_WAIT_SHARE: Final = 0.3
 # Usual time for a key to get its next owner: the interval at which owners are
 # checked again, and the wait proposed to refused callers.
 _OWNER_CHANGE_SECONDS: Final = 0.2
 _LIMITED: Final = 'the owner of the key limits its requests'
+_NO_OWNER: Final = 'the key has no owner now'
 _OTHER_REGION: Final = 'the owner of the key is not in the allowed regions'
 # Time for the keys of a service to move after a change of its regions.
 _OTHER_REGION_RETRY_SECONDS: Final = 0.5
 _COLD: Final = 'the owner of the key is cold'
-_OVERLOADED: Final = 'the key is asked for more than its owner can do'
+_CAUSES: Final = WaitCauses(
+    'the owner of the key is full',
+    'too many requests wait for the owner of the key',
+)
 
 
 class KeyedChooser:
@@ -68,35 +72,20 @@
             The owner, with the request counted in its load, or ``NoTarget``
             if no owner has capacity in time.
         """
-        now = trio.current_time()
-        seconds_left = request.deadline - now
-        with trio.move_on_at(now + seconds_left * _MAX_OWNER_WAIT_SHARE):
+        is_admitted = False
+        while True:
             owner = await self._find_owner(service, request, key)
             if isinstance(owner, NoTarget):
                 return owner
-            if self._is_overloaded(owner.server):
-                return self._overloaded(owner.server)
-            while True:
-                if self._loads.warmups.refuses(owner.server, request):
-                    return self._cold(owner.server)
-                target = await self._wait_for_capacity(owner, request)
-                if isinstance(target, NoTarget):
-                    return target
-                current = self._current_owner(service, key)
-                is_owner = current and _ownership(current) == _ownership(owner)
-                if is_owner and self._loads.warmups.admit(
-                    owner.server, request
-                ):
-                    return target
-                # The key has moved during the wait, the owner refuses it or has
-                # become cold.
-                self._loads.finish(owner.server)
-                if is_owner:
-                    return self._cold(owner.server)
-                owner = await self._find_owner(service, request, key)
-                if isinstance(owner, NoTarget):
-                    return owner
-        return self._no_owner(service, key)
+            if not is_admitted:
+                refusal = self._overload_refusal(owner.server, request)
+                if refusal is not None:
+                    return refusal
+                is_admitted = True
+            target = await self._admit(owner, request, key)
+            if target is not None:
+                return target
+            # The key has moved during the wait, or the owner refuses it.
 
     def may_send(self, request: CallerRequest, server: BackendServer) -> bool:
         """Return whether the location of a chosen owner still permits it."""
@@ -114,20 +103,22 @@
         self._misdirected.record(service, key, ownership)
 
     async def _find_owner(
-        self,
-        service: ServiceName,
-        request: CallerRequest,
-        key: int,
+        self, service: ServiceName, request: CallerRequest, key: int
     ) -> KeyOwner | NoTarget:
-        while True:
-            owner = self._current_owner(service, key)
-            if owner is not None:
-                return self._checked_owner(request, owner)
-            excluded = self._candidates.refusal(service, request)
-            if excluded is not None:
-                return excluded
-            with trio.move_on_after(_OWNER_CHANGE_SECONDS):
-                await self._owners.wait_for_change(service)
+        """Return the owner of a key, ``NoTarget`` if it gets none in time."""
+        now = trio.current_time()
+        seconds_left = request.deadline - now
+        with trio.move_on_at(now + seconds_left * _MAX_OWNER_WAIT_SHARE):
+            while True:
+                owner = self._current_owner(service, key)
+                if owner is not None:
+                    return self._checked_owner(request, owner)
+                excluded = self._candidates.refusal(service, request)
+                if excluded is not None:
+                    return excluded
+                with trio.move_on_after(_OWNER_CHANGE_SECONDS):
+                    await self._owners.wait_for_change(service)
+        return self._no_owner(service, key)
 
     def _checked_owner(
         self, request: CallerRequest, owner: KeyOwner
@@ -152,58 +143,81 @@
         is_ejected = load.ejected_until > trio.current_time()
         return None if is_ejected else owner
 
-    def _is_overloaded(self, server: BackendServer) -> bool:
-        """Decide whether to refuse a request; cold servers have own shares."""
+    def _overload_refusal(
+        self, server: BackendServer, request: CallerRequest
+    ) -> NoTarget | None:
+        """Return a refusal by an overload; cold servers have own shares."""
         if self._loads.warmups.is_cold(server):
-            return False
-        return self._loads.admission.refuses(server.incarnation)
+            return None
+        return self._loads.admission.refusal(server, request)
 
     def _no_owner(self, service: ServiceName, key: int) -> NoTarget:
         """Return why no owner could be found in time."""
         owner = self._owners.find(service, key)
         if owner and self._loads.warmups.awaits_share(owner.server):
             return self._cold(owner.server)
-        return NoTarget('the key has no owner now', _OWNER_CHANGE_SECONDS)
+        return NoTarget(_NO_OWNER, _OWNER_CHANGE_SECONDS)
 
     def _cold(self, server: BackendServer) -> NoTarget:
         latency = self._loads.service_latency(server.service)
         seconds = self._loads.warmups.retry_seconds(server, latency)
         return NoTarget(_COLD, seconds)
 
-    def _overloaded(self, server: BackendServer) -> NoTarget:
-        latency = self._loads.service_latency(server.service)
-        seconds = self._loads.admission.retry_seconds(
-            server.incarnation, latency
-        )
-        return NoTarget(_OVERLOADED, seconds)
+    async def _admit(
+        self, owner: KeyOwner, request: CallerRequest, key: int
+    ) -> Target | NoTarget | None:
+        """Wait for capacity, within the allowance of a cold owner."""
+        warmups = self._loads.warmups
+        if warmups.refuses(owner.server, request):
+            return self._cold(owner.server)
+        target = await self._wait_for_capacity(owner, request, key)
+        if isinstance(target, Target) and not warmups.admit(
+            owner.server, request
+        ):
+            self._loads.finish(owner.server, request.route.name)
+            return self._cold(owner.server)
+        return target
 
     async def _wait_for_capacity(
-        self,
-        owner: KeyOwner,
-        request: CallerRequest,
-    ) -> Target | NoTarget:
+        self, owner: KeyOwner, request: CallerRequest, key: int
+    ) -> Target | NoTarget | None:
+        """Return the owner once it has capacity.
+
+        Returns:
+            The owner, ``NoTarget`` if it has no capacity in time, ``None`` if
+            it is no longer the owner that the request may be sent to.
+        """
         server = owner.server
         load = self._loads.of_keyed(server)
-        now = trio.current_time()
         service_latency = self._loads.service_latency(server.service)
-        latency = load.latency(now, service_latency)
-        wait = len(load.queue) * latency / load.limit
-        max_wait = max_queue_wait(request, now, latency)
-        if not load.has_capacity and wait > max_wait:
-            return NoTarget('the owner of the key is full', wait)
-        with trio.move_on_after(max_wait):
-            while True:
-                pause = self._loads.gates.pause(server)
-                if trio.current_time() + pause > now + max_wait:
-                    return NoTarget(_LIMITED, pause)
-                if pause:
-                    await trio.sleep(pause)
-                elif load.has_capacity:
-                    self._loads.start(server)
-                    return Target(server, owner.fence)
-                else:
-                    await load.queue.wait(request.route.rank)
-        return NoTarget('the owner of the key is full', latency)
+        latency = load.latency(trio.current_time(), service_latency)
+        waiting = QueueWait(load.queue, request, latency, _CAUSES)
+        load.queue.parts.capacity = load.limit
+
+        is_owner = partial(self._is_current, owner, key)
+        while is_owner():
+            pause = self._loads.gates.pause(server)
+            if pause and trio.current_time() + pause > waiting.leaves_at:
+                return NoTarget(_LIMITED, pause)
+            if not pause and load.has_capacity and waiting.may_start:
+                self._loads.start(server, request.route.name)
+                return Target(server, owner.fence)
+            refusal = waiting.refusal()
+            if refusal is not None:
+                return refusal
+            if pause:
+                await trio.sleep(pause)
+            else:
+                await waiting.wait(
+                    has_capacity=load.has_capacity, is_valid=is_owner
+                )
+        if load.has_capacity:
+            load.queue.wake()  # It may have been this request's turn.
+        return None
+
+    def _is_current(self, owner: KeyOwner, key: int) -> bool:
+        current = self._current_owner(owner.server.service, key)
+        return bool(current and _ownership(current) == _ownership(owner))
 
 
 def _ownership(owner: KeyOwner) -> Ownership:
--- a/src/carobwalk/keyspace/_load_collector.py
+++ b/src/carobwalk/keyspace/_load_collector.py
@@ -102,6 +102,7 @@
                 self._sharers.count(),
                 self.overloads.rows(),
                 self.warmups.rows(),
+                now,
             ),
         )
 
--- a/src/carobwalk/keyspace/_load_report.py
+++ b/src/carobwalk/keyspace/_load_report.py
@@ -96,6 +96,8 @@
             the share of the requests that it can run.
         warming: Cold servers: id, start of the incarnation in milliseconds
             since 1970, and the share of the requests that it may get.
+        phase: Time on the coordinator's clock, by which processes admit
+            requests to these owners in turns; 0 if it isn't told.
     """
 
     is_coordinator: bool
@@ -104,3 +106,4 @@
     sharers: int = 0
     overloads: tuple[tuple[str, int, float], ...] = ()
     warming: tuple[tuple[str, int, float], ...] = ()
+    phase: float = 0
--- a/tests/settings/test_warmup_bounds.py
+++ b/tests/settings/test_warmup_bounds.py
@@ -24,7 +24,10 @@
         ({}, (1.5, 8)),
         ({'bounds.warmup_overshoot': 2}, (2, 8)),
         ({'bounds.warmup_slack': 0}, (1.5, 0)),
-        ({'bounds.warmup_overshoot': 1.25, 'bounds.warmup_slack': 3}, (1.25, 3)),
+        (
+            {'bounds.warmup_overshoot': 1.25, 'bounds.warmup_slack': 3},
+            (1.25, 3),
+        ),
     ],
 )
 def test_bounds(tmp_path: Path, fields, expected) -> None:
