--- a/tests/app/test_gateway_process.py
+++ b/tests/app/test_gateway_process.py
@@ -206,3 +206,46 @@
             assert status == 200
 
         run_scenario(scenario)
+
+    def test_evacuation(self, run_scenario, capfd) -> None:
+        """Without servers elsewhere, an evacuation lets requests be refused.
+
+        Guards against records below ``op/`` of which only the configuration
+        is read.
+        """
+
+        async def scenario(deployment: Deployment) -> None:
+            records = deployment.store.records
+            records.put('op/evacuate/dc1', b'')
+            while (await deployment.send_as_caller('/reads/a')).status != 503:
+                await trio.sleep(0.05)
+            answer = await deployment.send_as_caller('/reads/a')
+            assert b'evacuated' in answer.body
+            _, text = await deployment.get(deployment.metrics, '/metrics')
+            name = b'carobwalk_evacuation_data_centres{data_centre="dc1"} 1.0'
+            assert name in text
+            records.remove('op/evacuate/dc1')
+            while (await deployment.send_as_caller('/reads/a')).status != 200:
+                await trio.sleep(0.05)
+
+        run_scenario(scenario)
+        lines = capfd.readouterr().out
+        assert 'event=EvacuationBegun data_centre=dc1 keyed_seconds=' in lines
+        assert 'event=EvacuationEnded data_centre=dc1' in lines
+
+    def test_allowed_regions(self, run_scenario) -> None:
+        """A rule for another region lets its requests be refused."""
+
+        async def scenario(deployment: Deployment) -> None:
+            limited = CONFIGURATION.replace(
+                b'"service":"reads"',
+                b'"service":"reads","allowed_regions":["r2"]',
+            )
+            limited = limited.replace(b'"r7"', b'"r8"')
+            deployment.store.records.put('op/config', limited)
+            while (await deployment.send_as_caller('/reads/a')).status != 503:
+                await trio.sleep(0.05)
+            answer = await deployment.send_as_caller('/reads/a')
+            assert b'allowed regions' in answer.body
+
+        run_scenario(scenario)
--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -43,6 +43,8 @@
             'configuration.version': ('', False),
             'backend.servers': ('', False),
             'backend.connections': ('', True),
+            'evacuation.data_centres': ('', False),
+            'evacuation.keys': ('', False),
             'peer': ('By', True),
         }
         for name, (unit, is_monotonic) in observables.items():
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -196,6 +196,7 @@
         service: str,
         name: str,
         seconds: float = 0,
+        data_centre: DataCentreName = LOCAL_DATA_CENTRE,
     ) -> PlatformBackend:
         """Start and register a backend server.
 
@@ -203,12 +204,13 @@
             service: Service that the server runs.
             name: Id of the server.
             seconds: Time that it takes for each request.
+            data_centre: Data centre of the server.
         """
         backend = PlatformBackend(name, seconds)
         listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
         port = listeners[0].socket.getsockname()[1]
         self.nursery.start_soon(trio.serve_listeners, backend.serve, listeners)
-        self.register(service, name, port)
+        self.register(service, name, port, data_centre)
         return backend
 
     async def add_faulty_backend(
@@ -233,14 +235,20 @@
         backend.remaining_faults = times
         return backend
 
-    def register(self, service: str, name: str, port: int) -> BackendServer:
+    def register(
+        self,
+        service: str,
+        name: str,
+        port: int,
+        data_centre: DataCentreName = LOCAL_DATA_CENTRE,
+    ) -> BackendServer:
         """Register a backend server at a loopback port."""
         server = BackendServer(
             id=ServerId(name),
             born=1,
             service=ServiceName(service),
             address=Address('127.0.0.1', port),
-            data_centre=LOCAL_DATA_CENTRE,
+            data_centre=data_centre,
             slots=4,
             is_leaving=False,
         )
--- a/tests/keyspace/fleet_registry.py
+++ b/tests/keyspace/fleet_registry.py
@@ -9,7 +9,7 @@
 
 from carobwalk.directory import BackendServer, ServerDirectory
 from carobwalk.events import NullEventLog
-from carobwalk.model import Clock, ServerId
+from carobwalk.model import Clock, DataCentreName, ServerId
 
 # A removed entry counts as leaving for some time, and is dropped afterwards.
 _EXPIRY_SECONDS = 1.5
@@ -83,6 +83,21 @@
         self.nursery: trio.Nursery | None = None
         self._clock = clock
         self._entries_by_id: dict[ServerId, BackendServer] = {}
+        self._evacuated: set[DataCentreName] = set()
+
+    def evacuate(self, data_centre: DataCentreName) -> None:
+        """Write the record that evacuates a data centre."""
+        self._evacuated.add(data_centre)
+        apply = partial(_evacuate, data_centre, self._clock.now())
+        for view in self.views_by_name.values():
+            view.deliver(apply)
+
+    def end_evacuation(self, data_centre: DataCentreName) -> None:
+        """Remove the record that evacuates a data centre."""
+        self._evacuated.discard(data_centre)
+        apply = partial(_end_evacuation, data_centre)
+        for view in self.views_by_name.values():
+            view.deliver(apply)
 
     def get(self, server: ServerId) -> BackendServer | None:
         """Return the current entry of a server, ``None`` if it has none."""
@@ -121,6 +136,7 @@
         view.nursery = self.nursery
         for entry in self._entries_by_id.values():
             view.directory.put(entry, 0)
+        view.directory.evacuations.replace(self._evacuated)
         self.views_by_name[name] = view
         return view
 
@@ -131,6 +147,18 @@
     directory.put(server, revision)
 
 
+def _evacuate(
+    data_centre: DataCentreName, written_at: float, directory: ServerDirectory
+) -> None:
+    directory.evacuations.begin(data_centre, written_at)
+
+
+def _end_evacuation(
+    data_centre: DataCentreName, directory: ServerDirectory
+) -> None:
+    directory.evacuations.end(data_centre)
+
+
 async def _expire_later(view: RegistryView) -> None:
     await trio.sleep(view.lag)
     while view.is_stuck:
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -123,10 +123,43 @@
             'reads',
         ]
 
+    @pytest.mark.parametrize(
+        ('in_rule', 'in_action', 'expected'),
+        [
+            (None, None, None),
+            (['r1', 'r2'], None, {'r1', 'r2'}),
+            (None, ['r1'], {'r1'}),
+            (['r1', 'r2'], ['r2', 'r3'], {'r2'}),
+            ([], [], None),
+        ],
+    )
+    def test_allowed_regions(self, in_rule, in_action, expected) -> None:
+        """Allowed regions are read from the rule and from its action.
+
+        Guards against requests that leave the regions because the other of
+        the two places was read.
+        """
+        raw = json.loads(CONFIGURATION)
+        rule = raw['listeners'][0]['rule_set'][0]
+        rule['allowed_regions'] = in_rule
+        rule['action']['allowed_regions'] = in_action
+        decoded = decode_configuration(json.dumps(raw).encode())
+        assert decoded.ok_value.routes[0].allowed_regions == expected
+
+    def test_disjoint_regions(self) -> None:
+        """Rule and action without a common region are rejected."""
+        raw = json.loads(CONFIGURATION)
+        rule = raw['listeners'][0]['rule_set'][0]
+        rule['allowed_regions'] = ['r1']
+        rule['action']['allowed_regions'] = ['r2']
+        decoded = decode_configuration(json.dumps(raw).encode())
+        assert 'allowed region' in decoded.err_value.detail
+
     @pytest.mark.parametrize(
         ('old', 'new'),
         [
             (b'"r7"', b'"7"'),
+            (b'"timeout_s":0.6', b'"allowed_regions":"r1","timeout_s":0.6'),
             (b'"r7"', b'7'),
             (b'"service":"reads"', b'"service":"unknown"'),
             (b'"/reads/"', b'"reads"'),
