Choose servers by the load that all processes observe

Each process reports its mean requests in flight and its answers for the servers of every service. The coordinator estimates service times and sends a digest in every second receipt; a process chooses the best of three random servers by it, and falls back to what it observes itself without a fresh digest. The planner's capacities come from the same estimates. choice.shared_load switches it off.

--- a/src/carobwalk/app/_build_gateway.py
+++ b/src/carobwalk/app/_build_gateway.py
@@ -17,6 +17,7 @@
     Locality,
     RetryBudgets,
     RetryRules,
+    SampledChoice,
     ServerCost,
     UnkeyedChooser,
 )
@@ -80,6 +81,8 @@
         settings.regions_by_data_centre,
     )
     pool = ConnectionPool(core.directory, PLATFORM_HEADERS)
+    cost = ServerCost(local.loads, locality)
+    sampled = SampledChoice(local.loads.shared, cost, locality, pool.has_idle)
     forwarder = Forwarder(
         ForwarderParts(
             names=PLATFORM_HEADERS,
@@ -88,7 +91,8 @@
             unkeyed=UnkeyedChooser(
                 CandidateServers(core.directory),
                 local.loads,
-                ServerCost(local.loads, locality),
+                cost,
+                sampled if settings.choice.shared_load else None,
             ),
             keyed=KeyedChooser(owners, local.loads),
             budgets=budgets,
--- a/src/carobwalk/app/_build_keyspace.py
+++ b/src/carobwalk/app/_build_keyspace.py
@@ -12,6 +12,7 @@
     CoordinatorDependencies,
     CoordinatorRole,
     FailureDetector,
+    FleetLoad,
     KeyOwnerTable,
     KeyReader,
     KeyTimes,
@@ -64,6 +65,7 @@
         leaving=core.directory.leaving,
         crash_tracker=CrashTracker(),
         events=core.events,
+        is_shared=core.settings.choice.shared_load,
     )
 
 
@@ -85,7 +87,9 @@
     """
     times = _key_times(core)
     collector = LoadCollector(
-        core.clock, core.settings.bounds.repeat_window_seconds
+        core.clock,
+        core.settings.bounds.repeat_window_seconds,
+        _fleet_load(core),
     )
     core.topics.register(LOAD_TOPIC, collector.answer)
     feed = MapFeed()
@@ -130,6 +134,12 @@
     )
 
 
+def _fleet_load(core: GatewayCore) -> FleetLoad | None:
+    if not core.settings.choice.shared_load:
+        return None
+    return FleetLoad(core.clock, core.directory.all_servers, core.events)
+
+
 def _key_times(core: GatewayCore) -> KeyTimes:
     defaults = KeyTimes()
     settings = core.settings
--- a/src/carobwalk/gateway/__init__.py
+++ b/src/carobwalk/gateway/__init__.py
@@ -27,10 +27,14 @@
     RequestTotals,
     RetryBudgets,
     RetryRules,
+    SampledChoice,
     ServerCost,
+    ServerEstimate,
+    SharedLoad,
     SlidingWindowRetryBudget,
     Target,
     UnkeyedChooser,
+    encode_digest,
 )
 from carobwalk.gateway.upstream import (
     Answered,
@@ -72,8 +76,12 @@
     'RequestTotals',
     'RetryBudgets',
     'RetryRules',
+    'SampledChoice',
     'ServerCost',
+    'ServerEstimate',
+    'SharedLoad',
     'SlidingWindowRetryBudget',
     'Target',
     'UnkeyedChooser',
+    'encode_digest',
 )
--- a/src/carobwalk/gateway/choice/_load_table.py
+++ b/src/carobwalk/gateway/choice/_load_table.py
@@ -14,6 +14,7 @@
 from carobwalk.gateway.choice._request_totals_table import RequestTotalsTable
 from carobwalk.gateway.choice._send_gates import SendGates
 from carobwalk.gateway.choice._server_load import ServerLoad
+from carobwalk.gateway.choice._shared_load import SharedLoad
 from carobwalk.model import ServiceName
 from carobwalk.shares import ProcessShare
 
@@ -46,6 +47,7 @@
             PriorityQueue,
         )
         self.totals = RequestTotalsTable()
+        self.shared = SharedLoad()
         self.admission = Admission()
         self.process_count = INITIAL_PROCESS_COUNT
 
@@ -73,6 +75,7 @@
     def start(self, server: BackendServer) -> None:
         """Count a request that is about to be sent to a server."""
         self.of(server).start()
+        self.shared.start(server)
         self.gates.admit(server)
 
     def queue_of(self, service: ServiceName) -> PriorityQueue:
@@ -126,6 +129,7 @@
     def finish(self, server: BackendServer) -> None:
         """Record that a request at a server has ended."""
         self.of(server).finish()
+        self.shared.finish(server)
         self._queues_by_service[server.service].wake()
 
     def remove_unregistered(self) -> None:
--- a/src/carobwalk/gateway/choice/_locality.py
+++ b/src/carobwalk/gateway/choice/_locality.py
@@ -27,6 +27,14 @@
     data_centre: DataCentreName
     regions_by_data_centre: Mapping[DataCentreName, RegionName]
 
+    def distance(self, other: DataCentreName) -> int:
+        """Return 0 for the own data centre, 1 in its region, 2 elsewhere."""
+        if other == self.data_centre:
+            return 0
+        regions = self.regions_by_data_centre
+        is_near = regions.get(other) == regions.get(self.data_centre)
+        return 1 if is_near else 2
+
     def latency_penalty(
         self,
         other: DataCentreName,
--- a/src/carobwalk/gateway/choice/_server_cost.py
+++ b/src/carobwalk/gateway/choice/_server_cost.py
@@ -5,6 +5,7 @@
 
 from carobwalk.directory import BackendServer
 from carobwalk.gateway._caller_request import CallerRequest
+from carobwalk.gateway.choice._load_digest import ServerEstimate
 from carobwalk.gateway.choice._load_table import LoadTable
 from carobwalk.gateway.choice._locality import Locality
 
@@ -25,6 +26,39 @@
         self._loads = loads
         self._locality = locality
 
+    def expected_requests(
+        self, server: BackendServer, estimate: ServerEstimate
+    ) -> float:
+        """Return the requests at a server, with the one to be sent.
+
+        Args:
+            server: The server.
+            estimate: What all processes observed of it.
+        """
+        own = self._loads.of(server).in_flight
+        return self._loads.shared.in_flight(server, estimate, own) + 1
+
+    def expected(
+        self,
+        server: BackendServer,
+        estimate: ServerEstimate,
+        request: CallerRequest,
+    ) -> float:
+        """Return the cost in seconds by what all processes observed.
+
+        Args:
+            server: The server.
+            estimate: What all processes observed of it.
+            request: The request.
+        """
+        requests = self.expected_requests(server, estimate)
+        cost = estimate.seconds * max(1, requests / server.slots)
+        return cost + self._locality.latency_penalty(
+            server.data_centre,
+            len(request.body),
+            request.route.target_latency,
+        )
+
     def of(
         self, server: BackendServer, request: CallerRequest, now: float
     ) -> float:
--- a/src/carobwalk/gateway/choice/_unkeyed_chooser.py
+++ b/src/carobwalk/gateway/choice/_unkeyed_chooser.py
@@ -9,6 +9,7 @@
 from carobwalk.gateway._caller_request import CallerRequest
 from carobwalk.gateway.choice._candidate_servers import CandidateServers
 from carobwalk.gateway.choice._load_table import LoadTable
+from carobwalk.gateway.choice._sampled_choice import SampledChoice
 from carobwalk.gateway.choice._server_cost import ServerCost
 from carobwalk.gateway.choice._target import NoTarget, Target
 from carobwalk.model import ServerId, ServiceName
@@ -25,6 +26,8 @@
         candidates: Selects the servers that may be sent a request.
         loads: Load of each server.
         cost: Estimates the cost of a request at a server.
+        sampled: Chooses by the load that all processes observe, ``None`` to
+            choose by the load that this process observes.
     """
 
     def __init__(
@@ -32,10 +35,12 @@
         candidates: CandidateServers,
         loads: LoadTable,
         cost: ServerCost,
+        sampled: SampledChoice | None = None,
     ) -> None:
         self._candidates = candidates
         self._loads = loads
         self._cost = cost
+        self._sampled = sampled
 
     async def choose(
         self,
@@ -81,19 +86,26 @@
         tried: frozenset[ServerId],
     ) -> BackendServer | None:
         now = trio.current_time()
-        best: BackendServer | None = None
-        best_cost = float('inf')
-        for server in self._candidates.find(service, request, tried):
-            load = self._loads.of(server)
-            if not load.has_capacity or load.ejected_until > now:
-                continue
-            if self._loads.gates.pause(server):
-                continue
-            cost = self._cost.of(server, request, now)
-            if cost < best_cost:
-                best = server
-                best_cost = cost
-        return best
+        available = [
+            server
+            for server in self._candidates.find(service, request, tried)
+            if self._is_available(server, now)
+        ]
+        if self._sampled is not None and available:
+            sampled = self._sampled.choose(available, request)
+            if sampled is not None:
+                return sampled
+        return min(
+            available,
+            key=lambda server: self._cost.of(server, request, now),
+            default=None,
+        )
+
+    def _is_available(self, server: BackendServer, now: float) -> bool:
+        load = self._loads.of(server)
+        if not load.has_capacity or load.ejected_until > now:
+            return False
+        return not self._loads.gates.pause(server)
 
     def _pause(
         self,
--- a/src/carobwalk/gateway/upstream/_connection_pool.py
+++ b/src/carobwalk/gateway/upstream/_connection_pool.py
@@ -66,11 +66,7 @@
         Returns:
             A usable connection, or ``NotSent`` if none could be opened.
         """
-        max_idle_seconds = (
-            _MAX_IDLE_SECONDS
-            if request.route.is_idempotent
-            else _MAX_IDLE_AT_MOST_ONCE_SECONDS
-        )
+        max_idle_seconds = _max_idle_seconds(request)
         connection = self._pop_idle(server, request.id)
         while connection is not None:
             if _is_usable(connection, max_idle_seconds):
@@ -79,6 +75,16 @@
             connection = self._pop_idle(server, request.id)
         return await self._open(server)
 
+    def has_idle(self, server: BackendServer, request: CallerRequest) -> bool:
+        """Return whether an idle connection can carry a request."""
+        limit = _max_idle_seconds(request)
+        idle = self._idle_by_incarnation.get(server.incarnation, ())
+        return any(
+            _is_usable(connection, limit)
+            and connection.carried_ids.may_add(request.id)
+            for connection in reversed(idle)
+        )
+
     async def release(
         self,
         server: BackendServer,
@@ -141,6 +147,12 @@
         return UpstreamConnection(stream, self._names)
 
 
+def _max_idle_seconds(request: CallerRequest) -> float:
+    if request.route.is_idempotent:
+        return _MAX_IDLE_SECONDS
+    return _MAX_IDLE_AT_MOST_ONCE_SECONDS
+
+
 def _is_usable(connection: UpstreamConnection, max_idle_seconds: float) -> bool:
     limit = max_idle_seconds
     if connection.idle_limit_seconds is not None:
--- a/src/carobwalk/keyspace/__init__.py
+++ b/src/carobwalk/keyspace/__init__.py
@@ -7,6 +7,7 @@
     RoleDependencies,
 )
 from carobwalk.keyspace._failure_detector import FailureDetector
+from carobwalk.keyspace._fleet_load import FleetLoad
 from carobwalk.keyspace._key_owner_table import KeyOwnerTable
 from carobwalk.keyspace._key_reader import KeyReader
 from carobwalk.keyspace._load_collector import LoadCollector
@@ -40,6 +41,7 @@
     'CoordinatorDependencies',
     'CoordinatorRole',
     'FailureDetector',
+    'FleetLoad',
     'Grant',
     'KeyOwnerTable',
     'KeyReader',
--- a/src/carobwalk/keyspace/_load_collector.py
+++ b/src/carobwalk/keyspace/_load_collector.py
@@ -9,6 +9,7 @@
 from carobwalk.directory import ServerIncarnation
 from carobwalk.gateway import RequestTotals
 from carobwalk.keyspace._crash_counts import CrashCounts
+from carobwalk.keyspace._fleet_load import FleetLoad
 from carobwalk.keyspace._key_loads import KeyLoads
 from carobwalk.keyspace._load_report import (
     LoadReceipt,
@@ -36,9 +37,16 @@
         clock: Clock for report times and measurement windows.
         limit_window: Longest window in seconds of a limit that processes
             share.
+        fleet: Estimates the load of all servers, ``None`` to estimate only
+            that of owners of keys.
     """
 
-    def __init__(self, clock: Clock, limit_window: float = 10) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        limit_window: float = 10,
+        fleet: FleetLoad | None = None,
+    ) -> None:
         self._clock = clock
         self._reported_at_by_process: dict[ProcessId, float] = {}
         self.loads = KeyLoads(clock)
@@ -57,6 +65,7 @@
         self.speeds = ServerSpeeds()
         self.notices = ServerNotices(clock)
         self._is_coordinator = False
+        self._fleet = fleet
 
     @property
     def is_coordinator(self) -> bool:
@@ -69,6 +78,8 @@
             self._sharers.start_term()
         self._is_coordinator = is_coordinator
         self.overloads.clear()
+        if self._fleet is not None:
+            self._fleet.clear()
 
     async def answer(self, sender: ProcessId, payload: bytes) -> bytes:
         """Record a report and answer with a receipt; a ``TopicHandler``."""
@@ -78,12 +89,17 @@
         self._sharers.record(sender, report.sharers)
         for load in report.services:
             self._add_load(load, now)
+        if self._fleet is not None:
+            self._fleet.add(sender, report)
         for server, born in report.leaving:
             incarnation = ServerIncarnation(ServerId(server), born)
             self.notices.record_leaving(incarnation)
         for crash in report.crashes:
             incarnation = ServerIncarnation(ServerId(crash.server), crash.born)
             self._crashes.record(crash.fingerprint, incarnation)
+        digest = b''
+        if self._fleet is not None and self.process_count():
+            digest = self._fleet.digest_for(sender)
         return msgspec.msgpack.encode(
             LoadReceipt(
                 self.is_coordinator,
@@ -91,9 +107,22 @@
                 self._crashes.culprits(),
                 self._sharers.count(),
                 self.overloads.rows(),
+                digest,
             ),
         )
 
+    def seconds(self, incarnation: ServerIncarnation, now: float) -> float:
+        """Return the estimated service time of a server in seconds.
+
+        Args:
+            incarnation: Incarnation of the server.
+            now: Current time in seconds.
+        """
+        known = self._fleet.seconds(incarnation) if self._fleet else None
+        if known is None:
+            return self.speeds.seconds(incarnation, now)
+        return known
+
     def process_count(self) -> int:
         """Return the number of reporting processes, 0 if not known yet.
 
--- a/src/carobwalk/keyspace/_load_report.py
+++ b/src/carobwalk/keyspace/_load_report.py
@@ -21,6 +21,7 @@
         seconds: Total time in flight of all these requests.
         limit: Requests per second that the server accepts from all processes,
             by its last answer; ``None`` without a limit.
+        in_flight: Mean number of requests in flight since the last report.
     """
 
     server: str
@@ -29,6 +30,7 @@
     given_up: int
     seconds: float
     limit: float | None = None
+    in_flight: float = 0
 
 
 class ServiceLoad(msgspec.Struct, array_like=True):
@@ -69,12 +71,14 @@
             it has no share.
         leaving: Servers that told this process that they shut down, each with
             the start of its incarnation in milliseconds since 1970.
+        others: Load of services without a request for a key.
     """
 
     services: tuple[ServiceLoad, ...]
     crashes: tuple[ServerCrash, ...] = ()
     sharers: int = 0
     leaving: tuple[tuple[str, int], ...] = ()
+    others: tuple[ServiceLoad, ...] = ()
 
 
 class LoadReceipt(msgspec.Struct, array_like=True):
@@ -91,6 +95,8 @@
         overloads: Owners of keys that are asked for much more than they can
             do: id, start of the incarnation in milliseconds since 1970, and
             the share of the requests that it can run.
+        digest: Load of the servers of services without keys, empty if this
+            receipt carries none.
     """
 
     is_coordinator: bool
@@ -98,3 +104,4 @@
     culprits: tuple[int, ...] = ()
     sharers: int = 0
     overloads: tuple[tuple[str, int, float], ...] = ()
+    digest: bytes = b''
--- a/src/carobwalk/keyspace/_load_reporter.py
+++ b/src/carobwalk/keyspace/_load_reporter.py
@@ -15,11 +15,11 @@
     REPORT_INTERVAL_SECONDS,
     LoadReceipt,
     LoadReport,
-    ServerAnswers,
     ServerCrash,
     ServiceLoad,
 )
 from carobwalk.keyspace._local_load import LocalLoad
+from carobwalk.keyspace._reported_work import ReportedWork
 from carobwalk.peer import Peers
 
 _TIMEOUT_SECONDS: Final = 0.5
@@ -74,27 +74,12 @@
         return msgspec.msgpack.decode(answered.ok_value, type=LoadReceipt)
 
     def _collect_report(self, crashes: Iterable[Crash]) -> LoadReport:
-        work_by_service = self._local.loads.totals.pop_all()
+        work = ReportedWork.pop(self._local)
+        counts_by_service = self._owners.pop_counts()
         return LoadReport(
             tuple(
-                ServiceLoad(
-                    service,
-                    tuple(counts.items()),
-                    tuple(
-                        ServerAnswers(
-                            incarnation.server,
-                            incarnation.born,
-                            counted.answers,
-                            counted.given_up,
-                            counted.seconds,
-                            counted.limit,
-                        )
-                        for incarnation, counted in (
-                            work_by_service.get(service, {}).items()
-                        )
-                    ),
-                )
-                for service, counts in self._owners.pop_counts().items()
+                ServiceLoad(service, tuple(counts.items()), work.rows(service))
+                for service, counts in counts_by_service.items()
             ),
             tuple(
                 ServerCrash(
@@ -109,4 +94,5 @@
                 (incarnation.server, incarnation.born)
                 for incarnation in self._local.leaving.announced()
             ),
+            work.others(counts_by_service),
         )
--- a/src/carobwalk/keyspace/_local_load.py
+++ b/src/carobwalk/keyspace/_local_load.py
@@ -38,6 +38,19 @@
     sharers: int
 
 
+@dataclass(frozen=True, slots=True)
+class LoadDigestDropped(Event):
+    """A digest of the load of servers could not be decoded; it is ignored.
+
+    Args:
+        size: Length of the digest in bytes.
+    """
+
+    level: ClassVar[str] = 'warning'
+
+    size: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LocalLoad:
     """Components that feed load reports and are updated by their receipts.
@@ -48,6 +61,8 @@
         leaving: Servers that shut down.
         crash_tracker: Records crashes, and quarantines their culprits.
         events: Event log.
+        is_shared: Whether the load of all services is reported, and digests of
+            it are used.
     """
 
     loads: LoadTable
@@ -55,6 +70,7 @@
     leaving: LeavingServers
     crash_tracker: CrashTracker
     events: EventLog
+    is_shared: bool = False
 
     def apply(self, receipt: LoadReceipt) -> None:
         """Apply the coordinator's receipt of a report."""
@@ -67,9 +83,16 @@
                 for server, born, share in receipt.overloads
             }
         )
+        self._apply_digest(receipt.digest)
         for fingerprint in self.crash_tracker.quarantine(receipt.culprits):
             self.events.emit(RequestQuarantined(fingerprint))
 
+    def _apply_digest(self, digest: bytes) -> None:
+        if not self.is_shared or not digest:
+            return
+        if not self.loads.shared.apply(digest):
+            self.events.emit(LoadDigestDropped(len(digest)))
+
     def _renew_share(self, sharers: int) -> None:
         before = self.share.sharers
         self.share.renew(sharers)
--- a/src/carobwalk/keyspace/_view_builder.py
+++ b/src/carobwalk/keyspace/_view_builder.py
@@ -110,7 +110,7 @@
             collector.refresh(server.slots)
             incarnation = server.incarnation
             if not self._is_leaving(server) and self._is_usable(incarnation):
-                seconds = collector.speeds.seconds(incarnation, now)
+                seconds = collector.seconds(incarnation, now)
                 usable[incarnation] = collector.notices.capacity(
                     incarnation, server.slots / seconds
                 )
--- a/src/carobwalk/settings/__init__.py
+++ b/src/carobwalk/settings/__init__.py
@@ -9,6 +9,7 @@
 )
 from carobwalk.settings._gateway import (
     Bounds,
+    Choice,
     GatewayListen,
     GatewaySettings,
     HostLimits,
@@ -30,6 +31,7 @@
 __all__ = (
     'Administration',
     'Bounds',
+    'Choice',
     'GatewayListen',
     'GatewaySettings',
     'HostLimits',
--- a/src/carobwalk/settings/_gateway.py
+++ b/src/carobwalk/settings/_gateway.py
@@ -111,6 +111,19 @@
         return min(self.leaving_seconds, self.configuration_seconds)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Choice:
+    """How backend servers are chosen.
+
+    Args:
+        shared_load: Whether the processes report the load of all servers and
+            choose by what all of them observe; otherwise each process chooses
+            by what it observes itself.
+    """
+
+    shared_load: bool = True
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GatewaySettings:
     """Validated settings of one process on the users' platform.
@@ -123,6 +136,7 @@
         host: Resources that the host allots to the process.
         bounds: Time limits and retry budgets guaranteed by the router.
         log: Destination and threshold of the event log.
+        choice: How backend servers are chosen.
     """
 
     process: Process
@@ -132,3 +146,4 @@
     host: HostLimits
     bounds: Bounds = field(default_factory=Bounds)
     log: Log = field(default_factory=Log)
+    choice: Choice = field(default_factory=Choice)
