--- a/src/carobwalk/gateway/choice/_in_flight_integrals.py
+++ b/src/carobwalk/gateway/choice/_in_flight_integrals.py
@@ -56,7 +56,8 @@
 
         Servers without a request in that time are left out.
         """
-        started_at, self._started_at = self._started_at, now
+        started_at = self._started_at
+        self._started_at = now
         if started_at is None or started_at >= now:
             return {}
         length = now - started_at
--- a/src/carobwalk/gateway/choice/_load_digest.py
+++ b/src/carobwalk/gateway/choice/_load_digest.py
@@ -47,7 +47,7 @@
     known of its former incarnation applies to it.
     """
     identity = f'{incarnation.server}{_SEPARATOR}{incarnation.born}'
-    return xxhash.xxh32_intdigest(identity)
+    return xxhash.xxh32_intdigest(identity.encode())
 
 
 def encode_digest(
