--- a/src/carobwalk/app/_build_gateway.py
+++ b/src/carobwalk/app/_build_gateway.py
@@ -18,6 +18,7 @@
     RegionRules,
     RetryBudgets,
     RetryRules,
+    SampledChoice,
     ServerCost,
     UnkeyedChooser,
 )
@@ -86,6 +87,8 @@
         RegionRules(settings.regions_by_data_centre, core.routes),
     )
     pool = ConnectionPool(core.directory, PLATFORM_HEADERS)
+    cost = ServerCost(local.loads, locality)
+    sampled = SampledChoice(local.loads.shared, cost, locality, pool.has_idle)
     forwarder = Forwarder(
         ForwarderParts(
             names=PLATFORM_HEADERS,
@@ -94,7 +97,8 @@
             unkeyed=UnkeyedChooser(
                 candidates,
                 local.loads,
-                ServerCost(local.loads, locality),
+                cost,
+                sampled if settings.choice.shared_load else None,
             ),
             keyed=KeyedChooser(owners, local.loads, candidates),
             budgets=budgets,
--- a/src/carobwalk/app/_build_keyspace.py
+++ b/src/carobwalk/app/_build_keyspace.py
@@ -12,6 +12,7 @@
     CoordinatorDependencies,
     CoordinatorRole,
     FailureDetector,
+    FleetLoad,
     KeyLocations,
     KeyOwnerTable,
     KeyReader,
@@ -71,6 +72,7 @@
         leaving=core.directory.leaving,
         crash_tracker=CrashTracker(),
         events=core.events,
+        is_shared=core.settings.choice.shared_load,
     )
 
 
@@ -95,6 +97,7 @@
         core.clock,
         core.settings.bounds.repeat_window_seconds,
         _warmup_allowances(core),
+        _fleet_load(core),
     )
     core.topics.register(LOAD_TOPIC, collector.answer)
     feed = MapFeed()
@@ -156,6 +159,12 @@
     )
 
 
+def _fleet_load(core: GatewayCore) -> FleetLoad | None:
+    if not core.settings.choice.shared_load:
+        return None
+    return FleetLoad(core.clock, core.directory.all_servers, core.events)
+
+
 def _key_times(core: GatewayCore) -> KeyTimes:
     defaults = KeyTimes()
     settings = core.settings
--- a/src/carobwalk/gateway/__init__.py
+++ b/src/carobwalk/gateway/__init__.py
@@ -28,10 +28,14 @@
     RequestTotals,
     RetryBudgets,
     RetryRules,
+    SampledChoice,
     ServerCost,
+    ServerEstimate,
+    SharedLoad,
     SlidingWindowRetryBudget,
     Target,
     UnkeyedChooser,
+    encode_digest,
 )
 from carobwalk.gateway.upstream import (
     Answered,
@@ -74,8 +78,12 @@
     'RequestTotals',
     'RetryBudgets',
     'RetryRules',
+    'SampledChoice',
     'ServerCost',
+    'ServerEstimate',
+    'SharedLoad',
     'SlidingWindowRetryBudget',
     'Target',
     'UnkeyedChooser',
+    'encode_digest',
 )
--- a/src/carobwalk/gateway/choice/_load_table.py
+++ b/src/carobwalk/gateway/choice/_load_table.py
@@ -16,6 +16,7 @@
 from carobwalk.gateway.choice._request_totals_table import RequestTotalsTable
 from carobwalk.gateway.choice._send_gates import SendGates
 from carobwalk.gateway.choice._server_load import ServerLoad
+from carobwalk.gateway.choice._shared_load import SharedLoad
 from carobwalk.gateway.choice._warmups import Warmups, never_limited
 from carobwalk.model import ServiceName
 from carobwalk.shares import ProcessShare
@@ -55,6 +56,7 @@
             PriorityQueue,
         )
         self.totals = RequestTotalsTable()
+        self.shared = SharedLoad()
         self.admission = Admission()
         self.warmups = Warmups(directory, is_limited)
         self.demand = DemandCounter()
@@ -89,6 +91,7 @@
             route: Name of the request's route.
         """
         self.of(server).start(route)
+        self.shared.start(server)
         self._queues_by_service[server.service].parts.start(route)
         self.gates.admit(server)
 
@@ -148,6 +151,7 @@
             route: Name of the request's route.
         """
         self.of(server).finish(route)
+        self.shared.finish(server)
         queue = self._queues_by_service[server.service]
         queue.parts.finish(route)
         queue.wake()
--- a/src/carobwalk/keyspace/__init__.py
+++ b/src/carobwalk/keyspace/__init__.py
@@ -7,6 +7,7 @@
     RoleDependencies,
 )
 from carobwalk.keyspace._failure_detector import FailureDetector
+from carobwalk.keyspace._fleet_load import FleetLoad
 from carobwalk.keyspace._key_locations import KeyLocations, count_evacuated_keys
 from carobwalk.keyspace._key_owner_table import KeyOwnerTable
 from carobwalk.keyspace._key_reader import KeyReader
@@ -45,6 +46,7 @@
     'CoordinatorDependencies',
     'CoordinatorRole',
     'FailureDetector',
+    'FleetLoad',
     'Grant',
     'KeyLocations',
     'KeyOwnerTable',
--- a/src/carobwalk/keyspace/_load_report.py
+++ b/src/carobwalk/keyspace/_load_report.py
@@ -21,6 +21,7 @@
         seconds: Total time in flight of all these requests.
         limit: Requests per second that the server accepts from all processes,
             by its last answer; ``None`` without a limit.
+        in_flight: Mean number of requests in flight since the last report.
     """
 
     server: str
@@ -29,6 +30,7 @@
     given_up: int
     seconds: float
     limit: float | None = None
+    in_flight: float = 0
 
 
 class ServiceLoad(msgspec.Struct, array_like=True):
@@ -71,6 +73,7 @@
             the start of its incarnation in milliseconds since 1970.
         demands: Services, each with the number of requests that callers asked
             for since the last report.
+        others: Load of services without a request for a key.
     """
 
     services: tuple[ServiceLoad, ...]
@@ -78,6 +81,7 @@
     sharers: int = 0
     leaving: tuple[tuple[str, int], ...] = ()
     demands: tuple[tuple[str, int], ...] = ()
+    others: tuple[ServiceLoad, ...] = ()
 
 
 class LoadReceipt(msgspec.Struct, array_like=True):
@@ -98,6 +102,8 @@
             since 1970, and the share of the requests that it may get.
         phase: Time on the coordinator's clock, by which processes admit
             requests to these owners in turns; 0 if it isn't told.
+        digest: Load of the servers of services without keys, empty if this
+            receipt carries none.
     """
 
     is_coordinator: bool
@@ -107,3 +113,4 @@
     overloads: tuple[tuple[str, int, float], ...] = ()
     warming: tuple[tuple[str, int, float], ...] = ()
     phase: float = 0
+    digest: bytes = b''
--- a/src/carobwalk/keyspace/_view_builder.py
+++ b/src/carobwalk/keyspace/_view_builder.py
@@ -134,7 +134,7 @@
             collector.refresh(server.slots)
             incarnation = server.incarnation
             if not self._is_leaving(server) and self._is_usable(incarnation):
-                seconds = collector.speeds.seconds(incarnation, now)
+                seconds = collector.seconds(incarnation, now)
                 capacity = collector.notices.capacity(
                     incarnation, server.slots / seconds
                 )
