--- a/src/carobwalk/gateway/choice/_candidate_servers.py
+++ b/src/carobwalk/gateway/choice/_candidate_servers.py
@@ -51,7 +51,7 @@
             if not server.is_leaving
             and server.id not in tried
             and server.data_centre not in evacuated
-            and self._regions.contain(regions, server)
+            and (regions is None or self._regions.contain(regions, server))
         ]
 
     def permits(
--- a/tests/keyspace/test_locations.py
+++ b/tests/keyspace/test_locations.py
@@ -6,10 +6,23 @@
 
 import pytest
 import trio
+from trio.testing import MockClock
 
-from carobwalk.directory import Evacuations
+from carobwalk.directory import (
+    Evacuations,
+    ServerDirectory,
+    ServerIncarnation,
+)
 from carobwalk.events import NullEventLog
-from carobwalk.keyspace import KeyLocations
+from carobwalk.keyspace import (
+    KeyLocations,
+    KeyOwnerTable,
+    KeyReader,
+    ServerIncarnations,
+)
+from carobwalk.keyspace._evacuated_keys import EvacuatedKeysLog
+from carobwalk.keyspace._key_map import KeyMap
+from carobwalk.keyspace._key_range import KeyRange
 from carobwalk.keyspace._move import MoveCause
 from carobwalk.keyspace._planner import Planner, PlannerView
 from carobwalk.model import DataCentreName, RegionName, TrioClock
@@ -22,6 +35,7 @@
     make_server,
 )
 from tests.keyspace.test_planner import Load, apply, divide
+from tests.recording_log import RecordingLog
 from tests.routing.test_routing import make_configuration, make_route
 
 DC1 = DataCentreName('dc1')
@@ -323,6 +337,65 @@
     return next(iter(view.directory.evacuations.data_centres))
 
 
+def _owned_by(owners: tuple[ServerIncarnation, ...]) -> KeyMap:
+    """Return a map of the first keys, one for each owner."""
+    return KeyMap(
+        KeyRange(first=key, last=key, owner=owner)
+        for key, owner in enumerate(owners)
+    )
+
+
+class TestEvacuatedKeysLog:
+    def test_last_key(self, virtual_clock: MockClock) -> None:
+        """The number is logged once a second, but 0 at once.
+
+        Guards against an operator who waits for keys that have moved.
+        """
+
+        async def body() -> list[int]:
+            log = RecordingLog()
+            directory = ServerDirectory(TrioClock(), NullEventLog())
+            servers = _servers(2)
+            for server in servers:
+                directory.put(server, 1)
+            directory.evacuations.begin(DC1)
+            incarnations = ServerIncarnations(directory)
+            incarnations.refresh()
+            keys_log = EvacuatedKeysLog(
+                SERVICE,
+                directory.evacuations,
+                incarnations,
+                TrioClock(),
+                log,
+            )
+            first, second = (server.incarnation for server in servers)
+            for owners in ((first, first), (first, second), (second, second)):
+                keys_log.record(_owned_by(owners))
+                await trio.sleep(0.1)
+            return [event.keys for event in log.named('KeysInEvacuation')]
+
+        assert trio.run(body, clock=virtual_clock) == [2, 0]
+
+
+class TestWaitingRequests:
+    def test_withdrawn(self, virtual_clock: MockClock) -> None:
+        """The end of an evacuation wakes requests that wait for an owner."""
+
+        async def body() -> None:
+            directory = ServerDirectory(TrioClock(), NullEventLog())
+            directory.evacuations.begin(DC1)
+            owners = KeyOwnerTable(KeyReader(NullEventLog()), directory)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(owners.wait_for_change, SERVICE)
+                await trio.sleep(0.1)
+                directory.evacuations.end(DC1)
+                with trio.fail_after(1):
+                    while nursery.child_tasks:
+                        await trio.sleep(0.01)
+
+        trio.run(body, clock=virtual_clock)
+
+
 class TestAllowedRegions:
     def test_limit_added(self, run_scenario) -> None:
         """Keys move when a route to their service becomes limited."""
