--- a/src/carobwalk/app/_gateway_instruments.py
+++ b/src/carobwalk/app/_gateway_instruments.py
@@ -2,10 +2,11 @@
 
 from collections import Counter
 
+from carobwalk.app._cold_instruments import register_cold_instruments
 from carobwalk.app._gateway_core import GatewayCore
 from carobwalk.app._peer_traffic import register_peer_traffic
 from carobwalk.app._record_age import register_record_age
-from carobwalk.gateway import ConnectionPool
+from carobwalk.gateway import ConnectionPool, Warmups
 from carobwalk.metrics import Measurement, ObservableInstrument
 from carobwalk.relay import RecordRelay
 
@@ -14,6 +15,7 @@
     core: GatewayCore,
     pool: ConnectionPool,
     relay: RecordRelay,
+    warmups: Warmups,
 ) -> None:
     """Register instruments that are read at each scrape.
 
@@ -24,9 +26,11 @@
         core: Shared components of the process.
         pool: Pool of connections to backend servers.
         relay: Follows the store's records and relays them.
+        warmups: Admits requests to cold servers.
     """
     register_peer_traffic(core.metrics, core.hub.traffic)
     register_record_age(core.metrics, relay)
+    register_cold_instruments(core, warmups)
     core.metrics.register_observable(
         ObservableInstrument(
             name='configuration.version',
--- a/src/carobwalk/app/_gateway_process.py
+++ b/src/carobwalk/app/_gateway_process.py
@@ -74,7 +74,10 @@
             lambda: self._readiness.is_stopping,
         )
         register_gateway_instruments(
-            core, self._gateway.pool, self._record_followers.relay
+            core,
+            self._gateway.pool,
+            self._record_followers.relay,
+            self._local.loads.warmups,
         )
 
     async def run(self) -> bool:
--- a/src/carobwalk/gateway/__init__.py
+++ b/src/carobwalk/gateway/__init__.py
@@ -31,6 +31,7 @@
     SlidingWindowRetryBudget,
     Target,
     UnkeyedChooser,
+    Warmups,
 )
 from carobwalk.gateway.upstream import (
     Answered,
@@ -76,4 +77,5 @@
     'SlidingWindowRetryBudget',
     'Target',
     'UnkeyedChooser',
+    'Warmups',
 )
--- a/src/carobwalk/gateway/choice/__init__.py
+++ b/src/carobwalk/gateway/choice/__init__.py
@@ -15,6 +15,7 @@
 )
 from carobwalk.gateway.choice._target import NoTarget, Target
 from carobwalk.gateway.choice._unkeyed_chooser import UnkeyedChooser
+from carobwalk.gateway.choice._warmups import Warmups
 
 __all__ = (
     'CandidateServers',
@@ -33,4 +34,5 @@
     'SlidingWindowRetryBudget',
     'Target',
     'UnkeyedChooser',
+    'Warmups',
 )
--- a/src/carobwalk/keyspace/_demand_rate.py
+++ b/src/carobwalk/keyspace/_demand_rate.py
@@ -6,9 +6,9 @@
 
 _STEP_SECONDS: Final = 0.125
 _LONG_WINDOW_SECONDS: Final = 3.0
-# A rise is noticed in these windows; a shorter one than two report intervals
-# would show when the reports come, not the demand.
-_SHORT_WINDOWS_SECONDS: Final = (0.5, 1.0)
+# A rise is noticed in these windows. The first is the report interval, in which
+# each process reports once.
+_SHORT_WINDOWS_SECONDS: Final = (0.25, 0.5, 1.0)
 # Deviations by which chance may raise the count of a short window.
 _CHANCE_DEVIATIONS: Final = 1.5
 
