--- a/src/carobwalk/app/_gateway_instruments.py
+++ b/src/carobwalk/app/_gateway_instruments.py
@@ -2,13 +2,14 @@
 
 from collections import Counter
 
+from carobwalk.app._cold_instruments import register_cold_instruments
 from carobwalk.app._evacuation_instruments import (
     register_evacuation_instruments,
 )
 from carobwalk.app._gateway_core import GatewayCore
 from carobwalk.app._peer_traffic import register_peer_traffic
 from carobwalk.app._record_age import register_record_age
-from carobwalk.gateway import ConnectionPool
+from carobwalk.gateway import ConnectionPool, Warmups
 from carobwalk.keyspace import KeyReader
 from carobwalk.metrics import Measurement, ObservableInstrument
 from carobwalk.relay import RecordRelay
@@ -19,6 +20,7 @@
     pool: ConnectionPool,
     relay: RecordRelay,
     reader: KeyReader,
+    warmups: Warmups,
 ) -> None:
     """Register instruments that are read at each scrape.
 
@@ -30,10 +32,12 @@
         pool: Pool of connections to backend servers.
         relay: Follows the store's records and relays them.
         reader: Last known key maps.
+        warmups: Admits requests to cold servers.
     """
     register_peer_traffic(core.metrics, core.hub.traffic)
     register_record_age(core.metrics, relay)
     register_evacuation_instruments(core, reader)
+    register_cold_instruments(core, warmups)
     core.metrics.register_observable(
         ObservableInstrument(
             name='configuration.version',
--- a/src/carobwalk/app/_gateway_process.py
+++ b/src/carobwalk/app/_gateway_process.py
@@ -78,6 +78,7 @@
             self._gateway.pool,
             self._record_followers.relay,
             reader,
+            self._local.loads.warmups,
         )
 
     async def run(self) -> bool:
--- a/src/carobwalk/gateway/__init__.py
+++ b/src/carobwalk/gateway/__init__.py
@@ -35,6 +35,7 @@
     SlidingWindowRetryBudget,
     Target,
     UnkeyedChooser,
+    Warmups,
     encode_digest,
 )
 from carobwalk.gateway.upstream import (
@@ -85,5 +86,6 @@
     'SlidingWindowRetryBudget',
     'Target',
     'UnkeyedChooser',
+    'Warmups',
     'encode_digest',
 )
--- a/src/carobwalk/gateway/choice/__init__.py
+++ b/src/carobwalk/gateway/choice/__init__.py
@@ -19,6 +19,7 @@
 )
 from carobwalk.gateway.choice._target import NoTarget, Target
 from carobwalk.gateway.choice._unkeyed_chooser import UnkeyedChooser
+from carobwalk.gateway.choice._warmups import Warmups
 
 __all__ = (
     'CandidateServers',
@@ -41,5 +42,6 @@
     'SlidingWindowRetryBudget',
     'Target',
     'UnkeyedChooser',
+    'Warmups',
     'encode_digest',
 )
