--- a/src/carobwalk/gateway/caller/_answer_sizes.py
+++ b/src/carobwalk/gateway/caller/_answer_sizes.py
@@ -6,6 +6,9 @@
 # answer.
 _DECAY_DIVISOR: Final = 8
 _MAX_ROUTES: Final = 4096
+# Expected of a route that has brought no answer yet. 16 of them fit into the
+# memory of a process of the smallest size in use.
+_UNKNOWN_BYTES: Final = 131_072
 
 
 class AnswerSizes:
@@ -19,8 +22,8 @@
         self._bytes_by_route: dict[str, int] = {}
 
     def expected(self, route: str) -> int:
-        """Return the size in bytes to expect, 0 for an unknown route."""
-        return self._bytes_by_route.get(route, 0)
+        """Return the size in bytes to expect."""
+        return self._bytes_by_route.get(route, _UNKNOWN_BYTES)
 
     def record(self, route: str, size_bytes: int) -> None:
         """Record the size of an answer.
@@ -31,6 +34,6 @@
         """
         if len(self._bytes_by_route) > _MAX_ROUTES:
             self._bytes_by_route.clear()  # Names of former configurations.
-        expected = self.expected(route)
+        expected = self._bytes_by_route.get(route, 0)
         decayed = expected - (expected - size_bytes) // _DECAY_DIVISOR
         self._bytes_by_route[route] = max(size_bytes, decayed)
