--- a/src/carobwalk/gateway/choice/_admission.py
+++ b/src/carobwalk/gateway/choice/_admission.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import trio
@@ -36,9 +36,13 @@
     server can do; what it can't do is refused before it is sent. Requests have
     their turns at the same time in all processes, so a refused caller that
     returns as it was told is admitted.
+
+    Args:
+        now: Returns the current time on the local clock.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, now: Callable[[], float] = trio.current_time) -> None:
+        self._now = now
         self._share_by_incarnation: Mapping[ServerIncarnation, float] = {}
         self._told_at = -math.inf
         self._steps = SharedSteps(STEP_SECONDS)
@@ -49,7 +53,7 @@
     @property
     def overloaded(self) -> frozenset[ServerIncarnation]:
         """Servers that were told to be overloaded, and lately enough."""
-        if trio.current_time() - self._told_at > _VALID_SECONDS:
+        if self._now() - self._told_at > _VALID_SECONDS:
             return frozenset()
         return frozenset(self._share_by_incarnation)
 
@@ -63,7 +67,7 @@
             phase: Time on the coordinator's clock, 0 if it doesn't tell it.
         """
         self._share_by_incarnation = shares
-        self._told_at = trio.current_time()
+        self._told_at = self._now()
         self._steps.apply(phase, self._told_at)
 
     def refusal(
@@ -88,7 +92,7 @@
     def _refusal_by_turn(
         self, share: float, request: CallerRequest
     ) -> NoTarget | None:
-        step, elapsed = self._steps.at(trio.current_time())
+        step, elapsed = self._steps.at(self._now())
         ring = TurnRing(step, window_width(share, request.route.timeout))
         # Callers may share an address, so the place also depends on what is
         # asked for. It is the same for all retries of a request.
--- a/src/carobwalk/gateway/choice/_priority_queue.py
+++ b/src/carobwalk/gateway/choice/_priority_queue.py
@@ -58,7 +58,8 @@
         """
         waiter.woken = trio.Event()
         self._order.push(waiter)
-        if has_capacity:
+        if has_capacity and not self._woken_count:
+            # A request that was woken before wakes the next one in its turn.
             self.wake()
         try:
             await self._wait(waiter, until, is_valid)
--- a/src/carobwalk/gateway/choice/_window_width.py
+++ b/src/carobwalk/gateway/choice/_window_width.py
@@ -15,7 +15,10 @@
 # Callers wait for up to this part of the time that they have left.
 RETURN_PART: Final = 1 / 3
 # Places, moments of a step and widths for which the model is computed.
-_PLACES: Final = 128
+# Part of a step after whose begin callers return on average.
+_MEAN_PART: Final = 0.5
+_MIN_PLACES: Final = 128
+_PLACES_IN_WINDOW: Final = 12
 _MOMENTS: Final = (0.125, 0.375, 0.625, 0.875)
 _WIDTH_COUNT: Final = 32
 _WIDTH_RATIO: Final = 1.15
@@ -58,20 +61,35 @@
 
 
 def _admitted_share(width: float, steps: float) -> float:
-    asked = 0
-    admitted = 0
+    places = max(_MIN_PLACES, math.ceil(_PLACES_IN_WINDOW / width))
     now = TurnRing(0, width)
-    reached = [
-        TurnRing(math.floor(moment + steps), width) for moment in _MOMENTS
-    ]
-    for number in range(_PLACES):
-        place = number / _PLACES
+    refused = 0
+    returned: float = 0
+    for number in range(places):
+        place = (number + _MEAN_PART) / places
         if now.has_turn(place):
-            asked += len(_MOMENTS)
-            admitted += len(_MOMENTS)
             continue
-        turn = now.steps_to_turn(place, math.floor(steps) + 1)
-        for ring in reached:
-            asked += 2
-            admitted += turn <= steps or ring.has_turn(place)
-    return admitted / asked
+        refused += 1
+        turn = now.steps_to_turn(place, math.ceil(steps) + 1)
+        returned += _returned_part(place, width, turn, steps)
+    admitted = places - refused + returned
+    return admitted / (places + refused)
+
+
+def _returned_part(
+    place: float, width: float, turn: int, steps: float
+) -> float:
+    """Return the part of the refused callers that are admitted later.
+
+    Args:
+        place: Place of the callers on the ring, not in the window in step 0.
+        width: Width of the window.
+        turn: Number of the step that they are told to return in.
+        steps: Longest time after which they return.
+    """
+    admitted = 0
+    for moment in _MOMENTS:
+        returns_after = min(turn + _MEAN_PART - moment, steps)
+        ring = TurnRing(math.floor(moment + returns_after), width)
+        admitted += ring.has_turn(place)
+    return admitted / len(_MOMENTS)
--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -14,6 +14,7 @@
     serve_http,
 )
 from carobwalk.metrics import (
+    GatewayMeter,
     Measurement,
     Metrics,
     ObservableInstrument,
@@ -214,3 +215,19 @@
         )
         nursery.cancel_scope.cancel()
     return answer.unwrap()
+
+
+class TestRefusals:
+    def test_by_rank(self) -> None:
+        """Refusals tell the rank that was refused."""
+        metrics = Metrics('p')
+        meter = GatewayMeter(metrics)
+        meter.record_refusal('a', 'full', 2)
+        meter.record_refusal('', 'no configuration yet')
+        counted = {
+            labels: total
+            for (name, labels), total in _scrape(metrics).items()
+            if name == 'carobwalk_refusals_total'
+        }
+        ranks = {dict(labels)['rank'] for labels in counted}
+        assert ranks == {'2', ''}
