--- a/src/carobwalk/gateway/choice/_warmup_cap.py
+++ b/src/carobwalk/gateway/choice/_warmup_cap.py
@@ -6,7 +6,7 @@
 # Refill in relation to this process's own part of the allowance.
 _REFILL_RATIO: Final = 2.0
 # With one token alone, random arrivals at half the refill rate would lose a
-# third of the allowance; with three they lose 4 %.
+# third of the allowance; with three they lose 3 %.
 _MAX_TOKENS: Final = 3.0
 _WINDOW_SECONDS: Final = 4.0
 _MIN_AGE_SECONDS: Final = 1.0
