--- a/tests/keyspace/scripted_load.py
+++ b/tests/keyspace/scripted_load.py
@@ -95,6 +95,7 @@
     def __init__(self, scene: 'Scene', number: int) -> None:
         self.name = ProcessId(f'p{number}')
         centre = scene.data_centres[number % len(scene.data_centres)]
+        self.data_centre = centre
         share = ProcessShare()
         self.local = LocalLoad(
             loads=LoadTable(scene.directory, share),
@@ -179,6 +180,8 @@
             self.add_server(number, self.random.uniform(0.55, 1.6))
         self.collector = self.new_coordinator()
         self.processes = [Process(self, number) for number in range(processes)]
+        # Processes that callers send to.
+        self.entries = self.processes
         self.outcome = Outcome()
         self.samples: list[tuple[float, dict[str, int]]] = []
         self.loses_receipts = False
@@ -254,7 +257,7 @@
     def _arriving(self, choose: Choose, rate) -> Callable[[], Awaitable[None]]:
         async def arrive() -> None:
             self._in(self.random.expovariate(rate(self.now())), arrive)
-            process = self.random.choice(self.processes)
+            process = self.random.choice(self.entries)
             work = self.random.gammavariate(4, WORK_SECONDS / 4)
             request = self._request()
             server = await choose(self, process, request)
@@ -282,6 +285,8 @@
         server.queue.append((process, work, self.now()))
         if self.now() > WARM_UP_SECONDS:
             self.outcome.sent[server.registered.id] += 1
+            home = server.registered.data_centre == process.data_centre
+            self.outcome.remote += not home
         self._start_next(server)
 
     def _start_next(self, server: Server) -> None:
--- a/tests/keyspace/test_shared_load.py
+++ b/tests/keyspace/test_shared_load.py
@@ -138,6 +138,31 @@
         assert new.quantile(0.99) < two.quantile(0.99)
 
 
+class TestLocality:
+    @pytest.mark.parametrize(
+        ('centres_called', 'least', 'most'), [(6, 0, 0.1), (1, 0.5, 1)]
+    )
+    def test_share_that_leaves(
+        self, centres_called: int, least: float, most: float
+    ) -> None:
+        """Work leaves its data centre as far as the servers there are full.
+
+        Guards against random candidates that are drawn from all data centres.
+        """
+
+        def prepare(scene: Scene) -> None:
+            scene.entries = [
+                process
+                for process in scene.processes
+                if process.data_centre in scene.data_centres[:centres_called]
+            ]
+
+        outcome = _run('new', prepare, data_centres=6)
+        share = outcome.remote / outcome.sent.total()
+        _show(f'{share:.3f} left their data centre')
+        assert least <= share <= most
+
+
 class TestSlowedServer:
     def test_queue(self) -> None:
         """Servers three times slower have the others' queue after 2 s."""
