--- a/tests/keyspace/test_shared_load.py
+++ b/tests/keyspace/test_shared_load.py
@@ -158,10 +158,28 @@
             ]
 
         outcome = _run('new', prepare, data_centres=6)
+        _show_share(outcome)
         share = outcome.remote / outcome.sent.total()
-        _show(f'{share:.3f} left their data centre')
         assert least <= share <= most
 
+    def test_one_centre_called(self) -> None:
+        """Callers that all reach one data centre fare no worse than before.
+
+        Guards against all processes staying at home, and then all leaving, by
+        a digest that doesn't have the requests sent since.
+        """
+
+        def prepare(scene: Scene) -> None:
+            scene.entries = [
+                process
+                for process in scene.processes
+                if process.data_centre == scene.data_centres[0]
+            ]
+
+        new = _run('new', prepare, data_centres=6)
+        previous = _run('previous', prepare, data_centres=6)
+        assert new.late <= previous.late
+
 
 class TestSlowedServer:
     def test_queue(self) -> None:
@@ -271,6 +289,11 @@
         trio.run(main, clock=virtual_clock)
 
 
+def _show_share(outcome: Outcome) -> None:
+    share = outcome.remote / outcome.sent.total()
+    _show(f'{share:.3f} left their data centre')
+
+
 def _peak(*, loses_receipts: bool) -> int:
     """Return the most requests at a server after receipts may be lost."""
     clock = MockClock()
