--- a/src/carobwalk/gateway/choice/_load_table.py
+++ b/src/carobwalk/gateway/choice/_load_table.py
@@ -91,7 +91,7 @@
             route: Name of the request's route.
         """
         self.of(server).start(route)
-        self.shared.start(server)
+        self.shared.add(server, 1)
         self._queues_by_service[server.service].parts.start(route)
         self.gates.admit(server)
 
@@ -151,7 +151,7 @@
             route: Name of the request's route.
         """
         self.of(server).finish(route)
-        self.shared.finish(server)
+        self.shared.add(server, -1)
         queue = self._queues_by_service[server.service]
         queue.parts.finish(route)
         queue.wake()
