Offer capacity that no ended request frees to waiting requests

A server that registers, or whose ejection ends, has capacity while other servers' requests hang. Tests cover this and the bound on one route's part of a service.

--- a/src/carobwalk/gateway/choice/_priority_queue.py
+++ b/src/carobwalk/gateway/choice/_priority_queue.py
@@ -90,7 +90,7 @@
     ) -> None:
         while not waiter.woken.is_set():
             now = trio.current_time()
-            if now >= until or (is_valid and not is_valid()):
-                return
             with trio.move_on_at(min(until, now + _CHECK_SECONDS)):
                 await waiter.woken.wait()
+            if trio.current_time() >= until or (is_valid and not is_valid()):
+                return
--- a/src/carobwalk/gateway/choice/_unkeyed_chooser.py
+++ b/src/carobwalk/gateway/choice/_unkeyed_chooser.py
@@ -1,6 +1,7 @@
 """Choice of a backend server for requests that any server can run."""
 
 import math
+from functools import partial
 from typing import Final
 
 import trio
@@ -75,7 +76,30 @@
             refusal = waiting.refusal()
             if refusal is not None:
                 return refusal
-            await waiting.wait(opens_at, has_capacity=server is not None)
+            await waiting.wait(
+                opens_at,
+                has_capacity=server is not None,
+                is_valid=partial(self._are_all_full, service, request, tried),
+            )
+
+    def _are_all_full(
+        self,
+        service: ServiceName,
+        request: CallerRequest,
+        tried: frozenset[ServerId],
+    ) -> bool:
+        """Return whether no server has capacity.
+
+        A server that registers, or is reachable again, has some without the
+        end of a request.
+        """
+        now = trio.current_time()
+        loads = map(
+            self._loads.of, self._candidates.find(service, request, tried)
+        )
+        return not any(
+            load.has_capacity and load.ejected_until <= now for load in loads
+        )
 
     def _start(self, server: BackendServer, request: CallerRequest) -> Target:
         """Count a request; wake the next one if more capacity is left."""
--- a/tests/gateway/choice/test_queue_wait.py
+++ b/tests/gateway/choice/test_queue_wait.py
@@ -9,9 +9,10 @@
 from carobwalk.gateway import KeyedChooser, NoTarget, Target
 from tests.gateway.harness import SingleOwnerMap
 from tests.gateway.test_choosers import ChooserHarness, make_request
-from tests.keyspace.simulated_fleet import SERVICE
+from tests.keyspace.simulated_fleet import SERVICE, make_server
 
 _LATENCY = 0.4
+_SOON = 1.5
 
 
 class _FullServer:
@@ -25,6 +26,8 @@
         self.harness = ChooserHarness(1)
         self.server = self.harness.directory.all_servers()[0]
         self.loads = self.harness.loads
+        # The only process has all of the server's slots.
+        self.loads.process_count = 1
         self.load = self.loads.of_keyed(self.server)
         self.by_key = by_key
         owners = SingleOwnerMap()
@@ -35,10 +38,19 @@
         while self.load.has_capacity:
             self.loads.start(self.server)
 
-    async def choose(self, seconds: float, caller: str = 'a', target=9):
+    async def choose(
+        self,
+        seconds: float,
+        caller: str = 'a',
+        target: float = 9,
+        name: str = '',
+        rank: int = 0,
+    ) -> Target | NoTarget:
         """Return what is chosen for a request with a time to its deadline."""
         request = make_request(seconds=seconds)
-        route = replace(request.route, target_latency=target)
+        route = replace(
+            request.route, target_latency=target, name=name, rank=rank
+        )
         request = replace(request, caller=caller, route=route)
         if self.by_key:
             return await self.keyed.choose(SERVICE, request, 7)
@@ -51,6 +63,30 @@
         await trio.sleep(0.01)
 
 
+class TestNewCapacity:
+    def test_new_server(self, virtual_clock: MockClock) -> None:
+        """A server that registers serves requests that wait already.
+
+        Guards against waiting for the end of requests at servers that hang.
+        """
+
+        async def main() -> None:
+            full = _FullServer(by_key=False)
+            started_at = trio.current_time()
+            async with trio.open_nursery() as nursery:
+
+                async def register() -> None:
+                    await trio.sleep(1)
+                    full.harness.directory.put(make_server(1), 1)
+
+                nursery.start_soon(register)
+                chosen = await full.choose(9)
+            assert isinstance(chosen, Target)
+            assert trio.current_time() - started_at < _SOON
+
+        trio.run(main, clock=virtual_clock)
+
+
 @pytest.mark.parametrize('by_key', (True, False))
 class TestFullServer:
     def test_dropped_at_deadline(
@@ -131,6 +167,36 @@
 
         trio.run(main, clock=virtual_clock)
 
+    def test_burst_of_a_route(
+        self, by_key: bool, virtual_clock: MockClock
+    ) -> None:
+        """A burst of an urgent route doesn't hold all that is freed.
+
+        The requests in flight are all of the burst, so the next slot is the
+        other route's.
+        """
+
+        async def main() -> None:
+            full = _FullServer(by_key)
+            order = []
+
+            async def wait(name: str, rank: int) -> None:
+                chosen = await full.choose(9, name, name=name, rank=rank)
+                if isinstance(chosen, Target):
+                    order.append(name)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(wait, '', 0)
+                await trio.sleep(0.1)
+                nursery.start_soon(wait, 'other', 1)
+                await trio.sleep(0.1)
+                full.loads.finish(full.server)
+                await trio.sleep(0.1)
+                full.loads.finish(full.server)
+            assert order == ['other', '']
+
+        trio.run(main, clock=virtual_clock)
+
     def test_cancelled_turn(
         self, by_key: bool, virtual_clock: MockClock
     ) -> None:
