--- a/src/carobwalk/gateway/choice/_queue_wait.py
+++ b/src/carobwalk/gateway/choice/_queue_wait.py
@@ -15,6 +15,9 @@
 # Part of the expected latency that a response takes at least. Servers differ
 # by a factor of three, so half of the mean rules out few that could be in time.
 _LEAST_LATENCY_PART: Final = 0.5
+# Part of the time to the deadline that a request may wait. A caller that is
+# refused then has time left to try another process.
+_MAX_WAIT_PART: Final = 0.45
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,8 +36,9 @@
 class QueueWait:
     """Wait of a request in a queue.
 
-    It ends when a response can no longer come before the deadline. A late
-    response still has some worth, so a missed target latency doesn't end it.
+    It ends when a response can no longer come before the deadline, or when
+    the caller would have too little time left to try again. A late response
+    still has some worth, so a missed target latency doesn't end it.
 
     Args:
         queue: The queue.
@@ -55,7 +59,11 @@
         self._causes = causes
         self._waiter = Waiter.of(request, latency)
         self._has_waited = False
-        self.leaves_at = request.deadline - latency * _LEAST_LATENCY_PART
+        now = trio.current_time()
+        self.leaves_at = min(
+            request.deadline - latency * _LEAST_LATENCY_PART,
+            now + (request.deadline - now) * _MAX_WAIT_PART,
+        )
 
     @property
     def may_start(self) -> bool:
