Use the load of all processes for sparse services only

In small deployments a process hears of each server every second or oftener, and what it sees is newer than a digest.

--- a/src/carobwalk/keyspace/__init__.py
+++ b/src/carobwalk/keyspace/__init__.py
@@ -12,12 +12,10 @@
 from carobwalk.keyspace._key_owner_table import KeyOwnerTable
 from carobwalk.keyspace._key_reader import KeyReader
 from carobwalk.keyspace._load_collector import LoadCollector
-from carobwalk.keyspace._load_report import LOAD_TOPIC
 from carobwalk.keyspace._load_reporter import LoadReporter
 from carobwalk.keyspace._local_load import LocalLoad, RequestQuarantined
 from carobwalk.keyspace._map_feed import MapFeed
 from carobwalk.keyspace._map_follower import MapFollower
-from carobwalk.keyspace._map_messages import MAP_TOPIC
 from carobwalk.keyspace._order_sender import OrderDependencies
 from carobwalk.keyspace._orders import (
     Grant,
@@ -31,8 +29,12 @@
 )
 from carobwalk.keyspace._server_incarnations import ServerIncarnations
 from carobwalk.keyspace._succession import Succession
-from carobwalk.keyspace._succession_messages import SUCCESSION_TOPIC
 from carobwalk.keyspace._times import KeyTimes
+from carobwalk.keyspace._topics import (
+    LOAD_TOPIC,
+    MAP_TOPIC,
+    SUCCESSION_TOPIC,
+)
 from carobwalk.keyspace._warmup_allowances import (
     WarmupAllowances,
     WarmupSource,
--- a/src/carobwalk/keyspace/_fleet_load.py
+++ b/src/carobwalk/keyspace/_fleet_load.py
@@ -12,6 +12,7 @@
 from carobwalk.keyspace._reported_in_flight import ReportedInFlight
 from carobwalk.keyspace._service_seconds import ServiceSeconds
 from carobwalk.keyspace._slow_servers import SlowServers
+from carobwalk.keyspace._sparse_services import SparseServices
 from carobwalk.model import Clock, ProcessId, ServerId, ServiceName
 
 # Interval of the reports of each process, and of the estimates.
@@ -29,6 +30,9 @@
 class FleetLoad:
     """Estimates the load of all servers while this process coordinates.
 
+    Its estimates are used for sparse services only, whose servers a process
+    seldom hears of.
+
     Args:
         clock: Clock of the reports.
         list_servers: Returns all registered backend servers.
@@ -50,6 +54,7 @@
         self._seconds: dict[ServiceName, ServiceSeconds] = {}
         self._service_by_incarnation: dict[ServerIncarnation, ServiceName] = {}
         self._keyed: set[ServiceName] = set()
+        self._sparse = SparseServices()
         self._advanced_at = self._clock.now()
         self._digests = DigestTurns(_DIGEST_SECONDS)
         self._slow.clear()
@@ -79,12 +84,19 @@
         return self._digests.take(self._clock.now(), self._unkeyed_estimates)
 
     def seconds(self, incarnation: ServerIncarnation) -> float | None:
-        """Return the service time of a server, ``None`` if it is unknown."""
+        """Return the service time of a server of a sparse service.
+
+        It is ``None`` if the server is unknown or its service isn't sparse.
+        """
         service = self._service_by_incarnation.get(incarnation)
-        if service is None:
+        if service is None or service not in self._sparse:
             return None
         return self._seconds[service].seconds(incarnation)
 
+    def is_sparse(self, service: ServiceName) -> bool:
+        """Return whether processes seldom hear of a service's servers."""
+        return service in self._sparse
+
     def estimates(
         self,
     ) -> Iterator[tuple[ServiceName, ServerIncarnation, ServerEstimate]]:
@@ -98,7 +110,7 @@
         self,
     ) -> Iterator[tuple[ServerIncarnation, ServerEstimate]]:
         for service, incarnation, estimate in self.estimates():
-            if service not in self._keyed:
+            if service not in self._keyed and service in self._sparse:
                 yield incarnation, estimate
 
     def _advance(self, now: float) -> None:
@@ -114,6 +126,12 @@
             seconds.advance(length, busy_slots, self._answers)
             self._seconds[service] = seconds
             self._slow.update(service, seconds, busy_slots)
+        self._sparse.update(
+            length,
+            self._answers,
+            self._service_by_incarnation,
+            self._in_flight.process_count,
+        )
         self._answers.clear()
 
     def _refresh_servers(
--- a/src/carobwalk/keyspace/_load_collector.py
+++ b/src/carobwalk/keyspace/_load_collector.py
@@ -21,7 +21,7 @@
 from carobwalk.keyspace._server_speed import ServerSpeeds
 from carobwalk.keyspace._server_work import rate_of
 from carobwalk.keyspace._warmup_allowances import WarmupAllowances
-from carobwalk.model import Clock, ProcessId, ServerId
+from carobwalk.model import Clock, ProcessId, ServerId, ServiceName
 from carobwalk.shares import SharerCount
 
 _REPORTER_EXPIRY_SECONDS: Final = 3.0
@@ -71,7 +71,8 @@
         self.warmups = warmups or WarmupAllowances(clock)
         self._is_coordinator = False
         self._fleet = fleet
-        self.is_by_speed = fleet is not None
+        # Whether all processes' observations give the speeds of a service.
+        self.is_by_speed = fleet.is_sparse if fleet else _never
 
     @property
     def is_coordinator(self) -> bool:
@@ -190,3 +191,7 @@
             if row.answers:
                 self.speeds.record_answer(incarnation, now)
                 self.notices.record_limit(incarnation, row.limit)
+
+
+def _never(service: ServiceName) -> bool:
+    return False
--- a/src/carobwalk/keyspace/_reported_in_flight.py
+++ b/src/carobwalk/keyspace/_reported_in_flight.py
@@ -33,6 +33,11 @@
         self._means: dict[ServerIncarnation, float] = {}
         self._running: Counter[ServerIncarnation] = Counter()
 
+    @property
+    def process_count(self) -> int:
+        """Number of processes that have reported lately."""
+        return len(self._reports)
+
     def mean(self, incarnation: ServerIncarnation) -> float:
         """Return the mean requests at a server over the last reports."""
         # Sums of added and subtracted fractions end a little below or above 0.
--- a/src/carobwalk/keyspace/_view_builder.py
+++ b/src/carobwalk/keyspace/_view_builder.py
@@ -86,7 +86,7 @@
             misplaced=misplaced,
             load=load,
             may_balance=may_balance,
-            by_speed=collector.is_by_speed,
+            by_speed=collector.is_by_speed(self._service),
         )
 
     def tell_overloads(self, view: PlannerView) -> None:
--- a/tests/keyspace/scripted_load.py
+++ b/tests/keyspace/scripted_load.py
@@ -110,7 +110,9 @@
         self.sampled = SampledChoice(
             self.local.loads.shared, cost, locality, lambda *_: False
         )
-        candidates = CandidateServers(scene.directory)
+        candidates = CandidateServers(
+            scene.directory, self.local.loads.warmups.is_cold
+        )
         loads = self.local.loads
         self.previous = UnkeyedChooser(candidates, loads, cost)
         self.new = UnkeyedChooser(candidates, loads, cost, self.sampled)
@@ -202,7 +204,7 @@
         """Return a coordinator that knows nothing yet."""
         clock = TrioClock()
         fleet = FleetLoad(clock, self.directory.all_servers, NullEventLog())
-        collector = LoadCollector(clock, 10, fleet)
+        collector = LoadCollector(clock, 10, fleet=fleet)
         collector.is_coordinator = True
         return collector
 
--- a/tests/keyspace/test_shared_load.py
+++ b/tests/keyspace/test_shared_load.py
@@ -8,6 +8,8 @@
 import trio
 from trio.testing import MockClock
 
+from carobwalk.directory import ServerIncarnation
+from carobwalk.keyspace import FleetLoad
 from tests.keyspace.scripted_load import (
     PROCESSES,
     WARM_UP_SECONDS,
@@ -276,19 +278,28 @@
             fleet = scene.collector._fleet
             slow = scene.servers['s0'].registered.incarnation
             other = scene.servers['s1'].registered.incarnation
-            assert fleet.seconds(slow) > 2 * fleet.seconds(other)
+            seconds = _seconds_by_incarnation(fleet)
+            assert seconds[slow] > 2 * seconds[other]
             scene.add_server(0, 1, born=2)
             virtual_clock.jump(0.25)
             await scene._exchange(process)
             restarted = scene.servers['s0'].registered.incarnation
-            assert fleet.seconds(slow) is None
-            assert fleet.seconds(restarted) == pytest.approx(
-                fleet.seconds(other), rel=0.2
-            )
+            seconds = _seconds_by_incarnation(fleet)
+            assert slow not in seconds
+            assert seconds[restarted] == pytest.approx(seconds[other], rel=0.2)
 
         trio.run(main, clock=virtual_clock)
 
 
+def _seconds_by_incarnation(
+    fleet: FleetLoad,
+) -> dict[ServerIncarnation, float]:
+    return {
+        incarnation: estimate.seconds
+        for _, incarnation, estimate in fleet.estimates()
+    }
+
+
 def _show_share(outcome: Outcome) -> None:
     share = outcome.remote / outcome.sent.total()
     _show(f'{share:.3f} left their data centre')
