--- a/tests/keyspace/test_locations.py
+++ b/tests/keyspace/test_locations.py
@@ -385,13 +385,11 @@
             directory = ServerDirectory(TrioClock(), NullEventLog())
             directory.evacuations.begin(DC1)
             owners = KeyOwnerTable(KeyReader(NullEventLog()), directory)
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(owners.wait_for_change, SERVICE)
-                await trio.sleep(0.1)
-                directory.evacuations.end(DC1)
-                with trio.fail_after(1):
-                    while nursery.child_tasks:
-                        await trio.sleep(0.01)
+            with trio.fail_after(1):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(owners.wait_for_change, SERVICE)
+                    await trio.sleep(0.1)
+                    directory.evacuations.end(DC1)
 
         trio.run(body, clock=virtual_clock)
 
