--- a/src/carobwalk/gateway/choice/_admission.py
+++ b/src/carobwalk/gateway/choice/_admission.py
@@ -17,6 +17,7 @@
 from carobwalk.gateway.choice._turn_ring import STEP_SECONDS, TurnRing
 from carobwalk.gateway.choice._window_width import window_width
 from carobwalk.model import ServiceName
+from carobwalk.routing import Route
 
 # How long the shares hold after they were told.
 _VALID_SECONDS: Final = 1.0
@@ -89,6 +90,25 @@
             return _refusal_by_chance(share)
         return self._refusal_by_turn(share, request)
 
+    def chance(self, server: BackendServer, route: Route) -> float:
+        """Return the part of a route's first requests that is admitted now.
+
+        Nothing is counted or drawn.
+
+        Args:
+            server: Server that owns the keys of the requests.
+            route: Their route.
+        """
+        if server.incarnation not in self.overloaded:
+            return 1
+        share = self._share_by_incarnation[server.incarnation]
+        mix = self._mixes_by_service.get(server.service)
+        if mix is not None:
+            share = mix.share_of(route.rank, share)
+        if self._steps.is_known:
+            share = window_width(share, route.timeout)
+        return min(share, 1)
+
     def _refusal_by_turn(
         self, share: float, request: CallerRequest
     ) -> NoTarget | None:
--- a/src/carobwalk/gateway/choice/_keyed_chooser.py
+++ b/src/carobwalk/gateway/choice/_keyed_chooser.py
@@ -53,7 +53,7 @@
         self._candidates = candidates
         self._owners = owners
         self._loads = loads
-        self._misdirected = MisdirectedKeys()
+        self.misdirected = MisdirectedKeys()
 
     async def choose(
         self,
@@ -100,7 +100,7 @@
         grant may have been renewed.
         """
         ownership = Ownership(target.server.incarnation, target.fence)
-        self._misdirected.record(service, key, ownership)
+        self.misdirected.record(service, key, ownership)
 
     async def _find_owner(
         self, service: ServiceName, request: CallerRequest, key: int
@@ -133,7 +133,7 @@
         owner = self._owners.find(service, key)
         if owner is None or not owner.is_granted:
             return None
-        if self._misdirected.is_refused(service, key, _ownership(owner)):
+        if self.misdirected.is_refused(service, key, _ownership(owner)):
             return None
         if not self._loads.gates.accepts_keyed(owner.server):
             return None
--- a/src/carobwalk/gateway/choice/_load_table.py
+++ b/src/carobwalk/gateway/choice/_load_table.py
@@ -1,7 +1,8 @@
 """Load of all backend servers as this process observes it."""
 
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Final
 
 from carobwalk.directory import (
@@ -32,6 +33,23 @@
 _MIN_LIMIT: Final = 2
 
 
+def initial_limit(server: BackendServer) -> float:
+    """Return the limit of a process at a server of which it knows nothing."""
+    return server.slots + _QUEUED_PER_SERVER
+
+
+def keyed_limit(server: BackendServer, process_count: int) -> float:
+    """Return the highest limit of each process at a server that owns keys.
+
+    Args:
+        server: The server.
+        process_count: Number of processes that send to it.
+    """
+    max_requests = server.slots * _MAX_REQUESTS_PER_SLOT
+    share = max_requests / max(process_count, 1)
+    return max(share + 1, _MIN_LIMIT)
+
+
 class LoadTable:
     """Load of each incarnation of a backend server.
 
@@ -55,6 +73,13 @@
         self._queues_by_service: dict[ServiceName, PriorityQueue] = defaultdict(
             PriorityQueue,
         )
+        # For readers that must not add a load or a queue.
+        self.by_incarnation: Mapping[ServerIncarnation, ServerLoad] = (
+            MappingProxyType(self._loads_by_incarnation)
+        )
+        self.queues: Mapping[ServiceName, PriorityQueue] = MappingProxyType(
+            self._queues_by_service
+        )
         self.totals = RequestTotalsTable()
         self.shared = SharedLoad()
         self.admission = Admission()
@@ -66,7 +91,7 @@
         """Return the load of a server, a new one if it is unknown."""
         load = self._loads_by_incarnation.get(server.incarnation)
         if load is None:
-            load = ServerLoad(server.slots + _QUEUED_PER_SERVER)
+            load = ServerLoad(initial_limit(server))
             self._loads_by_incarnation[server.incarnation] = load
         return load
 
@@ -77,9 +102,7 @@
         itself to an equal share of the requests that the server accepts.
         """
         load = self.of(server)
-        max_requests = server.slots * _MAX_REQUESTS_PER_SLOT
-        share = max_requests / max(self.process_count, 1)
-        load.max_limit = max(share + 1, _MIN_LIMIT)
+        load.max_limit = keyed_limit(server, self.process_count)
         load.limit = min(load.limit, load.max_limit)
         return load
 
--- a/src/carobwalk/gateway/choice/_sampled_choice.py
+++ b/src/carobwalk/gateway/choice/_sampled_choice.py
@@ -84,6 +84,20 @@
         self.choices += 1
         return self._choose_by_location(estimates, request)
 
+    def cost_of(
+        self, server: BackendServer, request: CallerRequest
+    ) -> float | None:
+        """Return the cost of a server, ``None`` if the digest has none.
+
+        Args:
+            server: The server.
+            request: The request.
+        """
+        estimate = self._shared.estimate(server)
+        if estimate is None:
+            return None
+        return self._candidate(server, estimate, request).cost
+
     def _estimates(
         self, servers: Iterable[BackendServer]
     ) -> list[tuple[BackendServer, ServerEstimate]]:
--- a/src/carobwalk/gateway/choice/_send_gate.py
+++ b/src/carobwalk/gateway/choice/_send_gate.py
@@ -63,6 +63,22 @@
             return max(closed, right_at + interval - now)
         return closed
 
+    def pause_range(self, now: float, sharers: int) -> tuple[float, float]:
+        """Return the least and the most that ``pause`` returns now.
+
+        They differ while the random phase of the rights isn't drawn; this
+        doesn't draw it.
+
+        Args:
+            now: Current time in seconds.
+            sharers: Number of processes that share a limit, 0 if unknown.
+        """
+        if self.limit is None or not sharers or math.isfinite(self._next_at):
+            pause = self.pause(now, sharers)
+            return pause, pause
+        closed = max(self._closed_until - now, 0)
+        return closed, max(closed, sharers / max(self.limit, _MIN_RATE))
+
     def admit(self, now: float, sharers: int) -> None:
         """Record that a request is about to be sent, using up a right.
 
--- a/src/carobwalk/gateway/choice/_send_gates.py
+++ b/src/carobwalk/gateway/choice/_send_gates.py
@@ -51,6 +51,11 @@
         gate = self._load_of(server).gate
         return gate.pause(trio.current_time(), self._share.cautious_sharers)
 
+    @property
+    def sharers(self) -> int:
+        """Number of processes that limits of servers are divided by."""
+        return self._share.cautious_sharers
+
     def admit(self, server: BackendServer) -> None:
         """Record that a request is about to be sent to a server."""
         gate = self._load_of(server).gate
--- a/src/carobwalk/gateway/choice/_server_cost.py
+++ b/src/carobwalk/gateway/choice/_server_cost.py
@@ -35,7 +35,8 @@
             server: The server.
             estimate: What all processes observed of it.
         """
-        own = self._loads.of(server).in_flight
+        load = self._loads.by_incarnation.get(server.incarnation)
+        own = load.in_flight if load else 0
         return self._loads.shared.in_flight(server, estimate, own) + 1
 
     def expected(
@@ -69,12 +70,30 @@
             request: The request.
             now: Current time in seconds.
         """
-        load = self._loads.of(server)
-        service_latency = self._loads.service_latency(server.service)
-        load_factor = load.in_flight / server.slots
-        cost = load.latency(now, service_latency) * (1 + load_factor)
-        cost *= 1 + random.random() * _MAX_JITTER_SHARE
-        return cost + self._locality.latency_penalty(
+        jitter = 1 + random.random() * _MAX_JITTER_SHARE
+        return self.observed(server, request, now, jitter)
+
+    def observed(
+        self,
+        server: BackendServer,
+        request: CallerRequest,
+        now: float,
+        jitter: float = 1,
+    ) -> float:
+        """Return the cost in seconds by what this process observed.
+
+        Args:
+            server: The server.
+            request: The request.
+            now: Current time in seconds.
+            jitter: Factor on the cost of the server itself.
+        """
+        cost = self._loads.service_latency(server.service)
+        load = self._loads.by_incarnation.get(server.incarnation)
+        if load is not None:
+            load_factor = load.in_flight / server.slots
+            cost = load.latency(now, cost) * (1 + load_factor)
+        return cost * jitter + self._locality.latency_penalty(
             server.data_centre,
             len(request.body),
             request.route.target_latency,
--- a/src/carobwalk/gateway/choice/_server_load.py
+++ b/src/carobwalk/gateway/choice/_server_load.py
@@ -40,7 +40,7 @@
         self.ejected_until = -math.inf
         self.gate = SendGate()
         self._latency: float | None = None
-        self._latency_at = -math.inf
+        self.latency_at = -math.inf
         self._failures = 0
 
     @property
@@ -93,7 +93,7 @@
         """
         if self._latency is None:
             return service_latency
-        age = max(now - self._latency_at, 0)
+        age = max(now - self.latency_at, 0)
         weight = math.exp(-age / _LATENCY_DECAY_SECONDS)
         return service_latency + (self._latency - service_latency) * weight
 
@@ -120,12 +120,12 @@
         if self._latency is None:
             self._latency = seconds
         else:
-            age = max(now - self._latency_at, 0)
+            age = max(now - self.latency_at, 0)
             weight = max(
                 _SMOOTHING_FACTOR, 1 - math.exp(-age / _LATENCY_DECAY_SECONDS)
             )
             self._latency += (seconds - self._latency) * weight
-        self._latency_at = now
+        self.latency_at = now
 
 
 def _wake_next(load: ServerLoad) -> None:
--- a/src/carobwalk/gateway/choice/_warmups.py
+++ b/src/carobwalk/gateway/choice/_warmups.py
@@ -75,6 +75,10 @@
         share = self._shares.find(server.incarnation)
         return share is None and self.is_cold(server)
 
+    def share_of(self, server: BackendServer) -> float | None:
+        """Return the share of a cold server, ``None`` without one."""
+        return self._shares.find(server.incarnation)
+
     def refuses(self, server: BackendServer, request: CallerRequest) -> bool:
         """Decide whether to refuse a request for a key of a server.
 
