--- a/src/carobwalk/app/_build_gateway.py
+++ b/src/carobwalk/app/_build_gateway.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from carobwalk.app._answer_bytes import caller_answer_bytes
+from carobwalk.app._explain_handler import ExplainSources
 from carobwalk.app._gateway_core import GatewayCore
 from carobwalk.app._load_instruments import register_load_digest
 from carobwalk.gateway import (
@@ -41,11 +42,13 @@
         server: Accepts connections of callers.
         pool: Pool of connections to backend servers.
         shutdown: Bounds requests by the end of the process.
+        explained: Components whose state is explained to operators.
     """
 
     server: GatewayServer
     pool: ConnectionPool
     shutdown: Shutdown
+    explained: ExplainSources
 
 
 def retry_rules(bounds: Bounds) -> RetryRules:
@@ -77,35 +80,19 @@
         budgets: Retry budgets of the services.
         is_stopping: Returns whether the process is shutting down.
     """
-    settings = core.settings
-    locality = Locality(
-        settings.process.data_centre,
-        settings.regions_by_data_centre,
-    )
-    candidates = CandidateServers(
-        core.directory,
-        local.loads.warmups.is_cold,
-        RegionRules(settings.regions_by_data_centre, core.routes),
-    )
-    pool = ConnectionPool(core.directory, PLATFORM_HEADERS)
-    cost = ServerCost(local.loads, locality)
-    sampled = None
-    if settings.choice.shared_load:
-        shared = local.loads.shared
-        sampled = SampledChoice(shared, cost, locality, pool.has_idle)
-        register_load_digest(core.metrics, shared, sampled)
+    parts = _choice_parts(core, owners, local)
     forwarder = Forwarder(
         ForwarderParts(
             names=PLATFORM_HEADERS,
             loads=local.loads,
-            pool=pool,
+            pool=parts.pool,
             unkeyed=UnkeyedChooser(
-                candidates,
+                parts.candidates,
                 local.loads,
-                cost,
-                sampled,
+                parts.cost,
+                parts.sampled,
             ),
-            keyed=KeyedChooser(owners, local.loads, candidates),
+            keyed=parts.keyed,
             budgets=budgets,
             crash_tracker=local.crash_tracker,
             events=core.events,
@@ -116,18 +103,52 @@
         routes=core.routes,
         forwarder=forwarder,
         count_key=owners.count,
-        answer_memory=AnswerMemory(caller_answer_bytes(settings.host)),
+        answer_memory=AnswerMemory(caller_answer_bytes(core.settings.host)),
         meter=GatewayMeter(core.metrics),
         events=core.events,
         is_stopping=is_stopping,
         shutdown=Shutdown(),
     )
     max_connections = max(
-        settings.host.descriptors - _RESERVED_DESCRIPTORS,
+        core.settings.host.descriptors - _RESERVED_DESCRIPTORS,
         100,
     )
     return Gateway(
         server=GatewayServer(service, max_connections),
-        pool=pool,
+        pool=parts.pool,
         shutdown=service.shutdown,
+        explained=parts,
+    )
+
+
+def _choice_parts(
+    core: GatewayCore, owners: KeyOwners, local: LocalLoad
+) -> ExplainSources:
+    """Return the components that choose servers, which are also explained."""
+    settings = core.settings
+    locality = Locality(
+        settings.process.data_centre,
+        settings.regions_by_data_centre,
+    )
+    regions = RegionRules(settings.regions_by_data_centre, core.routes)
+    candidates = CandidateServers(
+        core.directory, local.loads.warmups.is_cold, regions
+    )
+    pool = ConnectionPool(core.directory, PLATFORM_HEADERS)
+    cost = ServerCost(local.loads, locality)
+    sampled = None
+    if settings.choice.shared_load:
+        shared = local.loads.shared
+        sampled = SampledChoice(shared, cost, locality, pool.has_idle)
+        register_load_digest(core.metrics, shared, sampled)
+    return ExplainSources(
+        owners=owners,
+        keyed=KeyedChooser(owners, local.loads, candidates),
+        loads=local.loads,
+        crash_tracker=local.crash_tracker,
+        candidates=candidates,
+        regions=regions,
+        cost=cost,
+        sampled=sampled,
+        pool=pool,
     )
--- a/src/carobwalk/app/_gateway_process.py
+++ b/src/carobwalk/app/_gateway_process.py
@@ -104,6 +104,7 @@
     async def _run(self, signals: AsyncIterator[int]) -> bool:
         core = self._core
         listen = core.settings.listen
+        follower = self._record_followers.relay.follower
         async with trio.open_nursery() as nursery:
             nursery.start_soon(core.output.run)
             core.events.emit(ProcessStarted(str(listen.callers)))
@@ -112,7 +113,13 @@
                 await open_listener(listen.peers),
                 RejectingForwarder(),
             )
-            await serve_monitoring(core, self._readiness.check, nursery)
+            await serve_monitoring(
+                core,
+                self._readiness.check,
+                self._gateway.explained,
+                lambda: follower.seconds_since_contact,
+                nursery,
+            )
             self._record_followers.relay.start(nursery)
             nursery.start_soon(self._keyspace.role.run)
             nursery.start_soon(self._keyspace.reporter.run)
--- a/src/carobwalk/app/_monitoring_servers.py
+++ b/src/carobwalk/app/_monitoring_servers.py
@@ -1,9 +1,10 @@
-"""HTTP servers of readiness checks and metric scrapes."""
+"""HTTP servers of readiness checks, metric scrapes and explanations."""
 
 from collections.abc import Callable
 
 import trio
 
+from carobwalk.app._explain_handler import ExplainHandler, ExplainSources
 from carobwalk.app._gateway_core import GatewayCore
 from carobwalk.app._listeners import open_listener
 from carobwalk.app._readiness_handler import ReadinessHandler
@@ -16,6 +17,8 @@
 async def serve_monitoring(
     core: GatewayCore,
     is_ready: Callable[[], bool],
+    explained: ExplainSources,
+    records_age: Callable[[], float],
     nursery: trio.Nursery,
 ) -> None:
     """Serve readiness checks and scrapes until the nursery is cancelled.
@@ -23,6 +26,8 @@
     Args:
         core: Shared components of the process.
         is_ready: Returns whether the process accepts callers.
+        explained: Components whose state is explained.
+        records_age: Returns the seconds since the records were current.
         nursery: Runs the servers.
 
     Raises:
@@ -31,7 +36,9 @@
     listen = core.settings.listen
     handlers_by_address: dict[Address, HttpHandler] = {
         listen.readiness: ReadinessHandler(READINESS_PATH, is_ready),
-        listen.metrics: ScrapeHandler(core.metrics),
+        listen.metrics: ExplainHandler(
+            core, explained, records_age, ScrapeHandler(core.metrics)
+        ),
     }
     for address, handler in handlers_by_address.items():
         nursery.start_soon(
--- a/src/carobwalk/gateway/explain/__init__.py
+++ b/src/carobwalk/gateway/explain/__init__.py
@@ -15,6 +15,7 @@
     Rule,
     ServerFacts,
 )
+from carobwalk.gateway.explain._server_view import ServerViewParts
 
 __all__ = (
     'DestinationFacts',
@@ -27,4 +28,5 @@
     'RouteFacts',
     'Rule',
     'ServerFacts',
+    'ServerViewParts',
 )
--- a/src/carobwalk/gateway/explain/_facts.py
+++ b/src/carobwalk/gateway/explain/_facts.py
@@ -2,7 +2,11 @@
 
 from dataclasses import dataclass
 from enum import StrEnum, unique
-from typing import Final
+from typing import Annotated, Final
+
+import msgspec
+
+Natural = Annotated[int, msgspec.Meta(ge=0)]
 
 
 @unique
@@ -59,8 +63,8 @@
     host: str
     path: str
     method: str = 'GET'
-    key: int | None = None
-    body_bytes: int = 0
+    key: Natural | None = None
+    body_bytes: Natural = 0
     caller: str = ''
 
 
--- a/tests/app/test_gateway_process.py
+++ b/tests/app/test_gateway_process.py
@@ -82,6 +82,12 @@
         sent = await self.http.send(address, HttpRequest('GET', path), 2)
         return sent.ok_value.status, sent.ok_value.body
 
+    async def explain(self, **query: str) -> tuple[int, bytes]:
+        """Ask where a request would go; return the status and body."""
+        request = HttpRequest('GET', '/explain', {'host': 'a.example', **query})
+        sent = await self.http.send(self.metrics, request, 2)
+        return sent.ok_value.status, sent.ok_value.body
+
     async def wait_until_ready(self) -> None:
         """Wait until the readiness check succeeds."""
         while True:
@@ -249,3 +255,31 @@
             assert b'allowed regions' in answer.body
 
         run_scenario(scenario)
+
+    def test_explain(self, run_scenario) -> None:
+        """The metrics listener explains where a request would go.
+
+        Guards against explanations that send a request, and against those of
+        another state than that of the process.
+        """
+
+        async def scenario(deployment: Deployment) -> None:
+            assert (await deployment.send_as_caller('/reads/a')).status == 200
+            sent = len(deployment.backend.requests)
+            status, body = await deployment.explain(path='/reads/a')
+            assert status == 200
+            explained = json.loads(body)
+            assert explained['version'] == 7
+            assert 0 <= explained['records_age'] < 5
+            assert explained['route']['name'] == 'reads'
+            destination = explained['destinations'][0]
+            assert destination['outcome'] == 'send'
+            assert destination['servers'][0]['server'] == 's1'
+            assert destination['servers'][0]['latency_age'] > 0
+            assert len(deployment.backend.requests) == sent
+            for wrong in ({}, {'path': '/', 'key': '-1'}):
+                assert (await deployment.explain(**wrong))[0] == 400
+            scraped = await deployment.get(deployment.metrics, '/metrics')
+            assert scraped[0] == 200
+
+        run_scenario(scenario)
--- a/tests/app/test_start.py
+++ b/tests/app/test_start.py
@@ -26,3 +26,6 @@
     loaded = {name.split('.')[1] for name in completed.stdout.split()}
     assert 'keyspace' in loaded
     assert not loaded & set(_UNUSED_PACKAGES)
+    # Loaded with the first question that a process is asked.
+    assert 'carobwalk.gateway.explain' not in completed.stdout
+    assert 'carobwalk.app._explain_call' not in completed.stdout
