--- a/src/carobwalk/cli/_admin_options.py
+++ b/src/carobwalk/cli/_admin_options.py
@@ -35,9 +35,10 @@
         return Address(match['host'], int(match['port']))
 
 
+ADDRESS_TYPE: Final = _AddressType()
 _ADDRESS_OPTION: Final = click.option(
     '--address',
-    type=_AddressType(),
+    type=ADDRESS_TYPE,
     envvar='CAROBWALK_ADDRESS',
     required=True,
     help='Administration of any entry, as HOST:PORT.',
--- a/src/carobwalk/cli/_main.py
+++ b/src/carobwalk/cli/_main.py
@@ -16,6 +16,7 @@
     'carobwalk.cli._completion',
     'carobwalk.cli._explain',
     'carobwalk.cli._explain_request',
+    'carobwalk.cli._explain_route',
     'carobwalk.cli._profile',
     'carobwalk.cli._serve',
     'carobwalk.cli._service',
