--- a/tests/app/test_gateway_process.py
+++ b/tests/app/test_gateway_process.py
@@ -10,6 +10,7 @@
 import trio
 
 from carobwalk.app._gateway_process import GatewayProcess
+from carobwalk.cli._explained_text import explained_lines
 from carobwalk.http import H11Stream, HttpClient, HttpRequest, serve_http
 from carobwalk.model import Address
 from carobwalk.settings import load_gateway_settings
@@ -276,6 +277,11 @@
             assert destination['outcome'] == 'send'
             assert destination['servers'][0]['server'] == 's1'
             assert destination['servers'][0]['latency_age'] > 0
+            lines = '\n'.join(explained_lines(explained))
+            assert 's1 in dc1: candidate' in lines
+            _, body = await deployment.explain(path='/keyed/a', key='7')
+            lines = '\n'.join(explained_lines(json.loads(body)))
+            assert 'the key has no owner now' in lines
             assert len(deployment.backend.requests) == sent
             for wrong in ({}, {'path': '/', 'key': '-1'}):
                 assert (await deployment.explain(**wrong))[0] == 400
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -14,10 +14,12 @@
     CrashTracker,
     LoadTable,
     Locality,
+    NoTarget,
     RegionRules,
     SampledChoice,
     ServerCost,
     ServerEstimate,
+    UnkeyedChooser,
     encode_digest,
 )
 from carobwalk.gateway._server_notice import ServerNotice
@@ -44,6 +46,7 @@
     REMOTE_DATA_CENTRE,
     SingleOwnerMap,
 )
+from tests.gateway.test_choosers import make_request
 
 READ = Question(host='a.example', path='/reads/a')
 KEYED = Question(host='a.example', path='/keyed/a', key=7)
@@ -63,28 +66,27 @@
         regions = RegionRules(REGIONS_BY_DATA_CENTRE, self.routes)
         locality = Locality(LOCAL_DATA_CENTRE, REGIONS_BY_DATA_CENTRE)
         cost = ServerCost(self.loads, locality)
-        self.explainer = Explainer(
-            ExplainParts(
-                routes=self.routes,
-                records_age=lambda: 0.5,
-                owners=self.owners,
-                misdirected=self.misdirected,
-                crash_tracker=CrashTracker(),
-                servers=ServerViewParts(
-                    directory=self.directory,
-                    candidates=CandidateServers(
-                        self.directory, self.loads.warmups.is_cold, regions
-                    ),
-                    regions=regions,
-                    loads=self.loads,
-                    cost=cost,
-                    sampled=SampledChoice(
-                        self.loads.shared, cost, locality, _has_connection
-                    ),
-                    has_connection=_has_connection,
+        self.explainer_parts = ExplainParts(
+            routes=self.routes,
+            records_age=lambda: 0.5,
+            owners=self.owners,
+            misdirected=self.misdirected,
+            crash_tracker=CrashTracker(),
+            servers=ServerViewParts(
+                directory=self.directory,
+                candidates=CandidateServers(
+                    self.directory, self.loads.warmups.is_cold, regions
                 ),
-            )
+                regions=regions,
+                loads=self.loads,
+                cost=cost,
+                sampled=SampledChoice(
+                    self.loads.shared, cost, locality, _has_connection
+                ),
+                has_connection=_has_connection,
+            ),
         )
+        self.explainer = Explainer(self.explainer_parts)
 
     def add(
         self, name: str, service: str = 'reads', **changes
@@ -299,6 +301,40 @@
         run(scenario)
 
 
+class TestAgreement:
+    def test_choosers_agree(self) -> None:
+        """Guards against explanations that differ from what choosers do."""
+
+        async def scenario() -> None:
+            known = Known()
+            slow = known.add('slow')
+            known.add('fast')
+            known.add('left', is_leaving=True)
+            known.loads.record_answer(slow, trio.current_time(), 0.4)
+            servers = known.explainer_parts.servers
+            chooser = UnkeyedChooser(
+                servers.candidates, known.loads, servers.cost, servers.sampled
+            )
+            reads, request = ServiceName('reads'), make_request()
+            for _ in range(12):
+                explained = known.ask()
+                chosen = await chooser.choose(reads, request, frozenset())
+                if isinstance(chosen, NoTarget):
+                    break
+                assert explained.outcome is Outcome.SEND
+                name = explained.detail.rpartition(' ')[-1]
+                cost = _facts(explained, chosen.server.id).cost
+                # The random part of the cost is 10 % of it at most.
+                assert cost <= _facts(explained, name).cost * 1.1
+            assert known.ask().outcome is Outcome.WAIT
+
+        async def limited() -> None:
+            with trio.move_on_after(60):
+                await scenario()
+
+        trio.run(limited, clock=MockClock(autojump_threshold=0))
+
+
 class TestNoEffect:
     def test_changes_no_state(self, run) -> None:
         """Guards against an explanation that counts, draws or creates state."""
