Keep an evacuation whose record a restored store lacks

The listing after an outage or a restore may lack records for 2 s. The reader ignored after_outage, so that the evacuation ended at once and the data centre got work again. An evacuation that is not listed now goes on for 4 s: 2 s until the record is written again, and 1.6 s at most until it is known here.

The follower of test_operator_records expires evacuations periodically, as the maintenance of a process does.

--- a/src/carobwalk/directory/_evacuations.py
+++ b/src/carobwalk/directory/_evacuations.py
@@ -18,6 +18,9 @@
 # Time for a request to arrive once it is sent. Together with the age of
 # records, 1.6 s at most, it is within the last part.
 _ARRIVAL_SECONDS: Final = 0.4
+# How long a record may be missing after an outage or a restore of the store: it
+# is written again within 2 s, and is known here up to 1.6 s later.
+_REWRITE_GRACE_SECONDS: Final = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +49,7 @@
         self._events = events
         self._limit = limit
         self._by_data_centre: dict[DataCentreName, _Evacuation] = {}
+        self._missing_since: dict[DataCentreName, float] = {}
         self.changed = trio.Event()
 
     @property
@@ -74,6 +78,7 @@
             data_centre: Name of the data centre.
             proved_at: Time before which it was certainly not asked for.
         """
+        self._missing_since.pop(data_centre, None)
         if data_centre in self._by_data_centre:
             return
         now = self._clock.now()
@@ -88,6 +93,7 @@
 
     def end(self, data_centre: DataCentreName) -> None:
         """End an evacuation; the servers there get work again."""
+        self._missing_since.pop(data_centre, None)
         evacuation = self._by_data_centre.pop(data_centre, None)
         if evacuation is None:
             return
@@ -99,14 +105,35 @@
         self,
         data_centres: Iterable[DataCentreName],
         proved_at: float = -math.inf,
+        *,
+        after_outage: bool = False,
     ) -> None:
-        """Replace the evacuated data centres by those of a complete listing."""
+        """Replace the evacuated data centres by those of a complete listing.
+
+        Args:
+            data_centres: Names of the listed data centres.
+            proved_at: Time before which those that are new were certainly not
+                asked for.
+            after_outage: Whether the store was unavailable or restored before.
+                If so, evacuations that are not listed go on until ``expire``
+                finds that their records have not returned in time.
+        """
         listed = frozenset(data_centres)
-        for ended in self.data_centres - listed:
-            self.end(ended)
+        for missing in sorted(self.data_centres - listed):
+            if after_outage or missing in self._missing_since:
+                self._missing_since.setdefault(missing, self._clock.now())
+            else:
+                self.end(missing)
         for data_centre in sorted(listed):
             self.begin(data_centre, proved_at)
 
+    def expire(self) -> None:
+        """End evacuations whose records have been missing for too long."""
+        limit = self._clock.now() - _REWRITE_GRACE_SECONDS
+        for data_centre, since in tuple(self._missing_since.items()):
+            if since <= limit:
+                self.end(data_centre)
+
     def _notify(self) -> None:
         self.changed.set()
         self.changed = trio.Event()
--- a/src/carobwalk/directory/_server_directory.py
+++ b/src/carobwalk/directory/_server_directory.py
@@ -171,7 +171,8 @@
         self.is_loaded = True
 
     def expire(self) -> None:
-        """Remove servers whose grace period has passed; log warm ones."""
+        """End what is past its grace period; log servers that are warm."""
+        self.evacuations.expire()
         for warm in self.cold.pop_warmed():
             self._events.emit(ServerWarm(warm.id, warm.service, warm.born))
         limit = self._clock.now() - REREGISTRATION_GRACE_SECONDS
--- a/src/carobwalk/platform/_evacuation_reader.py
+++ b/src/carobwalk/platform/_evacuation_reader.py
@@ -29,9 +29,14 @@
         self._proved_at = proved_at
 
     def load(self, listing: Listing, *, after_outage: bool) -> None:
-        """Replace all evacuations by the listed ones."""
+        """Replace all evacuations by the listed ones.
+
+        After an outage, a restored store may lack records for a time.
+        """
         names = map(_data_centre, listing.records)
-        self._evacuations.replace(filter(None, names), self._proved_at())
+        self._evacuations.replace(
+            filter(None, names), self._proved_at(), after_outage=after_outage
+        )
 
     def apply(self, change: Versioned | Removed) -> None:
         """Apply the change of one record."""
--- a/tests/directory/test_evacuations.py
+++ b/tests/directory/test_evacuations.py
@@ -124,6 +124,29 @@
 
         run(scenario)
 
+    def test_missing_after_restore(self, run, log) -> None:
+        """A record that a restored store lacks for a time ends nothing.
+
+        Guards against an end by a second listing in that time, and against an
+        evacuation that never ends if its record does not return.
+        """
+
+        async def scenario(evacuations: Evacuations) -> None:
+            evacuations.begin(DC)
+            evacuations.begin(OTHER)
+            evacuations.replace([], after_outage=True)
+            evacuations.replace([])
+            await trio.sleep(3.5)
+            evacuations.expire()
+            assert evacuations.data_centres == {DC, OTHER}
+            evacuations.begin(OTHER)
+            await trio.sleep(0.6)
+            evacuations.expire()
+            assert evacuations.data_centres == {OTHER}
+
+        run(scenario)
+        assert len(log.named('EvacuationBegun')) == 2
+
 
 def test_removed_server_hands_over(virtual_clock: MockClock) -> None:
     """A removed entry in an evacuated data centre is kept as any other.
--- a/tests/platform/test_operator_records.py
+++ b/tests/platform/test_operator_records.py
@@ -53,7 +53,15 @@
             clock,
             log,
         )
+        self.records = follower.records
         nursery.start_soon(follower.run)
+        nursery.start_soon(self._maintain)
+
+    async def _maintain(self) -> None:
+        """Expire evacuations as the maintenance of a process does."""
+        while True:
+            await trio.sleep(0.25)
+            self.evacuations.expire()
 
 
 Scenario = Callable[[KvStore, trio.Nursery], Awaitable[None]]
@@ -177,6 +185,34 @@
 
         run(scenario)
 
+    def test_written_again_after_outage(self, run) -> None:
+        """An evacuation goes on if its record returns 2 s after an outage.
+
+        Guards against work for the data centre while a restored store lacks
+        the record.
+        """
+
+        async def scenario(store: KvStore, nursery: trio.Nursery) -> None:
+            process = Follower(store, nursery)
+            await trio.sleep(0.5)
+            revision = await _evacuate(store)
+            await trio.sleep(0.5)
+            process.link.is_cut = True
+            await trio.sleep(OUTAGE_SECONDS)
+            (await store.remove(RECORD, revision)).unwrap()
+            process.link.is_cut = False
+            reachable_at = trio.current_time()
+            while process.records.proved_at < reachable_at:
+                await trio.sleep(0.01)
+            for tenths in range(100):
+                if tenths == 20:
+                    await _evacuate(store)
+                assert process.evacuations.data_centres == {DC}
+                await trio.sleep(0.1)
+            assert not process.evacuations.accepts_keyed_requests(DC)
+
+        run(scenario)
+
     def test_without_name(self, run) -> None:
         """A record that names no data centre is ignored."""
 
