Do not refuse requests as evacuated when all servers are cold

The check for excluded locations left out cold servers. After a restart of all servers of a keyed service, requests were refused at once with 'all backend servers are in evacuated data centres' instead of waiting for a share.

--- a/src/carobwalk/gateway/choice/_candidate_servers.py
+++ b/src/carobwalk/gateway/choice/_candidate_servers.py
@@ -105,14 +105,14 @@
         """Return why the locations of all servers exclude a request, if so.
 
         A service without servers, or with leaving ones only, is not excluded
-        by its locations.
+        by its locations; nor is one whose servers are all cold.
         """
         staying = [
             server
             for server in self._directory.of_service(service)
             if not server.is_leaving
         ]
-        if not staying or self.find(service, request, frozenset()):
+        if not staying or self.permitted(service, request, frozenset()):
             return None
         is_outside = not any(
             self.is_in_region(request, server) for server in staying
--- a/tests/gateway/test_cold_servers.py
+++ b/tests/gateway/test_cold_servers.py
@@ -145,6 +145,8 @@
             chosen = await harness.choose_drawn(0.5)
             assert isinstance(chosen, NoTarget)
             assert trio.current_time() == started_at
+            # Guards against a report of an evacuation that there isn't.
+            assert 'evacuated' not in chosen.detail
 
         run(scenario)
 
@@ -209,6 +211,29 @@
 
         run(scenario)
 
+    def test_all_cold(self, run) -> None:
+        """A request also waits for a share if all servers are cold.
+
+        Guards against refusals, as if all were evacuated, after a restart of
+        all servers.
+        """
+
+        async def scenario() -> None:
+            harness = _ColdHarness()
+            for server in harness.directory.all_servers()[1:]:
+                harness.directory.put(replace(server, warmup_left=60), 2)
+            async with trio.open_nursery() as nursery:
+
+                async def tell() -> None:
+                    await trio.sleep(0.1)
+                    harness.tell(1)
+
+                nursery.start_soon(tell)
+                chosen = await harness.keyed.choose(SERVICE, make_request(), 7)
+            assert isinstance(chosen, Target)
+
+        run(scenario)
+
     def test_accurate_retry(self, run) -> None:
         """A refusal without a share names when the server will be warm."""
 
