Wake a waiting request only for a server that it may be sent to

The requests for a service without keys share one queue. If the next one could not be sent to the server that had capacity, because of its regions or an earlier attempt there, it waited again at the head, and those behind it waited up to 0.45 of their time beside idle servers. New requests did too.

--- a/src/carobwalk/gateway/choice/_candidate_servers.py
+++ b/src/carobwalk/gateway/choice/_candidate_servers.py
@@ -56,6 +56,26 @@
             if not self._is_cold(server)
         ]
 
+    def accepts(
+        self,
+        request: CallerRequest,
+        tried: frozenset[ServerId],
+        server: BackendServer,
+    ) -> bool:
+        """Return whether ``find`` would select a registered server.
+
+        Args:
+            request: The request.
+            tried: Servers that the request was sent to before.
+            server: The server.
+        """
+        return (
+            not server.is_leaving
+            and server.id not in tried
+            and not self._is_cold(server)
+            and self.permits(request, server, is_keyed=False)
+        )
+
     def permitted(
         self,
         service: ServiceName,
--- a/src/carobwalk/gateway/choice/_keyed_chooser.py
+++ b/src/carobwalk/gateway/choice/_keyed_chooser.py
@@ -15,6 +15,7 @@
     Ownership,
 )
 from carobwalk.gateway.choice._queue_wait import QueueWait, WaitCauses
+from carobwalk.gateway.choice._server_load import ServerLoad
 from carobwalk.gateway.choice._target import NoTarget, Target
 from carobwalk.model import ServiceName
 
@@ -199,7 +200,7 @@
             pause = self._loads.gates.pause(server)
             if pause and trio.current_time() + pause > waiting.leaves_at:
                 return NoTarget(_LIMITED, pause)
-            if not pause and load.has_capacity and waiting.may_start:
+            if not pause and load.has_capacity and waiting.may_start(server):
                 self._loads.start(server, request.route.name)
                 return Target(server, owner.fence)
             refusal = waiting.refusal()
@@ -208,9 +209,7 @@
             if pause:
                 await trio.sleep(pause)
             else:
-                await waiting.wait(
-                    has_capacity=load.has_capacity, is_valid=is_owner
-                )
+                await waiting.wait(free=_free(server, load), is_valid=is_owner)
         if load.has_capacity:
             load.queue.wake()  # It may have been this request's turn.
         return None
@@ -220,5 +219,10 @@
         return bool(current and _ownership(current) == _ownership(owner))
 
 
+def _free(server: BackendServer, load: ServerLoad) -> BackendServer | None:
+    """Return a server if it has capacity."""
+    return server if load.has_capacity else None
+
+
 def _ownership(owner: KeyOwner) -> Ownership:
     return Ownership(owner.server.incarnation, owner.fence)
--- a/src/carobwalk/gateway/choice/_load_table.py
+++ b/src/carobwalk/gateway/choice/_load_table.py
@@ -154,7 +154,7 @@
         self.shared.add(server, -1)
         queue = self._queues_by_service[server.service]
         queue.parts.finish(route)
-        queue.wake()
+        queue.wake(server)
 
     def remove_unregistered(self) -> None:
         """Remove the loads of servers that are no longer registered."""
--- a/src/carobwalk/gateway/choice/_priority_queue.py
+++ b/src/carobwalk/gateway/choice/_priority_queue.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from carobwalk.directory import BackendServer
 from carobwalk.gateway.choice._fair_order import FairOrder
 from carobwalk.gateway.choice._route_parts import RouteParts
 from carobwalk.gateway.choice._waiter import Waiter
@@ -29,10 +30,13 @@
         """Return the number of waiting requests."""
         return len(self._order)
 
-    @property
-    def is_contended(self) -> bool:
-        """Whether freed capacity belongs to a request that waits or waited."""
-        return bool(self._woken_count or self._order)
+    def is_claimed(self, server: BackendServer) -> bool:
+        """Return whether capacity is for a request that waits or waited.
+
+        Args:
+            server: Server that has the capacity.
+        """
+        return bool(self._woken_count) or self._order.has_for(server)
 
     def ahead_of(self, rank: int, caller: str) -> int:
         """Return about how many requests are served before a new one."""
@@ -43,7 +47,7 @@
         waiter: Waiter,
         until: float,
         *,
-        has_capacity: bool = False,
+        free: BackendServer | None = None,
         is_valid: Callable[[], bool] | None = None,
     ) -> None:
         """Wait until capacity may be available, or for as long as useful.
@@ -51,22 +55,22 @@
         Args:
             waiter: The request.
             until: Time at which it leaves the queue.
-            has_capacity: Whether there is capacity, for whichever request is
-                next.
+            free: Server that has capacity, for whichever request is next.
             is_valid: Returns whether it still waits at the right place; if
                 not, it leaves the queue.
         """
         waiter.woken = trio.Event()
         self._order.push(waiter)
-        if has_capacity and not self._woken_count:
+        if free is not None and not self._woken_count:
             # A request that was woken before wakes the next one in its turn.
-            self.wake()
+            self.wake(free)
         try:
             await self._wait(waiter, until, is_valid)
         except trio.Cancelled:
             if waiter.woken.is_set():
                 self._woken_count -= 1
-                self.wake()  # Pass on the capacity this request cannot use.
+                # Pass on the capacity this request cannot use.
+                self.wake(waiter.woken_for)
             else:
                 self._order.remove(waiter)
             raise
@@ -75,11 +79,17 @@
         else:
             self._order.remove(waiter)
 
-    def wake(self) -> None:
-        """Wake the next request, if any waits."""
-        waiter = self._order.pop(trio.current_time())
+    def wake(self, server: BackendServer | None = None) -> None:
+        """Wake the next request that can use capacity, if any waits.
+
+        Args:
+            server: Server that has the capacity, ``None`` if all requests in
+                the queue wait for the same one.
+        """
+        waiter = self._order.pop(trio.current_time(), server)
         if waiter is not None:
             self._woken_count += 1
+            waiter.woken_for = server
             waiter.woken.set()
 
     async def _wait(
--- a/src/carobwalk/gateway/choice/_queue_wait.py
+++ b/src/carobwalk/gateway/choice/_queue_wait.py
@@ -7,10 +7,11 @@
 
 import trio
 
+from carobwalk.directory import BackendServer
 from carobwalk.gateway._caller_request import CallerRequest
 from carobwalk.gateway.choice._priority_queue import PriorityQueue
 from carobwalk.gateway.choice._target import NoTarget
-from carobwalk.gateway.choice._waiter import Waiter
+from carobwalk.gateway.choice._waiter import Accepts, Waiter, accept_any
 
 # Part of the expected latency that a response takes at least. Servers differ
 # by a factor of three, so half of the mean rules out few that could be in time.
@@ -45,6 +46,7 @@
         request: The request.
         latency: Expected latency in seconds once a request is sent.
         causes: Causes of refusals.
+        accepts: Returns whether the request may be sent to a server.
     """
 
     def __init__(
@@ -53,11 +55,12 @@
         request: CallerRequest,
         latency: float,
         causes: WaitCauses,
+        accepts: Accepts = accept_any,
     ) -> None:
         self._queue = queue
         self._latency = latency
         self._causes = causes
-        self._waiter = Waiter.of(request, latency)
+        self._waiter = Waiter.of(request, latency, accepts)
         self._has_waited = False
         now = trio.current_time()
         self.leaves_at = min(
@@ -65,10 +68,11 @@
             now + (request.deadline - now) * _MAX_WAIT_PART,
         )
 
-    @property
-    def may_start(self) -> bool:
-        """Whether free capacity is for this request."""
-        return self._waiter.woken.is_set() or not self._queue.is_contended
+    def may_start(self, server: BackendServer) -> bool:
+        """Return whether the free capacity of a server is for this request."""
+        if self._waiter.woken.is_set():
+            return True
+        return not self._queue.is_claimed(server)
 
     def refusal(self) -> NoTarget | None:
         """Return why the request can't wait for capacity, if it can't."""
@@ -83,22 +87,21 @@
         self,
         until: float = math.inf,
         *,
-        has_capacity: bool = False,
+        free: BackendServer | None = None,
         is_valid: Callable[[], bool] | None = None,
     ) -> None:
         """Wait until there may be capacity or the wait has become useless.
 
         Args:
             until: Time at which the request checks for capacity anyway.
-            has_capacity: Whether there is capacity, for whichever request is
-                next.
+            free: Server that has capacity, for whichever request is next.
             is_valid: Returns whether it still waits at the right place.
         """
         self._has_waited = True
         await self._queue.wait(
             self._waiter,
             min(until, self.leaves_at),
-            has_capacity=has_capacity,
+            free=free,
             is_valid=is_valid,
         )
 
--- a/src/carobwalk/gateway/choice/_unkeyed_chooser.py
+++ b/src/carobwalk/gateway/choice/_unkeyed_chooser.py
@@ -69,10 +69,16 @@
             return self._start(cold, request)
         queue = self._loads.queue_of(service)
         latency = self._loads.service_latency(service)
-        waiting = QueueWait(queue, request, latency, _CAUSES)
+        waiting = QueueWait(
+            queue,
+            request,
+            latency,
+            _CAUSES,
+            partial(self._candidates.accepts, request, tried),
+        )
         while True:
             server = self._find_available(service, request, tried)
-            if server is not None and waiting.may_start:
+            if server is not None and waiting.may_start(server):
                 return self._start(server, request)
             opens_at = trio.current_time() + self._pause(
                 service, request, tried
@@ -87,7 +93,7 @@
                 return refusal
             await waiting.wait(
                 opens_at,
-                has_capacity=server is not None,
+                free=server,
                 is_valid=partial(self._are_all_full, service, request, tried),
             )
 
@@ -114,8 +120,10 @@
         """Count a request; wake the next one if more capacity is left."""
         self._loads.start(server, request.route.name)
         queue = self._loads.queue_of(server.service)
-        if queue and self._find_available(server.service, request, frozenset()):
-            queue.wake()
+        if queue:
+            free = self._find_available(server.service, request, frozenset())
+            if free is not None:
+                queue.wake(free)
         return Target(server)
 
     def _capacity(self, service: ServiceName, request: CallerRequest) -> float:
--- a/tests/gateway/choice/test_fair_order.py
+++ b/tests/gateway/choice/test_fair_order.py
@@ -116,6 +116,19 @@
         order.push(waiter)
         assert serve(order, 1) == [waiter]
 
+    def test_all_at_their_parts(self) -> None:
+        """Capacity is used if all waiting routes hold their largest parts.
+
+        The capacity known may shrink to less than what is held. Guards against
+        requests that wait while servers are idle.
+        """
+        order, parts = make_order(capacity=4)
+        for route in ('a', 'b') * 4:
+            parts.start(route)
+        for route in ('a', 'b'):
+            order.push(make_waiter(route, route=route))
+        assert len(serve(order, 2)) == 2
+
     def test_after_the_burst(self) -> None:
         """A route that holds little is served by rank again."""
         order, parts = make_order(capacity=8)
--- a/tests/gateway/test_locations.py
+++ b/tests/gateway/test_locations.py
@@ -193,6 +193,41 @@
         run(scenario)
 
 
+class TestSharedQueue:
+    """Requests to one service whose routes allow different regions."""
+
+    def test_idle_region(self, run) -> None:
+        """A request is sent to an idle region though others can't go there.
+
+        Guards against requests that wait behind one that waits for a full
+        region, while servers that only they may be sent to are idle.
+        """
+
+        async def scenario() -> None:
+            harness = KeyedHarness()
+            for server in (harness.local, harness.remote):
+                load = harness.loads.of(server)
+                while load.has_capacity:
+                    harness.loads.start(server)
+            async with trio.open_nursery() as nursery:
+                for regions in (LOCAL_REGION, None):
+                    nursery.start_soon(
+                        harness.choose, _limited(regions, seconds=9)
+                    )
+                    await trio.sleep(0.01)
+                harness.loads.finish(harness.remote)
+                await trio.sleep(0.01)
+                queue = harness.loads.queue_of(SERVICE)
+                assert len(queue) == 1
+                harness.loads.finish(harness.remote)
+                with trio.fail_after(AT_ONCE_SECONDS):
+                    chosen = await harness.choose(_limited(None, seconds=9))
+                assert chosen == Target(harness.remote)
+                nursery.cancel_scope.cancel()
+
+        run(scenario)
+
+
 class TestChangedConfiguration:
     """Requests that wait while the allowed regions of their route change."""
 
