Pass on capacity of an owner that a request was woken for

A request that was woken, and then was refused or cancelled because the owner asks to wait, woke no other one. Those behind it waited beside an idle owner until they were refused.

--- a/src/carobwalk/gateway/choice/_keyed_chooser.py
+++ b/src/carobwalk/gateway/choice/_keyed_chooser.py
@@ -171,7 +171,13 @@
         warmups = self._loads.warmups
         if warmups.refuses(owner.server, request):
             return self._cold(owner.server)
-        target = await self._wait_for_capacity(owner, request, key)
+        target: Target | NoTarget | None = None
+        try:
+            target = await self._wait_for_capacity(owner, request, key)
+        finally:
+            load = self._loads.of(owner.server)
+            if not isinstance(target, Target) and load.has_capacity:
+                load.queue.wake()  # It may have been this request's turn.
         if isinstance(target, Target) and not warmups.admit(
             owner.server, request
         ):
@@ -210,8 +216,6 @@
                 await trio.sleep(pause)
             else:
                 await waiting.wait(free=_free(server, load), is_valid=is_owner)
-        if load.has_capacity:
-            load.queue.wake()  # It may have been this request's turn.
         return None
 
     def _is_current(self, owner: KeyOwner, key: int) -> bool:
--- a/tests/gateway/choice/test_queue_wait.py
+++ b/tests/gateway/choice/test_queue_wait.py
@@ -7,6 +7,7 @@
 from trio.testing import MockClock
 
 from carobwalk.gateway import KeyedChooser, NoTarget, Target
+from carobwalk.gateway._server_notice import ServerNotice
 from tests.gateway.harness import SingleOwnerMap
 from tests.gateway.test_choosers import ChooserHarness, make_request
 from tests.keyspace.simulated_fleet import SERVICE, make_server
@@ -87,6 +88,47 @@
         trio.run(main, clock=virtual_clock)
 
 
+class TestLimitedOwner:
+    """Requests at a full owner that asks to wait when it has capacity again.
+
+    Guards against capacity that is lost with the request that was woken for
+    it, so that those behind it are refused beside an idle owner.
+    """
+
+    @pytest.mark.parametrize('is_cancelled', (True, False))
+    def test_passed_on(
+        self, is_cancelled: bool, virtual_clock: MockClock
+    ) -> None:
+        """A request that can't wait for the limit wakes the next one."""
+
+        async def main() -> None:
+            full = _FullServer(by_key=True)
+            scope = trio.CancelScope()
+
+            async def choose_first() -> None:
+                with scope:
+                    await full.choose(9 if is_cancelled else 2, 'first')
+
+            async def free() -> None:
+                await trio.sleep(0.01)
+                notice = ServerNotice(wait_seconds=1)
+                full.loads.gates.apply(full.server, notice)
+                full.loads.finish(full.server)
+                await trio.sleep(0.5)
+                if is_cancelled:
+                    scope.cancel()
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(choose_first)
+                await trio.sleep(0.01)
+                nursery.start_soon(free)
+                chosen = await full.choose(9, 'second')
+                assert isinstance(chosen, Target)
+                assert trio.current_time() < _SOON
+
+        trio.run(main, clock=virtual_clock)
+
+
 @pytest.mark.parametrize('by_key', (True, False))
 class TestFullServer:
     @pytest.mark.parametrize(
