Wait for grants of a key map whose record a restore has lost

A record first written after the copy was made is missing after the restore. The next coordinator took the map for a new one and granted its keys at once, while owners of the former era could still hold theirs.

--- a/src/carobwalk/keyspace/_map_claim.py
+++ b/src/carobwalk/keyspace/_map_claim.py
@@ -12,7 +12,7 @@
 from carobwalk.keyspace._map_writer import MapWriter, is_outdated
 from carobwalk.keyspace._times import KeyTimes
 from carobwalk.lease import Term
-from carobwalk.store import Versioned
+from carobwalk.store import Versioned, era_of_lease
 
 _SETTLED_SLACK_SECONDS: Final = 0.1
 
@@ -59,7 +59,7 @@
     record = read.ok_value
     key_map = writer.decode(record)
     if not key_map.ranges and not key_map.revision:
-        return MapClaim(key_map, InheritedBounds(holds=0, unanswered=0))
+        return MapClaim(key_map, _bounds_without_record(times, term))
     if key_map.ranges:
         claimed = await writer.claim(key_map)
         if claimed is None or claimed.ranges != key_map.ranges:
@@ -79,9 +79,25 @@
     if record is not None and is_outdated(record):
         # The record names neither the last owners nor the last coordinator,
         # whose term may last until its lease would have expired.
-        bound = times.lease + times.inherited
-        return InheritedBounds(holds=bound, unanswered=bound)
+        return _bounds_of_former_era(times)
     unanswered = times.inherited
     if record is not None and is_settled(record.content):
         unanswered = _SETTLED_SLACK_SECONDS
     return InheritedBounds(holds=times.inherited, unanswered=unanswered)
+
+
+def _bounds_without_record(times: KeyTimes, term: Term) -> InheritedBounds:
+    """Return how long grants of a map without a record may be in force.
+
+    A store that was restored may have lost the record with the grants that
+    followed it.
+    """
+    if era_of_lease(term.lease):
+        return _bounds_of_former_era(times)
+    return InheritedBounds(holds=0, unanswered=0)
+
+
+def _bounds_of_former_era(times: KeyTimes) -> InheritedBounds:
+    """Return how long grants from before a restore may be in force."""
+    bound = times.lease + times.inherited
+    return InheritedBounds(holds=bound, unanswered=bound)
--- a/tests/keyspace/test_claims.py
+++ b/tests/keyspace/test_claims.py
@@ -168,6 +168,23 @@
 
         trio.run(body, clock=virtual_clock)
 
+    # Guards against two owners: a record that was first written after the copy
+    # was made is missing, while its grants are in force.
+    def test_lost_record(self, virtual_clock: MockClock) -> None:
+        """Grants of a record that a restore has lost are waited for."""
+
+        async def body() -> None:
+            times = KeyTimes()
+            second = Claimant(make_endpoint('b'), join_lease(1, 5))
+            claim = await _claim(KvStore(), second)
+            assert claim is not None
+            assert claim.inherited.holds >= times.lease + times.longest_hold
+            claim = await _claim(KvStore(), SECOND)
+            assert claim is not None
+            assert not claim.inherited.holds
+
+        trio.run(body, clock=virtual_clock)
+
     def test_record_of_this_era(self, virtual_clock: MockClock) -> None:
         """A record written since the restore is claimed as usual."""
 
