--- a/src/carobwalk/keyspace/_load_reporter.py
+++ b/src/carobwalk/keyspace/_load_reporter.py
@@ -18,8 +18,9 @@
     ServerCrash,
     ServiceLoad,
 )
-from carobwalk.keyspace._local_load import LocalLoad
+from carobwalk.keyspace._local_load import LoadReceiptDropped, LocalLoad
 from carobwalk.keyspace._reported_work import ReportedWork
+from carobwalk.model import DECODE_ERRORS
 from carobwalk.peer import Peers
 
 _TIMEOUT_SECONDS: Final = 0.5
@@ -71,7 +72,11 @@
         )
         if isinstance(answered, Err):
             return None  # The hub logs the failure; the next report is due.
-        return msgspec.msgpack.decode(answered.ok_value, type=LoadReceipt)
+        try:
+            return msgspec.msgpack.decode(answered.ok_value, type=LoadReceipt)
+        except DECODE_ERRORS as error:
+            self._local.events.emit(LoadReceiptDropped(str(error)))
+            return None
 
     def _collect_report(self, crashes: Iterable[Crash]) -> LoadReport:
         work = ReportedWork.pop(self._local)
--- a/src/carobwalk/keyspace/_local_load.py
+++ b/src/carobwalk/keyspace/_local_load.py
@@ -53,6 +53,19 @@
     size: int
 
 
+@dataclass(frozen=True, slots=True)
+class LoadReceiptDropped(Event):
+    """The receipt of a load report could not be decoded; it is ignored.
+
+    Args:
+        detail: Description of the error.
+    """
+
+    level: ClassVar[str] = 'warning'
+
+    detail: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LocalLoad:
     """Components that feed load reports and are updated by their receipts.
