--- a/src/carobwalk/platform/_store_era.py
+++ b/src/carobwalk/platform/_store_era.py
@@ -6,6 +6,8 @@
 from carobwalk.store import MAX_ERA
 
 _ERA_HEADER: Final = 'store-era'
+# Python converts no text of more than 4300 digits to an integer.
+_MAX_DIGITS: Final = 20
 
 
 class StoreEra:
@@ -36,7 +38,8 @@
 
 def _era_of(response: HttpResponse) -> int | None:
     text = response.headers.get(_ERA_HEADER, '').strip()
-    if not (text.isascii() and text.isdecimal()):
+    is_number = text.isascii() and text.isdecimal()
+    if not is_number or len(text) > _MAX_DIGITS:
         return None
     era = int(text)
     return era if era <= MAX_ERA else None
