--- a/src/carobwalk/gateway/choice/_candidate_servers.py
+++ b/src/carobwalk/gateway/choice/_candidate_servers.py
@@ -56,6 +56,26 @@
             if not self._is_cold(server)
         ]
 
+    def accepts(
+        self,
+        request: CallerRequest,
+        tried: frozenset[ServerId],
+        server: BackendServer,
+    ) -> bool:
+        """Return whether ``find`` would select a registered server.
+
+        Args:
+            request: The request.
+            tried: Servers that the request was sent to before.
+            server: The server.
+        """
+        return (
+            not server.is_leaving
+            and server.id not in tried
+            and not self._is_cold(server)
+            and self.permits(request, server, is_keyed=False)
+        )
+
     def permitted(
         self,
         service: ServiceName,
@@ -105,14 +125,14 @@
         """Return why the locations of all servers exclude a request, if so.
 
         A service without servers, or with leaving ones only, is not excluded
-        by its locations.
+        by its locations; nor is one whose servers are all cold.
         """
         staying = [
             server
             for server in self._directory.of_service(service)
             if not server.is_leaving
         ]
-        if not staying or self.find(service, request, frozenset()):
+        if not staying or self.permitted(service, request, frozenset()):
             return None
         is_outside = not any(
             self.is_in_region(request, server) for server in staying
--- a/src/carobwalk/gateway/choice/_keyed_chooser.py
+++ b/src/carobwalk/gateway/choice/_keyed_chooser.py
@@ -15,6 +15,7 @@
     Ownership,
 )
 from carobwalk.gateway.choice._queue_wait import QueueWait, WaitCauses
+from carobwalk.gateway.choice._server_load import ServerLoad
 from carobwalk.gateway.choice._target import NoTarget, Target
 from carobwalk.model import ServiceName
 
@@ -170,7 +171,13 @@
         warmups = self._loads.warmups
         if warmups.refuses(owner.server, request):
             return self._cold(owner.server)
-        target = await self._wait_for_capacity(owner, request, key)
+        target: Target | NoTarget | None = None
+        try:
+            target = await self._wait_for_capacity(owner, request, key)
+        finally:
+            load = self._loads.of(owner.server)
+            if not isinstance(target, Target) and load.has_capacity:
+                load.queue.wake()  # It may have been this request's turn.
         if isinstance(target, Target) and not warmups.admit(
             owner.server, request
         ):
@@ -199,7 +206,7 @@
             pause = self._loads.gates.pause(server)
             if pause and trio.current_time() + pause > waiting.leaves_at:
                 return NoTarget(_LIMITED, pause)
-            if not pause and load.has_capacity and waiting.may_start:
+            if not pause and load.has_capacity and waiting.may_start(server):
                 self._loads.start(server, request.route.name)
                 return Target(server, owner.fence)
             refusal = waiting.refusal()
@@ -208,11 +215,7 @@
             if pause:
                 await trio.sleep(pause)
             else:
-                await waiting.wait(
-                    has_capacity=load.has_capacity, is_valid=is_owner
-                )
-        if load.has_capacity:
-            load.queue.wake()  # It may have been this request's turn.
+                await waiting.wait(free=_free(server, load), is_valid=is_owner)
         return None
 
     def _is_current(self, owner: KeyOwner, key: int) -> bool:
@@ -220,5 +223,10 @@
         return bool(current and _ownership(current) == _ownership(owner))
 
 
+def _free(server: BackendServer, load: ServerLoad) -> BackendServer | None:
+    """Return a server if it has capacity."""
+    return server if load.has_capacity else None
+
+
 def _ownership(owner: KeyOwner) -> Ownership:
     return Ownership(owner.server.incarnation, owner.fence)
