--- a/src/carobwalk/app/_explain_call.py
+++ b/src/carobwalk/app/_explain_call.py
@@ -38,7 +38,7 @@
             routes=core.routes,
             records_age=records_age,
             owners=sources.owners,
-            misdirected=sources.keyed.misdirected,
+            misdirected=sources.keyed.lookup.misdirected,
             crash_tracker=sources.crash_tracker,
             servers=ServerViewParts(
                 directory=core.directory,
--- a/src/carobwalk/gateway/choice/_unkeyed_chooser.py
+++ b/src/carobwalk/gateway/choice/_unkeyed_chooser.py
@@ -1,6 +1,7 @@
 """Choice of a backend server for requests that any server can run."""
 
 import math
+from collections.abc import Iterable
 from functools import partial
 from typing import Final
 
@@ -87,7 +88,10 @@
             if not server and not may_free and opens_at > waiting.leaves_at:
                 excluded = self._candidates.refusal(service, request)
                 return excluded or _no_server(opens_at)
-            queue.parts.capacity = self._capacity(service, request)
+            queue.parts.capacity = _total_limit(
+                self._loads,
+                self._candidates.find(service, request, frozenset()),
+            )
             refusal = waiting.refusal()
             if refusal is not None:
                 return refusal
@@ -126,13 +130,6 @@
                 queue.wake(free)
         return Target(server)
 
-    def _capacity(self, service: ServiceName, request: CallerRequest) -> float:
-        """Return how many requests of this process the servers may hold."""
-        return sum(
-            self._loads.of(server).limit
-            for server in self._candidates.find(service, request, frozenset())
-        )
-
     def may_send(self, request: CallerRequest, server: BackendServer) -> bool:
         """Return whether the location of a chosen server still permits it."""
         return self._candidates.permits(request, server, is_keyed=False)
@@ -212,6 +209,11 @@
         )
 
 
+def _total_limit(loads: LoadTable, servers: Iterable[BackendServer]) -> float:
+    """Return how many requests of this process some servers may hold."""
+    return sum(loads.of(server).limit for server in servers)
+
+
 def _no_server(opens_at: float) -> NoTarget:
     """Return why no server accepts a request in time.
 
