Treat a listing of a higher era as one after an outage in each follower

A relay that started after a restore of the store saw no outage, and said so with its listing. Followers then dropped the servers and evacuations that the store still lacked. Each follower now compares the eras itself, which also holds for one that asks its relay late.

--- a/src/carobwalk/store/_followed_records.py
+++ b/src/carobwalk/store/_followed_records.py
@@ -6,6 +6,7 @@
 
 from carobwalk.events import Event, EventLog
 from carobwalk.model import Clock
+from carobwalk.store._era import era_of_revision
 from carobwalk.store._store import Versioned
 from carobwalk.store._transactional import Changes, Listing, Removed
 
@@ -103,14 +104,22 @@
     def load(self, listing: Listing, *, after_outage: bool) -> None:
         """Replace all records unless newer ones are known.
 
+        A listing of a higher era is one after an outage, whatever its source
+        knows: a process that has started since the restore saw none.
+
         Args:
             listing: Complete listing of the prefix.
             after_outage: Whether missing records may have expired only
                 because of an outage of the store.
         """
         if listing.revision >= self.revision:
+            known_era = era_of_revision(self.revision)
+            is_restored = era_of_revision(listing.revision) > known_era
             self.revision = listing.revision
-            self._reader.load(listing, after_outage=after_outage)
+            self._reader.load(
+                listing,
+                after_outage=after_outage or (self.has_listed and is_restored),
+            )
             self.has_listed = True
         self.confirm()
 
--- a/src/carobwalk/store/_record_calls.py
+++ b/src/carobwalk/store/_record_calls.py
@@ -6,7 +6,6 @@
 from result import Err
 
 from carobwalk.model import Clock
-from carobwalk.store._era import era_of_revision
 from carobwalk.store._followed_records import FollowedRecords
 from carobwalk.store._store import StoreFailure
 from carobwalk.store._transactional import (
@@ -79,13 +78,9 @@
     def _load(self, listing: Listing, *, has_failed: bool) -> None:
         records = self.records
         is_long = records.seconds_without_contact >= _MIN_OUTAGE_SECONDS
-        is_restored = era_of_revision(listing.revision) > era_of_revision(
-            records.revision
-        )
-        is_outage = is_restored or (has_failed and is_long)
         records.load(
             listing,
-            after_outage=records.has_listed and is_outage,
+            after_outage=records.has_listed and has_failed and is_long,
         )
 
     def _answered_at(self, sent: float, wait: float, found: Changes) -> float:
--- a/tests/store/test_followed_records.py
+++ b/tests/store/test_followed_records.py
@@ -8,6 +8,7 @@
     Listing,
     Removed,
     Versioned,
+    join_revision,
 )
 from tests.recording_log import RecordingLog
 
@@ -74,3 +75,16 @@
         records.apply(Changes((_row(5),), 5))
         records.apply(Changes((), 2))
         assert records.revision == 5
+
+
+class TestRestoredStore:
+    def test_listing_of_higher_era(self, records, reader) -> None:
+        """A listing of a higher era counts as one after an outage.
+
+        Guards against the loss of servers and evacuations that a restored
+        store lacks, if the listing comes from a relay that started meanwhile.
+        """
+        for revision in (1, 2, join_revision(1, 1), join_revision(1, 2)):
+            records.load(Listing((), revision), after_outage=False)
+        told = [after_outage for _, after_outage in reader.told]
+        assert told == [False, False, True, False]
