Ignore an impossible era that another process tells

A damaged revision from a peer raised the era for good, and every answer of the store counted as one of an earlier era. The new test failed before.

--- a/src/carobwalk/platform/_store_era.py
+++ b/src/carobwalk/platform/_store_era.py
@@ -17,8 +17,13 @@
         self.current = 0
 
     def raise_to(self, era: int) -> None:
-        """Record an era that this process has learned of."""
-        self.current = max(self.current, era)
+        """Record an era that this process has learned of.
+
+        One that no store can have is ignored: with it, all answers of the
+        store would count as earlier ones.
+        """
+        if era <= MAX_ERA:
+            self.current = max(self.current, era)
 
     def accepts(self, response: HttpResponse) -> bool:
         """Record the era of an answer; return whether it is the current one.
--- a/tests/platform/test_store_era_header.py
+++ b/tests/platform/test_store_era_header.py
@@ -26,3 +26,12 @@
         assert era.accepts(HttpResponse(200, {'store-era': ' 07 '}))
         assert era.current == 7
         assert not era.accepts(HttpResponse(200, {'store-era': '6'}))
+
+    def test_impossible(self) -> None:
+        """An impossible era from another process changes nothing.
+
+        Guards against a damaged revision after which no answer is accepted.
+        """
+        era = StoreEra()
+        era.raise_to(MAX_ERA + 1)
+        assert era.accepts(HttpResponse(200, {'store-era': '1'}))
