Look up the regions of a refused request once

The refusal of a request whose servers are all excluded matched its route anew for each server of the service. The result is the same: the regions depend on the request only.

--- a/src/carobwalk/gateway/choice/_candidate_servers.py
+++ b/src/carobwalk/gateway/choice/_candidate_servers.py
@@ -134,8 +134,9 @@
         ]
         if not staying or self.permitted(service, request, frozenset()):
             return None
+        regions = self._regions.allowed(request)
         is_outside = not any(
-            self.is_in_region(request, server) for server in staying
+            self._regions.contain(regions, server) for server in staying
         )
         detail = _OUTSIDE if is_outside else _EVACUATED
         return NoTarget(detail, _LOCATION_RETRY_SECONDS)
